--- /dev/null
+++ b/crates/chart/src/file.rs
@@ -0,0 +1,28 @@
+//! The form of a chart file.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+
+/// A chart as its file spells it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ChartFile {
+    pub(crate) name: String,
+    pub(crate) initial: String,
+    pub(crate) state: Vec<StateFile>,
+}
+
+/// One state of a chart file.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct StateFile {
+    pub(crate) name: String,
+    #[serde(default)]
+    pub(crate) on: BTreeMap<String, String>,
+    #[serde(default)]
+    pub(crate) ignore: Vec<String>,
+    /// A final state answers every event by staying.
+    #[serde(default)]
+    pub(crate) last: bool,
+}
--- /dev/null
+++ b/crates/chart/tests/parse.rs
@@ -0,0 +1,55 @@
+//! Charts that break a rule are refused with the rule.
+
+use gs_chart::Chart;
+use rstest::rstest;
+
+#[derive(
+    Clone, Copy, Debug, PartialEq, strum::EnumIter, strum::EnumString, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+enum Door {
+    Open,
+    Shut,
+}
+
+#[derive(
+    Clone, Copy, Debug, PartialEq, strum::EnumIter, strum::EnumString, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+enum Hand {
+    Push,
+    Pull,
+}
+
+const OPEN: &str = "[[state]]\nname = \"open\"\non = { pull = \"shut\" }\nignore = [\"push\"]\n";
+const SHUT: &str = "[[state]]\nname = \"shut\"\non = { push = \"open\" }\nignore = [\"pull\"]\n";
+
+#[rstest]
+#[case::state_left_out(SHUT, "door: state `open` stands 0 times")]
+#[case::event_unanswered(
+    "[[state]]\nname = \"shut\"\non = { push = \"open\" }\n",
+    "door: state `shut` answers event `pull` 0 times, not 1"
+)]
+#[case::unknown_name(
+    "[[state]]\nname = \"ajar\"\nlast = true\n",
+    "door: no state or event is called `ajar`"
+)]
+#[case::unreachable(
+    "[[state]]\nname = \"shut\"\nignore = [\"push\", \"pull\"]\n[[state]]\nname = \"open\"\nlast = true\n",
+    "door: state `open` cannot be reached"
+)]
+fn refused(#[case] states: &str, #[case] why: &str) {
+    let text = format!("name = \"door\"\ninitial = \"shut\"\n{states}");
+    let e = Chart::<Door, Hand>::parse(&text).expect_err("chart must be refused");
+    assert_eq!(e.to_string(), format!("{why} (step: read chart)"));
+}
+
+#[test]
+fn drawn_from_the_same_file() {
+    let text = format!("name = \"door\"\ninitial = \"shut\"\n{OPEN}{SHUT}");
+    let c = Chart::<Door, Hand>::parse(&text).expect("chart is whole");
+    assert_eq!(
+        c.mermaid(),
+        "stateDiagram-v2\n    [*] --> shut\n    open --> shut: pull\n    shut --> open: push\n"
+    );
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be written.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,12 @@
+//! Newtypes, the domain model and the errors that every crate of the workspace shares.
+//!
+//! Nothing here does I/O or reads a clock. Most crates need only the [`prelude`].
+
+pub mod answer;
+pub mod attempt;
+pub mod error;
+pub mod ids;
+pub mod lookup;
+pub mod model;
+pub mod prelude;
+pub mod size;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `gentiansill` program.
+
+fn main() {}
