feat(settings): read and check a settings file, every fault at once with its place

One table holds every key with its kind, range and default; the reader, the reports and the docs share it. Adds strsim (already in the lock through clap) for the nearest known key.

--- /dev/null
+++ b/crates/settings/src/checks.rs
@@ -0,0 +1,77 @@
+//! What two keys together must satisfy.
+
+use std::net::SocketAddr;
+
+use crate::faults::Fault;
+use crate::faults::FaultKind;
+use crate::reader::Reader;
+use crate::settings::Settings;
+
+/// Gathers a fault for each pair of keys that contradict each other.
+pub(crate) fn check(s: &Settings, r: &mut Reader<'_>) {
+    if s.shutdown.deadline <= s.shutdown.lag {
+        let (key, name) = either(r, "shutdown", "deadline", "lag");
+        let f = Fault::new(
+            FaultKind::Clash,
+            "`shutdown.deadline` is not longer than `shutdown.lag`",
+            "make the deadline longer than the lag and the longest lookup together",
+        );
+        clash(r, f, key, name);
+    }
+    if s.claims.window <= s.claims.skew {
+        let (key, name) = either(r, "claims", "skew", "window");
+        let f = Fault::new(
+            FaultKind::Clash,
+            "`claims.window` is not longer than `claims.skew`",
+            "make the window longer than the time in which callers resend",
+        );
+        clash(r, f, key, name);
+    }
+    let l = &s.listen;
+    check_ports(r, ("callers", l.callers), ("admin", l.admin));
+    check_ports(r, ("callers", l.callers), ("mesh", l.mesh));
+    check_ports(r, ("admin", l.admin), ("mesh", l.mesh));
+    check_family(s, r);
+}
+
+/// The key of the two that stands in the file; a default is never pointed at.
+fn either(
+    r: &Reader<'_>,
+    section: &'static str,
+    a: &'static str,
+    b: &'static str,
+) -> (&'static str, &'static str) {
+    match r.place(section, a) {
+        Some(_) => (section, a),
+        None => (section, b),
+    }
+}
+
+fn clash(r: &mut Reader<'_>, f: Fault, section: &str, name: &str) {
+    let place = r.place(section, name).unwrap_or(0..0);
+    r.fault(f.at(place, "this value"));
+}
+
+fn check_ports(r: &mut Reader<'_>, a: (&str, SocketAddr), b: (&str, SocketAddr)) {
+    let same_ip = a.1.ip() == b.1.ip() || a.1.ip().is_unspecified() || b.1.ip().is_unspecified();
+    if a.1.port() == b.1.port() && same_ip {
+        let f = Fault::new(
+            FaultKind::Clash,
+            format!("`listen.{}` and `listen.{}` are the same port", a.0, b.0),
+            "give each its own port",
+        );
+        clash(r, f, "listen", b.0);
+    }
+}
+
+fn check_family(s: &Settings, r: &mut Reader<'_>) {
+    let Some(ip) = s.source.ip else { return };
+    if ip.is_ipv4() != s.platform.addr.is_ipv4() {
+        let f = Fault::new(
+            FaultKind::Clash,
+            "`source.ip` and `platform.addr` are of different IP versions",
+            "give both as IPv4 or both as IPv6",
+        );
+        clash(r, f, "source", "ip");
+    }
+}
--- /dev/null
+++ b/crates/settings/src/faults.rs
@@ -0,0 +1,161 @@
+//! What is wrong with a settings file: every fault at once, each with its place.
+
+use std::fmt;
+use std::ops::Range;
+
+use miette::Diagnostic;
+use miette::LabeledSpan;
+use miette::NamedSource;
+use miette::SourceCode;
+
+/// What sort of fault it is, for programs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum FaultKind {
+    /// The file does not exist.
+    NoFile,
+    /// The file exists and cannot be read.
+    Unreadable,
+    /// The file is larger than any settings file can be.
+    TooLarge,
+    /// The file holds bytes that are not UTF-8.
+    NotUtf8,
+    /// The text is not TOML.
+    Syntax,
+    /// The key stands twice.
+    Duplicate,
+    /// No such section or key exists.
+    UnknownKey,
+    /// A key without a default is not there.
+    Missing,
+    /// The value is of another TOML type than the key wants.
+    WrongType,
+    /// The value does not read, such as a duration without its unit.
+    BadValue,
+    /// The value reads and is too small or too large.
+    OutOfRange,
+    /// Two keys contradict each other.
+    Clash,
+}
+
+/// One fault: its place, the reason and the mend.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    kind: FaultKind,
+    reason: String,
+    place: Option<(Range<usize>, String)>,
+    mend: String,
+}
+
+impl Fault {
+    pub(crate) fn new(kind: FaultKind, reason: impl Into<String>, mend: impl Into<String>) -> Self {
+        Self {
+            kind,
+            reason: reason.into(),
+            place: None,
+            mend: mend.into(),
+        }
+    }
+
+    #[must_use]
+    pub(crate) fn at(mut self, place: Range<usize>, label: impl Into<String>) -> Self {
+        self.place = Some((place, label.into()));
+        self
+    }
+
+    /// What sort of fault it is.
+    #[must_use]
+    pub fn kind(&self) -> FaultKind {
+        self.kind
+    }
+
+    /// The bytes of the file that are at fault; `None` if the file as a whole is.
+    #[must_use]
+    pub fn place(&self) -> Option<Range<usize>> {
+        self.place.as_ref().map(|p| p.0.clone())
+    }
+
+    /// How to mend it.
+    #[must_use]
+    pub fn mend(&self) -> &str {
+        &self.mend
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.reason)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Diagnostic for Fault {
+    fn code<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(format!("settings::{}", self.kind)))
+    }
+
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        Some(Box::new(&self.mend))
+    }
+
+    fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
+        let (place, label) = self.place.as_ref()?;
+        let span = LabeledSpan::new(Some(label.clone()), place.start, place.len());
+        Some(Box::new(std::iter::once(span)))
+    }
+}
+
+/// Every fault found in a settings file; never empty.
+pub struct Faults {
+    name: String,
+    source: NamedSource<String>,
+    faults: Vec<Fault>,
+}
+
+impl Faults {
+    pub(crate) fn new(name: &str, text: &str, mut faults: Vec<Fault>) -> Self {
+        faults.sort_by_key(|f| f.place().map_or(0, |p| p.start));
+        Self {
+            name: name.to_owned(),
+            source: NamedSource::new(name, text.to_owned()),
+            faults,
+        }
+    }
+
+    /// The faults, in the order of their places.
+    #[must_use]
+    pub fn faults(&self) -> &[Fault] {
+        &self.faults
+    }
+}
+
+impl fmt::Debug for Faults {
+    /// Leaves the file's text out: a person may have put a secret in it.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Faults")
+            .field("name", &self.name)
+            .field("faults", &self.faults)
+            .finish_non_exhaustive()
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let n = self.faults.len();
+        let s = if n == 1 { "" } else { "s" };
+        write!(f, "{}: {n} fault{s} in the settings", self.name)
+    }
+}
+
+impl std::error::Error for Faults {}
+
+impl Diagnostic for Faults {
+    fn source_code(&self) -> Option<&dyn SourceCode> {
+        Some(&self.source)
+    }
+
+    fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
+        Some(Box::new(self.faults.iter().map(|f| f as &dyn Diagnostic)))
+    }
+}
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,232 @@
+//! The table of every key, with its kind, range and default; docs/SETTINGS.md is drawn from it.
+
+use std::fmt;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+
+/// One key of the settings.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Key {
+    /// The section it stands in.
+    pub section: &'static str,
+    /// Its name there.
+    pub name: &'static str,
+    /// What it takes.
+    pub kind: Kind,
+    /// What happens without it.
+    pub presence: Presence,
+    /// What it does.
+    pub text: &'static str,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.section, self.name)
+    }
+}
+
+/// What happens without a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// The settings are refused.
+    Required,
+    /// This value, in TOML's notation, takes its place.
+    Default(&'static str),
+    /// The feature is off or the system chooses, as the key's text says.
+    Unset,
+}
+
+/// What a key takes, with its range; both ends belong to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// A name of a VM, data centre or region.
+    Name,
+    /// An IP number and a port.
+    Address,
+    /// An IP number.
+    Ip,
+    /// The path of a file; a relative one starts at the settings file's directory.
+    Path,
+    /// A duration with its unit.
+    Duration(Duration, Duration),
+    /// A size in bytes.
+    Size(Bytes, Bytes),
+    /// A whole number.
+    Count(u64, u64),
+    /// Events a second.
+    Rate(f64, f64),
+    /// A fraction.
+    Fraction(f64, f64),
+    /// One of these words.
+    Choice(&'static [&'static str]),
+}
+
+impl Kind {
+    /// How a value is written.
+    #[must_use]
+    pub fn form(self) -> &'static str {
+        match self {
+            Kind::Name => "a name in quotes",
+            Kind::Address => "an IP number and a port in quotes, such as \"10.0.0.1:8080\"",
+            Kind::Ip => "an IP number in quotes, such as \"10.0.0.1\"",
+            Kind::Path => "a path in quotes",
+            Kind::Duration(..) => "a duration in quotes, such as \"250ms\" or \"2s\"",
+            Kind::Size(..) => "a size in quotes, such as \"64KB\" or \"1MB\"",
+            Kind::Count(..) => "a whole number",
+            Kind::Rate(..) => "a number of events a second, such as 20",
+            Kind::Fraction(..) => "a fraction, such as 0.03",
+            Kind::Choice(_) => "one of the words in quotes",
+        }
+    }
+
+    /// The unit of a value, for the docs.
+    #[must_use]
+    pub fn unit(self) -> &'static str {
+        match self {
+            Kind::Name => "name",
+            Kind::Address => "IP number and port",
+            Kind::Ip => "IP number",
+            Kind::Path => "path",
+            Kind::Duration(..) => "duration",
+            Kind::Size(..) => "size",
+            Kind::Count(..) => "count",
+            Kind::Rate(..) => "per second",
+            Kind::Fraction(..) => "fraction",
+            Kind::Choice(_) => "word",
+        }
+    }
+
+    /// The values accepted, for the docs and the reports.
+    #[must_use]
+    pub fn range(self) -> String {
+        match self {
+            Kind::Name => format!(
+                "1 to {} of a-z, 0-9, `-`, `_`, `.`",
+                gs_types::ids::NAME_MAX
+            ),
+            Kind::Address => "port not 0".to_owned(),
+            Kind::Ip => "IPv4 or IPv6".to_owned(),
+            Kind::Path => "a readable or writable file".to_owned(),
+            Kind::Duration(min, max) => {
+                let form = humantime::format_duration;
+                format!("{} to {}", form(min), form(max))
+            }
+            Kind::Size(min, max) => format!("{min} to {max}"),
+            Kind::Count(min, max) => format!("{min} to {max}"),
+            Kind::Rate(min, max) | Kind::Fraction(min, max) => format!("{min} to {max}"),
+            Kind::Choice(words) => words.join(", "),
+        }
+    }
+}
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+const fn key(
+    section: &'static str,
+    name: &'static str,
+    kind: Kind,
+    presence: Presence,
+    text: &'static str,
+) -> Key {
+    Key {
+        section,
+        name,
+        kind,
+        presence,
+        text,
+    }
+}
+
+const HOUR: u64 = 3600;
+const KB: u64 = 1 << 10;
+const MB: u64 = 1 << 20;
+
+/// Every key, in the order of the docs.
+#[rustfmt::skip]
+pub const KEYS: &[Key] = &[
+    key("vm", "name", Kind::Name, Presence::Required,
+        "The VM's name, unique among live VMs."),
+    key("vm", "data-centre", Kind::Name, Presence::Required,
+        "The data centre it stands in."),
+    key("vm", "region", Kind::Name, Presence::Required,
+        "The region of the data centre."),
+    key("listen", "callers", Kind::Address, Presence::Required,
+        "Where callers are served."),
+    key("listen", "admin", Kind::Address, Presence::Required,
+        "Where operators, metrics and health checks are served."),
+    key("listen", "mesh", Kind::Address, Presence::Required,
+        "Where the other VMs connect."),
+    key("source", "ip", Kind::Ip, Presence::Unset,
+        "The local address that outgoing connections start from; the system's choice without it."),
+    key("platform", "addr", Kind::Address, Presence::Required,
+        "The platform's object service."),
+    key("platform", "timeout", Kind::Duration(ms(10), secs(30)), Presence::Default("\"500ms\""),
+        "The longest that one call may take; a watch's own wait is not counted."),
+    key("platform", "watch-wait", Kind::Duration(ms(100), secs(300)), Presence::Default("\"10s\""),
+        "How long a watch waits for a change."),
+    key("platform", "calls-per-second", Kind::Rate(0.1, 1000.0), Presence::Default("20"),
+        "The most calls that this process makes; a waiting watch counts as one."),
+    key("mesh", "secret-file", Kind::Path, Presence::Required,
+        "The file with the secret that every VM shares: 16 bytes to 4KB, a last line break not \
+         counted."),
+    key("mesh", "heartbeat", Kind::Duration(ms(10), secs(10)), Presence::Default("\"250ms\""),
+        "The time between two heartbeats."),
+    key("callers", "body", Kind::Size(Bytes(KB), Bytes(16 * MB)), Presence::Default("\"64KB\""),
+        "The largest request body."),
+    key("callers", "headers", Kind::Size(Bytes(8 * KB), Bytes(MB)), Presence::Default("\"16KB\""),
+        "The largest request head."),
+    key("callers", "header-timeout", Kind::Duration(ms(10), secs(60)), Presence::Default("\"2s\""),
+        "The longest that a request's head may take to arrive."),
+    key("callers", "body-timeout", Kind::Duration(ms(10), secs(60)), Presence::Default("\"2s\""),
+        "The longest that a request's body may take to arrive."),
+    key("callers", "in-flight", Kind::Count(1, 1_000_000), Presence::Default("2000"),
+        "The most lookups in flight; more are refused at once."),
+    key("callers", "connections", Kind::Count(1, 1_000_000), Presence::Default("4096"),
+        "The most connections of callers held open."),
+    key("tuning", "policy", Kind::Choice(&["chosen", "baseline"]), Presence::Default("\"chosen\""),
+        "Which set of decisions runs; `baseline` is for measurements only."),
+    key("tuning", "hedge-budget", Kind::Fraction(0.0, 1.0), Presence::Default("0.03"),
+        "Hedges allowed for each attempt."),
+    key("tuning", "retry-budget", Kind::Fraction(0.0, 1.0), Presence::Default("0.1"),
+        "Retries allowed for each attempt."),
+    key("tuning", "seed", Kind::Count(0, i64::MAX as u64), Presence::Unset,
+        "The seed of the decisions' random numbers; drawn at start without it."),
+    key("shutdown", "lag", Kind::Duration(ms(0), secs(60)), Presence::Default("\"2s\""),
+        "How long new requests are still taken after the process says that it is not ready."),
+    key("shutdown", "deadline", Kind::Duration(ms(100), secs(600)), Presence::Default("\"30s\""),
+        "When the process exits whatever is still in flight; longer than `lag`."),
+    key("servers", "poll", Kind::Duration(ms(50), secs(60)), Presence::Default("\"1s\""),
+        "The time between two looks at a backend server's health and load endpoint."),
+    key("servers", "connect-timeout", Kind::Duration(ms(1), secs(10)), Presence::Default("\"100ms\""),
+        "The longest that a new connection to a backend server may take."),
+    key("claims", "window", Kind::Duration(secs(60), secs(30 * 24 * HOUR)), Presence::Default("\"24h\""),
+        "How old an idempotency key may be; an older one is refused for ever."),
+    key("claims", "skew", Kind::Duration(ms(0), secs(600)), Presence::Default("\"30s\""),
+        "How far the clocks of callers and VMs may differ; shorter than `window`."),
+    key("log", "level", Kind::Choice(&["off", "error", "warn", "info", "debug", "trace"]),
+        Presence::Default("\"info\""),
+        "How much is logged on stderr, one key=value line an event."),
+    key("record", "file", Kind::Path, Presence::Unset,
+        "The trace to write; nothing is recorded without it."),
+    key("runtime", "workers", Kind::Count(1, 256), Presence::Default("2"),
+        "Worker threads."),
+];
+
+/// Finds a key.
+pub(crate) fn find(section: &str, name: &str) -> Option<&'static Key> {
+    KEYS.iter().find(|k| k.section == section && k.name == name)
+}
+
+/// The sections, each once, in the order of the table.
+pub(crate) fn sections() -> Vec<&'static str> {
+    let mut out: Vec<&'static str> = KEYS.iter().map(|k| k.section).collect();
+    out.dedup();
+    out
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,11 +10,28 @@
 //! # Ok::<(), gs_settings::Faults>(())
 //! ```
 
+mod checks;
+mod faults;
 mod fraction;
+mod keys;
+mod load;
+mod reader;
 mod secret;
+mod sections;
 mod settings;
+mod values;
 
+pub use faults::Fault;
+pub use faults::FaultKind;
+pub use faults::Faults;
 pub use fraction::Fraction;
+pub use keys::KEYS;
+pub use keys::Key;
+pub use keys::Kind;
+pub use keys::Presence;
+pub use load::MAX_FILE;
+pub use load::load;
+pub use load::parse;
 pub use secret::Secret;
 pub use settings::Callers;
 pub use settings::Claims;
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,180 @@
+//! Takes values out of a parsed file and gathers the faults.
+
+use std::ops::Range;
+use std::path::Path;
+use std::path::PathBuf;
+
+use toml::Spanned;
+use toml::de::DeTable;
+use toml::de::DeValue;
+
+use crate::faults::Fault;
+use crate::faults::FaultKind;
+use crate::keys;
+use crate::keys::KEYS;
+use crate::keys::Key;
+use crate::keys::Presence;
+use crate::values::Problem;
+
+/// A section or key this alike is offered as what was meant.
+const ALIKE: f64 = 0.75;
+
+/// Reads values by section and name.
+pub(crate) struct Reader<'i> {
+    table: DeTable<'i>,
+    dir: PathBuf,
+    faults: Vec<Fault>,
+}
+
+impl<'i> Reader<'i> {
+    pub(crate) fn new(table: DeTable<'i>, dir: &Path) -> Self {
+        Self {
+            table,
+            dir: dir.to_owned(),
+            faults: Vec::new(),
+        }
+    }
+
+    pub(crate) fn fault(&mut self, f: Fault) {
+        self.faults.push(f);
+    }
+
+    pub(crate) fn into_faults(self) -> Vec<Fault> {
+        self.faults
+    }
+
+    /// The path with the settings file's directory before it, if it is relative.
+    pub(crate) fn resolve(&self, path: &str) -> PathBuf {
+        self.dir.join(path)
+    }
+
+    /// Where a key's value stands.
+    pub(crate) fn place(&self, section: &str, name: &str) -> Option<Range<usize>> {
+        self.value(section, name).map(Spanned::span)
+    }
+
+    fn value(&self, section: &str, name: &str) -> Option<&Spanned<DeValue<'i>>> {
+        let table = self.table.get(section)?.get_ref().as_table()?;
+        table.get(name)
+    }
+
+    /// Reads one key; `None` without it or with a fault, which is gathered.
+    pub(crate) fn take<T>(
+        &mut self,
+        section: &'static str,
+        name: &'static str,
+        parse: impl FnOnce(&DeValue<'i>, &Key) -> Result<T, Problem>,
+    ) -> Option<T> {
+        let key = keys::find(section, name)?;
+        let Some(value) = self.value(section, name) else {
+            self.miss(key);
+            return None;
+        };
+        match parse(value.get_ref(), key) {
+            Ok(t) => Some(t),
+            Err(p) => {
+                let place = value.span();
+                self.fault(p.into_fault(key, place));
+                None
+            }
+        }
+    }
+
+    /// Gathers the fault of a key that has no default and is not there.
+    fn miss(&mut self, key: &Key) {
+        if key.presence != Presence::Required {
+            return;
+        }
+        let section = self.table.get(key.section);
+        if section.is_some_and(|s| !s.get_ref().is_table()) {
+            return;
+        }
+        let place = section.map_or(0..0, Spanned::span);
+        let fault = Fault::new(
+            FaultKind::Missing,
+            format!("`{key}` is missing and has no default"),
+            format!(
+                "under `[{}]`, add `{} = {}`",
+                key.section,
+                key.name,
+                key.kind.form()
+            ),
+        );
+        self.fault(fault.at(place, format!("no `{}` here", key.name)));
+    }
+
+    /// Gathers a fault for each section and key that does not exist.
+    pub(crate) fn check_names(&mut self, broken: bool) {
+        let mut found = Vec::new();
+        for (name, value) in &self.table {
+            let section = name.get_ref();
+            if !keys::sections().contains(&section.as_ref()) {
+                found.push(unknown_section(section, name.span()));
+                continue;
+            }
+            let Some(table) = value.get_ref().as_table() else {
+                // A broken line can leave half a value behind; it has its own fault.
+                if !broken {
+                    found.push(no_section(section, value.span()));
+                }
+                continue;
+            };
+            for key in table.keys() {
+                if keys::find(section, key.get_ref()).is_none() {
+                    found.push(unknown_key(section, key.get_ref(), key.span()));
+                }
+            }
+        }
+        self.faults.extend(found);
+    }
+}
+
+fn no_section(section: &str, place: Range<usize>) -> Fault {
+    Fault::new(
+        FaultKind::WrongType,
+        format!("`{section}` is a section, not a value"),
+        format!("write `[{section}]` on a line of its own and its keys below"),
+    )
+    .at(place, "a value stands here")
+}
+
+fn unknown_section(section: &str, place: Range<usize>) -> Fault {
+    let mend = match nearest(section, keys::sections().into_iter()) {
+        Some(s) => format!("did you mean `{s}`?"),
+        None => format!("the sections are {}", keys::sections().join(", ")),
+    };
+    Fault::new(
+        FaultKind::UnknownKey,
+        format!("there is no section `{section:.64}`"),
+        mend,
+    )
+    .at(place, "unknown section")
+}
+
+fn unknown_key(section: &str, name: &str, place: Range<usize>) -> Fault {
+    let here = || KEYS.iter().filter(|k| k.section == section);
+    let elsewhere = KEYS.iter().find(|k| k.name == name);
+    let mend = match (nearest(name, here().map(|k| k.name)), elsewhere) {
+        (_, Some(k)) => format!("it stands under `[{}]`", k.section),
+        (Some(n), None) => format!("did you mean `{n}`?"),
+        (None, None) => {
+            let names: Vec<_> = here().map(|k| k.name).collect();
+            format!("the keys of `[{section}]` are {}", names.join(", "))
+        }
+    };
+    Fault::new(
+        FaultKind::UnknownKey,
+        format!("there is no key `{name:.64}` in `[{section}]`"),
+        mend,
+    )
+    .at(place, "unknown key")
+}
+
+fn nearest(name: &str, known: impl Iterator<Item = &'static str>) -> Option<&'static str> {
+    let name: String = name.chars().take(64).collect();
+    known
+        .map(|k| (k, strsim::jaro_winkler(&name, k)))
+        .filter(|(_, alike)| *alike >= ALIKE)
+        .max_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(k, _)| k)
+}
