--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -106,19 +106,24 @@
     }
 }
 
-/// Every fault found in a settings file; never empty.
+/// The most faults that a report shows; a broken file of the largest size has tens of thousands.
+const SHOWN: usize = 50;
+
+/// Every fault found in a settings file, up to a bound; never empty.
 pub struct Faults {
-    name: String,
-    source: NamedSource<String>,
+    source: Box<NamedSource<String>>,
     faults: Vec<Fault>,
+    found: usize,
 }
 
 impl Faults {
     pub(crate) fn new(name: &str, text: &str, mut faults: Vec<Fault>) -> Self {
         faults.sort_by_key(|f| f.place().map_or(0, |p| p.start));
+        let found = faults.len();
+        faults.truncate(SHOWN);
         Self {
-            name: name.to_owned(),
-            source: NamedSource::new(name, text.to_owned()),
+            found,
+            source: Box::new(NamedSource::new(name, text.to_owned())),
             faults,
         }
     }
@@ -134,7 +139,7 @@
     /// Leaves the file's text out: a person may have put a secret in it.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Faults")
-            .field("name", &self.name)
+            .field("name", &self.source.name())
             .field("faults", &self.faults)
             .finish_non_exhaustive()
     }
@@ -142,9 +147,13 @@
 
 impl fmt::Display for Faults {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let n = self.faults.len();
+        let n = self.found;
         let s = if n == 1 { "" } else { "s" };
-        write!(f, "{}: {n} fault{s} in the settings", self.name)
+        write!(f, "{}: {n} fault{s} in the settings", self.source.name())?;
+        if n > SHOWN {
+            write!(f, ", of which these are the first {SHOWN}")?;
+        }
+        Ok(())
     }
 }
 
@@ -152,7 +161,7 @@
 
 impl Diagnostic for Faults {
     fn source_code(&self) -> Option<&dyn SourceCode> {
-        Some(&self.source)
+        Some(&*self.source)
     }
 
     fn related<'a>(&'a self) -> Option<Box<dyn Iterator<Item = &'a dyn Diagnostic> + 'a>> {
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -67,10 +67,10 @@
     #[must_use]
     pub fn form(self) -> &'static str {
         match self {
-            Kind::Name => "a name in quotes",
+            Kind::Name => "a name in quotes, such as \"hobart-1\"",
             Kind::Address => "an IP number and a port in quotes, such as \"10.0.0.1:8080\"",
             Kind::Ip => "an IP number in quotes, such as \"10.0.0.1\"",
-            Kind::Path => "a path in quotes",
+            Kind::Path => "a path in quotes, such as \"mesh.secret\"",
             Kind::Duration(..) => "a duration in quotes, such as \"250ms\" or \"2s\"",
             Kind::Size(..) => "a size in quotes, such as \"64KB\" or \"1MB\"",
             Kind::Count(..) => "a whole number",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,6 +1,6 @@
 //! The settings of one process: a TOML file, read and checked whole at start.
 //!
-//! [`load`] gives [`Settings`] or a [`Faults`] report that points at every place at fault, says why
+//! [`load()`] gives [`Settings`] or a [`Faults`] report that points at every place at fault, says why
 //! it is one and how to mend it. Keys, units, ranges and defaults stand in one table, [`KEYS`], that
 //! the reader, the docs and the fault reports share.
 //!
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -40,11 +40,16 @@
 /// [`Faults`] with every fault found; `name` is the file's name in the report.
 pub fn parse(name: &str, text: &str, dir: &Path) -> Result<Settings, Faults> {
     let (table, errors) = DeTable::parse_recoverable(text);
+    let faults: Vec<_> = errors.iter().map(|e| syntax(e, text)).collect();
+    // What a broken line leaves behind would only be reported as missing or unknown besides.
+    if faults.iter().any(|f| f.kind() == FaultKind::Syntax) {
+        return Err(Faults::new(name, text, faults));
+    }
     let mut r = Reader::new(table.into_inner(), dir);
-    for e in &errors {
-        r.fault(syntax(e, text));
+    for f in faults {
+        r.fault(f);
     }
-    r.check_names(!errors.is_empty());
+    r.check_names();
     let settings = sections::read(&mut r);
     if let Some(s) = &settings {
         checks::check(s, &mut r);
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -24,6 +24,8 @@
     table: DeTable<'i>,
     dir: PathBuf,
     faults: Vec<Fault>,
+    /// Sections already reported as missing.
+    absent: Vec<&'static str>,
 }
 
 impl<'i> Reader<'i> {
@@ -32,6 +34,7 @@
             table,
             dir: dir.to_owned(),
             faults: Vec::new(),
+            absent: Vec::new(),
         }
     }
 
@@ -80,31 +83,27 @@
         }
     }
 
-    /// Gathers the fault of a key that has no default and is not there.
+    /// Gathers the fault of a key that has no default and is not there; a missing section is one
+    /// fault, whatever it should have held.
     fn miss(&mut self, key: &Key) {
         if key.presence != Presence::Required {
             return;
         }
-        let section = self.table.get(key.section);
-        if section.is_some_and(|s| !s.get_ref().is_table()) {
+        let Some(section) = self.table.get(key.section) else {
+            if !self.absent.contains(&key.section) {
+                self.absent.push(key.section);
+                self.fault(no_such_section(key.section));
+            }
             return;
+        };
+        if section.get_ref().is_table() {
+            let place = section.span();
+            self.fault(missing(key).at(place, format!("no `{}` here", key.name)));
         }
-        let place = section.map_or(0..0, Spanned::span);
-        let fault = Fault::new(
-            FaultKind::Missing,
-            format!("`{key}` is missing and has no default"),
-            format!(
-                "under `[{}]`, add `{} = {}`",
-                key.section,
-                key.name,
-                key.kind.form()
-            ),
-        );
-        self.fault(fault.at(place, format!("no `{}` here", key.name)));
     }
 
     /// Gathers a fault for each section and key that does not exist.
-    pub(crate) fn check_names(&mut self, broken: bool) {
+    pub(crate) fn check_names(&mut self) {
         let mut found = Vec::new();
         for (name, value) in &self.table {
             let section = name.get_ref();
@@ -113,10 +112,7 @@
                 continue;
             }
             let Some(table) = value.get_ref().as_table() else {
-                // A broken line can leave half a value behind; it has its own fault.
-                if !broken {
-                    found.push(no_section(section, value.span()));
-                }
+                found.push(no_section(section, value.span()));
                 continue;
             };
             for key in table.keys() {
@@ -129,6 +125,27 @@
     }
 }
 
+fn missing(key: &Key) -> Fault {
+    let (name, section, form) = (key.name, key.section, key.kind.form());
+    Fault::new(
+        FaultKind::Missing,
+        format!("`{key}` is missing and has no default"),
+        format!("add `{name} = …` under `[{section}]`: {form}"),
+    )
+}
+
+fn no_such_section(section: &str) -> Fault {
+    let wanted = KEYS
+        .iter()
+        .filter(|k| k.section == section && k.presence == Presence::Required);
+    let names: Vec<_> = wanted.map(|k| format!("`{}`", k.name)).collect();
+    Fault::new(
+        FaultKind::Missing,
+        format!("the section `[{section}]` is missing"),
+        format!("add it with {}, which have no default", names.join(", ")),
+    )
+}
+
 fn no_section(section: &str, place: Range<usize>) -> Fault {
     Fault::new(
         FaultKind::WrongType,
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -13,7 +13,7 @@
 
 /// All settings of one process.
 ///
-/// Use [`load`](crate::load) for a file, and the builder in tests:
+/// Use [`load`](crate::load()) for a file, and the builder in tests:
 ///
 /// ```
 /// use gs_settings::*;
--- /dev/null
+++ b/crates/settings/tests/settings/accept.rs
@@ -0,0 +1,105 @@
+//! Files that are accepted.
+
+use std::time::Duration;
+
+use gs_settings::KEYS;
+use gs_settings::Kind;
+use gs_settings::LogLevel;
+use gs_settings::Presence;
+use gs_settings::Settings;
+use gs_types::prelude::*;
+
+use crate::common::LEAST;
+use crate::common::dir;
+
+fn accepted(text: &str) -> Settings {
+    let dir = dir();
+    let mut s = gs_settings::parse("vm.toml", text, dir.path()).expect("accepted");
+    // The directory differs from call to call.
+    s.mesh.secret_file = "secret".into();
+    s
+}
+
+#[test]
+fn the_least_file_takes_every_default() {
+    let s = accepted(LEAST);
+    assert_eq!(s.vm.data_centre.as_str(), "hobart-a");
+    assert_eq!(s.platform.timeout, Duration::from_millis(500));
+    assert_eq!(s.callers.body, Bytes(65536));
+    assert_eq!(s.shutdown.deadline, Duration::from_secs(30));
+    assert_eq!(s.claims.window, Duration::from_secs(86400));
+    assert_eq!(s.tuning.seed, None);
+    assert_eq!(s.log.level, LogLevel::Info);
+}
+
+#[test]
+fn each_documented_default_is_the_one_taken() {
+    let least = accepted(LEAST);
+    for key in KEYS {
+        let Presence::Default(value) = key.presence else {
+            continue;
+        };
+        let line = format!("[{}]\n{} = {value}\n", key.section, key.name);
+        let header = format!("[{}]\n", key.section);
+        let text = match LEAST.contains(&header) {
+            true => LEAST.replace(&header, &line),
+            false => format!("{LEAST}\n{line}"),
+        };
+        assert_eq!(accepted(&text), least, "{key}");
+    }
+}
+
+#[test]
+fn both_ends_of_each_range_are_accepted() {
+    for key in KEYS {
+        let ends = match key.kind {
+            Kind::Duration(min, max) => [min, max]
+                .map(|d| format!("\"{}\"", humantime::format_duration(d)))
+                .to_vec(),
+            Kind::Size(min, max) => [min, max].map(|b| format!("\"{b}\"")).to_vec(),
+            Kind::Count(min, max) => [min, max].map(|n| n.to_string()).to_vec(),
+            Kind::Rate(min, max) | Kind::Fraction(min, max) => {
+                [min, max].map(|n| n.to_string()).to_vec()
+            }
+            Kind::Choice(words) => words.iter().map(|w| format!("\"{w}\"")).collect(),
+            Kind::Name | Kind::Address | Kind::Ip | Kind::Path => Vec::new(),
+        };
+        for end in ends {
+            let text = format!("{}.{} = {end}\n{LEAST}", key.section, key.name);
+            // A dotted key opens the section, so the file's own header of it would be a second.
+            let header = format!("[{}]\n", key.section);
+            let text = match LEAST.contains(&header) {
+                true => LEAST.replace(&header, &format!("{header}{} = {end}\n", key.name)),
+                false => text,
+            };
+            // The largest lag needs a longer deadline, the largest skew a longer window.
+            let text = match (key.section, key.name) {
+                ("shutdown", "lag") => format!("shutdown.deadline = \"10m\"\n{text}"),
+                ("shutdown", "deadline") => format!("shutdown.lag = \"0s\"\n{text}"),
+                ("claims", "skew") => format!("claims.window = \"30d\"\n{text}"),
+                _ => text,
+            };
+            accepted(&text);
+        }
+    }
+}
+
+#[test]
+fn the_secret_is_read_without_its_line_break_and_never_shown() {
+    let s = accepted(LEAST);
+    assert_eq!(s.mesh.secret.expose(), b"0123456789abcdef");
+    let json = serde_json::to_string(&s).expect("JSON");
+    for shown in [format!("{s:?}"), s.mesh.secret.to_string(), json] {
+        assert!(!shown.contains("0123456789abcdef"), "{shown}");
+    }
+}
+
+#[test]
+fn relative_paths_start_at_the_settings_file() {
+    let dir = dir();
+    let file = dir.path().join("vm.toml");
+    std::fs::write(&file, format!("{LEAST}\n[record]\nfile = \"a.trace\"\n")).expect("a file");
+    let s = gs_settings::load(&file).expect("accepted");
+    assert_eq!(s.mesh.secret_file, dir.path().join("secret"));
+    assert_eq!(s.record.file, Some(dir.path().join("a.trace")));
+}
--- /dev/null
+++ b/crates/settings/tests/settings/fuzz.rs
@@ -0,0 +1,69 @@
+//! Any bytes at all are accepted or refused with a report; never a panic.
+
+use std::path::Path;
+
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+use crate::common::LEAST;
+use crate::common::report;
+
+fn config() -> Config {
+    let cases = std::env::var("GS_FUZZ_CASES")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(256);
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(20261203),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+/// A whole report, and each place within the text.
+fn judge(text: &str) {
+    if let Err(faults) = gs_settings::parse("vm.toml", text, Path::new("none")) {
+        for f in faults.faults() {
+            let place = f.place().unwrap_or(0..0);
+            assert!(place.start <= place.end && place.end <= text.len());
+        }
+        assert!(!faults.faults().is_empty());
+        report(&faults, Path::new("none"));
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn any_bytes(buf in proptest::collection::vec(any::<u8>(), 0..600)) {
+        judge(&String::from_utf8_lossy(&buf));
+    }
+
+    #[test]
+    fn a_good_file_with_a_piece_replaced(
+        from in 0..LEAST.len(),
+        len in 0..40usize,
+        piece in r#"[\[\]\{\}="'.,#\n a-z0-9é-]{0,24}"#,
+    ) {
+        let to = (from + len).min(LEAST.len());
+        judge(&format!("{}{piece}{}", &LEAST[..from], &LEAST[to..]));
+    }
+
+    #[test]
+    fn any_value_for_any_key(
+        at in 0..gs_settings::KEYS.len(),
+        value in r#"("[ -~é]{0,12}"|-?[0-9]{1,22}|[0-9]{1,4}\.[0-9e]{1,6}|[\[\{]{1,200}|inf|true)"#,
+    ) {
+        let key = gs_settings::KEYS[at];
+        judge(&format!("[{}]\n{} = {value}\n", key.section, key.name));
+    }
+
+    #[test]
+    fn deep_nesting(open in r"[\[\{]", n in 1..2_000usize) {
+        judge(&format!("a = {}", open.repeat(n)));
+        judge(&format!("{} = 1", "a.".repeat(n) + "a"));
+    }
+}
