feat(http): the callers' interface and the pool of connections to backend servers

The bound on a request's head starts with its first byte: with hyper's own header_read_timeout a kept connection that idled longer was closed under its next request (test a_kept_connection_outlives_the_header_timeout failed first: 0 bytes after 500 ms).

--- /dev/null
+++ b/crates/http/src/backend/mod.rs
@@ -0,0 +1,14 @@
+//! Connections to backend servers: one pool a process, one lane a server, one task an attempt.
+
+mod attempt;
+mod check;
+mod connect;
+mod exchange;
+mod lane;
+mod pool;
+mod status;
+
+pub use pool::Pool;
+pub use pool::PoolOptions;
+pub use pool::PoolState;
+pub use pool::Sink;
--- /dev/null
+++ b/crates/http/src/backend/pool.rs
@@ -0,0 +1,203 @@
+//! Every connection of this process to backend servers, and the attempts running on them.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bon::Builder;
+use gs_query::Dispatch;
+use gs_query::Event;
+use gs_query::ServerReport;
+use gs_types::prelude::*;
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::backend::attempt;
+use crate::backend::lane::Lane;
+use crate::backend::status;
+
+/// Takes what happens to attempts and connections; the engine stands behind it.
+pub trait Sink: Send + Sync + 'static {
+    /// Takes one event, in the order of the calls.
+    fn event(&self, ev: Event);
+}
+
+/// Settings of a [`Pool`].
+#[derive(Clone, Debug, Builder)]
+pub struct PoolOptions {
+    /// The address that connections start from; the system's choice if `None`.
+    pub source: Option<IpAddr>,
+    /// The longest that opening a connection may take.
+    #[builder(default = Duration::from_millis(100))]
+    pub connect_timeout: Duration,
+    /// The most bytes of a reply's body.
+    #[builder(default = 1 << 20)]
+    pub part_max: usize,
+}
+
+/// What lanes and attempts share.
+pub(crate) struct Common {
+    pub(crate) opts: PoolOptions,
+    pub(crate) sink: Arc<dyn Sink>,
+    opened: AtomicU64,
+}
+
+impl Common {
+    pub(crate) fn opened(&self) {
+        self.opened.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// The connections to every backend server.
+///
+/// For each [`Dispatch`] exactly one [`Event::Reply`] is sent to the sink, also after a cancel, and
+/// [`Event::Sent`] before it if the attempt passed the point of no return.
+pub struct Pool {
+    common: Arc<Common>,
+    lanes: Mutex<HashMap<ServerName, Arc<Lane>>>,
+    shares: Mutex<HashMap<ServerName, Connections>>,
+    running: Arc<Running>,
+}
+
+/// The cancel handles of attempts that have not ended.
+#[derive(Default)]
+pub(crate) struct Running(Mutex<HashMap<AttemptId, oneshot::Sender<()>>>);
+
+impl Running {
+    fn map(&self) -> MutexGuard<'_, HashMap<AttemptId, oneshot::Sender<()>>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn remove(&self, id: &AttemptId) {
+        self.map().remove(id);
+    }
+}
+
+/// What a pool holds, for dumps.
+#[derive(Clone, Debug, Serialize)]
+pub struct PoolState {
+    /// Connections open to each server that has any.
+    pub open: Vec<(ServerName, u32)>,
+    /// Connections opened since the start.
+    pub opened: u64,
+    /// Attempts that have not ended.
+    pub running: usize,
+}
+
+impl Pool {
+    /// Starts without connections.
+    #[must_use]
+    pub fn new(opts: PoolOptions, sink: Arc<dyn Sink>) -> Self {
+        Self {
+            common: Arc::new(Common {
+                opts,
+                sink,
+                opened: AtomicU64::new(0),
+            }),
+            lanes: Mutex::default(),
+            shares: Mutex::default(),
+            running: Arc::default(),
+        }
+    }
+
+    /// Hands an attempt to its server in a task of its own.
+    pub fn dispatch(&self, d: Dispatch) {
+        let lane = self.lane(&d.server);
+        let (tx, rx) = oneshot::channel();
+        self.running.map().insert(d.attempt.clone(), tx);
+        let common = Arc::clone(&self.common);
+        let running = Arc::clone(&self.running);
+        tokio::spawn(async move {
+            let id = d.attempt.clone();
+            let reply = attempt::run(&common, &lane, d, rx).await;
+            running.remove(&id);
+            common.sink.event(Event::Reply(id, reply));
+        });
+    }
+
+    /// Stops an attempt; its reply is still sent to the sink.
+    pub fn cancel(&self, id: &AttemptId) {
+        if let Some(tx) = self.running.map().remove(id) {
+            let _ = tx.send(());
+        }
+    }
+
+    /// Sets how many connections may be open to each server named.
+    pub fn set_shares(&self, shares: &[(ServerName, Connections)]) {
+        let lanes = lock(&self.lanes);
+        let mut known = lock(&self.shares);
+        for (name, n) in shares {
+            known.insert(name.clone(), *n);
+            if let Some(lane) = lanes.get(name) {
+                lane.set_share(*n);
+            }
+        }
+    }
+
+    /// Opens connections to a server until so many are open, within the share.
+    pub fn warm(&self, server: &Arc<ServerDecl>, target: Connections) {
+        self.lane(server).warm(target);
+    }
+
+    /// Asks a server for its status, on a connection of its share that is idle or free to open.
+    ///
+    /// `None` if no connection was free: then attempts in flight tell more than a report would.
+    pub async fn report(&self, server: &Arc<ServerDecl>, limit: Duration) -> Option<ServerReport> {
+        let lane = self.lane(server);
+        status::ask(&lane, limit).await
+    }
+
+    /// Forgets servers that are no longer declared; their connections close as they come back.
+    pub fn retain(&self, keep: &dyn Fn(&ServerName) -> bool) {
+        lock(&self.lanes).retain(|name, lane| {
+            let stay = keep(name);
+            if !stay {
+                lane.set_share(Connections(0));
+            }
+            stay
+        });
+    }
+
+    /// What the pool holds.
+    #[must_use]
+    pub fn state(&self) -> PoolState {
+        let mut open: Vec<_> = lock(&self.lanes)
+            .iter()
+            .map(|(name, lane)| (name.clone(), lane.open()))
+            .filter(|(_, n)| *n > 0)
+            .collect();
+        open.sort();
+        PoolState {
+            open,
+            opened: self.common.opened.load(Ordering::Relaxed),
+            running: self.running.map().len(),
+        }
+    }
+
+    fn lane(&self, decl: &Arc<ServerDecl>) -> Arc<Lane> {
+        let mut lanes = lock(&self.lanes);
+        if let Some(lane) = lanes.get(&decl.name)
+            && lane.decl.addr == decl.addr
+        {
+            return Arc::clone(lane);
+        }
+        let lane = Lane::new(Arc::clone(decl), Arc::clone(&self.common));
+        if let Some(n) = lock(&self.shares).get(&decl.name) {
+            lane.set_share(*n);
+        }
+        if let Some(old) = lanes.insert(decl.name.clone(), Arc::clone(&lane)) {
+            old.set_share(Connections(0));
+        }
+        lane
+    }
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/http/src/callers/handler.rs
@@ -0,0 +1,94 @@
+//! Takes a caller's request apart, has it answered and puts the answer together.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use gs_types::prelude::*;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::callers::reply;
+use crate::callers::reply::LookupReply;
+use crate::callers::request;
+use crate::server::Handler;
+
+/// Answers lookups; the node's engine stands behind it.
+#[async_trait]
+pub trait Desk: Send + Sync + 'static {
+    /// Runs one lookup to its only outcome.
+    ///
+    /// Dropping the future tells the engine that the caller hung up.
+    async fn lookup(&self, req: LookupRequest) -> LookupReply;
+}
+
+/// The handler of the callers' interface.
+pub struct Callers {
+    desk: Arc<dyn Desk>,
+    body: usize,
+    body_timeout: Duration,
+}
+
+impl Callers {
+    /// Takes lookups with bodies of at most `body` bytes that arrive within `body_timeout`.
+    #[must_use]
+    pub fn new(desk: Arc<dyn Desk>, body: usize, body_timeout: Duration) -> Self {
+        Self {
+            desk,
+            body,
+            body_timeout,
+        }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
+        let (head, body) = req.into_parts();
+        let target = request::target(&head)?;
+        let body = self.read(body).await?;
+        let req = request::lookup(&head, target, &body)?;
+        let (front, lookup) = (req.front.clone(), req.lookup.clone());
+        let r = self.desk.lookup(req).await;
+        Ok(reply::lookup(&r, &front, &lookup))
+    }
+
+    /// Reads a body within its bounds of size and time.
+    ///
+    /// Guards against a sender that trickles or never ends a body: it would hold memory and a
+    /// connection for as long as it likes.
+    async fn read(&self, body: Incoming) -> Result<Bytes> {
+        let read = Limited::new(body, self.body).collect();
+        let read = tokio::time::timeout(self.body_timeout, read).await;
+        let read = read.map_err(|_| {
+            Error::new(ErrorKind::TooMuch, "the body did not arrive in time").at("read body")
+        })?;
+        match read {
+            Ok(b) => Ok(b.to_bytes()),
+            Err(e) if e.is::<LengthLimitError>() => Err(Error::new(
+                ErrorKind::TooMuch,
+                format!("the body is over {} bytes", self.body),
+            )
+            .at("read body")),
+            Err(e) => Err(Error::new(ErrorKind::BadInput, e.to_string()).at("read body")),
+        }
+    }
+}
+
+impl Handler for Callers {
+    fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Response<Full<Bytes>>> + Send>> {
+        Box::pin(async move {
+            match self.answer(req).await {
+                Ok(res) => res,
+                Err(e) => reply::error(&e),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/http/src/callers/reply.rs
@@ -0,0 +1,127 @@
+//! Puts outcomes and errors into responses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_types::prelude::*;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde::Serialize;
+
+/// A lookup's only outcome, with the id it ran under.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookupReply {
+    /// The id that this VM gave the request.
+    pub request: RequestId,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// A reply as callers read it.
+#[derive(Serialize)]
+struct Body<'a> {
+    request_id: String,
+    front: &'a FrontName,
+    lookup: &'a LookupName,
+    #[serde(flatten)]
+    outcome: &'a Outcome,
+}
+
+/// An error as callers read it; nothing was run.
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    outcome: &'static str,
+    kind: ErrorKind,
+    error: String,
+    hint: Option<&'a str>,
+}
+
+/// The response to a lookup.
+pub(crate) fn lookup(
+    r: &LookupReply,
+    front: &FrontName,
+    lookup: &LookupName,
+) -> Response<Full<Bytes>> {
+    let body = Body {
+        request_id: r.request.to_string(),
+        front,
+        lookup,
+        outcome: &r.outcome,
+    };
+    let mut res = json(status_of(&r.outcome), &body);
+    let retry_after = match &r.outcome {
+        Outcome::Answered(_) => None,
+        Outcome::NotRun(r) | Outcome::Unknown(r) => r.retry_after,
+    };
+    if let Some(d) = retry_after {
+        res.headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(whole_seconds(d)));
+    }
+    res
+}
+
+/// The response to a request that never became a lookup.
+pub(crate) fn error(e: &Error) -> Response<Full<Bytes>> {
+    let status = match e.kind() {
+        ErrorKind::NotFound => StatusCode::NOT_FOUND,
+        ErrorKind::TooMuch => StatusCode::PAYLOAD_TOO_LARGE,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    json(
+        status,
+        &ErrorBody {
+            outcome: "not-run",
+            kind: e.kind(),
+            error: e.to_string(),
+            hint: e.hint(),
+        },
+    )
+}
+
+/// The status code of an outcome, as docs/INTERFACE.md lists them.
+#[must_use]
+pub fn status_of(outcome: &Outcome) -> StatusCode {
+    let reason = match outcome {
+        Outcome::Answered(_) => return StatusCode::OK,
+        Outcome::NotRun(r) | Outcome::Unknown(r) => r.reason,
+    };
+    match reason {
+        RefusalReason::NoSuchLookup => StatusCode::NOT_FOUND,
+        RefusalReason::BadRequest => StatusCode::BAD_REQUEST,
+        RefusalReason::AlreadyClaimed => StatusCode::CONFLICT,
+        RefusalReason::KeyExpired => StatusCode::GONE,
+        RefusalReason::Quarantined => StatusCode::TOO_MANY_REQUESTS,
+        RefusalReason::Failed => StatusCode::BAD_GATEWAY,
+        RefusalReason::TooLate => StatusCode::GATEWAY_TIMEOUT,
+        RefusalReason::Overload
+        | RefusalReason::NoSnapshot
+        | RefusalReason::Incomplete
+        | RefusalReason::ClaimsAway
+        | RefusalReason::Leaving
+        | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+/// Rounds up, as the header knows only whole seconds and must not say too soon.
+fn whole_seconds(d: Duration) -> u64 {
+    d.as_secs() + u64::from(d.subsec_nanos() > 0)
+}
+
+fn json(status: StatusCode, body: &impl Serialize) -> Response<Full<Bytes>> {
+    let (status, text) = match serde_json::to_vec(body) {
+        Ok(text) => (status, text),
+        Err(e) => (
+            StatusCode::INTERNAL_SERVER_ERROR,
+            e.to_string().into_bytes(),
+        ),
+    };
+    let mut res = Response::new(Full::new(Bytes::from(text)));
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    res
+}
--- /dev/null
+++ b/crates/http/tests/callers.rs
@@ -0,0 +1,243 @@
+//! The callers' interface answers good and bad requests within its bounds, and serves on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use gs_http::Callers;
+use gs_http::Desk;
+use gs_http::Limits;
+use gs_http::LookupReply;
+use gs_http::Server;
+use gs_types::prelude::*;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+const BODY_MAX: usize = 256;
+
+/// Answers every lookup with an empty page, or with the refusal that its query names.
+struct Echo;
+
+#[async_trait]
+impl Desk for Echo {
+    async fn lookup(&self, req: LookupRequest) -> LookupReply {
+        let request = RequestId {
+            vm: "vm-1".parse().expect("a name"),
+            incarnation: Incarnation(7),
+            seq: LookupSeq(1),
+        };
+        let outcome = match &*req.query {
+            "overload" => Outcome::NotRun(Refusal::new(
+                RefusalReason::Overload,
+                Some(Duration::from_millis(1200)),
+            )),
+            _ => Outcome::Answered(Answer {
+                snapshot: SnapshotId(3),
+                hits: Vec::new(),
+                matched: 0,
+                coverage: Coverage {
+                    shards: 2,
+                    whole: 2,
+                    missing: Vec::new(),
+                },
+                ended_early: false,
+                extra_attempts: 0,
+            }),
+        };
+        LookupReply { request, outcome }
+    }
+}
+
+struct Running {
+    addr: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+async fn start() -> Running {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let limits = Limits {
+        headers: 8192,
+        header_timeout: Duration::from_millis(300),
+        connections: 16,
+    };
+    let callers = Arc::new(Callers::new(
+        Arc::new(Echo),
+        BODY_MAX,
+        Duration::from_millis(300),
+    ));
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(Server::new(listener, limits).run(callers, stopped));
+    Running { addr, stop }
+}
+
+/// Sends bytes, reads until the server closes.
+async fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut tcp = TcpStream::connect(addr).await.expect("listening");
+    let _ = tcp.write_all(bytes).await;
+    let mut buf = Vec::new();
+    let _ = tcp.read_to_end(&mut buf).await;
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+const PATH: &str = "/v1/fronts/archive/lookups/quotes";
+
+#[tokio::test]
+async fn an_answer_states_its_coverage() {
+    let s = start().await;
+    let res = exchange(s.addr, post(PATH, "", r#"{"query":"trout"}"#).as_bytes()).await;
+    let body = res.split_once("\r\n\r\n").expect("a head").1;
+    assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "{res}");
+    assert_eq!(
+        body,
+        r#"{"request_id":"vm-1.7.1","front":"archive","lookup":"quotes","outcome":"answered","snapshot":3,"hits":[],"matched":0,"coverage":{"shards":2,"whole":2,"missing":[]},"ended_early":false,"extra_attempts":0}"#
+    );
+}
+
+#[tokio::test]
+async fn a_refusal_says_when_to_come_back() {
+    let s = start().await;
+    let res = exchange(s.addr, post(PATH, "", r#"{"query":"overload"}"#).as_bytes()).await;
+    assert!(
+        res.starts_with("HTTP/1.1 503 Service Unavailable\r\n"),
+        "{res}"
+    );
+    assert!(res.contains("retry-after: 2\r\n"), "{res}");
+    assert!(
+        res.ends_with(
+            r#""outcome":"not-run","reason":"overload","retry_after":"1s 200ms","missing":[]}"#
+        ),
+        "{res}"
+    );
+}
+
+#[rstest]
+#[case::path("/v1/fronts/archive", "", r#"{"query":"x"}"#, 404, "no such path")]
+#[case::name(
+    "/v1/fronts/Archive/lookups/q",
+    "",
+    r#"{"query":"x"}"#,
+    400,
+    "not a front name"
+)]
+#[case::no_json(PATH, "", "query=x", 400, "expected value")]
+#[case::no_query(PATH, "", "{}", 400, "missing field `query`")]
+#[case::wrong_type(PATH, "", r#"{"query":7}"#, 400, "invalid type")]
+#[case::unknown_key(PATH, "", r#"{"query":"x","quety":"y"}"#, 400, "unknown field `quety`")]
+#[case::empty(PATH, "", r#"{"query":""}"#, 400, "`query` is empty")]
+#[case::control(PATH, "", r#"{"query":"a\u0000b"}"#, 400, "not plain text")]
+#[case::deadline(PATH, "", r#"{"query":"x","deadline":"soon"}"#, 400, "deadline `soon`")]
+#[case::zero(PATH, "", r#"{"query":"x","deadline":"0ms"}"#, 400, "out of range")]
+#[case::key(
+    PATH,
+    "idempotency-key: 12\r\n",
+    r#"{"query":"x"}"#,
+    400,
+    "not an idempotency key"
+)]
+#[tokio::test]
+async fn bad_input_gets_a_clear_error(
+    #[case] path: &str,
+    #[case] headers: &str,
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] why: &str,
+) {
+    let s = start().await;
+    let res = exchange(s.addr, post(path, headers, body).as_bytes()).await;
+    assert!(res.starts_with(&format!("HTTP/1.1 {status} ")), "{res}");
+    assert!(res.contains(why), "{res}");
+    assert!(res.contains(r#""outcome":"not-run""#), "{res}");
+}
+
+#[tokio::test]
+async fn an_oversized_body_is_refused_with_its_bound() {
+    let s = start().await;
+    let body = format!(r#"{{"query":"{}"}}"#, "x".repeat(BODY_MAX));
+    let res = exchange(s.addr, post(PATH, "", &body).as_bytes()).await;
+    assert!(
+        res.starts_with("HTTP/1.1 413 Payload Too Large\r\n"),
+        "{res}"
+    );
+    assert!(res.contains("the body is over 256 bytes"), "{res}");
+}
+
+#[tokio::test]
+async fn oversized_headers_are_refused() {
+    let s = start().await;
+    let res = exchange(
+        s.addr,
+        post(PATH, &format!("x-a: {}\r\n", "y".repeat(20_000)), "").as_bytes(),
+    )
+    .await;
+    assert!(
+        res.starts_with("HTTP/1.1 431 Request Header Fields Too Large\r\n"),
+        "{res}"
+    );
+}
+
+/// A caller sends half a head, or half a body, and no more. Without a bound each such caller would
+/// hold a connection for ever, until none is left for the others.
+#[rstest]
+#[case::head("POST /v1/fronts/archive/lookups/quotes HTTP/1.1\r\nhost: x\r\nconte")]
+#[case::body(
+    "POST /v1/fronts/archive/lookups/quotes HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n{"
+)]
+#[tokio::test]
+async fn half_a_request_is_ended_and_others_are_served(#[case] half: &str) {
+    let s = start().await;
+    let mut slow = Vec::new();
+    for _ in 0..16 {
+        let mut tcp = TcpStream::connect(s.addr).await.expect("listening");
+        tcp.write_all(half.as_bytes()).await.expect("sent");
+        slow.push(tcp);
+    }
+    let res = exchange(s.addr, post(PATH, "", r#"{"query":"trout"}"#).as_bytes()).await;
+    assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "{res}");
+}
+
+#[tokio::test]
+async fn a_stopping_server_finishes_the_request_that_has_begun() {
+    let s = start().await;
+    let mut tcp = TcpStream::connect(s.addr).await.expect("listening");
+    let whole = post(PATH, "", r#"{"query":"trout"}"#);
+    let (first, rest) = whole.split_at(whole.len() - 3);
+    tcp.write_all(first.as_bytes()).await.expect("sent");
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    s.stop.send(true).expect("running");
+    tcp.write_all(rest.as_bytes()).await.expect("sent");
+    let mut res = String::new();
+    tcp.read_to_string(&mut res).await.expect("answered");
+    assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "{res}");
+}
+
+/// A caller keeps a connection for its next lookup. An idle time longer than the header bound must
+/// not close it under the next request.
+#[tokio::test]
+async fn a_kept_connection_outlives_the_header_timeout() {
+    let s = start().await;
+    let mut tcp = TcpStream::connect(s.addr).await.expect("listening");
+    let req = post(PATH, "", r#"{"query":"trout"}"#).replace("connection: close\r\n", "");
+    for pause in [0, 500] {
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        tcp.write_all(req.as_bytes()).await.expect("sent");
+        let mut buf = [0; 2048];
+        let n = tcp.read(&mut buf).await.expect("answered");
+        assert!(
+            buf[..n].starts_with(b"HTTP/1.1 200 OK\r\n"),
+            "after {pause} ms: {n} bytes"
+        );
+    }
+}
--- a/crates/query/src/action.rs
+++ b/crates/query/src/action.rs
@@ -46,6 +46,8 @@
     pub budget: Duration,
     /// Whether the server must run it at most once: no resend by the shell for any reason.
     pub once: bool,
+    /// For an at-most-once lookup, the caller's key, so that a server can tell runs apart.
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 /// A claim wanted before an at-most-once lookup is sent.
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -30,7 +30,8 @@
     Claim(LookupSeq, ClaimVerdict),
     /// An attempt is about to put its first byte on a connection: the point of no return.
     Sent(AttemptId),
-    /// An attempt ended.
+    /// An attempt ended. Each [`crate::Action::Dispatch`] gets exactly one, also after a cancel;
+    /// until it came, an attempt handed over may pass the point of no return at any moment.
     Reply(AttemptId, PartReply),
     /// The caller of this lookup hung up.
     Gone(LookupSeq),
