--- a/crates/query/src/action.rs
+++ b/crates/query/src/action.rs
@@ -14,6 +14,10 @@
     /// Hand an attempt to a backend server.
     Dispatch(Dispatch),
     /// Stop an attempt; if it was sent, tell the server and close or drain its connection.
+    ///
+    /// The shell still ends it with one [`crate::Event::Reply`]: `NotSent` if it never left, else
+    /// `Cancelled` once its connection is closed or free again. Until then the attempt counts
+    /// against this VM's share of the server's connections.
     Cancel(AttemptId),
     /// Ask for the claim of an at-most-once lookup; answered by [`crate::Event::Claim`].
     Claim(ClaimAsk),
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -102,6 +102,9 @@
     Garbled,
     /// The server answered with an error of its own.
     Failed,
+    /// Stopped by [`crate::Action::Cancel`] after the point of no return; it may have run, and its
+    /// connection is closed or free again.
+    Cancelled,
 }
 
 /// What a server's health and load endpoint says.
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,15 +4,31 @@
 //! no random source of its own. A process, a replayed trace and a fuzzer all drive the same code.
 
 mod action;
+mod counters;
+mod dump;
+mod engine;
 mod event;
+mod keyed;
+mod options;
 
 pub use action::Action;
 pub use action::ClaimAsk;
 pub use action::Dispatch;
 pub use action::Sign;
+pub use counters::Counters;
+pub use counters::RefusalCount;
+pub use dump::EngineDump;
+pub use dump::GroupDump;
+pub use dump::LOOKUPS_SHOWN;
+pub use dump::LookupDump;
+pub use dump::SuspectDump;
+pub use engine::Engine;
 pub use event::Arrival;
 pub use event::ClaimVerdict;
 pub use event::Event;
 pub use event::PartReply;
 pub use event::ServerReport;
 pub use event::SignSource;
+pub use keyed::shard_of_key;
+pub use options::EngineOptions;
+pub use options::PolicyName;
--- /dev/null
+++ b/crates/query/src/options.rs
@@ -0,0 +1,80 @@
+//! The engine's settings and its choice of policies.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Which set of policies the engine runs; both obey the same promises.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    Serialize,
+    Deserialize,
+    strum::Display,
+    strum::EnumString,
+    strum::IntoStaticStr,
+)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum PolicyName {
+    /// Round robin, no hedges, fixed timeouts, a fixed bound on lookups in flight.
+    Baseline,
+    /// Replicas by own observation, hedges after a learned delay, adaptive admission.
+    #[default]
+    Chosen,
+}
+
+/// The engine's settings; the defaults fit both deployments of the brief.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineOptions {
+    /// The set of policies.
+    pub policy: PolicyName,
+    /// The most lookups in flight; above it every arrival is refused.
+    pub lookups_max: u32,
+    /// The most attempts at one shard of one lookup, hedges included.
+    pub tries_max: u16,
+    /// Extra attempts (hedges and retries together) earned by each first attempt.
+    pub extra_ratio: f64,
+    /// Extra attempts that can be saved up for a burst of failures.
+    pub extra_burst: u32,
+    /// Extra attempts earned a second without any load, so that a quiet VM can retry.
+    pub extra_floor: f64,
+    /// The share of part latencies after which a part is hedged.
+    pub hedge_quantile: f64,
+    /// For the baseline: the time after which an attempt is given up and made once more.
+    #[serde(with = "humantime_serde")]
+    pub attempt_timeout: Duration,
+    /// How long a lookup that crashed two servers is refused.
+    #[serde(with = "humantime_serde")]
+    pub quarantine: Duration,
+    /// How long suspicion stays up after a lookup broke a connection before any part was whole.
+    #[serde(with = "humantime_serde")]
+    pub suspicion: Duration,
+    /// How long a cold server takes to get its full share of attempts.
+    #[serde(with = "humantime_serde")]
+    pub slow_start: Duration,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            policy: PolicyName::Chosen,
+            lookups_max: 4096,
+            tries_max: 4,
+            extra_ratio: 0.02,
+            extra_burst: 256,
+            extra_floor: 10.0,
+            hedge_quantile: 0.975,
+            attempt_timeout: Duration::from_millis(250),
+            quarantine: Duration::from_secs(60),
+            suspicion: Duration::from_secs(10),
+            slow_start: Duration::from_secs(3),
+        }
+    }
+}
