--- /dev/null
+++ b/crates/rig/src/corpus.rs
@@ -0,0 +1,140 @@
+//! The text that is searched, and what of it each snapshot holds.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use gs_types::prelude::*;
+
+/// Longest text kept of one document, in bytes.
+const TEXT_MAX: usize = 240;
+
+/// A snapshot leaves out one document in so many.
+const LEFT_OUT: u64 = 17;
+
+/// Files larger than this are passed over, in bytes.
+const FILE_MAX: u64 = 1 << 20;
+
+/// One document: a paragraph of a text file.
+#[derive(Clone, Debug)]
+pub struct Doc {
+    /// `path:paragraph`, unique.
+    pub id: Arc<str>,
+    /// The path of its file, which keyed lookups name.
+    pub book: Arc<str>,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
+/// Every document, in the order of their ids.
+#[derive(Clone, Debug, Default)]
+pub struct Corpus {
+    docs: Vec<Doc>,
+}
+
+impl Corpus {
+    /// Reads the text files under a folder, hidden folders and build output passed over.
+    ///
+    /// # Errors
+    ///
+    /// If the folder or a file cannot be read, or if it holds no text at all.
+    pub fn read(dir: &Path) -> Result<Self> {
+        let mut docs = Vec::new();
+        read_dir(dir, dir, &mut docs).map_err(|e| {
+            Error::new(ErrorKind::Io, e.to_string())
+                .at("read the text to index")
+                .with_hint("give a folder with text files")
+        })?;
+        if docs.is_empty() {
+            return Err(Error::new(ErrorKind::NotFound, "the folder holds no text"));
+        }
+        Ok(Self::from_docs(docs))
+    }
+
+    /// Takes documents as they are.
+    #[must_use]
+    pub fn from_docs(mut docs: Vec<Doc>) -> Self {
+        docs.sort_by(|a, b| a.id.cmp(&b.id));
+        Self { docs }
+    }
+
+    /// A small fixed text for tests: `docs` documents over a few words, in files of ten.
+    #[must_use]
+    pub fn sample(docs: usize) -> Self {
+        const WORDS: [&str; 8] = [
+            "larch", "salmon", "ledger", "spruce", "trout", "levy", "quota", "timber",
+        ];
+        let doc = |i: usize| {
+            let word = |k: usize| WORDS[(i * (k + 3) + i / 7 + k * k) % WORDS.len()];
+            Doc {
+                id: format!("book-{}:{:03}", i / 10, i % 10).into(),
+                book: format!("book-{}", i / 10).into(),
+                text: format!("{} {} {} no {i}", word(0), word(1), word(2)).into(),
+            }
+        };
+        Self::from_docs((0..docs).map(doc).collect())
+    }
+
+    /// The documents.
+    #[must_use]
+    pub fn docs(&self) -> &[Doc] {
+        &self.docs
+    }
+
+    /// The documents that a snapshot holds: each leaves out a different seventeenth, so that no
+    /// two snapshots give the same pages and a mixed page is seen.
+    pub fn in_snapshot(&self, snapshot: SnapshotId) -> impl Iterator<Item = &Doc> {
+        self.docs
+            .iter()
+            .filter(move |d| !hash(&[&d.id, &snapshot.to_string()]).is_multiple_of(LEFT_OUT))
+    }
+}
+
+fn hash(parts: &[&str]) -> u64 {
+    Fingerprint::of(parts).0
+}
+
+fn read_dir(root: &Path, dir: &Path, docs: &mut Vec<Doc>) -> std::io::Result<()> {
+    let mut entries: Vec<_> = std::fs::read_dir(dir)?.collect::<std::io::Result<_>>()?;
+    entries.sort_by_key(std::fs::DirEntry::path);
+    for entry in entries {
+        let path = entry.path();
+        let name = entry.file_name();
+        let name = name.to_string_lossy();
+        if name.starts_with('.') || name == "target" {
+            continue;
+        }
+        let meta = entry.metadata()?;
+        if meta.is_dir() {
+            read_dir(root, &path, docs)?;
+        } else if meta.is_file() && meta.len() <= FILE_MAX {
+            read_file(root, &path, docs)?;
+        }
+    }
+    Ok(())
+}
+
+fn read_file(root: &Path, path: &Path, docs: &mut Vec<Doc>) -> std::io::Result<()> {
+    // A file that is not UTF-8 is not text.
+    let Ok(text) = String::from_utf8(std::fs::read(path)?) else {
+        return Ok(());
+    };
+    let book: Arc<str> = path
+        .strip_prefix(root)
+        .unwrap_or(path)
+        .to_string_lossy()
+        .as_ref()
+        .into();
+    for (i, paragraph) in text.split("\n\n").enumerate() {
+        let line = paragraph.split_whitespace().collect::<Vec<_>>().join(" ");
+        if line.is_empty() {
+            continue;
+        }
+        let end = line.floor_char_boundary(TEXT_MAX);
+        docs.push(Doc {
+            id: format!("{book}:{i:05}").into(),
+            book: book.clone(),
+            text: line[..end].into(),
+        });
+    }
+    Ok(())
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,1 +1,20 @@
-//! To be written.
+//! Small stand-ins for what surrounds the query tier, a load generator, and measurements.
+//!
+//! Nothing here ships: the stand-ins take the place of the platform, the backend servers and the
+//! links between data centres in process tests, in `scripts/demo` and in the measurements.
+//!
+//! - [`net`]: loopback addresses by data centre, one-way delays and cuts;
+//! - `link`: TCP links between data centres that can be delayed and cut;
+//! - [`corpus`], [`index`] and [`truth`]: the text that is searched, its sharded index, and the
+//!   brute-force search that every page is compared with;
+//! - `server`: backend servers that index, rank, queue, fail and count what really ran;
+//! - [`control`]: what a test tells the stand-ins to do;
+//! - `deploy`: the deployments of the brief as settings files and platform objects;
+//! - `process`: the `gentiansill` processes of a deployment;
+//! - `load`: open-loop arrivals, checks of every answer, tables and plots.
+
+pub mod control;
+pub mod corpus;
+pub mod index;
+pub mod net;
+pub mod truth;
--- /dev/null
+++ b/crates/rig/src/truth.rs
@@ -0,0 +1,112 @@
+//! The brute-force search of the whole text that every page is compared with.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use gs_types::prelude::*;
+
+use crate::corpus::Corpus;
+use crate::corpus::Doc;
+use crate::index::hit;
+use crate::index::shard_of;
+use crate::index::weight;
+use crate::index::words;
+
+/// One document that matches, best first in a list of them.
+#[derive(Clone, Debug)]
+struct Match {
+    doc: Doc,
+    score: u64,
+}
+
+/// A list of matches, and what it was searched for.
+type Found = HashMap<(SnapshotId, String, Option<String>), Arc<Vec<Match>>>;
+
+/// Searches the text without shards or index, and remembers what it found.
+#[derive(Debug)]
+pub struct Truth {
+    corpus: Arc<Corpus>,
+    found: Mutex<Found>,
+}
+
+impl Truth {
+    /// Starts over this text.
+    #[must_use]
+    pub fn new(corpus: Arc<Corpus>) -> Self {
+        Self {
+            corpus,
+            found: Mutex::default(),
+        }
+    }
+
+    /// The one right part for a query: the best of every document in the snapshot that `covers`
+    /// accepts by its shard.
+    #[must_use]
+    pub fn brute_force(&self, ask: &Ask<'_>, covers: &dyn Fn(ShardId) -> bool) -> Part {
+        let found = self.matches(ask);
+        let covered = |m: &&Match| covers(shard_of(&m.doc.id, ask.shards));
+        let matched = found.iter().filter(covered).count() as u64;
+        let hits = found.iter().filter(covered).take(ask.page);
+        Part {
+            hits: hits.map(|m| hit(&m.doc, m.score)).collect(),
+            matched,
+        }
+    }
+
+    fn matches(&self, ask: &Ask<'_>) -> Arc<Vec<Match>> {
+        let key = (
+            ask.snapshot,
+            ask.query.to_owned(),
+            ask.key.map(str::to_owned),
+        );
+        let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
+        found.entry(key).or_insert_with(|| self.scan(ask)).clone()
+    }
+
+    fn scan(&self, ask: &Ask<'_>) -> Arc<Vec<Match>> {
+        let wanted: Vec<String> = words(ask.query).collect();
+        let mut found: Vec<Match> = self
+            .corpus
+            .in_snapshot(ask.snapshot)
+            .filter(|d| ask.key.is_none_or(|k| *d.book == *k))
+            .filter_map(|d| {
+                score(d, &wanted).map(|score| Match {
+                    doc: d.clone(),
+                    score,
+                })
+            })
+            .collect();
+        found.sort_by(|a, b| b.score.cmp(&a.score).then_with(|| a.doc.id.cmp(&b.doc.id)));
+        Arc::new(found)
+    }
+}
+
+/// What is searched for, and where.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// The text to search for.
+    pub query: &'a str,
+    /// For a keyed lookup, the key.
+    pub key: Option<&'a str>,
+    /// The snapshot.
+    pub snapshot: SnapshotId,
+    /// How many shards the snapshot has.
+    pub shards: u32,
+    /// The most hits wanted.
+    pub page: usize,
+}
+
+/// The score of a document, `None` if no wanted word is in it.
+fn score(doc: &Doc, wanted: &[String]) -> Option<u64> {
+    let mut sum = 0;
+    for have in words(&doc.text) {
+        for w in wanted {
+            if *w == have {
+                sum += weight(w);
+            }
+        }
+    }
+    (sum > 0).then_some(sum)
+}
