--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,7 +7,7 @@
 //! - `link`: TCP links between data centres that can be delayed and cut;
 //! - [`corpus`], [`index`] and [`truth`]: the text that is searched, its sharded index, and the
 //!   brute-force search that every page is compared with;
-//! - `server`: backend servers that index, rank, queue, fail and count what really ran;
+//! - [`server`]: backend servers that index, rank, queue, fail and count what really ran;
 //! - [`control`]: what a test tells the stand-ins to do;
 //! - `deploy`: the deployments of the brief as settings files and platform objects;
 //! - `process`: the `gentiansill` processes of a deployment;
@@ -17,4 +17,5 @@
 pub mod corpus;
 pub mod index;
 pub mod net;
+pub mod server;
 pub mod truth;
--- /dev/null
+++ b/crates/rig/src/server/counts.rs
@@ -0,0 +1,167 @@
+//! What the backend servers saw: the ground that the promises are checked on.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How long after the start of a drain new work may still be offered.
+const DRAIN_BOUND: Duration = Duration::from_secs(3);
+
+/// What one server saw.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerCounts {
+    /// Attempts that began to run.
+    pub runs: u64,
+    /// Attempts refused for load.
+    pub shed: u64,
+    /// Attempts refused as draining or for a snapshot that it does not hold.
+    pub refused: u64,
+    /// Attempts cancelled before or while they ran.
+    pub cancelled: u64,
+    /// Attempts that came more than three seconds after the drain began.
+    pub late_offers: u64,
+    /// Connections opened.
+    pub opened: u64,
+    /// The most connections open at once, those above the limit included.
+    pub peak_open: u32,
+    /// Connections closed for being above the limit.
+    pub over_limit: u64,
+    /// Crashes on a poisoned lookup.
+    pub crashes: u64,
+}
+
+/// The sums over every server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The sums; `peak_open` is the largest of any server.
+    pub total: ServerCounts,
+    /// Attempt ids that ran more than once.
+    pub attempts_doubled: u64,
+    /// Idempotency keys that ran.
+    pub keys_run: u64,
+    /// Idempotency keys that ran more than once.
+    pub keys_doubled: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    servers: BTreeMap<ServerName, ServerCounts>,
+    keys: HashMap<String, u32>,
+    attempts: HashMap<u64, u8>,
+    lookups: HashMap<u64, u32>,
+}
+
+/// What every server saw.
+#[derive(Debug, Default)]
+pub struct Counts {
+    inner: Mutex<Inner>,
+}
+
+impl Counts {
+    /// The runs under an idempotency key.
+    #[must_use]
+    pub fn runs_of_key(&self, key: &str) -> u32 {
+        self.lock().keys.get(key).copied().unwrap_or(0)
+    }
+
+    /// The attempts of one request that began to run, on any server.
+    #[must_use]
+    pub fn runs_of_request(&self, id: &str) -> u32 {
+        let at = Fingerprint::of(&[&lookup_of_request(id)]).0;
+        self.lock().lookups.get(&at).copied().unwrap_or(0)
+    }
+
+    /// What one server saw.
+    #[must_use]
+    pub fn of(&self, server: &ServerName) -> ServerCounts {
+        self.lock().servers.get(server).cloned().unwrap_or_default()
+    }
+
+    /// What every server saw, by name.
+    #[must_use]
+    pub fn by_server(&self) -> BTreeMap<ServerName, ServerCounts> {
+        self.lock().servers.clone()
+    }
+
+    /// The sums.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        let inner = self.lock();
+        let mut total = ServerCounts::default();
+        for c in inner.servers.values() {
+            total.add(c);
+        }
+        Summary {
+            total,
+            attempts_doubled: inner.attempts.values().filter(|n| **n > 1).count() as u64,
+            keys_run: inner.keys.len() as u64,
+            keys_doubled: inner.keys.values().filter(|n| **n > 1).count() as u64,
+        }
+    }
+
+    pub(super) fn change(&self, server: &ServerName, f: impl FnOnce(&mut ServerCounts)) {
+        let mut inner = self.lock();
+        match inner.servers.get_mut(server) {
+            Some(c) => f(c),
+            None => f(inner.servers.entry(server.clone()).or_default()),
+        }
+    }
+
+    pub(super) fn run(&self, server: &ServerName, attempt: &str, key: Option<&str>) {
+        self.change(server, |c| c.runs += 1);
+        let mut inner = self.lock();
+        let n = inner
+            .attempts
+            .entry(Fingerprint::of(&[attempt]).0)
+            .or_default();
+        *n = n.saturating_add(1);
+        let lookup = Fingerprint::of(&[lookup_of_attempt(attempt)]).0;
+        *inner.lookups.entry(lookup).or_default() += 1;
+        if let Some(key) = key {
+            *inner.keys.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+
+    pub(super) fn offer(&self, server: &ServerName, draining_for: Option<Duration>) {
+        if draining_for.is_some_and(|d| d > DRAIN_BOUND) {
+            self.change(server, |c| c.late_offers += 1);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ServerCounts {
+    fn add(&mut self, c: &Self) {
+        self.runs += c.runs;
+        self.shed += c.shed;
+        self.refused += c.refused;
+        self.cancelled += c.cancelled;
+        self.late_offers += c.late_offers;
+        self.opened += c.opened;
+        self.peak_open = self.peak_open.max(c.peak_open);
+        self.over_limit += c.over_limit;
+        self.crashes += c.crashes;
+    }
+}
+
+/// `vm/incarnation/lookup` of an attempt id `vm/incarnation/lookup/shard/try`.
+fn lookup_of_attempt(attempt: &str) -> &str {
+    attempt.rsplitn(3, '/').nth(2).unwrap_or(attempt)
+}
+
+/// `vm/incarnation/lookup` of a request id `vm.incarnation.lookup`.
+fn lookup_of_request(id: &str) -> String {
+    let mut parts: Vec<&str> = id.rsplitn(3, '.').collect();
+    parts.reverse();
+    parts.join("/")
+}
--- /dev/null
+++ b/crates/rig/src/server/listen.rs
@@ -0,0 +1,67 @@
+//! Accepts connections: the limit, the handshake cost, and one task a connection.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use super::answer;
+use super::state::Held;
+use super::state::Server;
+use crate::net::Net;
+
+/// How long to wait before trying again to bind an address that is still in use.
+const BIND_AGAIN: Duration = Duration::from_millis(10);
+
+/// Accepts until aborted; the connections end with it.
+pub(super) async fn accept(server: Arc<Server>, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, peer)) = listener.accept() => {
+                connections.spawn(serve(server.clone(), stream, peer));
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+/// Binds an address that this process has just stopped listening on.
+pub(super) async fn bind_again(addr: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(addr).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_AGAIN).await,
+        }
+    }
+}
+
+async fn serve(server: Arc<Server>, stream: TcpStream, peer: SocketAddr) {
+    let (_held, open) = Held::new(&server.open);
+    let over = open > server.spec.connections;
+    server.common.counts.change(&server.spec.name, |c| {
+        c.opened += 1;
+        c.peak_open = c.peak_open.max(open);
+        c.over_limit += u64::from(over);
+    });
+    if over {
+        return;
+    }
+    let site = Net::site(peer);
+    // The round trip of opening a connection, then the server's own cost.
+    server.net.carry(site, server.spec.site).await;
+    server.net.carry(server.spec.site, site).await;
+    tokio::time::sleep(server.spec.handshake).await;
+    // A failure here is the caller's loss of its connection, which it sees itself.
+    let _ = stream.set_nodelay(true);
+    let handle = service_fn(|req| answer::handle(server.clone(), site, req));
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), handle)
+        .await;
+}
--- /dev/null
+++ b/crates/rig/src/server/mod.rs
@@ -0,0 +1,16 @@
+//! Backend servers that index, rank, queue, fail on request, and count what really ran.
+
+mod answer;
+mod counts;
+mod faults;
+mod listen;
+mod reply;
+mod servers;
+mod spec;
+mod state;
+
+pub use counts::Counts;
+pub use counts::ServerCounts;
+pub use counts::Summary;
+pub use servers::Servers;
+pub use spec::ServerSpec;
--- /dev/null
+++ b/crates/rig/src/server/reply.rs
@@ -0,0 +1,160 @@
+//! The replies of a server, whole and spoilt.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use gs_types::prelude::*;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::state::Server;
+use super::state::lock;
+use crate::control::Spoilage;
+
+/// The body of a reply.
+pub(super) type Body = BoxBody<Bytes, io::Error>;
+
+/// When a server that sheds wants to be asked again.
+const SHED_RETRY: Duration = Duration::from_millis(50);
+
+/// A status and headers without a body.
+pub(super) fn empty(status: u16, headers: &[(&'static str, &str)]) -> Response<Body> {
+    with_body(status, headers, Vec::new())
+}
+
+/// A status, headers and a body.
+pub(super) fn with_body(
+    status: u16,
+    headers: &[(&'static str, &str)],
+    body: Vec<u8>,
+) -> Response<Body> {
+    let mut resp = Response::new(whole(body.into()));
+    *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
+    for (name, value) in headers {
+        if let Ok(value) = value.parse() {
+            resp.headers_mut().insert(*name, value);
+        }
+    }
+    resp
+}
+
+/// Refused for load.
+pub(super) fn shed(attempt: &str) -> Response<Body> {
+    let wait = SHED_RETRY.as_millis().to_string();
+    let headers = [
+        ("x-attempt", attempt),
+        ("x-not-run", "1"),
+        ("x-reason", "shed"),
+        ("x-retry-after-ms", &wait),
+    ];
+    empty(503, &headers)
+}
+
+/// Refused as draining.
+pub(super) fn draining(attempt: &str) -> Response<Body> {
+    let headers = [
+        ("x-attempt", attempt),
+        ("x-not-run", "1"),
+        ("x-reason", "draining"),
+        ("x-draining", "1"),
+    ];
+    empty(503, &headers)
+}
+
+/// Refused for a snapshot that is not held.
+pub(super) fn no_snapshot(attempt: &str, holds: &[SnapshotId]) -> Response<Body> {
+    let holds: Vec<String> = holds.iter().map(SnapshotId::to_string).collect();
+    let holds = holds.join(",");
+    let headers = [
+        ("x-attempt", attempt),
+        ("x-not-run", "1"),
+        ("x-reason", "no-snapshot"),
+        ("x-holds", &holds),
+    ];
+    empty(503, &headers)
+}
+
+/// A part, spoilt if the server was told to.
+pub(super) fn part(
+    server: &Server,
+    attempt: &str,
+    snapshot: SnapshotId,
+    part: &Part,
+) -> Response<Body> {
+    let (how, draining) = {
+        let mut f = server.faults();
+        (f.spoil(), f.draining.is_some())
+    };
+    let mut body = serde_json::to_vec(part).unwrap_or_default();
+    let mut attempt = attempt.to_owned();
+    let digest = format!("{:016x}", xxh3_64(&body));
+    let mut digest = digest.as_str();
+    let crossed;
+    match how {
+        Spoilage::Crossed => {
+            (attempt, body) = cross(server, attempt, body);
+            crossed = format!("{:016x}", xxh3_64(&body));
+            digest = &crossed;
+        }
+        Spoilage::Garbled => garble(&mut body),
+        Spoilage::None | Spoilage::Truncated => {}
+    }
+    let (load, snapshot) = (server.told_load().to_string(), snapshot.to_string());
+    let mut headers = vec![
+        ("x-attempt", attempt.as_str()),
+        ("x-snapshot", &snapshot),
+        ("x-load", &load),
+        ("x-digest", digest),
+    ];
+    if draining {
+        headers.push(("x-draining", "1"));
+    }
+    let length = body.len();
+    let mut resp = with_body(200, &headers, body);
+    if how == Spoilage::Truncated {
+        truncate(&mut resp, length);
+    }
+    resp
+}
+
+/// Answers with the reply before this one, and keeps this one for the next.
+fn cross(server: &Server, attempt: String, body: Vec<u8>) -> (String, Vec<u8>) {
+    let mut last = lock(&server.last);
+    match last.replace((attempt.clone(), body.clone())) {
+        Some(before) if before.0 != attempt => before,
+        _ => (format!("{attempt}9"), body),
+    }
+}
+
+fn garble(body: &mut [u8]) {
+    for b in body.iter_mut().step_by(7) {
+        if b.is_ascii_digit() {
+            *b = b'0' + (*b - b'0' + 1) % 10;
+        } else {
+            *b = b.wrapping_add(1);
+        }
+    }
+}
+
+fn truncate(resp: &mut Response<Body>, length: usize) {
+    resp.headers_mut()
+        .insert(hyper::header::CONTENT_LENGTH, length.into());
+    let half = Bytes::from(vec![b'['; length / 2]);
+    let frames = [
+        Ok(Frame::data(half)),
+        Err(io::Error::from(io::ErrorKind::BrokenPipe)),
+    ];
+    *resp.body_mut() = BodyExt::boxed(StreamBody::new(stream::iter(frames)));
+}
+
+fn whole(body: Bytes) -> Body {
+    Full::new(body).map_err(|e| match e {}).boxed()
+}
