--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -4,7 +4,7 @@
 //! links between data centres in process tests, in `scripts/demo` and in the measurements.
 //!
 //! - [`net`]: loopback addresses by data centre, one-way delays and cuts;
-//! - `link`: TCP links between data centres that can be delayed and cut;
+//! - [`link`]: TCP links between data centres that can be delayed and cut;
 //! - [`corpus`], [`index`] and [`truth`]: the text that is searched, its sharded index, and the
 //!   brute-force search that every page is compared with;
 //! - [`server`]: backend servers that index, rank, queue, fail and count what really ran;
@@ -16,6 +16,7 @@
 pub mod control;
 pub mod corpus;
 pub mod index;
+pub mod link;
 pub mod net;
 pub mod server;
 pub mod truth;
