--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -71,7 +71,7 @@
     answered: &mut (impl Future<Output = (PartReply, bool)> + Unpin),
 ) -> (PartReply, bool) {
     let Some(mut other) = lane.take_idle() else {
-        return (PartReply::Failed, false);
+        return (PartReply::Cancelled, false);
     };
     let both = async {
         let (sent, reply) = tokio::join!(send_cancel(&mut other, d), answered);
@@ -81,7 +81,11 @@
         reply
     };
     let confirmed = tokio::time::timeout(CANCEL_WAIT, both).await;
-    confirmed.unwrap_or((PartReply::Failed, false))
+    match confirmed {
+        Ok((PartReply::Whole { .. }, clean)) => (PartReply::Cancelled, clean),
+        Ok(ended) => ended,
+        Err(_) => (PartReply::Cancelled, false),
+    }
 }
 
 async fn send_cancel(lent: &mut Lent, d: &Dispatch) -> bool {
--- /dev/null
+++ b/crates/node/src/actor/driver.rs
@@ -0,0 +1,142 @@
+//! Hands events to a decision and its actions to a shell.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use gs_clock::Clock;
+use xtra::Actor;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::Mailbox;
+
+use crate::actor::feed::Feed;
+use crate::actor::timer::Timer;
+
+/// A decision: a state machine without I/O.
+pub(crate) trait Machine: Send + 'static {
+    /// What it is told.
+    type Event: Send + 'static;
+    /// What it asks for.
+    type Action: Send + 'static;
+
+    /// Takes one event in and appends what has to be done to `out`.
+    fn on(&mut self, now: Instant, ev: Self::Event, out: &mut Vec<Self::Action>);
+
+    /// The event that says that a timer is due.
+    fn tick(clock: &dyn Clock) -> Self::Event;
+}
+
+/// Carries out a decision's actions.
+pub(crate) trait Shell<M: Machine>: Send + 'static {
+    /// Sees an event just before the decision does.
+    fn before(&mut self, now: Instant, ev: &M::Event) {
+        let _ = (now, ev);
+    }
+
+    /// Carries out one action; gives a duration back if it asks to be woken.
+    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<std::time::Duration>;
+}
+
+/// The actor around one decision.
+pub(crate) struct Driver<M: Machine, S> {
+    machine: M,
+    shell: S,
+    clock: Arc<dyn Clock>,
+    feed: Feed<M::Event>,
+    timer: Timer,
+    batch: Vec<M::Event>,
+    actions: Vec<M::Action>,
+}
+
+/// Events are queued.
+struct Ready;
+
+/// The timer is due.
+struct Due;
+
+/// Runs a function on the decision and returns what it gives, for dumps.
+pub(crate) struct Query<F>(pub(crate) F);
+
+/// Starts the actor; gives its address for queries and its feed for events.
+pub(crate) fn start<M: Machine, S: Shell<M>>(
+    machine: M,
+    shell: impl FnOnce(&Feed<M::Event>) -> S,
+    clock: Arc<dyn Clock>,
+) -> (Address<Driver<M, S>>, Feed<M::Event>) {
+    let (addr, mailbox) = Mailbox::<Driver<M, S>>::unbounded();
+    let to = addr.clone();
+    let feed = Feed::new(Box::new(move || {
+        drop(to.send(Ready).detach().now_or_never())
+    }));
+    let to = addr.clone();
+    let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
+    let driver = Driver {
+        machine,
+        shell: shell(&feed),
+        clock,
+        feed: feed.clone(),
+        timer,
+        batch: Vec::new(),
+        actions: Vec::new(),
+    };
+    tokio::spawn(xtra::run(mailbox, driver));
+    (addr, feed)
+}
+
+impl<M: Machine, S: Shell<M>> Driver<M, S> {
+    fn step(&mut self, ev: M::Event) {
+        let now = self.clock.now();
+        self.shell.before(now, &ev);
+        self.machine.on(now, ev, &mut self.actions);
+        for a in self.actions.drain(..) {
+            if let Some(after) = self.shell.perform(a, &self.feed) {
+                self.timer.wake_in(after);
+            }
+        }
+    }
+}
+
+impl<M: Machine, S: Shell<M>> Actor for Driver<M, S> {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl<M: Machine, S: Shell<M>> Handler<Ready> for Driver<M, S> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Ready, _: &mut Context<Self>) {
+        let mut batch = std::mem::take(&mut self.batch);
+        self.feed.take(&mut batch);
+        for ev in batch.drain(..) {
+            self.step(ev);
+        }
+        self.batch = batch;
+    }
+}
+
+impl<M: Machine, S: Shell<M>> Handler<Due> for Driver<M, S> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
+        self.timer.fired();
+        let tick = M::tick(self.clock.as_ref());
+        self.step(tick);
+    }
+}
+
+impl<M, S, F, T> Handler<Query<F>> for Driver<M, S>
+where
+    M: Machine,
+    S: Shell<M>,
+    F: FnOnce(&M, Instant) -> T + Send + 'static,
+    T: Send + 'static,
+{
+    type Return = T;
+
+    async fn handle(&mut self, q: Query<F>, _: &mut Context<Self>) -> T {
+        (q.0)(&self.machine, self.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/node/src/actor/mod.rs
@@ -0,0 +1,12 @@
+//! Runs a decision as an actor: events queue up in a [`Feed`], a [`Driver`] hands them over.
+
+mod driver;
+mod feed;
+mod timer;
+
+pub(crate) use driver::Driver;
+pub(crate) use driver::Machine;
+pub(crate) use driver::Query;
+pub(crate) use driver::Shell;
+pub(crate) use driver::start;
+pub(crate) use feed::Feed;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,2 @@
-//! To be written.
+//! One process of gentiansill.
+mod actor;
