--- /dev/null
+++ b/crates/conf/src/check.rs
@@ -0,0 +1,299 @@
+//! The rules of a configuration, the same for a patch, a file and a VM's acknowledgement.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::apply::apply;
+use crate::patch::Patch;
+use crate::record::OBJECT_MAX;
+
+/// The shortest deadline that a lookup may declare: below it no answer crosses a region.
+pub const DEADLINE_MIN: Duration = Duration::from_millis(5);
+/// The longest deadline that a lookup may declare.
+pub const DEADLINE_MAX: Duration = Duration::from_secs(60);
+/// The largest page that a lookup may declare, in hits.
+pub const PAGE_MAX: u32 = 1_000;
+/// The most fronts.
+pub const FRONTS_MAX: usize = 500;
+/// The most lookups in a front.
+pub const LOOKUPS_MAX: usize = 100;
+/// The most teams.
+pub const TEAMS_MAX: usize = 200;
+/// The most changes in a patch.
+pub const CHANGES_MAX: usize = 100;
+/// What a configuration may take of its object, in bytes; the rest is for what settles patches.
+pub const CONFIG_MAX: usize = OBJECT_MAX * 3 / 4;
+/// What a patch may take of the object, in bytes.
+pub const PATCH_MAX: usize = OBJECT_MAX / 8;
+/// The length of a SHA-256 in hexadecimal digits.
+const SHA256_HEX: usize = 64;
+
+/// A rule that is broken, where, and the mend.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// The place, such as `fronts.archive.lookups.quote.deadline`.
+    pub place: String,
+    /// What is wrong.
+    pub text: String,
+    /// How to mend it.
+    pub hint: String,
+}
+
+/// What checking found.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Broken rules; the configuration is refused.
+    pub errors: Vec<Problem>,
+    /// What is allowed but looks wrong.
+    pub warnings: Vec<Problem>,
+}
+
+impl Report {
+    /// The broken rules as one error; `Ok` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] with the first place, and how many more there are.
+    pub fn into_result(self) -> Result<Vec<Problem>> {
+        let Some(first) = self.errors.first() else {
+            return Ok(self.warnings);
+        };
+        let more = match self.errors.len() {
+            1 => String::new(),
+            n => format!(" (and {} more)", n - 1),
+        };
+        let text = format!("{}: {}{more}", first.place, first.text);
+        Err(Error::new(ErrorKind::BadInput, text)
+            .at("check configuration")
+            .with_hint(first.hint.clone()))
+    }
+
+    fn error(&mut self, place: impl Into<String>, text: impl Into<String>, hint: &str) {
+        self.errors.push(problem(place, text, hint));
+    }
+
+    fn warn(&mut self, place: impl Into<String>, text: impl Into<String>, hint: &str) {
+        self.warnings.push(problem(place, text, hint));
+    }
+}
+
+fn problem(place: impl Into<String>, text: impl Into<String>, hint: &str) -> Problem {
+    Problem {
+        place: place.into(),
+        text: text.into(),
+        hint: hint.into(),
+    }
+}
+
+/// Checks a whole configuration.
+///
+/// `groups` are the groups that the platform holds, if known. A lookup on another group is only
+/// warned about: publishers write their groups on their own time, so the order in which a front and
+/// its group appear must not decide whether a patch is taken; until the group is there, the lookup
+/// is refused as not run.
+#[must_use]
+pub fn check_config(cfg: &Config, groups: Option<&BTreeSet<GroupName>>) -> Report {
+    let mut report = Report::default();
+    check_teams(cfg, &mut report);
+    check_fronts(cfg, groups, &mut report);
+    check_size(cfg, &mut report);
+    report
+}
+
+/// Checks a patch against the configuration it names, and the configuration it would make.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadInput`] if a change does not apply or a rule is broken. What comes back
+/// otherwise is the new configuration and what is allowed but looks wrong.
+pub fn check_patch(
+    cfg: &Config,
+    patch: &Patch,
+    groups: Option<&BTreeSet<GroupName>>,
+) -> Result<(Config, Vec<Problem>)> {
+    if patch.changes.is_empty() {
+        let e = Error::new(ErrorKind::BadInput, "changes: the patch is empty");
+        return Err(e.at("check patch").with_hint("name at least one change"));
+    }
+    if patch.changes.len() > CHANGES_MAX {
+        let text = format!("changes: {} in one patch", patch.changes.len());
+        let hint = format!("send at most {CHANGES_MAX} changes in a patch");
+        return Err(Error::new(ErrorKind::TooMuch, text)
+            .at("check patch")
+            .with_hint(hint));
+    }
+    if json_len(patch) > PATCH_MAX {
+        let e = Error::new(ErrorKind::TooMuch, "the patch is too large");
+        return Err(e
+            .at("check patch")
+            .with_hint(format!("keep it under {PATCH_MAX} bytes")));
+    }
+    let next = apply(cfg, patch)?;
+    let warnings = check_config(&next, groups).into_result()?;
+    Ok((next, warnings))
+}
+
+fn check_teams(cfg: &Config, report: &mut Report) {
+    if cfg.teams.len() > TEAMS_MAX {
+        report.error(
+            "teams",
+            format!("{} teams", cfg.teams.len()),
+            "remove teams; 200 at most",
+        );
+    }
+    let mut seen = BTreeSet::new();
+    for t in &cfg.teams {
+        let place = format!("teams.{}", t.name);
+        if !seen.insert(&t.name) {
+            report.error(&place, "declared twice", "keep one of the two");
+        }
+        check_key_hash(&place, t, report);
+        for f in &t.fronts {
+            if !cfg.fronts.iter().any(|x| x.name == *f) {
+                report.warn(
+                    format!("{place}.fronts"),
+                    format!("front `{f}` is not declared"),
+                    "declare it, or the team may declare it by its own patch",
+                );
+            }
+        }
+    }
+    // Without an admin team nobody could change the teams ever again.
+    if !cfg.teams.is_empty() && !cfg.teams.iter().any(|t| t.admin) {
+        report.error(
+            "teams",
+            "no team is an admin team",
+            "keep at least one team with `admin`",
+        );
+    }
+}
+
+fn check_key_hash(place: &str, team: &Team, report: &mut Report) {
+    let key = &team.key_sha256;
+    let hex = key
+        .bytes()
+        .all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
+    if key.len() != SHA256_HEX || !hex {
+        report.error(
+            format!("{place}.key_sha256"),
+            "not a SHA-256 in hexadecimal",
+            "give 64 digits of 0-9 and a-f: `printf %s KEY | sha256sum`",
+        );
+    }
+}
+
+fn check_fronts(cfg: &Config, groups: Option<&BTreeSet<GroupName>>, report: &mut Report) {
+    if cfg.fronts.len() > FRONTS_MAX {
+        report.error(
+            "fronts",
+            format!("{} fronts", cfg.fronts.len()),
+            "remove fronts; 500 at most",
+        );
+    }
+    let mut seen = BTreeSet::new();
+    for f in &cfg.fronts {
+        let place = format!("fronts.{}", f.name);
+        if !seen.insert(&f.name) {
+            report.error(&place, "declared twice", "keep one of the two");
+        }
+        check_front(&place, f, groups, report);
+    }
+}
+
+fn check_front(
+    place: &str,
+    front: &Front,
+    groups: Option<&BTreeSet<GroupName>>,
+    report: &mut Report,
+) {
+    if front.lookups.len() > LOOKUPS_MAX {
+        report.error(
+            place,
+            format!("{} lookups", front.lookups.len()),
+            "split the front; 100 lookups at most",
+        );
+    }
+    if front.lookups.is_empty() {
+        report.warn(place, "declares no lookup", "add one with `put-lookup`");
+    }
+    let mut seen = BTreeSet::new();
+    for l in &front.lookups {
+        let place = format!("{place}.lookups.{}", l.name);
+        if !seen.insert(&l.name) {
+            report.error(&place, "declared twice", "keep one of the two");
+        }
+        check_lookup(&place, l, report);
+        if groups.is_some_and(|g| !g.contains(&l.group)) {
+            report.warn(
+                format!("{place}.group"),
+                format!("no group `{}` is published", l.group),
+                "publish it, or correct the name; until then the lookup is refused as not run",
+            );
+        }
+    }
+}
+
+fn check_lookup(place: &str, l: &Lookup, report: &mut Report) {
+    if !(DEADLINE_MIN..=DEADLINE_MAX).contains(&l.deadline) {
+        report.error(
+            format!("{place}.deadline"),
+            format!("{:?} is out of range", l.deadline),
+            "choose between 5ms and 60s",
+        );
+    }
+    if !(1..=PAGE_MAX).contains(&l.page) {
+        report.error(
+            format!("{place}.page"),
+            format!("{} is out of range", l.page),
+            "choose between 1 and 1000",
+        );
+    }
+    if l.promise == Promise::AtMostOnce && l.scope != Scope::Keyed {
+        report.error(
+            format!("{place}.scope"),
+            "an at-most-once lookup reaches one shard only",
+            "set `scope` to `keyed`",
+        );
+    }
+    check_enough(place, l, report);
+}
+
+fn check_enough(place: &str, l: &Lookup, report: &mut Report) {
+    let Some(enough) = l.enough_at else {
+        return;
+    };
+    let place = format!("{place}.enough_at");
+    if l.promise != Promise::Urgent {
+        report.error(
+            &place,
+            "only an urgent lookup may end early",
+            "remove it, or set `promise` to `urgent`",
+        );
+    }
+    if enough == 0 || enough > l.page {
+        report.error(
+            &place,
+            format!("{enough} is out of range"),
+            "choose between 1 and the page size",
+        );
+    }
+}
+
+fn check_size(cfg: &Config, report: &mut Report) {
+    let len = json_len(cfg);
+    if len > CONFIG_MAX {
+        report.error(
+            "configuration",
+            format!("{len} bytes"),
+            "remove fronts or lookups; 750000 bytes at most, so that the object stays under 1 MB",
+        );
+    }
+}
+
+fn json_len<T: Serialize>(t: &T) -> usize {
+    serde_json::to_vec(t).map_or(usize::MAX, |v| v.len())
+}
--- /dev/null
+++ b/crates/conf/src/options.rs
@@ -0,0 +1,51 @@
+//! How a book is set up.
+
+use std::time::Duration;
+
+use bon::Builder;
+use gs_types::prelude::*;
+
+/// How a book is set up.
+///
+/// ```
+/// let options = gs_conf::BookOptions::builder()
+///     .vm("vm-1".parse()?)
+///     .incarnation(gs_types::prelude::Incarnation(1))
+///     .seed(7)
+///     .build();
+/// assert!(options.bootstrap.is_none());
+/// # Ok::<(), gs_types::error::Error>(())
+/// ```
+#[derive(Builder, Clone, Debug)]
+pub struct BookOptions {
+    /// This VM.
+    pub vm: VmId,
+    /// This run of its process.
+    pub incarnation: Incarnation,
+    /// Seeds nonces and jitter; different in every incarnation.
+    pub seed: u64,
+    /// What to create if the platform says that there is no configuration.
+    pub bootstrap: Option<Bootstrap>,
+    /// How long VMs may take to acknowledge a patch before it is refused with their names.
+    #[builder(default = Duration::from_millis(1_500))]
+    pub ack_wait: Duration,
+    /// How long a VM that acknowledged goes on serving what the patch changes without word from
+    /// the proposer or the platform.
+    #[builder(default = Duration::from_secs(2))]
+    pub doubt_after: Duration,
+    /// How long a prepared patch may stand before any VM withdraws it for its proposer.
+    #[builder(default = Duration::from_secs(5))]
+    pub withdraw_after: Duration,
+    /// How long an operator waits for a verdict at most.
+    #[builder(default = Duration::from_secs(10))]
+    pub verdict_after: Duration,
+}
+
+/// The first configuration: one admin team and no front.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bootstrap {
+    /// The name of the first admin team.
+    pub team: TeamName,
+    /// The SHA-256 of its key in hexadecimal.
+    pub key_sha256: String,
+}
--- /dev/null
+++ b/crates/conf/src/proposal.rs
@@ -0,0 +1,1 @@
+//! One proposal on the VM that an operator gave it to.
--- /dev/null
+++ b/crates/conf/src/record.rs
@@ -0,0 +1,95 @@
+//! What the platform's object holds.
+
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::patch::Patch;
+
+/// The object that holds the configuration in force.
+pub const CURRENT: &str = "config/current";
+
+/// Where each replaced version is kept, under its number.
+pub const HISTORY: &str = "config/history/";
+
+/// The largest object that the platform takes, in bytes.
+pub const OBJECT_MAX: usize = 1_000_000;
+
+/// How many settled patches the record remembers for resends.
+pub const SETTLED_MAX: usize = 128;
+
+/// The path of a replaced version.
+#[must_use]
+pub fn history_path(version: ConfVersion) -> String {
+    format!("{HISTORY}{version}")
+}
+
+/// The content of [`CURRENT`]: a [`Config`], and what is needed to change it safely.
+///
+/// A plain [`Config`] as JSON parses too, so that an operator can put the first one by hand.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// The number of this version.
+    pub version: ConfVersion,
+    /// The patch that made it.
+    #[serde(default)]
+    pub patch: Option<PatchId>,
+    /// The teams.
+    #[serde(default)]
+    pub teams: Vec<Team>,
+    /// The fronts.
+    #[serde(default)]
+    pub fronts: Vec<Front>,
+    /// The last patches settled, oldest first.
+    #[serde(default)]
+    pub settled: Vec<Settled>,
+    /// The patch that is being decided.
+    #[serde(default)]
+    pub pending: Option<Pending>,
+}
+
+impl Record {
+    /// Notes a settled patch, and forgets the oldest if there are too many.
+    pub(crate) fn settle(&mut self, settled: Settled) {
+        self.pending = None;
+        self.settled.push(settled);
+        let extra = self.settled.len().saturating_sub(SETTLED_MAX);
+        self.settled.drain(..extra);
+    }
+}
+
+/// A patch on which the word is final.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settled {
+    /// The patch.
+    pub id: PatchId,
+    /// A hash of its content, as an id may be used for one content only.
+    pub digest: u64,
+    /// The team that proposed it.
+    pub team: TeamName,
+    /// The VM that proposed it.
+    pub proposer: VmId,
+    /// The version that it made; `None` if it was refused.
+    pub version: Option<ConfVersion>,
+    /// Why it was refused.
+    #[serde(default)]
+    pub reason: Option<String>,
+}
+
+/// A patch that is being decided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pending {
+    /// The patch.
+    pub patch: Patch,
+    /// The team that proposed it.
+    pub team: TeamName,
+    /// The VM that proposed it, the only one that may commit it.
+    pub proposer: VmId,
+    /// The run of its process.
+    pub incarnation: Incarnation,
+    /// Tells this proposal from every other, so that a lost answer is decided by reading back.
+    pub nonce: u64,
+}
--- /dev/null
+++ b/crates/conf/src/team.rs
@@ -0,0 +1,83 @@
+//! Who may change what.
+
+use gs_types::prelude::*;
+use sha2::Digest;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+
+use crate::patch::Change;
+use crate::patch::Patch;
+
+/// The SHA-256 of a team's key in hexadecimal, as the configuration keeps it.
+#[must_use]
+pub fn hash_key(key: &str) -> String {
+    hex::encode(Sha256::digest(key.as_bytes()))
+}
+
+/// Finds the team that a key belongs to.
+///
+/// The hashes are compared in constant time, and an unknown team costs as much as a known one, so
+/// that neither the time nor the error tells which of name and key was wrong.
+///
+/// # Errors
+///
+/// [`ErrorKind::Forbidden`], the same for an unknown team and a wrong key.
+pub fn authenticate<'a>(cfg: &'a Config, team: &str, key: &str) -> Result<&'a Team> {
+    let hash = hash_key(key);
+    let known = cfg.teams.iter().find(|t| t.name.as_str() == team);
+    let wanted = known.map_or_else(|| hash_key(""), |t| t.key_sha256.clone());
+    let same = bool::from(hash.as_bytes().ct_eq(wanted.as_bytes()));
+    match known {
+        Some(t) if same => Ok(t),
+        _ => Err(Error::new(ErrorKind::Forbidden, "no such team and key")
+            .at("authenticate")
+            .with_hint("send `authorization: Bearer TEAM:KEY` with the key given to the team")),
+    }
+}
+
+/// Checks that a team changes only its own fronts, and that only an admin team changes teams.
+///
+/// # Errors
+///
+/// [`ErrorKind::Forbidden`] with the place of the first change that the team may not make.
+pub fn check_scope(cfg: &Config, team: &TeamName, patch: &Patch) -> Result<()> {
+    let Some(t) = cfg.teams.iter().find(|t| t.name == *team) else {
+        return Err(Error::new(
+            ErrorKind::Forbidden,
+            format!("team `{team}` is not declared"),
+        )
+        .at("check team")
+        .with_hint("ask an admin team to declare it"));
+    };
+    if t.admin {
+        return Ok(());
+    }
+    for (i, change) in patch.changes.iter().enumerate() {
+        check_change(t, change).map_err(|e| e.at(format!("changes[{i}]")))?;
+    }
+    Ok(())
+}
+
+fn check_change(team: &Team, change: &Change) -> Result<()> {
+    let front = match change {
+        Change::PutFront(f) => &f.name,
+        Change::RemoveFront(f)
+        | Change::PutLookup { front: f, .. }
+        | Change::RemoveLookup { front: f, .. } => f,
+        Change::PutTeam(_) | Change::RemoveTeam(_) => {
+            return Err(Error::new(
+                ErrorKind::Forbidden,
+                format!("team `{}` may not change teams", team.name),
+            )
+            .with_hint("ask an admin team"));
+        }
+    };
+    if team.fronts.contains(front) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::Forbidden,
+        format!("team `{}` may not change front `{front}`", team.name),
+    )
+    .with_hint("ask an admin team to add the front to the team"))
+}
