--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -30,7 +30,8 @@
     Claim(LookupSeq, ClaimVerdict),
     /// An attempt is about to put its first byte on a connection: the point of no return.
     Sent(AttemptId),
-    /// An attempt ended.
+    /// An attempt ended. Each [`crate::Action::Dispatch`] gets exactly one, also after a cancel;
+    /// until it came, an attempt handed over may pass the point of no return at any moment.
     Reply(AttemptId, PartReply),
     /// The caller of this lookup hung up.
     Gone(LookupSeq),
@@ -102,6 +103,9 @@
     Garbled,
     /// The server answered with an error of its own.
     Failed,
+    /// Stopped by [`crate::Action::Cancel`] after the point of no return; it may have run, and its
+    /// connection is closed or free again.
+    Cancelled,
 }
 
 /// What a server's health and load endpoint says.
