--- /dev/null
+++ b/crates/trace/src/checker.rs
@@ -0,0 +1,245 @@
+//! Compares a replay with the stated outcomes and with what must always hold.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gs_query::Action;
+use gs_query::Dispatch;
+use gs_types::prelude::*;
+
+use crate::divergence::Divergence;
+use crate::expect::Expectations;
+use crate::expect::LookupExpect;
+use crate::expect::OutcomeKind;
+use crate::expect::ServerExpect;
+use crate::promises::Promises;
+use crate::replay::Step;
+
+/// Judges the steps of a replay one by one and its end.
+#[derive(Debug, Default)]
+pub struct Checker {
+    stated: Expectations,
+    promises: Promises,
+    outcomes: BTreeMap<LookupSeq, OutcomeKind>,
+    dispatches: BTreeMap<LookupSeq, u32>,
+    /// Dispatches that count for each stated server, in the order of the file.
+    server_counts: Vec<u32>,
+    last: (u64, Duration),
+}
+
+impl Checker {
+    /// Starts with the outcomes stated; what must always hold is judged besides.
+    #[must_use]
+    pub fn new(stated: Expectations) -> Self {
+        Self {
+            server_counts: vec![0; stated.server.len()],
+            stated,
+            ..Self::default()
+        }
+    }
+
+    /// How many lookups have ended in each way, by the steps seen.
+    #[must_use]
+    pub fn count(&self, kind: OutcomeKind) -> usize {
+        self.outcomes.values().filter(|k| **k == kind).count()
+    }
+
+    /// Attempts dispatched by the steps seen.
+    #[must_use]
+    pub fn attempts(&self) -> u64 {
+        self.dispatches.values().map(|n| u64::from(*n)).sum()
+    }
+
+    /// Judges one step.
+    ///
+    /// # Errors
+    ///
+    /// The first thing in it that should not be.
+    pub fn on(&mut self, step: &Step) -> Result<(), Divergence> {
+        self.last = (step.number, step.at);
+        let diverges = |text| Divergence {
+            step: step.number,
+            at: step.at,
+            text,
+        };
+        self.promises.on(step).map_err(diverges)?;
+        for action in &step.actions {
+            match action {
+                Action::Dispatch(d) => self.dispatch(step.at, d).map_err(diverges)?,
+                Action::Answer(seq, outcome) => {
+                    self.answer(step.at, *seq, outcome).map_err(diverges)?;
+                }
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Judges what is left open once the trace has ended.
+    ///
+    /// # Errors
+    ///
+    /// The first lookup or server that did not come to what was stated.
+    pub fn end(&self) -> Result<(), Divergence> {
+        let (step, at) = self.last;
+        let diverges = |text| Divergence { step, at, text };
+        self.promises.end(at).map_err(diverges)?;
+        for e in &self.stated.lookup {
+            self.end_lookup(e).map_err(diverges)?;
+        }
+        for (e, n) in self.stated.server.iter().zip(&self.server_counts) {
+            if e.dispatches_min.is_some_and(|min| *n < min) {
+                let text = format!("server {} got {n} attempts; stated: {e:?}", e.name);
+                return Err(diverges(text));
+            }
+        }
+        Ok(())
+    }
+
+    fn dispatch(&mut self, at: Duration, d: &Dispatch) -> Result<(), String> {
+        let seq = d.attempt.lookup;
+        let n = self.dispatches.entry(seq).or_default();
+        *n += 1;
+        let stated = self.stated.lookup.iter().find(|e| e.seq == seq);
+        let most = stated.and_then(|e| e.dispatches.or(e.dispatches_max));
+        if most.is_some_and(|most| *n > most) {
+            return Err(format!(
+                "lookup {seq} is dispatched {n} times, to {}",
+                d.server.name
+            ));
+        }
+        for (e, n) in self.stated.server.iter().zip(&mut self.server_counts) {
+            if !counts(e, at, d) {
+                continue;
+            }
+            *n += 1;
+            if e.dispatches_max.is_some_and(|max| *n > max) {
+                let name = &e.name;
+                return Err(format!(
+                    "server {name} gets attempt {}, its number {n}",
+                    d.attempt
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn answer(&mut self, at: Duration, seq: LookupSeq, outcome: &Outcome) -> Result<(), String> {
+        self.outcomes.insert(seq, OutcomeKind::of(outcome));
+        let Some(e) = self.stated.lookup.iter().find(|e| e.seq == seq) else {
+            return Ok(());
+        };
+        let found = Found::of(outcome);
+        let wrong = |what: &str, found: String, stated: String| {
+            Err(format!("lookup {seq}: {what} is {found}; stated: {stated}"))
+        };
+        if e.outcome != found.kind {
+            return wrong("outcome", format!("{outcome:?}"), e.outcome.to_string());
+        }
+        found
+            .compare(e)
+            .or_else(|(what, found, stated)| wrong(what, found, stated))?;
+        if e.by.is_some_and(|by| at > by) {
+            let stated = e.by.map(humantime::format_duration);
+            return wrong(
+                "its time",
+                humantime::format_duration(at).to_string(),
+                stated.map_or_else(String::new, |d| d.to_string()),
+            );
+        }
+        Ok(())
+    }
+
+    fn end_lookup(&self, e: &LookupExpect) -> Result<(), String> {
+        let seq = e.seq;
+        let found = self.outcomes.get(&seq).copied();
+        if found.unwrap_or(OutcomeKind::Pending) != e.outcome {
+            return Err(format!(
+                "lookup {seq} has no outcome; stated: {}",
+                e.outcome
+            ));
+        }
+        let n = self.dispatches.get(&seq).copied().unwrap_or(0);
+        match e.dispatches {
+            Some(stated) if stated != n => Err(format!(
+                "lookup {seq} was dispatched {n} times; stated: {stated}"
+            )),
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Whether a dispatch counts for a stated server.
+fn counts(e: &ServerExpect, at: Duration, d: &Dispatch) -> bool {
+    e.name == d.server.name
+        && at >= e.after
+        && e.before.is_none_or(|before| at < before)
+        && e.lookup.is_none_or(|seq| seq == d.attempt.lookup)
+}
+
+/// An outcome in the terms of the stated ones.
+struct Found {
+    kind: OutcomeKind,
+    reason: Option<RefusalReason>,
+    retry_after: Option<bool>,
+    missing: Vec<String>,
+    page: Option<Answer>,
+}
+
+/// What differs: the name, what was found and what was stated.
+type Difference = (&'static str, String, String);
+
+impl Found {
+    fn of(outcome: &Outcome) -> Self {
+        let (missing, refusal, page) = match outcome {
+            Outcome::Answered(a) => (&a.coverage.missing, None, Some(a.clone())),
+            Outcome::NotRun(r) | Outcome::Unknown(r) => (&r.missing, Some(r), None),
+        };
+        let spell = |m: &MissingShard| format!("{} {}", m.shard, m.reason);
+        Self {
+            kind: OutcomeKind::of(outcome),
+            reason: refusal.map(|r| r.reason),
+            retry_after: refusal.map(|r| r.retry_after.is_some()),
+            missing: missing.iter().map(spell).collect(),
+            page,
+        }
+    }
+
+    fn compare(&self, e: &LookupExpect) -> Result<(), Difference> {
+        let page = self.page.as_ref();
+        let docs = page.map(|p| p.hits.iter().map(|h| h.doc.to_string()).collect());
+        same("reason", e.reason.as_ref(), self.reason.as_ref())?;
+        same(
+            "retry-after",
+            e.retry_after.as_ref(),
+            self.retry_after.as_ref(),
+        )?;
+        same("missing", e.missing.as_ref(), Some(&self.missing))?;
+        same("docs", e.docs.as_ref(), docs.as_ref())?;
+        same("snapshot", e.snapshot.as_ref(), page.map(|p| &p.snapshot))?;
+        same(
+            "shards",
+            e.shards.as_ref(),
+            page.map(|p| &p.coverage.shards),
+        )?;
+        same("whole", e.whole.as_ref(), page.map(|p| &p.coverage.whole))?;
+        same(
+            "ended-early",
+            e.ended_early.as_ref(),
+            page.map(|p| &p.ended_early),
+        )
+    }
+}
+
+/// Compares one thing, if it is stated.
+fn same<T: PartialEq + std::fmt::Debug>(
+    what: &'static str,
+    stated: Option<&T>,
+    found: Option<&T>,
+) -> Result<(), Difference> {
+    if stated.is_none() || stated == found {
+        return Ok(());
+    }
+    let spell = |t: Option<&T>| t.map_or_else(|| "nothing".to_owned(), |t| format!("{t:?}"));
+    Err((what, spell(found), spell(stated)))
+}
--- /dev/null
+++ b/crates/trace/src/machine.rs
@@ -0,0 +1,37 @@
+//! What a trace drives.
+
+use std::time::Instant;
+
+use gs_query::Action;
+use gs_query::Engine;
+use gs_query::Event;
+use gs_types::prelude::*;
+
+use crate::header::Header;
+
+/// A state machine that takes the recorded events; the engine, or one with a fault put in.
+pub trait Machine {
+    /// Takes one event in and appends what has to be done to `out`.
+    fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>);
+}
+
+impl Machine for Engine {
+    fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        Engine::on(self, now, event, out);
+    }
+}
+
+/// Builds the engine that a trace was recorded from.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadInput`] if the header's options are out of range.
+pub fn engine(header: &Header) -> Result<Engine> {
+    Engine::builder()
+        .vm(header.vm.clone())
+        .incarnation(header.incarnation)
+        .data_centre(header.data_centre.clone())
+        .seed(header.seed)
+        .options(header.options.clone())
+        .build()
+}
--- /dev/null
+++ b/crates/trace/src/promises/lookups.rs
@@ -0,0 +1,290 @@
+//! What must hold for each lookup.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_query::Action;
+use gs_query::Arrival;
+use gs_query::ClaimVerdict;
+use gs_query::Dispatch;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+
+use super::ANSWER_GRACE;
+use crate::replay::Step;
+
+/// How far an attempt has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Run {
+    /// Dispatched, and not told to be sent.
+    Waiting,
+    /// It may run, or have run.
+    Possible,
+    /// It did not run and cannot any more.
+    Never,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    shard: ShardId,
+    snapshot: SnapshotId,
+    run: Run,
+}
+
+/// One lookup as its events show it.
+#[derive(Debug)]
+struct Seen {
+    arrival: Arrival,
+    due: Duration,
+    promise: Option<Promise>,
+    granted: bool,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    /// The documents of each shard's whole parts, by snapshot.
+    parts: BTreeMap<(SnapshotId, ShardId), BTreeSet<Arc<str>>>,
+    outcome: Option<Outcome>,
+    gone: bool,
+}
+
+/// All lookups of a trace.
+#[derive(Debug, Default)]
+pub(crate) struct Lookups {
+    config: Option<Arc<Config>>,
+    seen: BTreeMap<LookupSeq, Seen>,
+    /// The attempt of each idempotency key that may have run.
+    runs: BTreeMap<IdempotencyKey, AttemptId>,
+}
+
+impl Lookups {
+    pub(crate) fn on(&mut self, step: &Step) -> Result<(), String> {
+        self.take_in(step)?;
+        for action in &step.actions {
+            match action {
+                Action::Dispatch(d) => self.dispatch(d)?,
+                Action::Answer(seq, outcome) => self.answer(*seq, outcome)?,
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn end(&self, at: Duration) -> Result<(), String> {
+        let cut = self.seen.iter().find(|(_, l)| {
+            l.outcome.is_none() && !l.gone && at > l.due.saturating_add(ANSWER_GRACE)
+        });
+        match cut {
+            Some((seq, _)) => Err(format!(
+                "lookup {seq} is past its deadline without an answer"
+            )),
+            None => Ok(()),
+        }
+    }
+
+    fn take_in(&mut self, step: &Step) -> Result<(), String> {
+        match &step.event {
+            Event::Config(c)
+                if self
+                    .config
+                    .as_ref()
+                    .is_none_or(|old| old.version < c.version) =>
+            {
+                self.config = Some(c.clone());
+            }
+            Event::Arrive(a) => self.arrive(step.at, a),
+            Event::Claim(seq, verdict) => {
+                if let Some(l) = self.seen.get_mut(seq) {
+                    l.granted |= *verdict == ClaimVerdict::Granted;
+                }
+            }
+            Event::Sent(id) => self.sent(id)?,
+            Event::Reply(id, reply) => self.reply(id, reply),
+            Event::Gone(seq) => {
+                if let Some(l) = self.seen.get_mut(seq) {
+                    l.gone = true;
+                }
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn arrive(&mut self, at: Duration, a: &Arrival) {
+        let config = self.config.as_deref();
+        let declared = config.and_then(|c| c.lookup(&a.req.front, &a.req.lookup));
+        let longest = declared.map_or(Duration::ZERO, |l| l.deadline);
+        let time = a.req.deadline.map_or(longest, |d| d.min(longest));
+        let seen = Seen {
+            arrival: a.clone(),
+            due: at.saturating_add(time),
+            promise: declared.map(|l| l.promise),
+            granted: false,
+            attempts: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            outcome: None,
+            gone: false,
+        };
+        self.seen.insert(a.seq, seen);
+    }
+
+    fn sent(&mut self, id: &AttemptId) -> Result<(), String> {
+        let Some(l) = self.seen.get_mut(&id.lookup) else {
+            return Ok(());
+        };
+        let Some(a) = l.attempts.get_mut(id) else {
+            return Ok(());
+        };
+        a.run = Run::Possible;
+        if let Some(Outcome::NotRun(_)) = l.outcome {
+            return Err(format!(
+                "attempt {id} is sent after its caller was told `not-run`"
+            ));
+        }
+        let key = l.arrival.req.idempotency_key.clone();
+        if let (Some(Promise::AtMostOnce), Some(key)) = (l.promise, key) {
+            let first = self.runs.entry(key).or_insert_with(|| id.clone());
+            if first != id {
+                return Err(format!(
+                    "attempt {id} is sent; {first} with its key may have run"
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn reply(&mut self, id: &AttemptId, reply: &PartReply) {
+        let Some(l) = self.seen.get_mut(&id.lookup) else {
+            return;
+        };
+        let Some(a) = l.attempts.get_mut(id) else {
+            return;
+        };
+        match reply {
+            PartReply::Shed { .. }
+            | PartReply::Draining
+            | PartReply::NoSnapshot { .. }
+            | PartReply::NotSent => {
+                a.run = Run::Never;
+                self.runs.retain(|_, run| run != id);
+            }
+            PartReply::Whole { snapshot, part, .. } => {
+                a.run = Run::Possible;
+                if *snapshot == a.snapshot {
+                    let docs = part.hits.iter().map(|h| h.doc.clone());
+                    l.parts
+                        .entry((*snapshot, a.shard))
+                        .or_default()
+                        .extend(docs);
+                }
+            }
+            _ => a.run = Run::Possible,
+        }
+    }
+
+    fn dispatch(&mut self, d: &Dispatch) -> Result<(), String> {
+        let id = &d.attempt;
+        let Some(l) = self.seen.get_mut(&id.lookup) else {
+            return Err(format!("attempt {id} is for a lookup that never arrived"));
+        };
+        if l.outcome.is_some() {
+            return Err(format!(
+                "attempt {id} is dispatched after its lookup's answer"
+            ));
+        }
+        if l.promise == Some(Promise::AtMostOnce) {
+            check_once(l, d)?;
+        }
+        let attempt = Attempt {
+            shard: id.shard,
+            snapshot: d.snapshot,
+            run: Run::Waiting,
+        };
+        match l.attempts.insert(id.clone(), attempt) {
+            None => Ok(()),
+            Some(_) => Err(format!("attempt {id} is dispatched twice")),
+        }
+    }
+
+    fn answer(&mut self, seq: LookupSeq, outcome: &Outcome) -> Result<(), String> {
+        let Some(l) = self.seen.get_mut(&seq) else {
+            return Err(format!("lookup {seq} is answered and never arrived"));
+        };
+        if l.outcome.is_some() {
+            return Err(format!("lookup {seq} is answered twice"));
+        }
+        match outcome {
+            Outcome::Answered(a) => check_page(l, a),
+            Outcome::NotRun(_) => check_not_run(l),
+            Outcome::Unknown(_) => Ok(()),
+        }
+        .map_err(|text| format!("lookup {seq}: {text}"))?;
+        l.outcome = Some(outcome.clone());
+        Ok(())
+    }
+}
+
+fn check_once(l: &Seen, d: &Dispatch) -> Result<(), String> {
+    let id = &d.attempt;
+    if !l.granted {
+        return Err(format!(
+            "attempt {id} must run at most once and has no claim"
+        ));
+    }
+    if !d.once {
+        return Err(format!(
+            "attempt {id} must run at most once and is not marked so"
+        ));
+    }
+    match l.attempts.iter().find(|(_, a)| a.run != Run::Never) {
+        Some((other, _)) => Err(format!(
+            "attempt {id} must run at most once and {other} may have run"
+        )),
+        None => Ok(()),
+    }
+}
+
+fn check_not_run(l: &Seen) -> Result<(), String> {
+    match l.attempts.iter().find(|(_, a)| a.run == Run::Possible) {
+        Some((id, _)) => Err(format!("told `not-run`, and attempt {id} may have run")),
+        None => Ok(()),
+    }
+}
+
+/// A page is of its snapshot, its own attempts and its true coverage.
+fn check_page(l: &Seen, a: &Answer) -> Result<(), String> {
+    let Coverage {
+        shards,
+        whole,
+        missing,
+    } = &a.coverage;
+    let lost: BTreeSet<_> = missing.iter().map(|m| m.shard).collect();
+    let told = whole.saturating_add(u32::try_from(lost.len()).unwrap_or(u32::MAX));
+    if told != *shards || lost.len() != missing.len() {
+        return Err(format!("its coverage does not add up: {:?}", a.coverage));
+    }
+    let of_snapshot = || l.parts.iter().filter(|((s, _), _)| *s == a.snapshot);
+    let present = of_snapshot()
+        .filter(|((_, shard), _)| !lost.contains(shard))
+        .count();
+    if present < *whole as usize {
+        return Err(format!(
+            "it counts {whole} whole shards of snapshot {}, and {present} came",
+            a.snapshot
+        ));
+    }
+    if l.promise == Some(Promise::Complete) && !a.coverage.is_full() {
+        return Err("it must be complete and lacks shards".to_owned());
+    }
+    let strange = a
+        .hits
+        .iter()
+        .find(|h| !of_snapshot().any(|(_, docs)| docs.contains(&h.doc)));
+    match strange {
+        Some(h) => Err(format!(
+            "document `{}` is in no part of its snapshot that came for it",
+            h.doc
+        )),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/trace/src/replay.rs
@@ -0,0 +1,102 @@
+//! Runs recorded events through a machine.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_query::Action;
+use gs_query::Event;
+use gs_types::prelude::*;
+
+use crate::machine::Machine;
+use crate::record::Record;
+
+/// One event and what the machine did about it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Its number, from 1.
+    pub number: u64,
+    /// The time since the start of the trace.
+    pub at: Duration,
+    /// What the machine was told.
+    pub event: Event,
+    /// What it wants done.
+    pub actions: Vec<Action>,
+}
+
+/// Drives a machine with the records of a trace; an iterator of [`Step`]s.
+///
+/// It ends with an error at a gap: the engine that recorded went on with events that this one
+/// would never see, so that every later step could differ for no fault of the decisions.
+pub struct Replay<I, M> {
+    records: I,
+    machine: M,
+    start: Instant,
+    last: Duration,
+    number: u64,
+    done: bool,
+}
+
+impl<I, M> Replay<I, M>
+where
+    I: Iterator<Item = Result<Record>>,
+    M: Machine,
+{
+    /// Starts at the first record; only differences from `start` reach the machine.
+    pub fn new(records: I, machine: M, start: Instant) -> Self {
+        Self {
+            records,
+            machine,
+            start,
+            last: Duration::ZERO,
+            number: 0,
+            done: false,
+        }
+    }
+
+    fn step(&mut self, record: Record) -> Result<Step> {
+        let number = self.number + 1;
+        let refuse = |text: String| {
+            Error::new(ErrorKind::BadInput, format!("step {number}: {text}")).at("replay")
+        };
+        let (at, event) = match record {
+            Record::Event { at, event } => (at, event),
+            Record::Gap { lost } => {
+                return Err(refuse(format!("the recorder lost {lost} events here"))
+                    .with_hint("record again under less load"));
+            }
+            Record::End { .. } => return Err(refuse("records stand after the end".to_owned())),
+        };
+        let now = self
+            .start
+            .checked_add(at)
+            .filter(|_| at >= self.last)
+            .ok_or_else(|| refuse(format!("its time, {at:?}, is before the last step's")))?;
+        let mut actions = Vec::new();
+        self.machine.on(now, event.clone(), &mut actions);
+        self.last = at;
+        self.number = number;
+        Ok(Step {
+            number,
+            at,
+            event,
+            actions,
+        })
+    }
+}
+
+impl<I, M> Iterator for Replay<I, M>
+where
+    I: Iterator<Item = Result<Record>>,
+    M: Machine,
+{
+    type Item = Result<Step>;
+
+    fn next(&mut self) -> Option<Result<Step>> {
+        if self.done {
+            return None;
+        }
+        let step = self.records.next()?.and_then(|r| self.step(r));
+        self.done = step.is_err();
+        Some(step)
+    }
+}
