--- /dev/null
+++ b/crates/trace/tests/trace/reading.rs
@@ -0,0 +1,100 @@
+//! Corrupt, truncated and foreign files are refused with their place.
+
+use gs_trace::Reader;
+use gs_trace::Script;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use crate::common::HEAD;
+
+/// A trace of three events.
+fn trace() -> Vec<u8> {
+    let script = Script::parse(&format!(
+        "{HEAD}\n[[step]]\nat = \"1ms\"\ntick = {{ every = \"1ms\", until = \"1ms\" }}\n"
+    ));
+    let mut buf = Vec::new();
+    script.expect("a script").write(&mut buf).expect("written");
+    buf
+}
+
+/// Reads all and tells the first error.
+fn refused(buf: &[u8]) -> Error {
+    match Reader::new(buf) {
+        Err(e) => e,
+        Ok(reader) => reader.filter_map(Result::err).next().expect("refused"),
+    }
+}
+
+#[test]
+fn a_whole_trace_is_read() {
+    let buf = trace();
+    let reader = Reader::new(buf.as_slice()).expect("a trace");
+    assert_eq!(reader.header().vm.as_str(), "hobart-1");
+    assert_eq!(reader.filter(Result::is_ok).count(), 3);
+}
+
+#[rstest]
+#[case::empty(b"", "byte 0: this is not a trace (step: read trace)")]
+#[case::foreign(b"[vm]\nname = 3\n", "byte 0: this is not a trace (step: read trace)")]
+#[case::only_a_start(b"GSTRACE\n", "byte 8: the trace is cut short here (step: read trace)")]
+#[case::no_header(
+    b"GSTRACE\n\x01\x00",
+    "record 0 at byte 10: the trace is cut short here (step: read trace)"
+)]
+#[case::another_format(
+    b"GSTRACE\n\x02\x00",
+    "byte 8: the trace is of format 2, this program reads 1 (step: read trace)"
+)]
+#[case::huge_claim(
+    b"GSTRACE\n\x01\x00\xff\xff\xff\xff\0\0\0\0",
+    "record 0 at byte 10: it claims 4294967295 bytes, more than 8388608 (step: read trace)"
+)]
+fn a_file_that_is_no_trace(#[case] buf: &[u8], #[case] expected: &str) {
+    assert_eq!(refused(buf).to_string(), expected);
+}
+
+#[test]
+fn a_trace_cut_anywhere_is_refused() {
+    let buf = trace();
+    for len in 0..buf.len() {
+        let e = refused(&buf[..len]);
+        assert_eq!(e.kind(), ErrorKind::BadInput, "{e}");
+    }
+}
+
+#[test]
+fn a_changed_byte_anywhere_is_refused() {
+    let buf = trace();
+    for at in 0..buf.len() {
+        let mut bad = buf.clone();
+        bad[at] ^= 0x40;
+        refused(&bad);
+    }
+}
+
+#[test]
+fn a_trace_without_its_end_says_how_to_replay_the_rest() {
+    let mut buf = trace();
+    // The end mark is a frame of 8 bytes and its payload of 2.
+    buf.truncate(buf.len() - 10);
+    let e = refused(&buf);
+    assert!(e.to_string().starts_with("record 4 at byte "), "{e}");
+    assert!(
+        e.to_string()
+            .contains("the trace has no end mark; its process was killed or it is cut"),
+        "{e}"
+    );
+    assert_eq!(e.hint(), Some("replay what there is with `--partial`"));
+}
+
+#[test]
+fn bytes_after_the_end_are_refused() {
+    let mut buf = trace();
+    buf.push(0);
+    let e = refused(&buf);
+    assert!(
+        e.to_string()
+            .contains("something stands after the end mark"),
+        "{e}"
+    );
+}
--- /dev/null
+++ b/crates/trace/tests/trace/scripts.rs
@@ -0,0 +1,78 @@
+//! Scripts written by hand.
+
+use gs_query::Event;
+use gs_trace::Script;
+use rstest::rstest;
+
+use crate::common::HEAD;
+use crate::common::events;
+
+#[test]
+fn events_stand_in_the_order_of_their_times() {
+    let events = events(
+        r#"
+        [[step]]
+        at = "2ms"
+        gone = 1
+        [[step]]
+        at = "1ms"
+        tick = { every = "2ms", until = "4ms" }
+        [[step]]
+        at = "1ms"
+        leave = {}
+        "#,
+    );
+    let told: Vec<_> = events.iter().map(|(at, e)| (at.as_millis(), e)).collect();
+    let gone = Event::Gone(gs_types::ids::LookupSeq(1));
+    assert_eq!(
+        told,
+        [
+            (1, &Event::Tick),
+            (1, &Event::Leave),
+            (2, &gone),
+            (3, &Event::Tick)
+        ]
+    );
+}
+
+#[rstest]
+#[case::no_event(
+    "at = \"0s\"",
+    "the step names 0 events, not one (step: script step 2)"
+)]
+#[case::two_events(
+    "at = \"0s\"\ngone = 1\nleave = {}",
+    "the step names 2 events, not one (step: script step 2)"
+)]
+#[case::bad_attempt(
+    "at = \"0s\"\nsent = [\"1/0\"]",
+    "`hobart-1/1/1/0` is not an attempt id (step: script step 2)"
+)]
+#[case::endless(
+    "at = \"0s\"\ntick = { every = \"1ns\", until = \"1h\" }",
+    "`tick` comes to too many events (step: script step 2)"
+)]
+#[case::never(
+    "at = \"0s\"\ntick = { every = \"0s\", until = \"1h\" }",
+    "`tick` comes to too many events (step: script step 2)"
+)]
+fn a_step_that_is_refused(#[case] step: &str, #[case] expected: &str) {
+    let script = Script::parse(&format!("{HEAD}\n[[step]]\n{step}\n")).expect("a script");
+    let e = script.events().expect_err("refused");
+    assert_eq!(e.to_string(), expected);
+}
+
+#[rstest]
+#[case::unknown_event("at = \"0s\"\nstop = {}", 38, "unknown field `stop`")]
+#[case::no_time("gone = 1", 36, "missing field `at`")]
+#[case::no_unit("at = \"1\"\ngone = 1", 37, "time unit needed")]
+#[case::unknown_end(
+    "at = \"0s\"\nreply = { to = [\"1/0/0\"], ends = \"well\" }",
+    38,
+    "unknown variant `well`"
+)]
+fn a_script_that_does_not_read(#[case] step: &str, #[case] line: u32, #[case] expected: &str) {
+    let e = Script::parse(&format!("{HEAD}\n[[step]]\n{step}\n")).expect_err("refused");
+    assert!(e.to_string().contains(expected), "{e}");
+    assert!(e.to_string().contains(&format!("line {line},")), "{e}");
+}
