--- a/crates/http/src/callers/reply.rs
+++ b/crates/http/src/callers/reply.rs
@@ -102,7 +102,8 @@
         | RefusalReason::Incomplete
         | RefusalReason::ClaimsAway
         | RefusalReason::Leaving
-        | RefusalReason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::NotReady
+        | RefusalReason::ConfigInDoubt => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
--- a/crates/node/src/actor/driver.rs
+++ b/crates/node/src/actor/driver.rs
@@ -1,6 +1,8 @@
 //! Hands events to a decision and its actions to a shell.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::FutureExt;
@@ -13,6 +15,22 @@
 
 use crate::actor::feed::Feed;
 use crate::actor::timer::Timer;
+use crate::board::lock;
+
+/// The time of one event.
+#[derive(Clone, Copy)]
+pub(crate) struct Times<'a> {
+    /// The monotonic time.
+    pub(crate) now: Instant,
+    /// Tells the time of day to those that need it.
+    pub(crate) clock: &'a dyn Clock,
+}
+
+/// A decision that its actor and the readers of dumps share.
+///
+/// The actor alone feeds it. Readers hold the lock only to look; so that a dump, and the check for
+/// a configuration in doubt on each lookup, need no turn in the actor's mailbox.
+pub(crate) type Shared<M> = Arc<Mutex<M>>;
 
 /// A decision: a state machine without I/O.
 pub(crate) trait Machine: Send + 'static {
@@ -22,10 +40,10 @@
     type Action: Send + 'static;
 
     /// Takes one event in and appends what has to be done to `out`.
-    fn on(&mut self, now: Instant, ev: Self::Event, out: &mut Vec<Self::Action>);
+    fn on(&mut self, at: Times<'_>, ev: Self::Event, out: &mut Vec<Self::Action>);
 
     /// The event that says that a timer is due.
-    fn tick(clock: &dyn Clock) -> Self::Event;
+    fn tick() -> Self::Event;
 }
 
 /// Carries out a decision's actions.
@@ -36,12 +54,12 @@
     }
 
     /// Carries out one action; gives a duration back if it asks to be woken.
-    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<std::time::Duration>;
+    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<Duration>;
 }
 
 /// The actor around one decision.
 pub(crate) struct Driver<M: Machine, S> {
-    machine: M,
+    machine: Shared<M>,
     shell: S,
     clock: Arc<dyn Clock>,
     feed: Feed<M::Event>,
@@ -87,9 +105,9 @@
 
 impl<M: Machine, S: Shell<M>> Driver<M, S> {
     fn step(&mut self, ev: M::Event) {
-        let now = self.clock.now();
-        self.shell.before(now, &ev);
-        self.machine.on(now, ev, &mut self.actions);
+        let at = Times { now: self.clock.now(), clock: self.clock.as_ref() };
+        self.shell.before(at.now, &ev);
+        lock(&self.machine).on(at, ev, &mut self.actions);
         for a in self.actions.drain(..) {
             if let Some(after) = self.shell.perform(a, &self.feed) {
                 self.timer.wake_in(after);
@@ -122,21 +140,6 @@
 
     async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
         self.timer.fired();
-        let tick = M::tick(self.clock.as_ref());
-        self.step(tick);
-    }
-}
-
-impl<M, S, F, T> Handler<Query<F>> for Driver<M, S>
-where
-    M: Machine,
-    S: Shell<M>,
-    F: FnOnce(&M, Instant) -> T + Send + 'static,
-    T: Send + 'static,
-{
-    type Return = T;
-
-    async fn handle(&mut self, q: Query<F>, _: &mut Context<Self>) -> T {
-        (q.0)(&self.machine, self.clock.now())
+        self.step(M::tick());
     }
 }
--- a/crates/node/src/actor/mod.rs
+++ b/crates/node/src/actor/mod.rs
@@ -4,9 +4,9 @@
 mod feed;
 mod timer;
 
-pub(crate) use driver::Driver;
 pub(crate) use driver::Machine;
-pub(crate) use driver::Query;
+pub(crate) use driver::Shared;
 pub(crate) use driver::Shell;
-pub(crate) use driver::start;
+pub(crate) use driver::Slot;
+pub(crate) use driver::Times;
 pub(crate) use feed::Feed;
--- /dev/null
+++ b/crates/node/src/book_shell.rs
@@ -0,0 +1,121 @@
+//! Carries out what the book of patches asks for.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use gs_conf::Action;
+use gs_conf::Ask;
+use gs_conf::Book;
+use gs_conf::CURRENT;
+use gs_conf::Event;
+use gs_conf::ReadResult;
+use gs_conf::Verdict;
+use gs_conf::WriteResult;
+use gs_store::Object;
+use gs_types::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::actor::Feed;
+use crate::actor::Machine;
+use crate::actor::Shell;
+use crate::actor::Times;
+use crate::board::lock;
+use crate::calls::Calls;
+use crate::feeds::Feeds;
+use crate::message::Message;
+use crate::spread::Spread;
+
+impl Machine for Book {
+    type Event = Event;
+    type Action = Action;
+
+    fn on(&mut self, at: Times<'_>, ev: Event, out: &mut Vec<Action>) {
+        Book::on(self, at.now, ev, out);
+    }
+
+    fn tick() -> Event {
+        Event::Tick
+    }
+}
+
+/// The operators that wait for a verdict.
+#[derive(Default)]
+pub(crate) struct Asks(Mutex<HashMap<Ask, oneshot::Sender<Verdict>>>);
+
+impl Asks {
+    pub(crate) fn insert(&self, ask: Ask, tx: oneshot::Sender<Verdict>) {
+        lock(&self.0).insert(ask, tx);
+    }
+
+    fn settle(&self, ask: Ask, verdict: Verdict) {
+        if let Some(tx) = lock(&self.0).remove(&ask) {
+            let _ = tx.send(verdict);
+        }
+    }
+}
+
+/// Carries out what the book of patches asks for.
+pub(crate) struct BookShell {
+    pub(crate) calls: Calls,
+    pub(crate) feeds: Feeds,
+    pub(crate) spread: Spread,
+    pub(crate) asks: Arc<Asks>,
+}
+
+impl Shell<Book> for BookShell {
+    fn perform(&mut self, action: Action, feed: &Feed<Event>) -> Option<Duration> {
+        match action {
+            Action::Read => {
+                let feed = feed.clone();
+                self.calls.read(CURRENT.to_owned(), move |r| feed.push(Event::Read(found(r))));
+            }
+            Action::Write { id, path, if_version, content } => {
+                let feed = feed.clone();
+                let content = content.as_bytes().to_vec();
+                self.calls.write(path, if_version, content, move |r| {
+                    feed.push(Event::Wrote(id, written(r.map(|v| v.0))));
+                });
+            }
+            Action::Send(vm, msg) => self.spread.send(&vm, &Message::Conf(msg)),
+            Action::Broadcast(msg) => self.spread.broadcast(&Message::Conf(msg)),
+            Action::Apply(config) => {
+                log::info!("event=config-in-force version={}", config.version);
+                self.feeds.engine.push(gs_query::Event::Config(config));
+            }
+            Action::Doubt(touched) => {
+                log::info!("event=config-in-doubt lookups=\"{touched:?}\"");
+            }
+            Action::Verdict(ask, verdict) => self.asks.settle(ask, verdict),
+            Action::Wake(after) => return Some(after),
+        }
+        None
+    }
+}
+
+/// What reading the object gave, as the book takes it.
+pub(crate) fn found(r: Result<Option<Object>>) -> ReadResult {
+    match r {
+        Ok(Some(o)) => match std::str::from_utf8(&o.content) {
+            Ok(text) => ReadResult::Found { object: o.version.0, content: text.into() },
+            Err(e) => {
+                log::error!("event=config-not-text path={CURRENT} error=\"{e}\"");
+                ReadResult::Failed
+            }
+        },
+        Ok(None) => ReadResult::Missing,
+        Err(_) => ReadResult::Failed,
+    }
+}
+
+fn written(r: Result<u64>) -> WriteResult {
+    match r {
+        Ok(v) => WriteResult::Done(v),
+        Err(e) => match e.kind() {
+            ErrorKind::Conflict => WriteResult::Conflict,
+            ErrorKind::Unknown => WriteResult::Unknown,
+            _ => WriteResult::Failed,
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/calls.rs
@@ -0,0 +1,43 @@
+//! Makes the decisions' calls to the platform, each in a task of its own.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gs_store::Object;
+use gs_store::Platform;
+use gs_store::Version;
+use gs_types::prelude::*;
+
+/// Makes calls to the platform and hands each result to a function.
+#[derive(Clone)]
+pub(crate) struct Calls(pub(crate) Arc<dyn Platform>);
+
+impl Calls {
+    pub(crate) fn read(&self, path: String, done: impl FnOnce(Result<Option<Object>>) + Send + 'static) {
+        let platform = Arc::clone(&self.0);
+        tokio::spawn(async move { done(platform.read(&path).await) });
+    }
+
+    pub(crate) fn write(
+        &self,
+        path: String,
+        if_version: u64,
+        content: Vec<u8>,
+        done: impl FnOnce(Result<Version>) + Send + 'static,
+    ) {
+        let platform = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            done(platform.write(&path, Version(if_version), Bytes::from(content)).await);
+        });
+    }
+
+    pub(crate) fn delete(
+        &self,
+        path: String,
+        if_version: u64,
+        done: impl FnOnce(Result<bool>) + Send + 'static,
+    ) {
+        let platform = Arc::clone(&self.0);
+        tokio::spawn(async move { done(platform.delete(&path, Version(if_version)).await) });
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,2 +1,30 @@
-//! One process of gentiansill.
+//! One process of gentiansill: the decisions as actors, joined to sockets, the mesh and the platform.
+//!
+//! Each decision crate runs in one `xtra` actor ([`gs_query::Engine`], [`gs_conf::Book`],
+//! [`gs_member::Membership`], [`gs_once::Once`]). This crate carries their actions out and feeds
+//! what comes of them back as events; it holds no policy of its own.
+//!
+//! [`serve`] runs a process from its settings to its graceful end.
+
 mod actor;
+mod board;
+mod book_shell;
+mod calls;
+mod desk;
+mod dumps;
+mod engine_shell;
+mod feeds;
+mod inbox;
+mod member_shell;
+mod message;
+mod metrics;
+mod once_shell;
+mod operators;
+mod poll;
+mod serve;
+mod shutdown;
+mod spread;
+mod watch;
+
+pub use message::Message;
+pub use serve::serve;
--- /dev/null
+++ b/crates/node/src/member_shell.rs
@@ -0,0 +1,117 @@
+//! Carries out what the membership asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_http::Pool;
+use gs_member::Action;
+use gs_member::Event;
+use gs_member::Membership;
+use gs_member::SeatTable;
+use gs_member::StoreError;
+use gs_member::Stored;
+use gs_member::View;
+use gs_mesh::Mesh;
+use gs_types::prelude::*;
+
+use crate::actor::Feed;
+use crate::actor::Machine;
+use crate::actor::Shell;
+use crate::actor::Times;
+use crate::board::Board;
+use crate::calls::Calls;
+use crate::feeds::Feeds;
+use crate::message::Message;
+use crate::spread::Spread;
+
+/// How often it is looked whether the pool's connections are within lowered shares.
+const LOWER_PAUSE: Duration = Duration::from_millis(5);
+
+impl Machine for Membership {
+    type Event = Event;
+    type Action = Action;
+
+    fn on(&mut self, at: Times<'_>, ev: Event, out: &mut Vec<Action>) {
+        Membership::on(self, at.now, ev, out);
+    }
+
+    fn tick() -> Event {
+        Event::Tick
+    }
+}
+
+/// Carries out what the membership asks for.
+pub(crate) struct MemberShell {
+    pub(crate) calls: Calls,
+    pub(crate) feeds: Feeds,
+    pub(crate) spread: Spread,
+    pub(crate) mesh: Arc<dyn Mesh<Message>>,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) board: Arc<Board>,
+}
+
+impl Shell<Membership> for MemberShell {
+    fn perform(&mut self, action: Action, feed: &Feed<Event>) -> Option<Duration> {
+        match action {
+            Action::Send(vm, beat) => self.spread.send(&vm, &Message::Beat(beat)),
+            Action::Peers(peers) => self.mesh.peers(&peers),
+            Action::Shares { epoch, shares } => self.share(epoch, shares, feed.clone()),
+            Action::View(view) => self.view(view),
+            Action::ReadTable => {
+                let feed = feed.clone();
+                self.calls.read(SeatTable::PATH.to_owned(), move |r| {
+                    let r = r.map_err(|e| failure(&e)).map(|o| {
+                        o.map(|o| Stored { version: o.version.0, content: o.content.to_vec() })
+                    });
+                    feed.push(Event::TableRead(r));
+                });
+            }
+            Action::WriteTable { if_version, content } => {
+                let feed = feed.clone();
+                self.calls.write(SeatTable::PATH.to_owned(), if_version, content, move |r| {
+                    feed.push(Event::TableWrote(r.map(|v| v.0).map_err(|e| failure(&e))));
+                });
+            }
+            Action::Wake(after) => return Some(after),
+        }
+        None
+    }
+}
+
+impl MemberShell {
+    fn view(&self, view: Arc<View>) {
+        log::info!("event=view live={} known={}", view.live().count(), view.vms.len());
+        let live = view.live().map(|v| v.entry.vm.clone()).collect();
+        self.feeds.once.push(gs_once::Event::Members(live));
+        self.board.set_view(view);
+    }
+
+    /// Applies shares and says so once the open connections are within them.
+    fn share(
+        &self,
+        epoch: gs_member::Epoch,
+        shares: Vec<(ServerName, Connections)>,
+        feed: Feed<Event>,
+    ) {
+        if !shares.is_empty() {
+            self.board.set_shares_given();
+        }
+        self.pool.set_shares(&shares);
+        self.feeds.engine.push(gs_query::Event::Shares(shares));
+        let pool = Arc::clone(&self.pool);
+        tokio::spawn(async move {
+            while !pool.within_shares() {
+                tokio::time::sleep(LOWER_PAUSE).await;
+            }
+            feed.push(Event::Lowered(epoch));
+        });
+    }
+}
+
+fn failure(e: &Error) -> StoreError {
+    match e.kind() {
+        ErrorKind::Conflict => StoreError::Conflict,
+        ErrorKind::Unknown => StoreError::Lost,
+        _ => StoreError::NotDone,
+    }
+}
--- /dev/null
+++ b/crates/node/src/once_shell.rs
@@ -0,0 +1,80 @@
+//! Carries out what the claims ask for.
+
+use std::time::Duration;
+
+use gs_clock::unix_seconds;
+use gs_once::Action;
+use gs_once::Event;
+use gs_once::Once;
+use gs_once::StoreError;
+use gs_once::Stored;
+use gs_types::prelude::*;
+
+use crate::actor::Feed;
+use crate::actor::Machine;
+use crate::actor::Shell;
+use crate::actor::Times;
+use crate::calls::Calls;
+use crate::feeds::Feeds;
+use crate::message::Message;
+use crate::spread::Spread;
+
+impl Machine for Once {
+    type Event = Event;
+    type Action = Action;
+
+    fn on(&mut self, at: Times<'_>, ev: Event, out: &mut Vec<Action>) {
+        Once::on(self, at.now, unix_seconds(at.clock), ev, out);
+    }
+
+    fn tick() -> Event {
+        Event::Tick
+    }
+}
+
+/// Carries out what the claims ask for.
+pub(crate) struct OnceShell {
+    pub(crate) calls: Calls,
+    pub(crate) feeds: Feeds,
+    pub(crate) spread: Spread,
+}
+
+impl Shell<Once> for OnceShell {
+    fn perform(&mut self, action: Action, feed: &Feed<Event>) -> Option<Duration> {
+        let feed = feed.clone();
+        match action {
+            Action::Read { path } => self.calls.read(path.clone(), move |r| {
+                let result = r.map_err(|e| failure(&e)).map(|o| {
+                    o.map(|o| Stored { version: o.version.0, content: o.content.to_vec() })
+                });
+                feed.push(Event::Read { path, result });
+            }),
+            Action::Write { path, if_version, content } => {
+                self.calls.write(path.clone(), if_version, content, move |r| {
+                    let result = r.map(|v| v.0).map_err(|e| failure(&e));
+                    feed.push(Event::Wrote { path, result });
+                });
+            }
+            Action::Remove { path, if_version } => {
+                self.calls.delete(path.clone(), if_version, move |r| {
+                    let result = r.map(|_| ()).map_err(|e| failure(&e));
+                    feed.push(Event::Removed { path, result });
+                });
+            }
+            Action::Send(vm, msg) => self.spread.send(&vm, &Message::Claim(msg)),
+            Action::Verdict(seq, verdict) => {
+                self.feeds.engine.push(gs_query::Event::Claim(seq, verdict));
+            }
+            Action::Wake(after) => return Some(after),
+        }
+        None
+    }
+}
+
+fn failure(e: &Error) -> StoreError {
+    match e.kind() {
+        ErrorKind::Conflict => StoreError::Conflict,
+        ErrorKind::Unknown => StoreError::Lost,
+        _ => StoreError::NotDone,
+    }
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,150 @@
+//! Follows the platform: configuration, shard maps, the seat table and the list of VMs.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_conf::CURRENT;
+use gs_member::SeatTable;
+use gs_store::Object;
+use gs_store::Platform;
+use gs_store::Update;
+use gs_store::Watcher;
+use gs_types::prelude::*;
+
+use crate::board::Board;
+use crate::book_shell::found;
+use crate::feeds::Feeds;
+use crate::message::Message;
+use crate::spread::Spread;
+
+/// Where shard maps are kept.
+const GROUPS: &str = "groups/";
+
+/// Time between two reads of the list of VMs.
+const VMS_EVERY: Duration = Duration::from_secs(1);
+
+/// Time between two tries to learn the shard maps at the start.
+const GROUPS_EVERY: Duration = Duration::from_millis(300);
+
+/// What following the platform needs.
+#[derive(Clone)]
+pub(crate) struct Follower {
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) feeds: Feeds,
+    pub(crate) board: Arc<Board>,
+    pub(crate) spread: Spread,
+    pub(crate) seed: u64,
+}
+
+impl Follower {
+    /// Starts every task that follows the platform.
+    pub(crate) fn start(self) {
+        self.watch(CURRENT, |f, u| {
+            f.feeds.book.push(gs_conf::Event::Read(found(Ok(u.object))));
+        });
+        self.watch(GROUPS, |f, u| f.group_changed(&u));
+        self.watch(SeatTable::PATH, |f, u| {
+            let table = u.object.map(stored);
+            f.feeds.member.push(gs_member::Event::TableRead(Ok(table)));
+        });
+        tokio::spawn(self.clone().follow_vms());
+        tokio::spawn(self.load_groups());
+    }
+
+    fn watch(&self, prefix: &'static str, on: impl Fn(&Self, Update) + Send + 'static) {
+        let this = self.clone();
+        tokio::spawn(async move {
+            let (_watcher, mut rx) =
+                Watcher::start(Arc::clone(&this.platform), prefix, this.seed);
+            while let Some(u) = rx.recv().await {
+                on(&this, u);
+            }
+        });
+    }
+
+    fn group_changed(&self, u: &Update) {
+        let Some(o) = &u.object else {
+            log::warn!("event=group-removed path={}", u.path);
+            return;
+        };
+        match serde_json::from_slice::<GroupMap>(&o.content) {
+            Ok(map) => self.take_group(Arc::new(map)),
+            Err(e) => log::error!("event=group-refused path={} error=\"{e}\"", u.path),
+        }
+    }
+
+    /// Takes a shard map from the platform or a peer; an older one is ignored.
+    pub(crate) fn take_group(&self, map: Arc<GroupMap>) {
+        if !self.board.set_group(&map) {
+            return;
+        }
+        log::info!("event=group group={} revision={}", map.group, map.revision);
+        self.feeds.engine.push(gs_query::Event::Group(map));
+        let groups = self.board.groups();
+        let names = groups.iter().map(|g| g.group.clone()).collect();
+        self.feeds.book.push(gs_conf::Event::Groups(names));
+        let limits = self.board.servers().iter().map(|s| gs_member::ServerLimit {
+            server: s.name.clone(),
+            data_centre: s.data_centre.clone(),
+            limit: s.connections,
+        });
+        self.feeds.member.push(gs_member::Event::Servers(limits.collect()));
+    }
+
+    /// Waits until every shard map that the platform lists is held; asks peers if it is away.
+    async fn load_groups(self) {
+        let mut wanted: Option<BTreeSet<String>> = None;
+        loop {
+            if wanted.is_none() {
+                match self.platform.list(GROUPS).await {
+                    Ok(l) => wanted = Some(l.objects.into_iter().map(|o| o.path).collect()),
+                    Err(_) => self.spread.broadcast(&Message::WantGroups),
+                }
+            }
+            let held = self.board.groups();
+            let all = match &wanted {
+                Some(paths) => paths
+                    .iter()
+                    .all(|p| held.iter().any(|g| p.as_str() == format!("{GROUPS}{}", g.group))),
+                None => !held.is_empty(),
+            };
+            if all {
+                self.board.set_groups_loaded();
+                return;
+            }
+            tokio::time::sleep(GROUPS_EVERY).await;
+        }
+    }
+
+    async fn follow_vms(self) {
+        loop {
+            match self.platform.vms().await {
+                Ok(list) => {
+                    let names = list.iter().map(|v| v.vm.clone()).collect();
+                    self.feeds.book.push(gs_conf::Event::Members(names));
+                    let list = list.into_iter().map(entry).collect();
+                    self.feeds.member.push(gs_member::Event::List(list));
+                }
+                Err(e) => log::debug!("event=vm-list-away error=\"{e}\""),
+            }
+            tokio::time::sleep(VMS_EVERY).await;
+        }
+    }
+}
+
+fn stored(o: Object) -> gs_member::Stored {
+    gs_member::Stored { version: o.version.0, content: o.content.to_vec() }
+}
+
+fn entry(v: gs_store::VmEntry) -> gs_member::VmEntry {
+    gs_member::VmEntry {
+        vm: v.vm,
+        data_centre: v.data_centre,
+        region: v.region,
+        mesh: v.mesh,
+        callers: v.callers,
+        admin: v.admin,
+        leaving: v.leaving,
+    }
+}
--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -163,4 +163,6 @@
     Leaving,
     /// This VM does not hold a configuration yet.
     NotReady,
+    /// A change of this lookup was prepared here and its outcome cannot be learned yet.
+    ConfigInDoubt,
 }
