--- /dev/null
+++ b/crates/member/src/action.rs
@@ -0,0 +1,44 @@
+//! What the membership asks its shell to do.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::beat::Beat;
+use crate::seats::Epoch;
+use crate::view::View;
+
+/// One output of [`crate::Membership`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// Send a heartbeat to one VM.
+    Send(VmId, Beat),
+    /// Replace the mesh's list of peers.
+    Peers(Vec<(VmId, SocketAddr)>),
+    /// Hold no more connections than this to each server, and none to a server not named. Lower at
+    /// once, then tell [`crate::Event::Lowered`] with the epoch; it is told for every one of these.
+    Shares {
+        /// Names these shares.
+        epoch: Epoch,
+        /// How many connections this VM may hold to each server.
+        shares: Vec<(ServerName, Connections)>,
+    },
+    /// The view changed.
+    View(Arc<View>),
+    /// Read the object [`crate::SeatTable::PATH`]; answered by [`crate::Event::TableRead`].
+    ReadTable,
+    /// Write that object; answered by [`crate::Event::TableWrote`].
+    WriteTable {
+        /// The version to replace; 0 if it must not exist.
+        if_version: u64,
+        /// The new content.
+        content: Vec<u8>,
+    },
+    /// Send [`crate::Event::Tick`] after this time at the latest; replaces the one asked before.
+    Wake(Duration),
+}
--- /dev/null
+++ b/crates/member/src/event.rs
@@ -0,0 +1,63 @@
+//! What the membership is told.
+
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::beat::Beat;
+use crate::seats::Epoch;
+use crate::share::ServerLimit;
+use crate::vm::VmEntry;
+
+/// One input of [`crate::Membership`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Event {
+    /// The platform's list of VMs was read; it may lag.
+    List(Vec<VmEntry>),
+    /// An authenticated heartbeat arrived.
+    Heard {
+        /// The VM that sent it.
+        from: VmId,
+        /// The run of its process.
+        incarnation: Incarnation,
+        /// What it says.
+        beat: Beat,
+    },
+    /// All backend servers there are now, with their limits.
+    Servers(Vec<ServerLimit>),
+    /// The seat table was read, after [`crate::Action::ReadTable`] or by a watch.
+    TableRead(Result<Option<Stored>, StoreError>),
+    /// The write asked for by [`crate::Action::WriteTable`] ended; with the object's new version.
+    TableWrote(Result<u64, StoreError>),
+    /// The shell holds no more connections than [`crate::Action::Shares`] with this epoch allowed.
+    Lowered(Epoch),
+    /// This process is leaving.
+    Leave,
+    /// This process holds no connection any more and will open none: the last word before exit.
+    Released,
+    /// A timer asked for by [`crate::Action::Wake`] is due.
+    Tick,
+}
+
+/// A platform object as read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    /// Its version.
+    pub version: u64,
+    /// Its content.
+    pub content: Vec<u8>,
+}
+
+/// Why a call to the platform gave nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum StoreError {
+    /// Another write was first: 409.
+    Conflict,
+    /// The call provably had no effect: refused with 429 or 503, or never sent.
+    NotDone,
+    /// The answer is lost; a write may have taken effect or may yet.
+    Lost,
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,44 @@
-//! To be written.
+//! Which VMs there are, who holds which duty, and how many connections each may hold.
+//!
+//! [`Membership`] is a plain state machine: [`Event`]s in, [`Action`]s out, `now` passed in. It
+//! watches three things: the platform's lagging list of VMs, heartbeats from other VMs, and the
+//! seat table, one platform object changed by conditional writes only.
+//!
+//! The first two make the [`View`], which decides nothing that must be safe: whom to send to, and
+//! which VM takes a duty such as writing a bucket of claims. The seat table alone decides how many
+//! connections each VM may hold to a backend server (see [`SeatTable`] for why the sum can never
+//! pass the server's limit).
+
+mod action;
+mod beat;
+mod event;
+mod member;
+mod peer;
+mod rumour;
+mod seats;
+mod settings;
+mod share;
+mod view;
+mod vm;
+
+pub use action::Action;
+pub use beat::Beat;
+pub use beat::Claimed;
+pub use beat::Rumour;
+pub use event::Event;
+pub use event::StoreError;
+pub use event::Stored;
+pub use member::Membership;
+pub use seats::Epoch;
+pub use seats::Seat;
+pub use seats::SeatId;
+pub use seats::SeatTable;
+pub use settings::MemberSettings;
+pub use share::ServerLimit;
+pub use share::seat_share;
+pub use view::View;
+pub use view::ViewVm;
+pub use vm::VmChart;
+pub use vm::VmEntry;
+pub use vm::VmEvent;
+pub use vm::VmState;
--- /dev/null
+++ b/crates/member/src/peer.rs
@@ -0,0 +1,1 @@
+//! What this VM knows of one other.
--- /dev/null
+++ b/crates/member/src/rumour.rs
@@ -0,0 +1,1 @@
+//! What is worth telling others.
--- /dev/null
+++ b/crates/once/src/action.rs
@@ -0,0 +1,45 @@
+//! What the claims ask their shell to do.
+
+use std::time::Duration;
+
+use gs_query::ClaimVerdict;
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::message::Message;
+
+/// One output of [`crate::Once`].
+///
+/// The shell makes each call to the platform once; it repeats none by itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Action {
+    /// Read an object; answered by [`crate::Event::Read`].
+    Read {
+        /// The object.
+        path: String,
+    },
+    /// Write an object; answered by [`crate::Event::Wrote`].
+    Write {
+        /// The object.
+        path: String,
+        /// The version to replace; 0 if it must not exist.
+        if_version: u64,
+        /// The new content.
+        content: Vec<u8>,
+    },
+    /// Remove an object; answered by [`crate::Event::Removed`].
+    Remove {
+        /// The object.
+        path: String,
+        /// The version to remove.
+        if_version: u64,
+    },
+    /// Send a message to another VM; it may be lost.
+    Send(VmId, Message),
+    /// The one answer to an ask.
+    Verdict(LookupSeq, ClaimVerdict),
+    /// Send [`crate::Event::Tick`] after this time at the latest; replaces the one asked before.
+    Wake(Duration),
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,37 @@
-//! To be written.
+//! Claims: what makes an at-most-once lookup run at most once.
+//!
+//! [`Once`] is a plain state machine. It is asked for a claim before a lookup is handed to any
+//! backend server, and answers each ask with one [`gs_query::ClaimVerdict`]. A claim is an entry in
+//! a platform object, made by conditional write; whose entry for a key stands first, has it for
+//! ever. Nothing else decides: no lease, no clock and no word of another VM can grant one.
+
+mod action;
+mod claim;
+mod event;
+mod floor;
+mod message;
+mod once;
+mod part;
+mod settings;
+mod shelf;
+
+pub use action::Action;
+pub use claim::Ask;
+pub use claim::AskId;
+pub use claim::ClaimChart;
+pub use claim::ClaimEvent;
+pub use claim::ClaimState;
+pub use claim::KeyHash;
+pub use event::Event;
+pub use event::StoreError;
+pub use event::Stored;
+pub use floor::FLOOR_PATH;
+pub use message::Message;
+pub use message::Settled;
+pub use once::Counts;
+pub use once::Once;
+pub use part::Claim;
+pub use part::Part;
+pub use part::PartPath;
+pub use part::Window;
+pub use settings::OnceSettings;
