--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod index;
 pub mod link;
 pub mod net;
+pub mod platform;
 pub mod server;
 pub mod truth;
