--- a/crates/http/src/backend/lane.rs
+++ b/crates/http/src/backend/lane.rs
@@ -55,6 +55,12 @@
         self.state().open
     }
 
+    /// Whether no more than the share may be open.
+    pub(crate) fn is_within_share(&self) -> bool {
+        let s = self.state();
+        s.open <= s.share
+    }
+
     /// Whether the whole share is open.
     pub(crate) fn is_full(&self) -> bool {
         let s = self.state();
--- a/crates/http/src/backend/pool.rs
+++ b/crates/http/src/backend/pool.rs
@@ -61,6 +61,8 @@
 pub struct Pool {
     common: Arc<Common>,
     lanes: Mutex<HashMap<ServerName, Arc<Lane>>>,
+    /// Lanes given up whose connections may not all be closed yet.
+    closing: Mutex<Vec<Arc<Lane>>>,
     shares: Mutex<HashMap<ServerName, Connections>>,
     running: Arc<Running>,
 }
@@ -101,6 +103,7 @@
                 opened: AtomicU64::new(0),
             }),
             lanes: Mutex::default(),
+            closing: Mutex::default(),
             shares: Mutex::default(),
             running: Arc::default(),
         }
@@ -128,15 +131,33 @@
         }
     }
 
-    /// Sets how many connections may be open to each server named.
+    /// Sets how many connections may be open to each server; none to a server not named.
     pub fn set_shares(&self, shares: &[(ServerName, Connections)]) {
         let lanes = lock(&self.lanes);
         let mut known = lock(&self.shares);
-        for (name, n) in shares {
-            known.insert(name.clone(), *n);
-            if let Some(lane) = lanes.get(name) {
-                lane.set_share(*n);
-            }
+        *known = shares.iter().cloned().collect();
+        for (name, lane) in lanes.iter() {
+            lane.set_share(known.get(name).copied().unwrap_or_default());
+        }
+    }
+
+    /// Whether no server has more open connections than its share.
+    #[must_use]
+    pub fn within_shares(&self) -> bool {
+        lock(&self.closing).retain(|lane| lane.open() > 0);
+        let closed = lock(&self.closing).is_empty();
+        closed
+            && lock(&self.lanes)
+                .values()
+                .all(|lane| lane.is_within_share())
+    }
+
+    /// Closes idle connections at once and busy ones as they end, and opens no more.
+    pub fn close(&self) {
+        let lanes = lock(&self.lanes);
+        lock(&self.shares).clear();
+        for lane in lanes.values() {
+            lane.set_share(Connections(0));
         }
     }
 
@@ -158,7 +179,7 @@
         lock(&self.lanes).retain(|name, lane| {
             let stay = keep(name);
             if !stay {
-                lane.set_share(Connections(0));
+                self.give_up(Arc::clone(lane));
             }
             stay
         });
@@ -192,10 +213,15 @@
             lane.set_share(*n);
         }
         if let Some(old) = lanes.insert(decl.name.clone(), Arc::clone(&lane)) {
-            old.set_share(Connections(0));
+            self.give_up(old);
         }
         lane
     }
+
+    fn give_up(&self, lane: Arc<Lane>) {
+        lane.set_share(Connections(0));
+        lock(&self.closing).push(lane);
+    }
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
--- /dev/null
+++ b/crates/http/tests/pool.rs
@@ -0,0 +1,318 @@
+//! Attempts end with one truthful reply each, and a server never sees more connections than shared.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_http::Pool;
+use gs_http::PoolOptions;
+use gs_http::Sink;
+use gs_query::Dispatch;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+const PART: &str = r#"{"hits":[{"doc":"d1","score":9,"text":"trout"}],"matched":1}"#;
+
+/// What the scripted server does with a search.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Script {
+    Whole,
+    OtherId,
+    NoId,
+    BadDigest,
+    NoJson,
+    Shed,
+    Draining,
+    NoSnapshot,
+    Error,
+    Close,
+    /// Answers only once the attempt is cancelled.
+    Hang,
+}
+
+struct Fake {
+    addr: SocketAddr,
+    open: AtomicU32,
+    peak: AtomicU32,
+    searches: AtomicU32,
+    seen: Notify,
+    cancelled: Notify,
+}
+
+impl Fake {
+    async fn start(script: Script) -> Arc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let fake = Arc::new(Self {
+            addr: listener.local_addr().expect("bound"),
+            open: AtomicU32::new(0),
+            peak: AtomicU32::new(0),
+            searches: AtomicU32::new(0),
+            seen: Notify::new(),
+            cancelled: Notify::new(),
+        });
+        let this = Arc::clone(&fake);
+        tokio::spawn(async move {
+            loop {
+                let (tcp, _) = listener.accept().await.expect("accepting");
+                let open = this.open.fetch_add(1, Ordering::SeqCst) + 1;
+                this.peak.fetch_max(open, Ordering::SeqCst);
+                let fake = Arc::clone(&this);
+                tokio::spawn(async move {
+                    let service = service_fn(|req| answer(Arc::clone(&fake), script, req));
+                    let _ = hyper::server::conn::http1::Builder::new()
+                        .serve_connection(TokioIo::new(tcp), service)
+                        .await;
+                    fake.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        fake
+    }
+
+    fn decl(&self) -> Arc<ServerDecl> {
+        Arc::new(ServerDecl {
+            name: "desk-01-a".parse().expect("a name"),
+            service: "desk-01".parse().expect("a name"),
+            addr: self.addr,
+            data_centre: "hobart-a".parse().expect("a name"),
+            slots: Slots(2),
+            connections: Connections(25),
+        })
+    }
+}
+
+async fn answer(
+    fake: Arc<Fake>,
+    script: Script,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Box<dyn std::error::Error + Send + Sync>> {
+    if req.uri().path() == "/cancel" {
+        fake.cancelled.notify_one();
+        return Ok(Response::builder().status(204).body(Full::default())?);
+    }
+    fake.searches.fetch_add(1, Ordering::SeqCst);
+    fake.seen.notify_one();
+    let id = req.headers()["x-attempt"].to_str()?.to_owned();
+    let digest = xxhash_rust::xxh3::xxh3_64(PART.as_bytes());
+    let ok = || {
+        Response::builder()
+            .header("x-snapshot", "3")
+            .header("x-load", "2")
+    };
+    let digest = format!("{digest:016x}");
+    let refusal = |reason| {
+        Response::builder()
+            .status(503)
+            .header("x-attempt", id.as_str())
+            .header("x-not-run", "1")
+            .header("x-reason", reason)
+    };
+    let whole = |id: &str, digest: &str, body: &'static str| {
+        ok().header("x-attempt", id)
+            .header("x-digest", digest)
+            .body(Full::from(body))
+    };
+    Ok(match script {
+        Script::Whole => whole(&id, &digest, PART)?,
+        Script::OtherId => whole("vm-9/1/1/0/0", &digest, PART)?,
+        Script::NoId => ok().header("x-digest", digest).body(Full::from(PART))?,
+        Script::BadDigest => whole(&id, "00000000000000aa", PART)?,
+        Script::NoJson => {
+            let digest = format!("{:016x}", xxhash_rust::xxh3::xxh3_64(b"{"));
+            whole(&id, &digest, "{")?
+        }
+        Script::Shed => refusal("shed")
+            .header("x-retry-after-ms", "70")
+            .body(Full::default())?,
+        Script::Draining => refusal("draining").body(Full::default())?,
+        Script::NoSnapshot => refusal("no-snapshot")
+            .header("x-holds", "4,5")
+            .body(Full::default())?,
+        Script::Error => Response::builder()
+            .status(500)
+            .header("x-attempt", id)
+            .body(Full::default())?,
+        Script::Close => return Err("the server fails".into()),
+        Script::Hang => {
+            fake.cancelled.notified().await;
+            Response::builder()
+                .status(499)
+                .header("x-attempt", id)
+                .header("x-not-run", "1")
+                .body(Full::default())?
+        }
+    })
+}
+
+struct Tell(mpsc::UnboundedSender<Event>);
+
+impl Sink for Tell {
+    fn event(&self, ev: Event) {
+        let _ = self.0.send(ev);
+    }
+}
+
+struct Bench {
+    fake: Arc<Fake>,
+    pool: Pool,
+    rx: mpsc::UnboundedReceiver<Event>,
+}
+
+impl Bench {
+    async fn start(script: Script, share: u32) -> Self {
+        let fake = Fake::start(script).await;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let pool = Pool::new(PoolOptions::builder().build(), Arc::new(Tell(tx)));
+        pool.set_shares(&[(fake.decl().name.clone(), Connections(share))]);
+        Self { fake, pool, rx }
+    }
+
+    fn dispatch(&self, attempt: u16) -> AttemptId {
+        let id = AttemptId {
+            vm: "vm-1".parse().expect("a name"),
+            incarnation: Incarnation(1),
+            lookup: LookupSeq(1),
+            shard: ShardId(0),
+            attempt,
+        };
+        self.pool.dispatch(Dispatch {
+            attempt: id.clone(),
+            server: self.fake.decl(),
+            snapshot: SnapshotId(3),
+            query: "trout".into(),
+            key: None,
+            page: 10,
+            budget: Duration::from_secs(5),
+            once: false,
+            idempotency_key: None,
+        });
+        id
+    }
+
+    /// The next reply, and whether the point of no return was told before it.
+    async fn reply(&mut self) -> (AttemptId, PartReply, bool) {
+        let mut sent = Vec::new();
+        loop {
+            match self.rx.recv().await.expect("the pool lives") {
+                Event::Sent(id) => sent.push(id),
+                Event::Reply(id, r) => return (id.clone(), r, sent.contains(&id)),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn whole() -> PartReply {
+    let part = serde_json::from_str(PART).expect("a part");
+    PartReply::Whole {
+        snapshot: SnapshotId(3),
+        part: Arc::new(part),
+        load: 2,
+        draining: false,
+    }
+}
+
+#[rstest]
+#[case(Script::Whole, whole())]
+#[case(Script::OtherId, PartReply::Garbled)]
+#[case(Script::NoId, PartReply::Garbled)]
+#[case(Script::BadDigest, PartReply::Garbled)]
+#[case(Script::NoJson, PartReply::Garbled)]
+#[case(Script::Shed, PartReply::Shed { retry_after: Duration::from_millis(70) })]
+#[case(Script::Draining, PartReply::Draining)]
+#[case(Script::NoSnapshot, PartReply::NoSnapshot { holds: [SnapshotId(4), SnapshotId(5)].into_iter().collect() })]
+#[case(Script::Error, PartReply::Failed)]
+#[case(Script::Close, PartReply::Broken)]
+#[tokio::test]
+async fn a_reply_is_judged(#[case] script: Script, #[case] wanted: PartReply) {
+    let mut b = Bench::start(script, 2).await;
+    let id = b.dispatch(0);
+    assert_eq!(b.reply().await, (id, wanted, true));
+}
+
+#[tokio::test]
+async fn without_a_share_nothing_is_sent() {
+    let mut b = Bench::start(Script::Whole, 0).await;
+    let id = b.dispatch(0);
+    b.pool.cancel(&id);
+    assert_eq!(b.reply().await, (id, PartReply::NotSent, false));
+    assert_eq!(b.fake.searches.load(Ordering::SeqCst), 0);
+}
+
+/// The loser of a hedge is cancelled. Closing its connection each time would cost the server's
+/// handshake again; with another connection idle, the cancel travels there and both live on.
+#[tokio::test]
+async fn a_cancel_keeps_the_connection_when_another_is_idle() {
+    let mut b = Bench::start(Script::Hang, 2).await;
+    b.pool.warm(&b.fake.decl(), Connections(2));
+    while b.pool.state().opened < 2 {
+        tokio::task::yield_now().await;
+    }
+    let id = b.dispatch(0);
+    b.fake.seen.notified().await;
+    b.pool.cancel(&id);
+    assert_eq!(b.reply().await, (id, PartReply::NotSent, true));
+    let next = b.dispatch(1);
+    b.fake.seen.notified().await;
+    b.pool.cancel(&next);
+    assert_eq!(b.reply().await, (next, PartReply::NotSent, true));
+    assert_eq!(b.pool.state().opened, 2);
+}
+
+#[tokio::test]
+async fn a_cancel_without_an_idle_connection_closes_the_attempts_own() {
+    let mut b = Bench::start(Script::Hang, 1).await;
+    let id = b.dispatch(0);
+    b.fake.seen.notified().await;
+    b.pool.cancel(&id);
+    assert_eq!(b.reply().await, (id, PartReply::Cancelled, true));
+}
+
+/// A burst of attempts meets a share of two connections. A third connection would break the
+/// server's limit once every VM did the same.
+#[tokio::test]
+async fn a_server_never_sees_more_connections_than_shared() {
+    let mut b = Bench::start(Script::Whole, 2).await;
+    for attempt in 0..40 {
+        b.dispatch(attempt);
+    }
+    for _ in 0..40 {
+        assert_eq!(b.reply().await.1, whole());
+    }
+    assert_eq!(b.fake.peak.load(Ordering::SeqCst), 2);
+}
+
+/// A share is lowered while its connections are busy. The VM that takes it over must not be told
+/// before they are closed.
+#[tokio::test]
+async fn a_lowered_share_is_told_only_when_connections_are_closed() {
+    let mut b = Bench::start(Script::Hang, 2).await;
+    let first = b.dispatch(0);
+    b.fake.seen.notified().await;
+    let second = b.dispatch(1);
+    b.fake.seen.notified().await;
+    b.pool
+        .set_shares(&[(b.fake.decl().name.clone(), Connections(1))]);
+    assert!(!b.pool.within_shares());
+    b.pool.cancel(&first);
+    b.reply().await;
+    while !b.pool.within_shares() {
+        tokio::task::yield_now().await;
+    }
+    b.pool.cancel(&second);
+    b.reply().await;
+}
--- a/crates/node/src/actor/driver.rs
+++ b/crates/node/src/actor/driver.rs
@@ -74,38 +74,55 @@
 /// The timer is due.
 struct Due;
 
-/// Runs a function on the decision and returns what it gives, for dumps.
-pub(crate) struct Query<F>(pub(crate) F);
+/// An actor's mailbox, made before the actor, so that actors can feed each other.
+pub(crate) struct Slot<M: Machine, S> {
+    addr: Address<Driver<M, S>>,
+    mailbox: Mailbox<Driver<M, S>>,
+    feed: Feed<M::Event>,
+}
 
-/// Starts the actor; gives its address for queries and its feed for events.
-pub(crate) fn start<M: Machine, S: Shell<M>>(
-    machine: M,
-    shell: impl FnOnce(&Feed<M::Event>) -> S,
-    clock: Arc<dyn Clock>,
-) -> (Address<Driver<M, S>>, Feed<M::Event>) {
-    let (addr, mailbox) = Mailbox::<Driver<M, S>>::unbounded();
-    let to = addr.clone();
-    let feed = Feed::new(Box::new(move || {
-        drop(to.send(Ready).detach().now_or_never())
-    }));
-    let to = addr.clone();
-    let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
-    let driver = Driver {
-        machine,
-        shell: shell(&feed),
-        clock,
-        feed: feed.clone(),
-        timer,
-        batch: Vec::new(),
-        actions: Vec::new(),
-    };
-    tokio::spawn(xtra::run(mailbox, driver));
-    (addr, feed)
+impl<M: Machine, S: Shell<M>> Slot<M, S> {
+    pub(crate) fn new() -> Self {
+        let (addr, mailbox) = Mailbox::unbounded();
+        let to: Address<Driver<M, S>> = addr.clone();
+        let feed = Feed::new(Box::new(move || {
+            drop(to.send(Ready).detach().now_or_never())
+        }));
+        Self {
+            addr,
+            mailbox,
+            feed,
+        }
+    }
+
+    /// The way in; events wait until the actor starts.
+    pub(crate) fn feed(&self) -> Feed<M::Event> {
+        self.feed.clone()
+    }
+
+    /// Starts the actor.
+    pub(crate) fn start(self, machine: Shared<M>, shell: S, clock: Arc<dyn Clock>) {
+        let to = self.addr;
+        let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
+        let driver = Driver {
+            machine,
+            shell,
+            clock,
+            feed: self.feed,
+            timer,
+            batch: Vec::new(),
+            actions: Vec::new(),
+        };
+        tokio::spawn(xtra::run(self.mailbox, driver));
+    }
 }
 
 impl<M: Machine, S: Shell<M>> Driver<M, S> {
     fn step(&mut self, ev: M::Event) {
-        let at = Times { now: self.clock.now(), clock: self.clock.as_ref() };
+        let at = Times {
+            now: self.clock.now(),
+            clock: self.clock.as_ref(),
+        };
         self.shell.before(at.now, &ev);
         lock(&self.machine).on(at, ev, &mut self.actions);
         for a in self.actions.drain(..) {
--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -26,7 +26,9 @@
     /// Takes a shard map unless a newer one is held; says whether it was taken.
     pub(crate) fn set_group(&self, map: &Arc<GroupMap>) -> bool {
         let mut groups = lock(&self.groups);
-        let newer = groups.get(&map.group).is_none_or(|old| old.revision < map.revision);
+        let newer = groups
+            .get(&map.group)
+            .is_none_or(|old| old.revision < map.revision);
         if newer {
             groups.insert(map.group.clone(), Arc::clone(map));
             *lock(&self.servers) = groups
--- a/crates/node/src/book_shell.rs
+++ b/crates/node/src/book_shell.rs
@@ -69,9 +69,16 @@
         match action {
             Action::Read => {
                 let feed = feed.clone();
-                self.calls.read(CURRENT.to_owned(), move |r| feed.push(Event::Read(found(r))));
+                self.calls.read(CURRENT.to_owned(), move |r| {
+                    feed.push(Event::Read(found(r)))
+                });
             }
-            Action::Write { id, path, if_version, content } => {
+            Action::Write {
+                id,
+                path,
+                if_version,
+                content,
+            } => {
                 let feed = feed.clone();
                 let content = content.as_bytes().to_vec();
                 self.calls.write(path, if_version, content, move |r| {
@@ -98,7 +105,10 @@
 pub(crate) fn found(r: Result<Option<Object>>) -> ReadResult {
     match r {
         Ok(Some(o)) => match std::str::from_utf8(&o.content) {
-            Ok(text) => ReadResult::Found { object: o.version.0, content: text.into() },
+            Ok(text) => ReadResult::Found {
+                object: o.version.0,
+                content: text.into(),
+            },
             Err(e) => {
                 log::error!("event=config-not-text path={CURRENT} error=\"{e}\"");
                 ReadResult::Failed
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -13,7 +13,11 @@
 pub(crate) struct Calls(pub(crate) Arc<dyn Platform>);
 
 impl Calls {
-    pub(crate) fn read(&self, path: String, done: impl FnOnce(Result<Option<Object>>) + Send + 'static) {
+    pub(crate) fn read(
+        &self,
+        path: String,
+        done: impl FnOnce(Result<Option<Object>>) + Send + 'static,
+    ) {
         let platform = Arc::clone(&self.0);
         tokio::spawn(async move { done(platform.read(&path).await) });
     }
@@ -27,7 +31,11 @@
     ) {
         let platform = Arc::clone(&self.0);
         tokio::spawn(async move {
-            done(platform.write(&path, Version(if_version), Bytes::from(content)).await);
+            done(
+                platform
+                    .write(&path, Version(if_version), Bytes::from(content))
+                    .await,
+            );
         });
     }
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -65,14 +65,20 @@
         let (front, lookup) = (req.front.clone(), req.lookup.clone());
         let seq = LookupSeq(self.next.fetch_add(1, Ordering::Relaxed));
         let outcome = if lock(&self.book).in_doubt(start, &front, &lookup) {
-            Outcome::NotRun(Refusal::new(RefusalReason::ConfigInDoubt, Some(DOUBT_RETRY)))
+            Outcome::NotRun(Refusal::new(
+                RefusalReason::ConfigInDoubt,
+                Some(DOUBT_RETRY),
+            ))
         } else {
             self.run(seq, req).await
         };
         let took = self.clock.now().saturating_duration_since(start);
         self.metrics.lookup(&front, &lookup, &outcome, took);
-        let request =
-            RequestId { vm: self.vm.clone(), incarnation: self.incarnation, seq };
+        let request = RequestId {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            seq,
+        };
         LookupReply { request, outcome }
     }
 }
@@ -81,11 +87,14 @@
     async fn run(&self, seq: LookupSeq, req: LookupRequest) -> Outcome {
         let (tx, rx) = oneshot::channel();
         self.pending.insert(seq, tx);
-        let _hang_up = HangUp { seq, pending: &self.pending, engine: &self.engine };
+        let _hang_up = HangUp {
+            seq,
+            pending: &self.pending,
+            engine: &self.engine,
+        };
         self.engine.push(Event::Arrive(Arrival { seq, req }));
-        rx.await.unwrap_or_else(|_| {
-            Outcome::Unknown(Refusal::new(RefusalReason::Failed, None))
-        })
+        rx.await
+            .unwrap_or_else(|_| Outcome::Unknown(Refusal::new(RefusalReason::Failed, None)))
     }
 }
 
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -23,15 +23,25 @@
 }
 
 fn take(r: Received<Message>, f: &Follower, dumps: &Dumps) {
-    let Received { from, incarnation, msg } = r;
+    let Received {
+        from,
+        incarnation,
+        msg,
+    } = r;
     match msg {
         Message::Beat(beat) => {
-            f.feeds.member.push(gs_member::Event::Heard { from, incarnation, beat });
+            f.feeds.member.push(gs_member::Event::Heard {
+                from,
+                incarnation,
+                beat,
+            });
         }
         Message::Conf(msg) => f.feeds.book.push(gs_conf::Event::Message(from, msg)),
         Message::Claim(msg) => f.feeds.once.push(gs_once::Event::Peer(from, msg)),
         Message::Sign(sign) => {
-            f.feeds.engine.push(gs_query::Event::Sign(sign, SignSource::Peer));
+            f.feeds
+                .engine
+                .push(gs_query::Event::Sign(sign, SignSource::Peer));
         }
         Message::WantGroups => send_groups(f, &from),
         Message::Group(map) => f.take_group(map),
--- a/crates/node/src/member_shell.rs
+++ b/crates/node/src/member_shell.rs
@@ -61,16 +61,23 @@
                 let feed = feed.clone();
                 self.calls.read(SeatTable::PATH.to_owned(), move |r| {
                     let r = r.map_err(|e| failure(&e)).map(|o| {
-                        o.map(|o| Stored { version: o.version.0, content: o.content.to_vec() })
+                        o.map(|o| Stored {
+                            version: o.version.0,
+                            content: o.content.to_vec(),
+                        })
                     });
                     feed.push(Event::TableRead(r));
                 });
             }
-            Action::WriteTable { if_version, content } => {
+            Action::WriteTable {
+                if_version,
+                content,
+            } => {
                 let feed = feed.clone();
-                self.calls.write(SeatTable::PATH.to_owned(), if_version, content, move |r| {
-                    feed.push(Event::TableWrote(r.map(|v| v.0).map_err(|e| failure(&e))));
-                });
+                self.calls
+                    .write(SeatTable::PATH.to_owned(), if_version, content, move |r| {
+                        feed.push(Event::TableWrote(r.map(|v| v.0).map_err(|e| failure(&e))));
+                    });
             }
             Action::Wake(after) => return Some(after),
         }
@@ -80,7 +87,11 @@
 
 impl MemberShell {
     fn view(&self, view: Arc<View>) {
-        log::info!("event=view live={} known={}", view.live().count(), view.vms.len());
+        log::info!(
+            "event=view live={} known={}",
+            view.live().count(),
+            view.vms.len()
+        );
         let live = view.live().map(|v| v.entry.vm.clone()).collect();
         self.feeds.once.push(gs_once::Event::Members(live));
         self.board.set_view(view);
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,205 @@
+//! Metrics by opentelemetry, in the usual scrape format.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::board::lock;
+use crate::dumps::Dumps;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY: [f64; 14] = [
+    0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0,
+];
+
+/// The instruments of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    latency: Histogram<f64>,
+    outcomes: Counter<u64>,
+    shards: Counter<u64>,
+    totals: Counter<u64>,
+    states: Gauge<f64>,
+    seen: Mutex<Vec<(&'static str, u64)>>,
+}
+
+impl Metrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if the exporter cannot be registered.
+    pub(crate) fn new(vm: &Vm<'_>) -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("set up metrics"))?;
+        let resource = opentelemetry_sdk::Resource::builder()
+            .with_service_name("gentiansill")
+            .with_attribute(KeyValue::new("vm", vm.name.to_string()))
+            .with_attribute(KeyValue::new("data_centre", vm.data_centre.to_string()))
+            .build();
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_resource(resource)
+            .build();
+        let meter = provider.meter("gentiansill");
+        Ok(Self {
+            registry,
+            latency: latency(&meter),
+            outcomes: counter(&meter, "lookups", "Lookups by outcome and reason."),
+            shards: counter(
+                &meter,
+                "lookup_shards",
+                "Shards of answered lookups, by state.",
+            ),
+            totals: counter(&meter, "events", "What the process counted, by kind."),
+            states: meter
+                .f64_gauge("state")
+                .with_description("What the process holds now.")
+                .build(),
+            seen: Mutex::default(),
+            _provider: provider,
+        })
+    }
+
+    /// Notes the end of a lookup.
+    pub(crate) fn lookup(
+        &self,
+        front: &FrontName,
+        lookup: &LookupName,
+        outcome: &Outcome,
+        took: Duration,
+    ) {
+        let (kind, reason) = match outcome {
+            Outcome::Answered(_) => ("answered", ""),
+            Outcome::NotRun(r) => ("not-run", r.reason.into()),
+            Outcome::Unknown(r) => ("unknown", r.reason.into()),
+        };
+        let known = !matches!(
+            outcome,
+            Outcome::NotRun(Refusal {
+                reason: RefusalReason::NoSuchLookup,
+                ..
+            })
+        );
+        let name = if known {
+            format!("{front}/{lookup}")
+        } else {
+            "undeclared".to_owned()
+        };
+        let by = [
+            KeyValue::new("lookup", name),
+            KeyValue::new("outcome", kind),
+        ];
+        self.latency.record(took.as_secs_f64(), &by);
+        let [lookup, outcome_kind] = by;
+        self.outcomes.add(
+            1,
+            &[
+                lookup.clone(),
+                outcome_kind,
+                KeyValue::new("reason", reason),
+            ],
+        );
+        if let Outcome::Answered(a) = outcome {
+            let missing = u64::from(a.coverage.shards - a.coverage.whole);
+            self.shards.add(
+                a.coverage.whole.into(),
+                &[lookup.clone(), KeyValue::new("state", "whole")],
+            );
+            self.shards
+                .add(missing, &[lookup, KeyValue::new("state", "missing")]);
+        }
+    }
+
+    /// The scrape.
+    pub(crate) fn text(&self, dumps: &Dumps) -> String {
+        self.sample(dumps);
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+
+    /// Carries the decisions' own counts over, as they are at the scrape.
+    fn sample(&self, dumps: &Dumps) {
+        let engine = lock(&dumps.engine);
+        let c = engine.counters().clone();
+        let in_flight = engine.in_flight();
+        drop(engine);
+        let pool = dumps.pool.state();
+        let platform = dumps.platform.calls();
+        self.raise(&[
+            ("attempts", c.attempts),
+            ("hedges", c.hedges),
+            ("hedges-won", c.hedges_won),
+            ("retries", c.retries),
+            ("resends", c.resends),
+            ("extra-refused", c.extra_refused),
+            ("restarts", c.restarts),
+            ("canaries", c.canaries),
+            ("quarantines", c.quarantines),
+            ("stray-replies", c.stray_replies),
+            ("wrong-snapshot", c.wrong_snapshot),
+            ("connections-opened", pool.opened),
+            ("platform-calls", platform.total()),
+        ]);
+        let open: u32 = pool.open.iter().map(|(_, n)| n).sum();
+        let view = dumps.board.view();
+        let live = view.map_or(0, |v| v.live().count());
+        let version = lock(&dumps.book).config().map_or(0, |c| c.version.0);
+        self.hold("lookups-in-flight", in_flight as f64);
+        self.hold("connections-open", f64::from(open));
+        self.hold("members-live", live as f64);
+        self.hold("config-version", version as f64);
+        self.hold("ready", f64::from(u8::from(dumps.ready())));
+    }
+
+    fn raise(&self, totals: &[(&'static str, u64)]) {
+        let mut seen = lock(&self.seen);
+        for (i, (kind, n)) in totals.iter().enumerate() {
+            let before = seen.get(i).map_or(0, |s| s.1);
+            self.totals
+                .add(n.saturating_sub(before), &[KeyValue::new("kind", *kind)]);
+        }
+        *seen = totals.to_vec();
+    }
+
+    fn hold(&self, what: &'static str, n: f64) {
+        self.states.record(n, &[KeyValue::new("of", what)]);
+    }
+}
+
+/// Whose metrics they are.
+pub(crate) struct Vm<'a> {
+    pub(crate) name: &'a VmId,
+    pub(crate) data_centre: &'a DataCentre,
+}
+
+fn latency(meter: &Meter) -> Histogram<f64> {
+    meter
+        .f64_histogram("lookup_latency")
+        .with_unit("s")
+        .with_description("Time from a lookup's arrival to its outcome.")
+        .with_boundaries(LATENCY.to_vec())
+        .build()
+}
+
+fn counter(meter: &Meter, name: &'static str, about: &'static str) -> Counter<u64> {
+    meter.u64_counter(name).with_description(about).build()
+}
--- a/crates/node/src/once_shell.rs
+++ b/crates/node/src/once_shell.rs
@@ -45,15 +45,23 @@
         match action {
             Action::Read { path } => self.calls.read(path.clone(), move |r| {
                 let result = r.map_err(|e| failure(&e)).map(|o| {
-                    o.map(|o| Stored { version: o.version.0, content: o.content.to_vec() })
+                    o.map(|o| Stored {
+                        version: o.version.0,
+                        content: o.content.to_vec(),
+                    })
                 });
                 feed.push(Event::Read { path, result });
             }),
-            Action::Write { path, if_version, content } => {
-                self.calls.write(path.clone(), if_version, content, move |r| {
-                    let result = r.map(|v| v.0).map_err(|e| failure(&e));
-                    feed.push(Event::Wrote { path, result });
-                });
+            Action::Write {
+                path,
+                if_version,
+                content,
+            } => {
+                self.calls
+                    .write(path.clone(), if_version, content, move |r| {
+                        let result = r.map(|v| v.0).map_err(|e| failure(&e));
+                        feed.push(Event::Wrote { path, result });
+                    });
             }
             Action::Remove { path, if_version } => {
                 self.calls.delete(path.clone(), if_version, move |r| {
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,116 @@
+//! What the process offers to operators.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_trait::async_trait;
+use gs_admin::Fleet;
+use gs_admin::HistoryEntry;
+use gs_clock::Clock;
+use gs_conf::Ask;
+use gs_conf::Book;
+use gs_conf::Event;
+use gs_conf::HISTORY;
+use gs_conf::Patch;
+use gs_conf::Settled;
+use gs_conf::Verdict;
+use gs_conf::VmStatus;
+use gs_conf::history_path;
+use gs_store::Platform;
+use gs_types::prelude::*;
+use serde_json::Value;
+use tokio::sync::oneshot;
+
+use crate::actor::Feed;
+use crate::actor::Shared;
+use crate::board::lock;
+use crate::book_shell::Asks;
+use crate::dumps::Dumps;
+use crate::metrics::Metrics;
+
+/// What the process offers to operators.
+pub(crate) struct Operators {
+    pub(crate) book: Shared<Book>,
+    pub(crate) feed: Feed<Event>,
+    pub(crate) asks: Arc<Asks>,
+    pub(crate) next: AtomicU64,
+    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) dumps: Arc<Dumps>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+#[async_trait]
+impl Fleet for Operators {
+    async fn propose(&self, team: TeamName, patch: Patch, dry_run: bool) -> Verdict {
+        let ask = Ask(self.next.fetch_add(1, Ordering::Relaxed));
+        let (tx, rx) = oneshot::channel();
+        self.asks.insert(ask, tx);
+        self.feed.push(Event::Propose {
+            ask,
+            team,
+            patch,
+            dry_run,
+        });
+        rx.await.unwrap_or_else(|_| Verdict::Undecided {
+            error: Error::new(ErrorKind::Unknown, "the process ended first").at("propose"),
+        })
+    }
+
+    fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.book).config().cloned()
+    }
+
+    async fn version(&self, version: ConfVersion) -> Result<Option<Arc<Config>>> {
+        if let Some(c) = self.config().filter(|c| c.version == version) {
+            return Ok(Some(c));
+        }
+        let Some(o) = self.platform.read(&history_path(version)).await? else {
+            return Ok(None);
+        };
+        let config = serde_json::from_slice(&o.content)
+            .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("read history"))?;
+        Ok(Some(Arc::new(config)))
+    }
+
+    fn settled(&self) -> Vec<Settled> {
+        lock(&self.book).settled()
+    }
+
+    async fn history(&self) -> Result<Vec<HistoryEntry>> {
+        let listing = self.platform.list(HISTORY).await?;
+        let mut all: Vec<HistoryEntry> = listing
+            .objects
+            .iter()
+            .filter_map(|o| o.path.strip_prefix(HISTORY)?.parse().ok())
+            .map(|version| HistoryEntry { version })
+            .collect();
+        all.sort_by_key(|e| e.version);
+        Ok(all)
+    }
+
+    fn fleet(&self) -> Vec<VmStatus> {
+        lock(&self.book).fleet(self.clock.now())
+    }
+
+    fn status(&self) -> Value {
+        self.dumps.status()
+    }
+
+    fn dump(&self) -> Value {
+        self.dumps.own()
+    }
+
+    async fn fleet_dump(&self) -> Value {
+        self.dumps.fleet().await
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.text(&self.dumps)
+    }
+
+    fn ready(&self) -> bool {
+        self.dumps.ready()
+    }
+}
--- a/crates/node/src/poll.rs
+++ b/crates/node/src/poll.rs
@@ -17,12 +17,7 @@
 const LIMIT: Duration = Duration::from_millis(300);
 
 /// Polls every declared server once in each `every`, forgetting those that are gone.
-pub(crate) async fn run(
-    pool: Arc<Pool>,
-    board: Arc<Board>,
-    engine: Feed<Event>,
-    every: Duration,
-) {
+pub(crate) async fn run(pool: Arc<Pool>, board: Arc<Board>, engine: Feed<Event>, every: Duration) {
     loop {
         let servers = board.servers();
         pool.retain(&|name| board.server(name).is_some());
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -55,8 +55,7 @@
     fn watch(&self, prefix: &'static str, on: impl Fn(&Self, Update) + Send + 'static) {
         let this = self.clone();
         tokio::spawn(async move {
-            let (_watcher, mut rx) =
-                Watcher::start(Arc::clone(&this.platform), prefix, this.seed);
+            let (_watcher, mut rx) = Watcher::start(Arc::clone(&this.platform), prefix, this.seed);
             while let Some(u) = rx.recv().await {
                 on(&this, u);
             }
@@ -87,9 +86,11 @@
         let limits = self.board.servers().iter().map(|s| gs_member::ServerLimit {
             server: s.name.clone(),
             data_centre: s.data_centre.clone(),
-            limit: s.connections,
+            connections: s.connections,
         });
-        self.feeds.member.push(gs_member::Event::Servers(limits.collect()));
+        self.feeds
+            .member
+            .push(gs_member::Event::Servers(limits.collect()));
     }
 
     /// Waits until every shard map that the platform lists is held; asks peers if it is away.
@@ -104,9 +105,10 @@
             }
             let held = self.board.groups();
             let all = match &wanted {
-                Some(paths) => paths
-                    .iter()
-                    .all(|p| held.iter().any(|g| p.as_str() == format!("{GROUPS}{}", g.group))),
+                Some(paths) => paths.iter().all(|p| {
+                    held.iter()
+                        .any(|g| p.as_str() == format!("{GROUPS}{}", g.group))
+                }),
                 None => !held.is_empty(),
             };
             if all {
@@ -134,7 +136,10 @@
 }
 
 fn stored(o: Object) -> gs_member::Stored {
-    gs_member::Stored { version: o.version.0, content: o.content.to_vec() }
+    gs_member::Stored {
+        version: o.version.0,
+        content: o.content.to_vec(),
+    }
 }
 
 fn entry(v: gs_store::VmEntry) -> gs_member::VmEntry {
