feat(store): the platform client, identified writes and the watcher

Reads are tried again with jittered back-off, writes never: only their writer knows whether a resend is right, and write_identified decides a lost answer by reading back. A call that never had a connection is Unavailable, every other loss of a write is Unknown. Reads and writes have a budget each, counted.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,13 +5,18 @@
 //! [`Watcher`] keeps a prefix mirrored through outages, and [`write_identified`] decides a write
 //! whose answer was lost by reading back.
 
+mod backoff;
 mod budget;
+mod http;
 mod identified;
 mod object;
 mod platform;
 mod watcher;
 
+pub use backoff::Backoff;
 pub use budget::Calls;
+pub use http::HttpPlatform;
+pub use http::HttpPlatformOptions;
 pub use identified::write_identified;
 pub use object::Changed;
 pub use object::Entry;
@@ -23,4 +28,5 @@
 pub use object::WatchReply;
 pub use platform::Platform;
 pub use watcher::Update;
+pub use watcher::WatchOptions;
 pub use watcher::Watcher;
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -70,4 +70,7 @@
 
     /// The calls made so far.
     fn calls(&self) -> Calls;
+
+    /// How long every call has failed; `None` if the last one was answered.
+    fn away_for(&self) -> Option<Duration>;
 }
--- /dev/null
+++ b/crates/store/tests/common/mod.rs
@@ -0,0 +1,36 @@
+//! A client and the stand-in that it talks to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_clock::Clock;
+use gs_clock::SystemClock;
+use gs_rig::platform::Platform as Rig;
+use gs_rig::platform::PlatformOptions;
+use gs_store::HttpPlatform;
+use gs_store::HttpPlatformOptions;
+use gs_types::prelude::*;
+
+/// Starts a stand-in and a client with short timeouts.
+pub async fn pair() -> (Rig, Arc<HttpPlatform>) {
+    let rig = Rig::start(PlatformOptions::builder().build())
+        .await
+        .expect("the stand-in starts");
+    let client = client(&rig, PerSecond(1_000.0), Arc::new(SystemClock));
+    (rig, client)
+}
+
+/// A client with this budget of reads and of writes.
+pub fn client(rig: &Rig, budget: PerSecond, clock: Arc<dyn Clock>) -> Arc<HttpPlatform> {
+    let options = HttpPlatformOptions::builder()
+        .addr(rig.addr())
+        .seed(7)
+        .clock(clock)
+        .timeout(Duration::from_millis(300))
+        .tries(2)
+        .backoff(Duration::from_millis(5))
+        .reads(budget)
+        .writes(budget)
+        .build();
+    Arc::new(HttpPlatform::new(options))
+}
--- /dev/null
+++ b/crates/store/tests/lost_answer.rs
@@ -0,0 +1,145 @@
+//! Writes whose answer was lost.
+
+mod common;
+
+use bytes::Bytes;
+use gs_rig::platform::Control;
+use gs_rig::platform::Lose;
+use gs_store::Platform;
+use gs_store::Version;
+use gs_store::write_identified;
+use gs_types::prelude::*;
+
+use common::pair;
+
+fn lose(count: u32) -> Control {
+    Control {
+        lose: Some(Lose {
+            count,
+            prefix: String::new(),
+        }),
+        ..Control::default()
+    }
+}
+
+fn has_nonce_1(content: &[u8]) -> bool {
+    content.windows(7).any(|w| w == b"nonce-1")
+}
+
+/// The platform makes a write and its connection breaks before the answer. Whoever wrote cannot
+/// know, and must not be told that nothing happened.
+#[tokio::test]
+async fn a_write_without_an_answer_is_unknown() {
+    let (rig, p) = pair().await;
+    rig.control(lose(1));
+    let e = p
+        .write("claims/a", Version::ABSENT, Bytes::from("x"))
+        .await
+        .expect_err("the answer is lost");
+    assert_eq!(e.kind(), ErrorKind::Unknown);
+    assert!(rig.get("claims/a").is_some());
+}
+
+/// As above, and the writer reads back: its nonce is there, so the write is done, once.
+#[tokio::test]
+async fn reading_back_finds_our_write() {
+    let (rig, p) = pair().await;
+    rig.control(lose(1));
+    let content = Bytes::from("nonce-1");
+    let v = write_identified(&*p, "claims/a", Version::ABSENT, content, 3, &has_nonce_1)
+        .await
+        .expect("decided by reading back");
+    assert_eq!(rig.get("claims/a").map(|(v, _)| v), Some(v.0));
+    assert_eq!(rig.counts().writes, 1);
+}
+
+/// Two VMs write under the same condition and the slower one's answer is a conflict: it must learn
+/// that its write never will take effect.
+#[tokio::test]
+async fn reading_back_finds_another_write() {
+    let (rig, p) = pair().await;
+    rig.put("claims/a", "nonce-2");
+    let e = write_identified(
+        &*p,
+        "claims/a",
+        Version::ABSENT,
+        Bytes::from("nonce-1"),
+        3,
+        &has_nonce_1,
+    )
+    .await
+    .expect_err("another was first");
+    assert_eq!(e.kind(), ErrorKind::Conflict);
+}
+
+/// The answer is lost, another VM writes on top and carries our nonce on; only then can the
+/// first writer read back. It must still learn that its write was made.
+#[tokio::test]
+async fn reading_back_finds_our_write_under_a_later_one() {
+    let (rig, p) = pair().await;
+    rig.put("claims/a", "nonce-1 nonce-2");
+    let v = write_identified(
+        &*p,
+        "claims/a",
+        Version::ABSENT,
+        Bytes::from("nonce-1"),
+        3,
+        &has_nonce_1,
+    )
+    .await;
+    assert!(v.is_ok(), "{v:?}");
+}
+
+/// The platform takes a write, breaks the connection, and the write lands only later. Reading back
+/// in between shows nothing, which must not count as refused.
+#[tokio::test]
+async fn a_write_that_may_yet_land_stays_unknown() {
+    let (rig, p) = pair().await;
+    rig.control(Control {
+        stall_writes: Some(true),
+        ..Control::default()
+    });
+    let write = || {
+        write_identified(
+            &*p,
+            "claims/a",
+            Version::ABSENT,
+            Bytes::from("nonce-1"),
+            2,
+            &has_nonce_1,
+        )
+    };
+    let e = write().await.expect_err("nothing landed");
+    assert_eq!(e.kind(), ErrorKind::Unknown);
+    rig.control(Control {
+        stall_writes: Some(false),
+        ..Control::default()
+    });
+    assert!(write().await.is_ok(), "the same call decides it");
+    assert_eq!(
+        rig.get("claims/a").map(|(_, c)| c),
+        Some(Bytes::from("nonce-1"))
+    );
+}
+
+/// The platform is away and refuses: nothing can land later, and the writer is told so.
+#[tokio::test]
+async fn a_refused_write_is_not_unknown() {
+    let (rig, p) = pair().await;
+    rig.control(Control {
+        down: Some(true),
+        ..Control::default()
+    });
+    let e = write_identified(
+        &*p,
+        "claims/a",
+        Version::ABSENT,
+        Bytes::from("nonce-1"),
+        2,
+        &has_nonce_1,
+    )
+    .await
+    .expect_err("away");
+    assert_eq!(e.kind(), ErrorKind::Unavailable);
+    assert!(p.away_for().is_some());
+}
--- /dev/null
+++ b/crates/store/tests/watch.rs
@@ -0,0 +1,152 @@
+//! Prefixes kept mirrored.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_rig::platform::Control;
+use gs_rig::platform::Platform as Rig;
+use gs_store::Platform;
+use gs_store::Update;
+use gs_store::WatchOptions;
+use gs_store::Watcher;
+use tokio::sync::mpsc::Receiver;
+
+use common::pair;
+
+fn watch(p: Arc<dyn Platform>) -> (Watcher, Receiver<Update>) {
+    let options = WatchOptions::builder()
+        .prefix("groups/")
+        .seed(7)
+        .wait(Duration::from_secs(1))
+        .backoff(Duration::from_millis(5))
+        .backoff_max(Duration::from_millis(20))
+        .build();
+    Watcher::start(p, options)
+}
+
+async fn next(rx: &mut Receiver<Update>) -> (String, Option<Bytes>) {
+    let update = tokio::time::timeout(Duration::from_secs(20), rx.recv())
+        .await
+        .expect("an update in time")
+        .expect("the watcher lives");
+    (update.path, update.object.map(|o| o.content))
+}
+
+fn put(path: &str, content: &'static str) -> (String, Option<Bytes>) {
+    (path.into(), Some(Bytes::from(content)))
+}
+
+/// Waits until the stand-in holds a waiting watch.
+async fn waiting(rig: &Rig) {
+    while rig.counts().waiting == 0 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn what_is_there_first_and_what_changes_is_delivered() {
+    let (rig, p) = pair().await;
+    rig.put("groups/a", "one");
+    rig.put("other/b", "none of ours");
+    let (_w, mut rx) = watch(p.clone());
+    assert_eq!(next(&mut rx).await, put("groups/a", "one"));
+    waiting(&rig).await;
+    let v = rig.put("groups/a", "two");
+    assert_eq!(next(&mut rx).await, put("groups/a", "two"));
+    p.delete("groups/a", gs_store::Version(v))
+        .await
+        .expect("deleted");
+    assert_eq!(next(&mut rx).await, ("groups/a".into(), None));
+}
+
+/// The platform is away while an object changes; the change must come once it is back.
+#[tokio::test]
+async fn a_change_in_an_outage_is_delivered_after_it() {
+    let (rig, p) = pair().await;
+    rig.put("groups/a", "one");
+    let (_w, mut rx) = watch(p);
+    assert_eq!(next(&mut rx).await, put("groups/a", "one"));
+    rig.control(Control {
+        down: Some(true),
+        ..Control::default()
+    });
+    let refused = rig.counts().refused;
+    while rig.counts().refused < refused + 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    rig.put("groups/a", "two");
+    rig.control(Control {
+        down: Some(false),
+        ..Control::default()
+    });
+    assert_eq!(next(&mut rx).await, put("groups/a", "two"));
+}
+
+/// The VM is cut off without a word: its watch gets no answer at all. After the cut it must catch up.
+#[tokio::test]
+async fn a_change_in_a_cut_is_delivered_after_it() {
+    let (rig, p) = pair().await;
+    rig.put("groups/a", "one");
+    let (_w, mut rx) = watch(p);
+    assert_eq!(next(&mut rx).await, put("groups/a", "one"));
+    rig.control(Control {
+        cut: Some(vec![rig.addr().ip()]),
+        ..Control::default()
+    });
+    rig.put("groups/a", "two");
+    let refused = rig.counts().refused;
+    while rig.counts().refused < refused + 1 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    rig.control(Control {
+        cut: Some(Vec::new()),
+        ..Control::default()
+    });
+    assert_eq!(next(&mut rx).await, put("groups/a", "two"));
+}
+
+/// During an outage the platform forgets its log, and an object is deleted meanwhile. The prefix
+/// must be listed again, and the deletion found by comparing.
+#[tokio::test]
+async fn a_forgotten_revision_lists_again() {
+    let (rig, p) = pair().await;
+    let v = rig.put("groups/a", "one");
+    rig.put("groups/b", "two");
+    let (_w, mut rx) = watch(p.clone());
+    assert_eq!(next(&mut rx).await, put("groups/a", "one"));
+    assert_eq!(next(&mut rx).await, put("groups/b", "two"));
+    waiting(&rig).await;
+    rig.control(Control {
+        silent: Some(true),
+        ..Control::default()
+    });
+    rig.put("groups/b", "three");
+    rig.control(Control {
+        silent: Some(false),
+        forget: Some(true),
+        ..Control::default()
+    });
+    p.delete("groups/a", gs_store::Version(v))
+        .await
+        .expect("deleted");
+    let mut seen = vec![next(&mut rx).await, next(&mut rx).await];
+    seen.sort();
+    assert_eq!(
+        seen,
+        vec![("groups/a".into(), None), put("groups/b", "three")]
+    );
+}
+
+#[tokio::test]
+async fn a_watcher_ends_with_its_receiver() {
+    let (rig, p) = pair().await;
+    let (_w, rx) = watch(p);
+    waiting(&rig).await;
+    drop(rx);
+    while rig.counts().waiting > 0 {
+        tokio::task::yield_now().await;
+    }
+}
