--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,14 +9,16 @@
 //!   brute-force search that every page is compared with;
 //! - [`server`]: backend servers that index, rank, queue, fail and count what really ran;
 //! - [`control`]: what a test tells the stand-ins to do;
-//! - `deploy`: the deployments of the brief as settings files and platform objects;
+//! - [`deploy`]: the deployments of the brief as settings files and platform objects;
 //! - `process`: the `gentiansill` processes of a deployment;
-//! - `load`: open-loop arrivals, checks of every answer, tables and plots.
+//! - [`load`]: open-loop arrivals, checks of every answer, tables and plots.
 
 pub mod control;
 pub mod corpus;
+pub mod deploy;
 pub mod index;
 pub mod link;
+pub mod load;
 pub mod net;
 pub mod server;
 pub mod truth;
--- /dev/null
+++ b/crates/rig/src/load/ask.rs
@@ -0,0 +1,127 @@
+//! What callers ask: a seeded mix over the lookups of a deployment.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use gs_types::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::corpus::Corpus;
+use crate::deploy::LookupShape;
+use crate::deploy::Shape;
+use crate::index::words;
+
+/// Distinct queries that a mix asks; few, so that brute force can remember them.
+const QUERIES: usize = 48;
+
+/// Words shorter than this are not asked for, in bytes.
+const WORD_MIN: usize = 4;
+
+/// One lookup as a caller asks it.
+#[derive(Clone, Debug)]
+pub struct LookupAsk {
+    /// The front.
+    pub front: &'static str,
+    /// The lookup and what it is promised.
+    pub lookup: LookupShape,
+    /// The text to search for.
+    pub query: Arc<str>,
+    /// For a keyed lookup, the key.
+    pub key: Option<Arc<str>>,
+    /// For an at-most-once lookup, the idempotency key.
+    pub idempotency_key: Option<String>,
+    /// The time the caller gives; the declared deadline if absent.
+    pub deadline: Option<Duration>,
+}
+
+/// Draws lookups by their weights, over words and books that the text holds.
+#[derive(Debug)]
+pub struct AskMix {
+    front: &'static str,
+    lookups: Vec<LookupShape>,
+    queries: Vec<Arc<str>>,
+    books: Vec<Arc<str>>,
+    rng: ChaCha8Rng,
+}
+
+impl AskMix {
+    /// Starts a mix over this deployment and text.
+    #[must_use]
+    pub fn new(shape: &Shape, corpus: &Corpus, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let words = common_words(corpus);
+        let pick = |rng: &mut ChaCha8Rng| words[rng.random_range(0..words.len())].clone();
+        let queries = (0..QUERIES)
+            .map(|_| format!("{} {}", pick(&mut rng), pick(&mut rng)).into())
+            .collect();
+        let mut books: Vec<Arc<str>> = corpus.docs().iter().map(|d| d.book.clone()).collect();
+        books.dedup();
+        Self {
+            front: shape.front,
+            lookups: shape.lookups.clone(),
+            queries,
+            books,
+            rng,
+        }
+    }
+
+    /// Keeps only the lookups with these names.
+    #[must_use]
+    pub fn only(mut self, names: &[&str]) -> Self {
+        self.lookups.retain(|l| names.contains(&l.name));
+        self
+    }
+
+    /// Draws the next lookup.
+    pub fn draw(&mut self) -> LookupAsk {
+        let lookup = self.draw_lookup();
+        let keyed = lookup.scope == Scope::Keyed;
+        let once = lookup.promise == Promise::AtMostOnce;
+        let query = self.queries[self.rng.random_range(0..self.queries.len())].clone();
+        let book = self.books[self.rng.random_range(0..self.books.len())].clone();
+        LookupAsk {
+            front: self.front,
+            lookup,
+            query,
+            key: keyed.then_some(book),
+            idempotency_key: once.then(|| self.draw_key()),
+            deadline: None,
+        }
+    }
+
+    /// Mints a new idempotency key.
+    pub fn draw_key(&mut self) -> String {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let n: u64 = self.rng.random();
+        format!("{}-{n:016x}", now.map_or(0, |d| d.as_secs()))
+    }
+
+    fn draw_lookup(&mut self) -> LookupShape {
+        let sum: u32 = self.lookups.iter().map(|l| l.weight).sum();
+        let mut at = self.rng.random_range(0..sum.max(1));
+        let drawn = self.lookups.iter().find(|l| {
+            let here = at < l.weight;
+            at = at.saturating_sub(l.weight);
+            here
+        });
+        drawn.unwrap_or(&self.lookups[0]).clone()
+    }
+}
+
+/// Words that stand in enough documents to fill pages, in a fixed order.
+fn common_words(corpus: &Corpus) -> Vec<String> {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for doc in corpus.docs() {
+        for w in words(&doc.text).filter(|w| w.len() >= WORD_MIN) {
+            *counts.entry(w).or_default() += 1;
+        }
+    }
+    let mut found: Vec<(String, u32)> = counts.into_iter().collect();
+    found.sort_by(|a, b| b.1.cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
+    found.truncate(2 * QUERIES);
+    found.into_iter().map(|(w, _)| w).collect()
+}
--- /dev/null
+++ b/crates/rig/src/load/caller.rs
@@ -0,0 +1,189 @@
+//! A caller of the entry VMs over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_types::prelude::*;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::ask::LookupAsk;
+
+/// How long a caller waits beyond any deadline before it takes the request for cut.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// An answer as it stands on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct CallerAnswer {
+    /// The id that the VM gave the request.
+    pub request_id: String,
+    /// The front that answered.
+    pub front: String,
+    /// The lookup that answered.
+    pub lookup: String,
+    /// How it ended.
+    #[serde(flatten)]
+    pub outcome: Outcome,
+}
+
+/// What became of one request.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// A lookup's outcome.
+    Outcome {
+        /// The HTTP status.
+        status: u16,
+        /// Whether a `retry-after` header came with it.
+        retry_after: bool,
+        /// The answer.
+        answer: Box<CallerAnswer>,
+    },
+    /// An HTTP answer that is no lookup's outcome.
+    Other {
+        /// The HTTP status.
+        status: u16,
+        /// The body.
+        body: String,
+    },
+    /// The VM could not be connected to: nothing was sent.
+    Unreachable,
+    /// The connection broke after the request was sent.
+    Cut(String),
+}
+
+impl Reply {
+    /// The outcome, if it is one.
+    #[must_use]
+    pub fn outcome(&self) -> Option<&Outcome> {
+        match self {
+            Self::Outcome { answer, .. } => Some(&answer.outcome),
+            _ => None,
+        }
+    }
+
+    /// The page, if there is one.
+    #[must_use]
+    pub fn page(&self) -> Option<&Answer> {
+        match self.outcome() {
+            Some(Outcome::Answered(a)) => Some(a),
+            _ => None,
+        }
+    }
+
+    /// The refusal, if it is one.
+    #[must_use]
+    pub fn refusal(&self) -> Option<&Refusal> {
+        match self.outcome() {
+            Some(Outcome::NotRun(r) | Outcome::Unknown(r)) => Some(r),
+            _ => None,
+        }
+    }
+}
+
+/// Asks entry VMs, over connections that are kept.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Caller {
+    /// Starts without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(Duration::from_secs(5))
+            .build(connector);
+        Self { client }
+    }
+
+    /// Asks one lookup of the VM at this address.
+    pub async fn ask(&self, vm: SocketAddr, ask: &LookupAsk) -> Reply {
+        let req = match request(vm, ask) {
+            Ok(req) => req,
+            Err(e) => return Reply::Cut(e.to_string()),
+        };
+        match tokio::time::timeout(PATIENCE, self.send(req)).await {
+            Ok(reply) => reply,
+            Err(_) => Reply::Cut("no answer".to_owned()),
+        }
+    }
+
+    /// Gets a path of a VM: its status and body.
+    ///
+    /// # Errors
+    ///
+    /// If the VM cannot be reached or breaks off.
+    pub async fn get(&self, addr: SocketAddr, path: &str) -> Result<(u16, String)> {
+        let failed = |e: String| {
+            Error::new(ErrorKind::Unavailable, e)
+                .at("get")
+                .from_peer(addr.to_string())
+        };
+        let req = Request::get(format!("http://{addr}{path}"))
+            .body(Full::default())
+            .map_err(|e| failed(e.to_string()))?;
+        let resp = self.client.request(req).await;
+        let (head, body) = resp.map_err(|e| failed(e.to_string()))?.into_parts();
+        let body = body.collect().await.map_err(|e| failed(e.to_string()))?;
+        let text = String::from_utf8_lossy(&body.to_bytes()).into_owned();
+        Ok((head.status.as_u16(), text))
+    }
+
+    async fn send(&self, req: Request<Full<Bytes>>) -> Reply {
+        let resp = match self.client.request(req).await {
+            Ok(resp) => resp,
+            Err(e) if e.is_connect() => return Reply::Unreachable,
+            Err(e) => return Reply::Cut(format!("{e:?}")),
+        };
+        let (head, body) = resp.into_parts();
+        let body = match body.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return Reply::Cut(e.to_string()),
+        };
+        let status = head.status.as_u16();
+        match serde_json::from_slice(&body) {
+            Ok(answer) => Reply::Outcome {
+                status,
+                retry_after: head.headers.contains_key(hyper::header::RETRY_AFTER),
+                answer: Box::new(answer),
+            },
+            Err(_) => Reply::Other {
+                status,
+                body: String::from_utf8_lossy(&body).into_owned(),
+            },
+        }
+    }
+}
+
+fn request(vm: SocketAddr, ask: &LookupAsk) -> Result<Request<Full<Bytes>>> {
+    let mut body = json!({ "query": ask.query });
+    if let Some(key) = &ask.key {
+        body["key"] = json!(key);
+    }
+    if let Some(d) = ask.deadline {
+        body["deadline"] = json!(humantime::format_duration(d).to_string());
+    }
+    let path = format!("/v1/fronts/{}/lookups/{}", ask.front, ask.lookup.name);
+    let mut req =
+        Request::post(format!("http://{vm}{path}")).header("content-type", "application/json");
+    if let Some(key) = &ask.idempotency_key {
+        req = req.header("idempotency-key", key);
+    }
+    req.body(Full::from(body.to_string()))
+        .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("build a request"))
+}
--- a/crates/rig/src/net.rs
+++ b/crates/rig/src/net.rs
@@ -7,6 +7,8 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -17,6 +19,9 @@
 /// The site of the platform and of the callers, outside every data centre.
 pub const OUTSIDE: Site = 0;
 
+/// The networks that rigs spread over, from `127.2.0.0/16` on.
+const NETS: u32 = 250;
+
 /// The loopback network of one rig.
 #[derive(Debug)]
 pub struct Net {
@@ -36,11 +41,13 @@
         }
     }
 
-    /// Takes a network that other processes on this machine are unlikely to use.
+    /// Takes a network that no other rig of this process uses, and others hardly ever.
     #[must_use]
-    pub fn of_this_process(between: Duration) -> Self {
-        let net = u8::try_from(std::process::id() % 250).unwrap_or(0) + 2;
-        Self::new(net, between)
+    pub fn fresh(between: Duration) -> Self {
+        static TAKEN: AtomicU32 = AtomicU32::new(0);
+        let n = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let spread = std::process::id().wrapping_mul(37).wrapping_add(n) % NETS;
+        Self::new(u8::try_from(spread).unwrap_or(0) + 2, between)
     }
 
     /// The address of a host in a data centre.
