--- /dev/null
+++ b/crates/rig/src/deployment.rs
@@ -0,0 +1,338 @@
+//! A running deployment: stand-ins in this process, and a `gentiansill` process for each VM.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bon::Builder;
+use gs_types::prelude::*;
+use tempfile::TempDir;
+
+use crate::corpus::Corpus;
+use crate::deploy::Shape;
+use crate::deploy::Snapshots;
+use crate::deploy::VmPlan;
+use crate::deploy::config;
+use crate::deploy::plan_vms;
+use crate::link::Link;
+use crate::load::AskMix;
+use crate::load::Caller;
+use crate::load::Checker;
+use crate::load::Targets;
+use crate::net::Net;
+use crate::net::Site;
+use crate::platform::Control;
+use crate::platform::Platform;
+use crate::platform::PlatformOptions;
+use crate::platform::Vm;
+use crate::process::VmProcess;
+use crate::server::Servers;
+use crate::truth::Truth;
+
+/// The secret of the rig's mesh; it opens nothing but the rig's own processes.
+const MESH_SECRET: &str = "rig-mesh-secret-of-no-worth-00000";
+
+/// How long a process may take until it is ready.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// The time between two looks of the balancer at each VM's readiness.
+const BALANCER_LOOK: Duration = Duration::from_millis(200);
+
+/// The sites of a deployment.
+const SITES: std::ops::RangeInclusive<Site> = 1..=3;
+
+/// How a deployment is made.
+#[derive(Clone, Debug, Builder)]
+pub struct DeploymentOptions {
+    /// Its sizes.
+    pub shape: Shape,
+    /// The text that is searched.
+    pub corpus: Arc<Corpus>,
+    /// The `gentiansill` program.
+    pub bin: PathBuf,
+    /// The mean service time of its backend servers.
+    #[builder(default = Duration::from_millis(4))]
+    pub service_time: Duration,
+    /// The seed of its backend servers.
+    #[builder(default = 20_261_203)]
+    pub seed: u64,
+    /// Sections added to every settings file.
+    #[builder(default, into)]
+    pub settings: String,
+    /// How late the platform answers.
+    #[builder(default = Duration::from_millis(2))]
+    pub platform_delay: Duration,
+    /// How late the platform's VM list shows changes.
+    #[builder(default = Duration::from_secs(1))]
+    pub vm_lag: Duration,
+}
+
+/// A running deployment; everything ends when it is dropped.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Its sizes.
+    pub shape: Shape,
+    /// Its network.
+    pub net: Arc<Net>,
+    /// Its backend servers.
+    pub servers: Servers,
+    /// Its platform.
+    pub platform: Platform,
+    /// Its snapshots.
+    pub snapshots: Arc<Snapshots>,
+    /// Brute force over its text.
+    pub truth: Arc<Truth>,
+    /// Its VMs, in the order of their data centres.
+    pub vms: Vec<VmProcess>,
+    corpus: Arc<Corpus>,
+    options: DeploymentOptions,
+    dir: TempDir,
+    _links: Vec<Link>,
+}
+
+impl Deployment {
+    /// Starts the stand-ins and the VMs, and waits until every VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// If something cannot be started, or a VM is not ready in time.
+    pub async fn start(options: DeploymentOptions) -> Result<Self> {
+        let (mut d, plans) = Self::start_stand_ins(options).await?;
+        for plan in plans {
+            let vm = d.start_process(plan)?;
+            d.vms.push(vm);
+        }
+        for vm in &mut d.vms {
+            vm.until_ready(START_LIMIT).await?;
+        }
+        Ok(d)
+    }
+
+    async fn start_stand_ins(options: DeploymentOptions) -> Result<(Self, Vec<VmPlan>)> {
+        let shape = options.shape.clone();
+        let corpus = options.corpus.clone();
+        let net = Arc::new(Net::fresh(shape.between));
+        let specs = shape.servers(options.service_time, options.seed)?;
+        let servers = Servers::start(net.clone(), specs.clone()).await?;
+        let snapshots = Arc::new(Snapshots::new(shape.clone(), specs, corpus.clone()));
+        let plans = plan_vms(&shape, &net)?;
+        let (links, mesh_from) = link_mesh(&net, &plans).await?;
+        let vms: Result<Vec<Vm>> = plans.iter().map(listed).collect();
+        let platform = Platform::start(
+            PlatformOptions::builder()
+                .addr(SocketAddr::from((net.ip(crate::net::OUTSIDE, 1), 0)))
+                .vms(vms?)
+                .vm_lag(options.vm_lag)
+                .delay(options.platform_delay)
+                .mesh_from(mesh_from)
+                .build(),
+        )
+        .await?;
+        let dir = tempfile::tempdir().map_err(|e| io_error(&e))?;
+        std::fs::write(dir.path().join("mesh.secret"), MESH_SECRET).map_err(|e| io_error(&e))?;
+        let d = Self {
+            truth: Arc::new(Truth::new(corpus.clone())),
+            shape,
+            net,
+            servers,
+            platform,
+            snapshots,
+            vms: Vec::new(),
+            corpus,
+            options,
+            dir,
+            _links: links,
+        };
+        d.put("config/current", &config(&d.shape)?)?;
+        for g in d.shape.groups.clone() {
+            d.publish(g.name, SnapshotId(1), g.services)?;
+        }
+        Ok((d, plans))
+    }
+
+    /// Publishes a snapshot: the servers hold it, then the platform shows it.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such group.
+    pub fn publish(&self, group: &str, snapshot: SnapshotId, shards: u32) -> Result<()> {
+        self.snapshots
+            .publish(&self.servers, group, snapshot, shards)?;
+        self.show(group)
+    }
+
+    /// Takes a snapshot out of a group's map on the platform.
+    ///
+    /// # Errors
+    ///
+    /// If there is no such group.
+    pub fn retire(&self, group: &str, snapshot: SnapshotId) -> Result<()> {
+        self.snapshots.retire(group, snapshot);
+        self.show(group)
+    }
+
+    /// The file that a VM's log goes to.
+    #[must_use]
+    pub fn log_of(&self, vm: &VmId) -> PathBuf {
+        self.dir.path().join(format!("{vm}.log"))
+    }
+
+    /// The VMs as the balancer's targets; with `follow`, only those that say they are ready.
+    #[must_use]
+    pub fn targets(&self, follow: bool) -> Arc<Targets> {
+        let vms = self.vms.iter().map(|v| v.plan().callers).collect();
+        let targets = Arc::new(Targets::new(vms));
+        if follow {
+            let plans: Vec<VmPlan> = self.vms.iter().map(|v| v.plan().clone()).collect();
+            tokio::spawn(balance(plans, Arc::downgrade(&targets)));
+        }
+        targets
+    }
+
+    /// Checks answers against this deployment's text.
+    #[must_use]
+    pub fn checker(&self) -> Checker {
+        Checker::new(
+            self.truth.clone(),
+            self.snapshots.clone(),
+            self.servers.clone(),
+        )
+    }
+
+    /// A mix of lookups over this deployment's text.
+    #[must_use]
+    pub fn mix(&self, seed: u64) -> AskMix {
+        AskMix::new(&self.shape, &self.corpus, seed)
+    }
+
+    /// Cuts a data centre off from the others and from the platform.
+    ///
+    /// # Errors
+    ///
+    /// If the data centre's name does not fit the rules for names.
+    pub fn cut(&self, site: Site) -> Result<()> {
+        for other in SITES.filter(|s| *s != site) {
+            self.net.cut(site, other);
+        }
+        self.cut_platform(&[site])
+    }
+
+    /// Heals every cut.
+    ///
+    /// # Errors
+    ///
+    /// Never in practice; it shares its way with [`Deployment::cut`].
+    pub fn heal(&self) -> Result<()> {
+        for a in SITES {
+            for b in SITES {
+                self.net.heal(a, b);
+            }
+        }
+        self.cut_platform(&[])
+    }
+
+    /// Starts the process of a VM again after it has exited.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started or is not ready in time.
+    pub async fn restart(&mut self, vm: usize) -> Result<()> {
+        let plan = self.vms[vm].plan().clone();
+        self.vms[vm].kill();
+        self.vms[vm] = self.start_process(plan)?;
+        self.vms[vm].until_ready(START_LIMIT).await?;
+        Ok(())
+    }
+
+    fn cut_platform(&self, sites: &[Site]) -> Result<()> {
+        let names: Result<Vec<DataCentre>> = sites
+            .iter()
+            .map(|s| self.shape.data_centre(*s).parse())
+            .collect();
+        self.platform.control(Control {
+            cut_data_centres: Some(names?),
+            ..Control::default()
+        });
+        Ok(())
+    }
+
+    fn start_process(&self, plan: VmPlan) -> Result<VmProcess> {
+        let dir: &Path = self.dir.path();
+        let settings = dir.join(format!("{}.toml", plan.name));
+        let secret = dir.join("mesh.secret");
+        let text = plan.settings(self.platform.addr(), &secret, &self.options.settings);
+        std::fs::write(&settings, text).map_err(|e| io_error(&e))?;
+        let log = self.log_of(&plan.name);
+        VmProcess::start(&self.options.bin, plan, &settings, &log)
+    }
+
+    fn show(&self, group: &str) -> Result<()> {
+        let map = self.snapshots.map(&self.servers, group)?;
+        self.put(&format!("groups/{group}"), &map)
+    }
+
+    fn put(&self, path: &str, object: &impl serde::Serialize) -> Result<()> {
+        let text = serde_json::to_vec(object)
+            .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()))?;
+        self.platform.put(path, text);
+        Ok(())
+    }
+}
+
+/// The mesh addresses that a caller at each address is shown, where they are not the true ones.
+type MeshFrom = BTreeMap<IpAddr, BTreeMap<VmId, SocketAddr>>;
+
+/// Starts a link into every VM's mesh from each of the other data centres.
+async fn link_mesh(net: &Arc<Net>, plans: &[VmPlan]) -> Result<(Vec<Link>, MeshFrom)> {
+    let mut links = Vec::new();
+    let mut table = MeshFrom::new();
+    for to in plans {
+        for from in SITES.filter(|s| *s != to.site) {
+            let link = Link::start(net.clone(), from, to.site, to.mesh).await?;
+            for asker in plans.iter().filter(|p| p.site == from) {
+                let shown = table.entry(asker.ip.into()).or_default();
+                shown.insert(to.name.clone(), link.addr());
+            }
+            links.push(link);
+        }
+    }
+    Ok((links, table))
+}
+
+fn listed(plan: &VmPlan) -> Result<Vm> {
+    Ok(Vm {
+        vm: plan.name.clone(),
+        data_centre: plan.data_centre.parse()?,
+        region: plan.region.parse()?,
+        mesh: plan.mesh,
+        callers: plan.callers,
+        admin: plan.admin,
+        leaving: false,
+    })
+}
+
+/// Keeps the targets to the VMs that say they are ready, for as long as someone uses them.
+async fn balance(plans: Vec<VmPlan>, targets: std::sync::Weak<Targets>) {
+    let caller = Caller::new();
+    while let Some(targets) = targets.upgrade() {
+        let mut ready = Vec::new();
+        for plan in &plans {
+            let asked = caller.get(plan.admin, crate::process::READY);
+            let answer = tokio::time::timeout(BALANCER_LOOK, asked).await;
+            if matches!(answer, Ok(Ok((200, _)))) {
+                ready.push(plan.callers);
+            }
+        }
+        targets.set(ready);
+        drop(targets);
+        tokio::time::sleep(BALANCER_LOOK).await;
+    }
+}
+
+fn io_error(e: &std::io::Error) -> Error {
+    Error::new(ErrorKind::Io, e.to_string()).at("set up a deployment")
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -10,7 +10,7 @@
 //! - [`server`]: backend servers that index, rank, queue, fail and count what really ran;
 //! - [`control`]: what a test tells the stand-ins to do;
 //! - [`deploy`]: the deployments of the brief as settings files and platform objects;
-//! - `process`: the `gentiansill` processes of a deployment;
+//! - [`process`]: the `gentiansill` processes of a deployment;
 //! - [`load`]: open-loop arrivals, checks of every answer, tables and plots.
 
 pub mod control;
@@ -20,5 +20,6 @@
 pub mod link;
 pub mod load;
 pub mod net;
+pub mod process;
 pub mod server;
 pub mod truth;
