--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -1,7 +1,5 @@
 //! A running deployment: stand-ins in this process, and a `gentiansill` process for each VM.
 
-use std::collections::BTreeMap;
-use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -26,6 +24,7 @@
 use crate::net::Net;
 use crate::net::Site;
 use crate::platform::Control;
+use crate::platform::MeshFrom;
 use crate::platform::Platform;
 use crate::platform::PlatformOptions;
 use crate::platform::Vm;
@@ -283,9 +282,6 @@
     }
 }
 
-/// The mesh addresses that a caller at each address is shown, where they are not the true ones.
-type MeshFrom = BTreeMap<IpAddr, BTreeMap<VmId, SocketAddr>>;
-
 /// Starts a link into every VM's mesh from each of the other data centres.
 async fn link_mesh(net: &Arc<Net>, plans: &[VmPlan]) -> Result<(Vec<Link>, MeshFrom)> {
     let mut links = Vec::new();
