--- a/crates/rig/src/platform/http.rs
+++ b/crates/rig/src/platform/http.rs
@@ -55,7 +55,7 @@
     if let Some(refusal) = admit(&shared, source, kind, &path).await? {
         return Ok(refusal);
     }
-    let reply = run(&shared, kind, path, req).await?;
+    let reply = run(&shared, source, kind, path, req).await?;
     let delay = shared.lock().delay;
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
@@ -130,6 +130,7 @@
 
 async fn run(
     shared: &Shared,
+    source: IpAddr,
     kind: Kind,
     path: String,
     req: Request<Incoming>,
@@ -140,7 +141,7 @@
         Kind::Delete => Ok(delete(shared, &path, &req)),
         Kind::List => Ok(list(shared, &path)),
         Kind::Watch => Ok(watch(shared, &path, &req).await),
-        Kind::Vms => Ok(json_reply(&shared.lock().vms.shown())),
+        Kind::Vms => Ok(json_reply(&shared.lock().vms.shown(source))),
     }
 }
 
--- a/crates/rig/src/platform/vms.rs
+++ b/crates/rig/src/platform/vms.rs
@@ -1,5 +1,6 @@
 //! The lagging VM list.
 
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,6 +30,9 @@
     pub leaving: bool,
 }
 
+/// Mesh addresses shown in place of the true ones, by asker and VM.
+pub type MeshFrom = BTreeMap<IpAddr, BTreeMap<VmId, SocketAddr>>;
+
 /// The VM list with what it was, so that it can be shown late.
 #[derive(Debug)]
 pub(super) struct VmList {
@@ -36,6 +40,7 @@
     /// The list from each time on, oldest first.
     steps: Vec<(Instant, Vec<Vm>)>,
     first: Vec<Vm>,
+    mesh_from: MeshFrom,
 }
 
 impl VmList {
@@ -45,9 +50,16 @@
             lag,
             steps: Vec::new(),
             first: vms,
+            mesh_from: MeshFrom::new(),
         }
     }
 
+    /// Shows these mesh addresses in place of the true ones.
+    pub(super) fn with_mesh_from(mut self, mesh_from: MeshFrom) -> Self {
+        self.mesh_from = mesh_from;
+        self
+    }
+
     /// Sets how late changes show.
     pub(super) fn set_lag(&mut self, lag: Duration) {
         self.lag = lag;
@@ -60,15 +72,21 @@
         self.steps.push((Instant::now(), vms));
     }
 
-    /// The list as a caller sees it now.
-    pub(super) fn shown(&self) -> &[Vm] {
+    /// The list as a caller at this address sees it now.
+    pub(super) fn shown(&self, asker: IpAddr) -> Vec<Vm> {
         let now = Instant::now();
         let seen = self
             .steps
             .iter()
             .rev()
             .find(|(at, _)| *at + self.lag <= now);
-        seen.map_or(&self.first, |(_, vms)| vms)
+        let mut vms = seen.map_or(&self.first, |(_, vms)| vms).clone();
+        if let Some(links) = self.mesh_from.get(&asker) {
+            for vm in &mut vms {
+                vm.mesh = links.get(&vm.vm).copied().unwrap_or(vm.mesh);
+            }
+        }
+        vms
     }
 
     /// Whether the address is that of a VM in one of these data centres.
