--- a/crates/node/src/actor/driver.rs
+++ b/crates/node/src/actor/driver.rs
@@ -1,6 +1,8 @@
 //! Hands events to a decision and its actions to a shell.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
 use std::time::Instant;
 
 use futures_util::FutureExt;
@@ -13,6 +15,22 @@
 
 use crate::actor::feed::Feed;
 use crate::actor::timer::Timer;
+use crate::board::lock;
+
+/// The time of one event.
+#[derive(Clone, Copy)]
+pub(crate) struct Times<'a> {
+    /// The monotonic time.
+    pub(crate) now: Instant,
+    /// Tells the time of day to those that need it.
+    pub(crate) clock: &'a dyn Clock,
+}
+
+/// A decision that its actor and the readers of dumps share.
+///
+/// The actor alone feeds it. Readers hold the lock only to look; so that a dump, and the check for
+/// a configuration in doubt on each lookup, need no turn in the actor's mailbox.
+pub(crate) type Shared<M> = Arc<Mutex<M>>;
 
 /// A decision: a state machine without I/O.
 pub(crate) trait Machine: Send + 'static {
@@ -22,10 +40,10 @@
     type Action: Send + 'static;
 
     /// Takes one event in and appends what has to be done to `out`.
-    fn on(&mut self, now: Instant, ev: Self::Event, out: &mut Vec<Self::Action>);
+    fn on(&mut self, at: Times<'_>, ev: Self::Event, out: &mut Vec<Self::Action>);
 
     /// The event that says that a timer is due.
-    fn tick(clock: &dyn Clock) -> Self::Event;
+    fn tick() -> Self::Event;
 }
 
 /// Carries out a decision's actions.
@@ -36,12 +54,12 @@
     }
 
     /// Carries out one action; gives a duration back if it asks to be woken.
-    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<std::time::Duration>;
+    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<Duration>;
 }
 
 /// The actor around one decision.
 pub(crate) struct Driver<M: Machine, S> {
-    machine: M,
+    machine: Shared<M>,
     shell: S,
     clock: Arc<dyn Clock>,
     feed: Feed<M::Event>,
@@ -56,40 +74,57 @@
 /// The timer is due.
 struct Due;
 
-/// Runs a function on the decision and returns what it gives, for dumps.
-pub(crate) struct Query<F>(pub(crate) F);
+/// An actor's mailbox, made before the actor, so that actors can feed each other.
+pub(crate) struct Slot<M: Machine, S> {
+    addr: Address<Driver<M, S>>,
+    mailbox: Mailbox<Driver<M, S>>,
+    feed: Feed<M::Event>,
+}
 
-/// Starts the actor; gives its address for queries and its feed for events.
-pub(crate) fn start<M: Machine, S: Shell<M>>(
-    machine: M,
-    shell: impl FnOnce(&Feed<M::Event>) -> S,
-    clock: Arc<dyn Clock>,
-) -> (Address<Driver<M, S>>, Feed<M::Event>) {
-    let (addr, mailbox) = Mailbox::<Driver<M, S>>::unbounded();
-    let to = addr.clone();
-    let feed = Feed::new(Box::new(move || {
-        drop(to.send(Ready).detach().now_or_never())
-    }));
-    let to = addr.clone();
-    let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
-    let driver = Driver {
-        machine,
-        shell: shell(&feed),
-        clock,
-        feed: feed.clone(),
-        timer,
-        batch: Vec::new(),
-        actions: Vec::new(),
-    };
-    tokio::spawn(xtra::run(mailbox, driver));
-    (addr, feed)
+impl<M: Machine, S: Shell<M>> Slot<M, S> {
+    pub(crate) fn new() -> Self {
+        let (addr, mailbox) = Mailbox::unbounded();
+        let to: Address<Driver<M, S>> = addr.clone();
+        let feed = Feed::new(Box::new(move || {
+            drop(to.send(Ready).detach().now_or_never())
+        }));
+        Self {
+            addr,
+            mailbox,
+            feed,
+        }
+    }
+
+    /// The way in; events wait until the actor starts.
+    pub(crate) fn feed(&self) -> Feed<M::Event> {
+        self.feed.clone()
+    }
+
+    /// Starts the actor.
+    pub(crate) fn start(self, machine: Shared<M>, shell: S, clock: Arc<dyn Clock>) {
+        let to = self.addr;
+        let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
+        let driver = Driver {
+            machine,
+            shell,
+            clock,
+            feed: self.feed,
+            timer,
+            batch: Vec::new(),
+            actions: Vec::new(),
+        };
+        tokio::spawn(xtra::run(self.mailbox, driver));
+    }
 }
 
 impl<M: Machine, S: Shell<M>> Driver<M, S> {
     fn step(&mut self, ev: M::Event) {
-        let now = self.clock.now();
-        self.shell.before(now, &ev);
-        self.machine.on(now, ev, &mut self.actions);
+        let at = Times {
+            now: self.clock.now(),
+            clock: self.clock.as_ref(),
+        };
+        self.shell.before(at.now, &ev);
+        lock(&self.machine).on(at, ev, &mut self.actions);
         for a in self.actions.drain(..) {
             if let Some(after) = self.shell.perform(a, &self.feed) {
                 self.timer.wake_in(after);
@@ -122,21 +157,6 @@
 
     async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
         self.timer.fired();
-        let tick = M::tick(self.clock.as_ref());
-        self.step(tick);
-    }
-}
-
-impl<M, S, F, T> Handler<Query<F>> for Driver<M, S>
-where
-    M: Machine,
-    S: Shell<M>,
-    F: FnOnce(&M, Instant) -> T + Send + 'static,
-    T: Send + 'static,
-{
-    type Return = T;
-
-    async fn handle(&mut self, q: Query<F>, _: &mut Context<Self>) -> T {
-        (q.0)(&self.machine, self.clock.now())
+        self.step(M::tick());
     }
 }
