--- /dev/null
+++ b/crates/rig/src/args.rs
@@ -0,0 +1,262 @@
+//! The command line of `gs-rig`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use gs_rig::deploy::Shape;
+use gs_types::prelude::*;
+
+/// What every subcommand that starts a deployment takes.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// The `gentiansill` program.
+    pub bin: PathBuf,
+    /// The folder whose text is indexed.
+    pub text: PathBuf,
+    /// The sizes.
+    pub shape: Shape,
+    /// The deployment's name.
+    pub deployment: String,
+    /// How long each run takes requests.
+    pub length: Duration,
+    /// The seed of everything drawn.
+    pub seed: u64,
+}
+
+/// `gs-rig demo`.
+#[derive(Clone, Debug)]
+pub struct Demo {
+    /// Common options.
+    pub common: Common,
+    /// Arrivals a second.
+    pub rate: f64,
+    /// Where commands to the stand-ins are taken.
+    pub control: SocketAddr,
+}
+
+/// `gs-rig table`.
+#[derive(Clone, Debug)]
+pub struct Table {
+    /// Common options.
+    pub common: Common,
+    /// The scenarios, all if empty.
+    pub scenarios: Vec<String>,
+    /// The policies compared.
+    pub policies: Vec<String>,
+    /// Where the plot goes.
+    pub svg: Option<PathBuf>,
+}
+
+/// `gs-rig cost`.
+#[derive(Clone, Debug)]
+pub struct Cost {
+    /// Common options.
+    pub common: Common,
+    /// Arrivals a second.
+    pub rate: f64,
+}
+
+/// `gs-rig bare`.
+#[derive(Clone, Debug)]
+pub struct Bare {
+    /// The servers asked, one for each shard.
+    pub servers: Vec<SocketAddr>,
+    /// The address that connections start from.
+    pub source: std::net::IpAddr,
+    /// Arrivals a second.
+    pub rate: f64,
+    /// How long requests arrive.
+    pub length: Duration,
+    /// The seed of the arrivals.
+    pub seed: u64,
+}
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("gs-rig")
+        .about("Runs gentiansill with stand-ins for everything around it, and measures it")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            common(
+                "demo",
+                "Starts nine VMs, sends lookups of each kind and checks every page",
+            )
+            .arg(number("rate", "60", "Lookups a second"))
+            .arg(
+                Arg::new("control")
+                    .long("control")
+                    .value_name("ADDR")
+                    .default_value("127.0.0.1:0")
+                    .value_parser(value_parser!(SocketAddr))
+                    .help("Where commands to the stand-ins are taken"),
+            ),
+        )
+        .subcommand(
+            common("table", "Compares policies under faults, one line for each")
+                .arg(list("scenario", "Only these scenarios"))
+                .arg(list("policy", "Only these policies"))
+                .arg(path("svg", "Writes a plot of the 99th percentiles here")),
+        )
+        .subcommand(
+            common(
+                "cost",
+                "Measures processor time, added latency, memory and start",
+            )
+            .arg(number("rate", "150", "Lookups a second")),
+        )
+        .subcommand(bare_command())
+}
+
+fn common(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(path("bin", "The gentiansill program").default_value("target/release/gentiansill"))
+        .arg(path("text", "The folder whose text is indexed").default_value("."))
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_parser(["derwent-quill", "lankapura"])
+                .default_value("derwent-quill")
+                .help("Whose sizes and delays"),
+        )
+        .arg(number("seconds", "20", "How long each run takes requests"))
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("20261203")
+                .value_parser(value_parser!(u64))
+                .help("The seed of everything drawn"),
+        )
+}
+
+fn bare_command() -> Command {
+    Command::new("bare")
+        .about("Fans out with a bare hyper client and tells its processor time")
+        .arg(list("server", "The servers asked, one for each shard"))
+        .arg(
+            Arg::new("source")
+                .long("source")
+                .required(true)
+                .value_parser(value_parser!(std::net::IpAddr))
+                .help("The address that connections start from"),
+        )
+        .arg(number("rate", "150", "Lookups a second"))
+        .arg(number("seconds", "10", "How long requests arrive"))
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .default_value("20261203")
+                .value_parser(value_parser!(u64))
+                .help("The seed of the arrivals"),
+        )
+}
+
+fn path(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("PATH")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(f64))
+        .help(help)
+}
+
+fn list(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("NAME")
+        .action(ArgAction::Append)
+        .value_delimiter(',')
+        .help(help)
+}
+
+/// Reads `gs-rig demo`.
+pub fn demo(m: &ArgMatches) -> Result<Demo> {
+    Ok(Demo {
+        common: read_common(m)?,
+        rate: read(m, "rate")?,
+        control: read(m, "control")?,
+    })
+}
+
+/// Reads `gs-rig table`.
+pub fn table(m: &ArgMatches) -> Result<Table> {
+    let mut policies = read_list(m, "policy");
+    if policies.is_empty() {
+        policies = vec!["chosen".to_owned(), "baseline".to_owned()];
+    }
+    Ok(Table {
+        common: read_common(m)?,
+        scenarios: read_list(m, "scenario"),
+        policies,
+        svg: m.get_one("svg").cloned(),
+    })
+}
+
+/// Reads `gs-rig cost`.
+pub fn cost(m: &ArgMatches) -> Result<Cost> {
+    Ok(Cost {
+        common: read_common(m)?,
+        rate: read(m, "rate")?,
+    })
+}
+
+/// Reads `gs-rig bare`.
+pub fn bare(m: &ArgMatches) -> Result<Bare> {
+    let servers: std::result::Result<_, _> = read_list(m, "server")
+        .iter()
+        .map(|s| s.parse::<SocketAddr>())
+        .collect();
+    Ok(Bare {
+        servers: servers.map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()))?,
+        source: read(m, "source")?,
+        rate: read(m, "rate")?,
+        length: seconds(read(m, "seconds")?)?,
+        seed: read(m, "seed")?,
+    })
+}
+
+fn read_common(m: &ArgMatches) -> Result<Common> {
+    let deployment: String = read(m, "deployment")?;
+    let shape = match deployment.as_str() {
+        "lankapura" => Shape::lankapura(),
+        _ => Shape::derwent_quill(),
+    };
+    Ok(Common {
+        bin: read(m, "bin")?,
+        text: read(m, "text")?,
+        shape,
+        deployment,
+        length: seconds(read(m, "seconds")?)?,
+        seed: read(m, "seed")?,
+    })
+}
+
+fn read<T: Clone + Send + Sync + 'static>(m: &ArgMatches, name: &str) -> Result<T> {
+    let missing = || Error::new(ErrorKind::BadInput, format!("`--{name}` is missing"));
+    m.get_one::<T>(name).cloned().ok_or_else(missing)
+}
+
+fn read_list(m: &ArgMatches, name: &str) -> Vec<String> {
+    m.get_many(name)
+        .map_or_else(Vec::new, |v| v.cloned().collect())
+}
+
+fn seconds(n: f64) -> Result<Duration> {
+    Duration::try_from_secs_f64(n).map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()))
+}
--- a/crates/rig/src/deployment.rs
+++ b/crates/rig/src/deployment.rs
@@ -87,6 +87,8 @@
     pub truth: Arc<Truth>,
     /// Its VMs, in the order of their data centres.
     pub vms: Vec<VmProcess>,
+    /// From each VM's start until it was seen ready.
+    pub ready_after: Vec<Duration>,
     corpus: Arc<Corpus>,
     options: DeploymentOptions,
     dir: TempDir,
@@ -106,7 +108,8 @@
             d.vms.push(vm);
         }
         for vm in &mut d.vms {
-            vm.until_ready(START_LIMIT).await?;
+            let after = vm.until_ready(START_LIMIT).await?;
+            d.ready_after.push(after);
         }
         Ok(d)
     }
@@ -141,6 +144,7 @@
             platform,
             snapshots,
             vms: Vec::new(),
+            ready_after: Vec::new(),
             corpus,
             options,
             dir,
--- /dev/null
+++ b/crates/rig/src/experiment.rs
@@ -0,0 +1,190 @@
+//! `gs-rig table`: policies compared under each scenario, same seed and same load.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_rig::corpus::Corpus;
+use gs_rig::deployment::Deployment;
+use gs_rig::deployment::DeploymentOptions;
+use gs_rig::load;
+use gs_rig::load::LoadSpec;
+use gs_rig::load::Plot;
+use gs_rig::load::Resends;
+use gs_rig::load::Row;
+use gs_rig::load::Series;
+use gs_rig::load::Tally;
+use gs_types::prelude::*;
+use strum::IntoEnumIterator;
+
+use crate::args::Table;
+use crate::scenario::Scenario;
+
+/// Load before a fault and before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// One lookup in so many is poisoned, where any is.
+const POISON_EVERY: u32 = 100;
+
+/// One line: a scenario under a policy.
+struct Line {
+    scenario: Scenario,
+    policy: String,
+    row: Row,
+    tally: Tally,
+    opened: u64,
+    crashes: u64,
+}
+
+/// Runs the comparison and prints it as Markdown.
+pub async fn run(args: &Table) -> Result<ExitCode> {
+    let corpus = Arc::new(Corpus::read(&args.common.text)?);
+    let mut lines = Vec::new();
+    for scenario in Scenario::iter() {
+        let wanted =
+            args.scenarios.is_empty() || args.scenarios.iter().any(|s| s == scenario.name());
+        if !wanted {
+            continue;
+        }
+        for policy in &args.policies {
+            let line = measure(args, &corpus, scenario, policy).await?;
+            print_line(&line);
+            lines.push(line);
+        }
+    }
+    print_table(args, &lines);
+    if let Some(path) = &args.svg {
+        let svg = plot(args, &lines).svg();
+        std::fs::write(path, svg)
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("write the plot"))?;
+    }
+    let wrong: u64 = lines.iter().map(|l| l.row.wrong).sum();
+    Ok(if wrong == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn measure(
+    args: &Table,
+    corpus: &Arc<Corpus>,
+    scenario: Scenario,
+    policy: &str,
+) -> Result<Line> {
+    let c = &args.common;
+    let settings = format!("[tuning]\npolicy = \"{policy}\"\n\n[log]\nlevel = \"warn\"\n");
+    let options = DeploymentOptions::builder()
+        .shape(c.shape.clone())
+        .corpus(corpus.clone())
+        .bin(c.bin.clone())
+        .service_time(scenario.service_time())
+        .seed(c.seed)
+        .settings(settings)
+        .build();
+    let d = Deployment::start(options).await?;
+    load_for(&d, args, scenario, WARM_UP, c.seed).await;
+    let before = d.servers.counts().summary().total;
+    let (driven, tally) = tokio::join!(
+        scenario.drive(&d, c.length),
+        load_for(&d, args, scenario, c.length, c.seed + 1),
+    );
+    driven?;
+    let after = d.servers.counts().summary().total;
+    Ok(Line {
+        scenario,
+        policy: policy.to_owned(),
+        row: tally.row(&format!("{}, {policy}", scenario.name())),
+        tally,
+        opened: after.opened - before.opened,
+        crashes: after.crashes - before.crashes,
+    })
+}
+
+async fn load_for(
+    d: &Deployment,
+    args: &Table,
+    scenario: Scenario,
+    length: Duration,
+    seed: u64,
+) -> Tally {
+    let resends = Resends {
+        most: 5,
+        wait: Duration::from_millis(200),
+    };
+    let spec = LoadSpec::builder()
+        .rate(scenario.rate())
+        .length(length)
+        .seed(seed)
+        .to_callers(args.common.shape.to_callers)
+        .maybe_resends(scenario.resends().then_some(resends))
+        .build();
+    let mut mix = d.mix(args.common.seed);
+    if scenario.one_lookup() {
+        mix = mix.only(&[d.shape.lookups[0].name]);
+    }
+    if let Some(word) = scenario.poison() {
+        mix = mix.poisoned(word, POISON_EVERY);
+    }
+    let tallies = load::run(spec, mix, d.targets(false), Some(d.checker())).await;
+    let mut all = Tally::default();
+    tallies.values().for_each(|t| all.add(t));
+    all
+}
+
+fn print_line(line: &Line) {
+    eprintln!(
+        "table: {} p50={:.1} p99={:.1} p99.9={:.1} coverage={:.4} extra={:.2}% opened={} crashes={} wrong={} not-run={:?} unknown={:?} faults={:?}",
+        line.row.name,
+        line.row.p50,
+        line.row.p99,
+        line.row.p999,
+        line.row.coverage,
+        line.row.extra,
+        line.opened,
+        line.crashes,
+        line.row.wrong,
+        line.tally.not_run,
+        line.tally.unknown,
+        line.tally.faults,
+    );
+}
+
+fn print_table(args: &Table, lines: &[Line]) {
+    let rows: Vec<Row> = lines.iter().map(|l| l.row.clone()).collect();
+    println!(
+        "{}, {:?} a run, seed {}\n",
+        args.common.deployment, args.common.length, args.common.seed
+    );
+    println!("{}", load::table(&rows));
+    println!("| what | connections opened | crashes | refusals |\n|---|---:|---:|---|");
+    for l in lines {
+        println!(
+            "| {} | {} | {} | not-run {:?}, unknown {:?} |",
+            l.row.name, l.opened, l.crashes, l.tally.not_run, l.tally.unknown
+        );
+    }
+}
+
+fn plot(args: &Table, lines: &[Line]) -> Plot {
+    let mut scenarios: Vec<String> = Vec::new();
+    for l in lines {
+        let name = l.scenario.name().to_owned();
+        if !scenarios.contains(&name) {
+            scenarios.push(name);
+        }
+    }
+    let series = args.policies.iter().map(|policy| Series {
+        name: policy.clone(),
+        values: lines
+            .iter()
+            .filter(|l| l.policy == *policy)
+            .map(|l| l.row.p99)
+            .collect(),
+    });
+    Plot {
+        title: format!("p99 in ms, {}", args.common.deployment),
+        scenarios,
+        series: series.collect(),
+    }
+}
--- a/crates/rig/src/load/ask.rs
+++ b/crates/rig/src/load/ask.rs
@@ -45,6 +45,8 @@
     lookups: Vec<LookupShape>,
     queries: Vec<Arc<str>>,
     books: Vec<Arc<str>>,
+    poison: Option<(&'static str, u32)>,
+    drawn: u32,
     rng: ChaCha8Rng,
 }
 
@@ -65,6 +67,8 @@
             lookups: shape.lookups.clone(),
             queries,
             books,
+            poison: None,
+            drawn: 0,
             rng,
         }
     }
@@ -76,12 +80,26 @@
         self
     }
 
+    /// Adds this word to the query of every lookup whose number is a multiple of `every`.
+    #[must_use]
+    pub fn poisoned(mut self, word: &'static str, every: u32) -> Self {
+        self.poison = Some((word, every.max(1)));
+        self
+    }
+
     /// Draws the next lookup.
     pub fn draw(&mut self) -> LookupAsk {
+        self.drawn += 1;
         let lookup = self.draw_lookup();
         let keyed = lookup.scope == Scope::Keyed;
         let once = lookup.promise == Promise::AtMostOnce;
-        let query = self.queries[self.rng.random_range(0..self.queries.len())].clone();
+        let mut query = self.queries[self.rng.random_range(0..self.queries.len())].clone();
+        if let Some((word, every)) = self.poison
+            && self.drawn.is_multiple_of(every)
+        {
+            // The first query alone, so that every poisoned lookup is the same one.
+            query = format!("{} {word}", self.queries[0]).into();
+        }
         let book = self.books[self.rng.random_range(0..self.books.len())].clone();
         LookupAsk {
             front: self.front,
--- a/crates/rig/src/load/check.rs
+++ b/crates/rig/src/load/check.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_types::prelude::*;
 
@@ -64,6 +65,16 @@
         }
     }
 
+    /// The longest that a part of this page took, as its server saw it.
+    #[must_use]
+    pub fn slowest_part(&self, reply: &Reply) -> Option<Duration> {
+        reply.page()?;
+        match reply {
+            Reply::Outcome { answer, .. } => self.servers.counts().slowest_part(&answer.request_id),
+            _ => None,
+        }
+    }
+
     fn check_answer(&self, ask: &LookupAsk, answer: &CallerAnswer) -> Option<Fault> {
         if answer.front != ask.front || answer.lookup != ask.lookup.name {
             return Some(Fault::Crossed);
--- a/crates/rig/src/load/run.rs
+++ b/crates/rig/src/load/run.rs
@@ -133,6 +133,8 @@
     let mut left = shared.spec.resends.map_or(0, |r| r.most);
     loop {
         let reply = send(&shared, &ask).await;
+        let took = due.elapsed();
+        let slowest = shared.checker.as_ref().and_then(|c| c.slowest_part(&reply));
         let fault = shared.checker.as_ref().and_then(|c| c.check(&ask, &reply));
         if let Some(f) = fault {
             log::warn!("event=wrong-answer fault={f:?} ask={ask:?} reply={reply:?}");
@@ -141,7 +143,10 @@
         {
             let mut tallies = lock(&shared.tallies);
             let tally = tallies.entry(ask.lookup.name).or_default();
-            tally.count(&reply, due.elapsed(), fault);
+            tally.count(&reply, took, fault);
+            if let Some(slowest) = slowest {
+                tally.count_added(took, slowest);
+            }
         }
         let Some(resends) = shared.spec.resends else {
             return;
--- a/crates/rig/src/load/tally.rs
+++ b/crates/rig/src/load/tally.rs
@@ -21,6 +21,10 @@
 pub struct Tally {
     /// Latencies of pages, in microseconds.
     pub latency: Histogram<u64>,
+    /// The slowest part of each page, as its server saw it, in microseconds.
+    pub slowest: Histogram<u64>,
+    /// What pages took beyond their slowest part, in microseconds.
+    pub added: Histogram<u64>,
     /// Requests made.
     pub asked: u64,
     /// Pages that came.
@@ -77,6 +81,8 @@
         let latency = Histogram::new_with_max(LATENCY_MAX, DIGITS)
             .expect("the bounds of the histogram are constants that fit");
         Self {
+            slowest: latency.clone(),
+            added: latency.clone(),
             latency,
             asked: 0,
             answered: 0,
@@ -113,6 +119,14 @@
         }
     }
 
+    /// Counts what a page took beyond its slowest part.
+    pub fn count_added(&mut self, took: Duration, slowest: Duration) {
+        let us = |d: Duration| u64::try_from(d.as_micros()).unwrap_or(LATENCY_MAX);
+        self.slowest.saturating_record(us(slowest));
+        self.added
+            .saturating_record(us(took.saturating_sub(slowest)));
+    }
+
     /// Answers that are wrong.
     #[must_use]
     pub fn wrong(&self) -> u64 {
@@ -123,6 +137,8 @@
     pub fn add(&mut self, t: &Self) {
         // Both have the same bounds, so the sum cannot fail.
         let _ = self.latency.add(&t.latency);
+        let _ = self.slowest.add(&t.slowest);
+        let _ = self.added.add(&t.added);
         self.asked += t.asked;
         self.answered += t.answered;
         self.full += t.full;
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,74 @@
+//! `gs-rig`: runs a deployment of stand-ins and `gentiansill` processes, and measures it.
+
+mod args;
+mod bare;
+mod cost;
+mod demo;
+mod experiment;
+mod scenario;
+
+use std::process::ExitCode;
+
+use gs_types::prelude::*;
+
+fn main() -> ExitCode {
+    let matches = args::command().get_matches();
+    let logger =
+        flexi_logger::Logger::try_with_env_or_str("warn").and_then(flexi_logger::Logger::start);
+    if let Err(e) = logger {
+        eprintln!("gs-rig: no log: {e}");
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let ended = match runtime {
+        Ok(rt) => rt.block_on(run(&matches)),
+        Err(e) => Err(Error::new(ErrorKind::Io, e.to_string()).at("start the runtime")),
+    };
+    match ended {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("gs-rig: {e}");
+            if let Some(hint) = e.hint() {
+                eprintln!("  hint: {hint}");
+            }
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs the subcommand, until it ends or the person ends it.
+async fn run(matches: &clap::ArgMatches) -> Result<ExitCode> {
+    let work = async {
+        match matches.subcommand() {
+            Some(("demo", m)) => demo::run(&args::demo(m)?).await,
+            Some(("table", m)) => experiment::run(&args::table(m)?).await,
+            Some(("cost", m)) => cost::run(&args::cost(m)?).await,
+            Some(("bare", m)) => bare::run(&args::bare(m)?).await,
+            _ => Ok(ExitCode::from(2)),
+        }
+    };
+    // Ending here drops the deployment, which ends the processes it started.
+    tokio::select! {
+        ended = work => ended,
+        () = asked_to_end() => Err(Error::new(ErrorKind::Unavailable, "interrupted")),
+    }
+}
+
+/// Returns at the first SIGINT or SIGTERM.
+async fn asked_to_end() {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    if let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    } else {
+        // Without handlers the signals end the process themselves.
+        std::future::pending::<()>().await;
+    }
+}
--- a/crates/rig/src/server/answer.rs
+++ b/crates/rig/src/server/answer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_types::prelude::*;
 use http_body_util::BodyExt;
@@ -35,6 +36,8 @@
     from: Site,
     req: Request<Incoming>,
 ) -> Result<Response<Body>, io::Error> {
+    let start = Instant::now();
+    let attempt = text(req.headers(), "x-attempt");
     server.net.carry(from, server.spec.site).await;
     let resp = match (req.method(), req.uri().path()) {
         (&Method::POST, "/search") => search(&server, req).await,
@@ -43,6 +46,9 @@
         _ => reply::empty(404, &[]),
     };
     server.net.carry(server.spec.site, from).await;
+    if let (true, Some(attempt)) = (resp.status().is_success(), attempt) {
+        server.common.counts.replied(&attempt, start.elapsed());
+    }
     Ok(resp)
 }
 
--- a/crates/rig/src/server/counts.rs
+++ b/crates/rig/src/server/counts.rs
@@ -55,7 +55,15 @@
     servers: BTreeMap<ServerName, ServerCounts>,
     keys: HashMap<String, u32>,
     attempts: HashMap<u64, u8>,
-    lookups: HashMap<u64, u32>,
+    lookups: HashMap<u64, LookupCounts>,
+}
+
+/// What the servers saw of one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct LookupCounts {
+    runs: u32,
+    /// The longest that a server took from a request to its reply, delays included.
+    slowest: Duration,
 }
 
 /// What every server saw.
@@ -75,7 +83,14 @@
     #[must_use]
     pub fn runs_of_request(&self, id: &str) -> u32 {
         let at = Fingerprint::of(&[&lookup_of_request(id)]).0;
-        self.lock().lookups.get(&at).copied().unwrap_or(0)
+        self.lock().lookups.get(&at).map_or(0, |l| l.runs)
+    }
+
+    /// The longest that a part of this request took, delays between data centres included.
+    #[must_use]
+    pub fn slowest_part(&self, id: &str) -> Option<Duration> {
+        let at = Fingerprint::of(&[&lookup_of_request(id)]).0;
+        self.lock().lookups.get(&at).map(|l| l.slowest)
     }
 
     /// What one server saw.
@@ -123,12 +138,19 @@
             .or_default();
         *n = n.saturating_add(1);
         let lookup = Fingerprint::of(&[lookup_of_attempt(attempt)]).0;
-        *inner.lookups.entry(lookup).or_default() += 1;
+        inner.lookups.entry(lookup).or_default().runs += 1;
         if let Some(key) = key {
             *inner.keys.entry(key.to_owned()).or_default() += 1;
         }
     }
 
+    pub(super) fn replied(&self, attempt: &str, took: Duration) {
+        let lookup = Fingerprint::of(&[lookup_of_attempt(attempt)]).0;
+        if let Some(l) = self.lock().lookups.get_mut(&lookup) {
+            l.slowest = l.slowest.max(took);
+        }
+    }
+
     pub(super) fn offer(&self, server: &ServerName, draining_for: Option<Duration>) {
         if draining_for.is_some_and(|d| d > DRAIN_BOUND) {
             self.change(server, |c| c.late_offers += 1);
