--- a/crates/node/src/dumps.rs
+++ b/crates/node/src/dumps.rs
@@ -69,7 +69,7 @@
             "config": config.map(|c| c.version),
             "in_force": lock(&self.book).fleet(now),
             "engine": lock(&self.engine).dump(now),
-            "members": lock(&self.member).dump(now),
+            "members": self.members(),
             "claims": lock(&self.once).counts(),
             "pool": self.pool.state(),
             "callers": { "open": self.callers.open(), "accepted": self.callers.accepted() },
@@ -78,6 +78,11 @@
         })
     }
 
+    fn members(&self) -> Value {
+        let member = lock(&self.member);
+        json!({ "view": member.view(), "seats": member.table(), "claimed": member.claimed() })
+    }
+
     /// The state as text, for another VM.
     pub(crate) fn own_text(&self) -> String {
         self.own().to_string()
--- a/crates/node/src/engine_shell.rs
+++ b/crates/node/src/engine_shell.rs
@@ -17,6 +17,7 @@
 use crate::board::Board;
 use crate::desk::Pending;
 use crate::feeds::Feeds;
+use crate::recording::Recording;
 use crate::spread::Spread;
 
 impl Machine for Engine {
@@ -48,14 +49,12 @@
     pub(crate) board: Arc<Board>,
     pub(crate) feeds: Feeds,
     pub(crate) spread: Spread,
-    pub(crate) trace: Option<gs_trace::Recorder>,
+    pub(crate) recording: Arc<Recording>,
 }
 
 impl Shell<Engine> for EngineShell {
     fn before(&mut self, now: Instant, ev: &Event) {
-        if let Some(trace) = &mut self.trace {
-            trace.record(now, ev);
-        }
+        self.recording.event(now, ev);
     }
 
     fn perform(&mut self, action: Action, _: &Feed<Event>) -> Option<Duration> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod once_shell;
 mod operators;
 mod poll;
+mod recording;
 mod serve;
 mod shutdown;
 mod spread;
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -75,7 +75,7 @@
     }
 
     fn settled(&self) -> Vec<Settled> {
-        lock(&self.book).settled()
+        lock(&self.book).settled().to_vec()
     }
 
     async fn history(&self) -> Result<Vec<HistoryEntry>> {
--- /dev/null
+++ b/crates/node/src/recording.rs
@@ -0,0 +1,56 @@
+//! Records the engine's events if the settings ask for it.
+
+use std::fs::File;
+use std::path::Path;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use gs_query::Event;
+use gs_trace::Header;
+use gs_trace::Recorder;
+use gs_types::prelude::*;
+
+use crate::board::lock;
+
+/// A recording under way, or none.
+#[derive(Default)]
+pub(crate) struct Recording(Mutex<Option<Recorder>>);
+
+impl Recording {
+    /// Starts to record into `file`; `now` is the trace's time zero.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if the file cannot be written.
+    pub(crate) fn start(file: &Path, header: &Header, now: Instant) -> Result<Self> {
+        let out = File::create(file).map_err(|e| {
+            Error::new(ErrorKind::Io, format!("{}: {e}", file.display()))
+                .at("start recording")
+                .with_hint("check `record.file`")
+        })?;
+        Ok(Self(Mutex::new(Some(Recorder::start(out, header, now)?))))
+    }
+
+    /// Records one event just before the engine takes it.
+    pub(crate) fn event(&self, now: Instant, ev: &Event) {
+        if let Some(recorder) = lock(&self.0).as_mut() {
+            recorder.record(now, ev);
+        }
+    }
+
+    /// Ends the recording and waits until all is written.
+    pub(crate) fn finish(&self) {
+        let Some(recorder) = lock(&self.0).take() else {
+            return;
+        };
+        match recorder.finish() {
+            Ok(r) => log::info!(
+                "event=recorded events={} lost={} size={}",
+                r.events,
+                r.lost,
+                r.size
+            ),
+            Err(e) => log::error!("event=recording-failed error=\"{e}\""),
+        }
+    }
+}
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -29,6 +29,7 @@
 use gs_store::HttpPlatform;
 use gs_store::HttpPlatformOptions;
 use gs_store::Platform;
+use gs_trace::Header;
 use gs_types::prelude::*;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -54,6 +55,7 @@
 use crate::once_shell::OnceShell;
 use crate::operators::Operators;
 use crate::poll;
+use crate::recording::Recording;
 use crate::shutdown;
 use crate::shutdown::Leaver;
 use crate::spread::Spread;
@@ -107,6 +109,7 @@
     ))?);
     let once = shared(Once::new(once_settings(&settings, incarnation))?);
 
+    let recording = Arc::new(recording(&settings, incarnation, seed, clock.as_ref())?);
     engine_slot.start(
         Arc::clone(&engine),
         EngineShell {
@@ -115,7 +118,7 @@
             board: Arc::clone(&board),
             feeds: feeds.clone(),
             spread: spread.clone(),
-            trace: None,
+            recording: Arc::clone(&recording),
         },
         Arc::clone(&clock),
     );
@@ -159,13 +162,14 @@
         board: Arc::clone(&board),
         spread: spread.clone(),
         seed,
+        wait: settings.platform.watch_wait,
     };
     let metrics = Arc::new(Metrics::new(&Vm {
         name: &settings.vm.name,
         data_centre: &settings.vm.data_centre,
     })?);
     let desk = NodeDesk {
-        vm,
+        vm: vm.clone(),
         incarnation,
         next: AtomicU64::new(1),
         pending,
@@ -230,6 +234,8 @@
         serving,
     };
     leaver.leave().await;
+    recording.finish();
+    log::info!("event=exit vm={vm} incarnation={incarnation}");
     Ok(())
 }
 
@@ -280,24 +286,46 @@
     Ok((Arc::new(mesh), rx))
 }
 
-fn engine(s: &Settings, incarnation: Incarnation, seed: u64) -> Result<Engine> {
-    let options = EngineOptions {
+fn engine_options(s: &Settings) -> EngineOptions {
+    EngineOptions {
         policy: match s.tuning.policy {
             Policy::Chosen => PolicyName::Chosen,
             Policy::Baseline => PolicyName::Baseline,
         },
         lookups_max: s.callers.in_flight,
         ..EngineOptions::default()
-    };
+    }
+}
+
+fn engine(s: &Settings, incarnation: Incarnation, seed: u64) -> Result<Engine> {
     Engine::builder()
         .vm(s.vm.name.clone())
         .incarnation(incarnation)
         .data_centre(s.vm.data_centre.clone())
         .seed(seed)
-        .options(options)
+        .options(engine_options(s))
         .build()
 }
 
+fn recording(
+    s: &Settings,
+    incarnation: Incarnation,
+    seed: u64,
+    clock: &dyn Clock,
+) -> Result<Recording> {
+    let Some(file) = &s.record.file else {
+        return Ok(Recording::default());
+    };
+    let header = Header::builder()
+        .vm(s.vm.name.clone())
+        .incarnation(incarnation)
+        .data_centre(s.vm.data_centre.clone())
+        .seed(seed)
+        .options(engine_options(s))
+        .build();
+    Recording::start(file, &header, clock.now())
+}
+
 fn book(s: &Settings, incarnation: Incarnation, seed: u64) -> Book {
     let options = BookOptions::builder()
         .vm(s.vm.name.clone())
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -9,6 +9,7 @@
 use gs_store::Object;
 use gs_store::Platform;
 use gs_store::Update;
+use gs_store::WatchOptions;
 use gs_store::Watcher;
 use gs_types::prelude::*;
 
@@ -35,6 +36,8 @@
     pub(crate) board: Arc<Board>,
     pub(crate) spread: Spread,
     pub(crate) seed: u64,
+    /// How long a watch waits for a change.
+    pub(crate) wait: Duration,
 }
 
 impl Follower {
@@ -54,8 +57,13 @@
 
     fn watch(&self, prefix: &'static str, on: impl Fn(&Self, Update) + Send + 'static) {
         let this = self.clone();
+        let options = WatchOptions::builder()
+            .prefix(prefix)
+            .seed(self.seed)
+            .wait(self.wait)
+            .build();
         tokio::spawn(async move {
-            let (_watcher, mut rx) = Watcher::start(Arc::clone(&this.platform), prefix, this.seed);
+            let (_watcher, mut rx) = Watcher::start(Arc::clone(&this.platform), options);
             while let Some(u) = rx.recv().await {
                 on(&this, u);
             }
@@ -83,7 +91,8 @@
         let groups = self.board.groups();
         let names = groups.iter().map(|g| g.group.clone()).collect();
         self.feeds.book.push(gs_conf::Event::Groups(names));
-        let limits = self.board.servers().iter().map(|s| gs_member::ServerLimit {
+        let servers = self.board.servers();
+        let limits = servers.iter().map(|s| gs_member::ServerLimit {
             server: s.name.clone(),
             data_centre: s.data_centre.clone(),
             connections: s.connections,
