feat(member): views, duties and connection shares by a seat table

Shares are agreed by one platform object, the seat table, changed by conditional write only; why the sum over all processes that exist stays within a server's limit stands at SeatTable. Ruled out: dividing by the live view (a paused VM's connections go uncounted), and consent by gossip alone (a newcomer would get nothing while any VM is cut off).

Found by the tests on the way: a newcomer that took a seat added during a cut held nothing even after a removed VM's seat fell free; it now moves to a seat that can be used at once.

--- a/crates/member/src/seats.rs
+++ b/crates/member/src/seats.rs
@@ -6,6 +6,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smallvec::SmallVec;
+use smallvec::smallvec;
+
+/// The form of the object's content; the first byte.
+const FORMAT: u8 = 1;
+
+/// Most seats of a table, so that its object stays far below a megabyte.
+const SEATS_MAX: usize = 4096;
+
+/// Most lists of seats that may be in force at the same time.
+pub(crate) const SHAPES_MAX: usize = 4;
+
+/// One seat is kept for a newcomer, and one more for each so many VMs.
+const VMS_PER_SPARE: usize = 16;
 
 /// The number of a seat table; each write adds one.
 #[derive(
@@ -14,6 +27,14 @@
 #[serde(transparent)]
 pub struct Epoch(pub u64);
 
+impl Epoch {
+    /// The epoch after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0.saturating_add(1))
+    }
+}
+
 impl fmt::Display for Epoch {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
@@ -32,23 +53,253 @@
 pub struct Seat {
     /// Its number.
     pub id: SeatId,
-    /// The data centre whose servers it is given more of; `None` for a seat kept for a newcomer.
+    /// The data centre whose servers it is given more of; `None` for a spare seat, which stands for
+    /// half as much as another and is kept for a newcomer.
     pub data_centre: Option<DataCentre>,
 }
 
-/// Who may hold connections: a list of seats, some of them vacant and kept for newcomers.
+/// A list of seats and the first epoch in which it was in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shape {
+    /// The first epoch in which it was in force.
+    pub since: Epoch,
+    /// The seats, vacant ones too.
+    pub seats: Vec<Seat>,
+}
+
+/// A seat and its holder.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The seat.
+    pub seat: SeatId,
+    /// The VM that holds it.
+    pub vm: VmId,
+    /// The run of its process that registered. A new run registers again before it uses the seat,
+    /// so that a write of the run before, still under way, fails on the object's version.
+    pub incarnation: Incarnation,
+    /// The epoch in which that run registered; it has never been at an older one.
+    pub since: Epoch,
+}
+
+/// Who may hold connections: a list of seats, some of them vacant.
+///
+/// Every VM computes from the table alone how many connections each seat stands for
+/// ([`crate::seat_share`]); for one list of seats these add up to the server's limit. The sum that
+/// *existing* processes hold stays within the limit because:
+///
+/// 1. A seat has one holder. It is vacated by its holder once that holds no connection, or when the
+///    platform has removed the holder; so two processes that exist never hold the same seat.
+/// 2. A process has *lowered* to an epoch once its open connections are within that table. What it
+///    holds is within the smallest of its seat's shares over every epoch from `lo` to the one
+///    lowered to, where `lo` is the oldest epoch that any holder may still be at, as far as it
+///    knows. What it knows is never newer than what is, as epochs only grow.
+/// 3. Let E be the oldest epoch that any process that holds a seat is lowered to. E lies within
+///    every process's span, so each holds at most its seat's share in E, and these add up to the
+///    limit.
+///
+/// A paused or cut-off VM keeps E, and so everyone's span, at its epoch: nobody takes over what it
+/// may hold. A spare seat has had its share in every epoch of the span, with nobody in it, and so a
+/// newcomer may use it at once even then.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SeatTable {
     /// The number of this table.
     pub epoch: Epoch,
-    /// The lists of seats that some VM may still hold to, oldest first, each with the first epoch
-    /// it was in force; the last is the one in force now.
-    pub shapes: SmallVec<[(Epoch, Vec<Seat>); 1]>,
-    /// The occupied seats.
-    pub held: Vec<(SeatId, VmId)>,
+    /// The lists of seats that some VM may still hold to, oldest first; the last is in force now.
+    pub shapes: SmallVec<[Shape; 1]>,
+    /// The seats that are held.
+    pub held: Vec<Held>,
 }
 
 impl SeatTable {
     /// The platform object that holds it.
     pub const PATH: &'static str = "members/seats";
+
+    /// Makes the first table, with a seat for each of these VMs and spare ones.
+    #[must_use]
+    pub fn first<'a>(data_centres: impl Iterator<Item = &'a DataCentre>) -> Self {
+        let mut table = Self {
+            epoch: Epoch(0),
+            shapes: smallvec![Shape {
+                since: Epoch(0),
+                seats: Vec::new(),
+            }],
+            held: Vec::new(),
+        };
+        for dc in data_centres {
+            table.add_seat(Some(dc.clone()));
+        }
+        table.add_spares();
+        table
+    }
+
+    /// Reads a table from its object's content.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Version`] for another form; [`ErrorKind::BadInput`] if it does not decode or
+    /// breaks a rule, such as a seat held twice.
+    pub fn decode(content: &[u8]) -> Result<Self> {
+        let (format, rest) = content
+            .split_first()
+            .ok_or_else(|| bad("the seat table is empty"))?;
+        if *format != FORMAT {
+            return Err(Error::new(
+                ErrorKind::Version,
+                format!("the seat table has form {format}, not {FORMAT}"),
+            )
+            .at("read seat table"));
+        }
+        let table: Self = postcard::from_bytes(rest).map_err(|e| bad(&e.to_string()))?;
+        table.check()?;
+        Ok(table)
+    }
+
+    /// Writes the object's content.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] if it does not encode.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        postcard::to_extend(self, vec![FORMAT]).map_err(|e| bad(&e.to_string()))
+    }
+
+    /// The seats in force now.
+    #[must_use]
+    pub fn seats(&self) -> &[Seat] {
+        self.shapes.last().map_or(&[], |s| &s.seats)
+    }
+
+    /// The seat that a VM holds.
+    #[must_use]
+    pub fn seat_of(&self, vm: &VmId) -> Option<&Held> {
+        self.held.iter().find(|h| h.vm == *vm)
+    }
+
+    /// The seats that nobody holds.
+    pub fn vacant(&self) -> impl Iterator<Item = &Seat> {
+        let taken = |id| self.held.iter().any(|h| h.seat == id);
+        self.seats().iter().filter(move |s| !taken(s.id))
+    }
+
+    /// Seats a VM, or its new run: its own seat, else a vacant one that can be used at once, of its
+    /// own data centre if possible, else a new one.
+    pub(crate) fn take(&mut self, vm: &VmId, incarnation: Incarnation, dc: &DataCentre) {
+        if let Some(h) = self.held.iter_mut().find(|h| h.vm == *vm) {
+            h.incarnation = incarnation;
+            h.since = Epoch::default();
+            return;
+        }
+        let rank = |s: &Seat| match &s.data_centre {
+            Some(d) if d == dc => 0,
+            Some(_) => 1,
+            None => 2,
+        };
+        let order = |s: &&Seat| (!self.is_settled(s.id), rank(s), s.id);
+        let seat = match self.vacant().min_by_key(order) {
+            Some(s) => s.id,
+            None => self.add_seat(Some(dc.clone())),
+        };
+        self.held.push(Held {
+            seat,
+            vm: vm.clone(),
+            incarnation,
+            since: Epoch::default(),
+        });
+    }
+
+    /// Whether a vacant seat is in every list of seats, so that a newcomer may use it at once.
+    pub(crate) fn has_settled_vacancy(&self) -> bool {
+        self.vacant().any(|s| self.is_settled(s.id))
+    }
+
+    fn is_settled(&self, seat: SeatId) -> bool {
+        let has = |shape: &Shape| shape.seats.iter().any(|s| s.id == seat);
+        self.shapes.iter().all(has)
+    }
+
+    /// Vacates a VM's seat.
+    pub(crate) fn vacate(&mut self, vm: &VmId) {
+        self.held.retain(|h| h.vm != *vm);
+    }
+
+    /// Takes a vacant seat out of the list.
+    pub(crate) fn remove_seat(&mut self, seat: SeatId) {
+        if let Some(s) = self.shapes.last_mut() {
+            s.seats.retain(|s| s.id != seat);
+        }
+    }
+
+    /// Gives a seat to a data centre, which makes a spare seat a full one.
+    pub(crate) fn move_seat(&mut self, seat: SeatId, dc: &DataCentre) {
+        let seats = self.shapes.last_mut().map(|s| &mut s.seats);
+        let seat = seats.and_then(|s| s.iter_mut().find(|s| s.id == seat));
+        if let Some(s) = seat {
+            s.data_centre = Some(dc.clone());
+        }
+    }
+
+    /// Adds vacant seats until a newcomer finds one.
+    pub(crate) fn add_spares(&mut self) {
+        let want = 1 + self.seats().len() / VMS_PER_SPARE;
+        while self.vacant().count() < want && self.seats().len() < SEATS_MAX {
+            self.add_seat(None);
+        }
+    }
+
+    /// Forgets lists of seats that no VM can hold to any more; `lo` is the oldest epoch in use.
+    pub(crate) fn prune(&mut self, lo: Epoch) {
+        while self.shapes.get(1).is_some_and(|s| s.since <= lo) {
+            self.shapes.remove(0);
+        }
+    }
+
+    /// Numbers a changed table: the next epoch, and the list of seats kept apart from `before`'s if
+    /// it differs.
+    pub(crate) fn succeed(mut self, before: &Self) -> Self {
+        self.epoch = before.epoch.next();
+        let epoch = self.epoch;
+        for h in self.held.iter_mut().filter(|h| !before.held.contains(h)) {
+            h.since = epoch;
+        }
+        let changed = self.seats() != before.seats();
+        if let (true, Some(last), Some(old)) =
+            (changed, self.shapes.last_mut(), before.shapes.last())
+        {
+            let new = std::mem::replace(last, old.clone());
+            self.shapes.push(Shape {
+                since: epoch,
+                seats: new.seats,
+            });
+        }
+        self
+    }
+
+    fn add_seat(&mut self, data_centre: Option<DataCentre>) -> SeatId {
+        let all = self.shapes.iter().flat_map(|s| &s.seats);
+        let id = SeatId(all.map(|s| s.id.0 + 1).max().unwrap_or(0));
+        if let Some(s) = self.shapes.last_mut() {
+            s.seats.push(Seat { id, data_centre });
+        }
+        id
+    }
+
+    fn check(&self) -> Result<()> {
+        let mut seats: Vec<_> = self.held.iter().map(|h| h.seat).collect();
+        seats.sort_unstable();
+        seats.dedup();
+        if seats.len() != self.held.len() {
+            return Err(bad("the seat table has a seat held twice"));
+        }
+        if self.shapes.is_empty() || self.shapes.len() > SHAPES_MAX {
+            return Err(bad("the seat table has no list of seats or too many"));
+        }
+        if self.shapes.iter().any(|s| s.seats.len() > SEATS_MAX) {
+            return Err(bad("the seat table has too many seats"));
+        }
+        Ok(())
+    }
+}
+
+fn bad(text: &str) -> Error {
+    Error::new(ErrorKind::BadInput, text).at("read seat table")
 }
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -21,6 +21,9 @@
     /// The most VMs asked for an answer in each period.
     #[builder(default = 4)]
     pub fan_out: usize,
+    /// The most VMs that this one holds connections to and asks.
+    #[builder(default = 64)]
+    pub neighbours: usize,
     /// A VM that has not answered for this long is suspected.
     #[builder(default = Duration::from_millis(1500))]
     pub suspect_after: Duration,
@@ -34,6 +37,12 @@
     /// The most rumours in one heartbeat.
     #[builder(default = 16)]
     pub rumours: usize,
+    /// Time between two looks at the seat table by the VM whose duty it is.
+    #[builder(default = Duration::from_secs(2))]
+    pub table_every: Duration,
+    /// How long to wait, give or take half, before the platform is asked again after a failure.
+    #[builder(default = Duration::from_millis(500))]
+    pub retry_after: Duration,
     /// Time that vacant seats are kept before the table shrinks, so that a replaced VM finds one.
     #[builder(default = Duration::from_secs(120))]
     pub shrink_after: Duration,
--- a/crates/member/src/share.rs
+++ b/crates/member/src/share.rs
@@ -3,6 +3,7 @@
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::seats::Seat;
 use crate::seats::SeatId;
@@ -19,8 +20,42 @@
 }
 
 /// The connections to a server that a seat stands for; over all seats they add up to its limit.
+///
+/// They are dealt out one by one in rounds: in each round one to every full seat, those of the
+/// server's data centre first, and in every second round one to every spare seat as well. The order
+/// within a data centre is by rendezvous hash with the server, so that the remainder falls on other
+/// VMs for other servers. A larger limit never gives a seat less, so VMs that know different
+/// limits stay within the larger.
 #[must_use]
 pub fn seat_share(limit: &ServerLimit, seats: &[Seat], seat: SeatId) -> Connections {
-    let _ = (limit, seats, seat);
-    Connections(0)
+    let Some(me) = seats.iter().find(|s| s.id == seat) else {
+        return Connections(0);
+    };
+    let mine = rank(limit, me);
+    let before = seats.iter().filter(|s| rank(limit, s) < mine).count();
+    let full = seats.iter().filter(|s| s.data_centre.is_some()).count();
+    let all = seats.len();
+    let dealt = limit.connections.0 as usize;
+    let cycle = all + full;
+    let (whole, rest) = (dealt / cycle, dealt % cycle);
+    let first = usize::from(rest > before);
+    let second = usize::from(rest > all + before);
+    let n = match me.data_centre {
+        Some(_) => 2 * whole + first + second,
+        None => whole + first,
+    };
+    Connections(u32::try_from(n).unwrap_or(u32::MAX))
+}
+
+/// Orders seats for a server: its own data centre's first, spare ones last.
+fn rank(limit: &ServerLimit, s: &Seat) -> (u8, u64, SeatId) {
+    let group = match &s.data_centre {
+        Some(dc) if *dc == limit.data_centre => 0,
+        Some(_) => 1,
+        None => 2,
+    };
+    let mut h = Xxh3::new();
+    h.update(limit.server.as_str().as_bytes());
+    h.update(&s.id.0.to_le_bytes());
+    (group, h.digest(), s.id)
 }
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -61,7 +61,7 @@
 }
 
 /// The rendezvous hash of a duty and a VM; the name breaks ties.
-fn rank<'a>(duty: &str, vm: &'a VmId) -> (u64, &'a str) {
+pub(crate) fn rank<'a>(duty: &str, vm: &'a VmId) -> (u64, &'a str) {
     let mut h = Xxh3::new();
     h.update(duty.as_bytes());
     h.update(&[0]);
--- /dev/null
+++ b/crates/member/tests/member/chart.rs
@@ -0,0 +1,26 @@
+//! The chart of a VM's states.
+
+use gs_chart::Chart;
+use gs_member::VmEvent;
+use gs_member::VmState;
+use rstest::rstest;
+
+fn chart() -> Chart<VmState, VmEvent> {
+    Chart::parse(include_str!("../../../../charts/vm.toml")).expect("a sound chart")
+}
+
+#[rstest]
+#[case(VmState::Alive, VmEvent::Silent, Some(VmState::Suspect))]
+#[case(VmState::Suspect, VmEvent::Heard, Some(VmState::Alive))]
+#[case(VmState::Suspect, VmEvent::Lapsed, Some(VmState::Unreachable))]
+#[case(VmState::Unreachable, VmEvent::Heard, Some(VmState::Alive))]
+#[case(VmState::Leaving, VmEvent::Heard, None)]
+#[case(VmState::Leaving, VmEvent::Restarted, Some(VmState::Alive))]
+#[case(VmState::Unreachable, VmEvent::Unlisted, Some(VmState::Gone))]
+fn a_state_answers_an_event(
+    #[case] from: VmState,
+    #[case] event: VmEvent,
+    #[case] to: Option<VmState>,
+) {
+    assert_eq!(chart().next(from, event), to);
+}
--- /dev/null
+++ b/crates/member/tests/member/gossip.rs
@@ -0,0 +1,84 @@
+//! What VMs think of each other.
+
+use std::time::Duration;
+
+use gs_member::VmState;
+
+use crate::world::World;
+use crate::world::vm;
+
+fn fleet(n: u8) -> World {
+    let mut w = World::new(&[25]);
+    (0..n).for_each(|i| w.start(i));
+    w.run(Duration::from_secs(5));
+    w
+}
+
+fn state(w: &World, of: u8, by: u8) -> Option<VmState> {
+    let view = w.processes[&by].m.view();
+    let found = view.vms.iter().find(|v| v.entry.vm == vm(of));
+    found.map(|v| v.state)
+}
+
+#[test]
+fn all_see_all_alive() {
+    let w = fleet(9);
+    for by in 0..9 {
+        assert_eq!(w.processes[&by].m.view().live().count(), 9);
+    }
+}
+
+/// A VM stops answering. Lookups sent there would wait in vain, so the others set it aside within
+/// seconds, and take it back as soon as it answers again.
+#[test]
+fn a_paused_vm_becomes_unreachable_and_comes_back() {
+    let mut w = fleet(9);
+    w.processes.get_mut(&4).expect("running").paused = true;
+    w.run(Duration::from_secs(7));
+    assert_eq!(state(&w, 4, 0), Some(VmState::Unreachable));
+    w.processes.get_mut(&4).expect("running").paused = false;
+    w.run(Duration::from_secs(7));
+    assert_eq!(state(&w, 4, 0), Some(VmState::Alive));
+}
+
+#[test]
+fn a_leaving_vm_holds_no_duty_within_two_seconds() {
+    let mut w = fleet(9);
+    let holder = w.processes[&0].m.view().holder("claims/3").cloned();
+    let i = (0..9).find(|i| Some(vm(*i)) == holder).expect("a holder");
+    w.leave(i);
+    w.run(Duration::from_secs(2));
+    for by in (0..9).filter(|by| *by != i) {
+        assert_eq!(state(&w, i, by), Some(VmState::Leaving));
+        assert_ne!(
+            w.processes[&by].m.view().holder("claims/3").cloned(),
+            holder
+        );
+    }
+}
+
+#[test]
+fn all_agree_on_who_holds_a_duty() {
+    let w = fleet(9);
+    let holder = |by: u8| w.processes[&by].m.view().holder("relay").cloned();
+    assert!((1..9).all(|by| holder(by) == holder(0)));
+}
+
+/// The platform's list is late to show a new VM. It speaks to the others itself, and they answer.
+#[test]
+fn a_vm_is_alive_to_others_before_the_list_shows_it() {
+    let mut w = fleet(3);
+    w.freeze_list();
+    w.start(3);
+    w.run(Duration::from_millis(3500));
+    assert_eq!(state(&w, 3, 0), Some(VmState::Alive));
+}
+
+#[test]
+fn a_removed_vm_is_gone_from_every_view() {
+    let mut w = fleet(4);
+    w.kill(3);
+    w.remove(3);
+    w.run(Duration::from_secs(15));
+    assert!((0..3).all(|by| state(&w, 3, by).is_none()));
+}
--- /dev/null
+++ b/crates/member/tests/member/shares.rs
@@ -0,0 +1,161 @@
+//! How connections are divided and handed over.
+
+use std::time::Duration;
+
+use crate::world::Mood;
+use crate::world::World;
+use crate::world::server;
+use gs_member::Seat;
+use gs_member::SeatId;
+use gs_member::seat_share;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+fn seats(full: u32, spare: u32) -> Vec<Seat> {
+    let seat = |i: u32| Seat {
+        id: SeatId(i),
+        data_centre: (i < full).then(|| format!("dc-{}", i % 3).parse().expect("a name")),
+    };
+    (0..full + spare).map(seat).collect()
+}
+
+#[rstest]
+#[case(25, vec![2, 2, 2, 3, 3, 3, 3, 3, 3, 1])]
+#[case(40, vec![4, 4, 4, 4, 4, 4, 4, 5, 5, 2])]
+#[case(100, vec![10, 10, 10, 10, 11, 11, 11, 11, 11, 5])]
+#[case(3, vec![0, 0, 0, 0, 0, 0, 1, 1, 1, 0])]
+fn a_limit_is_dealt_out_whole(#[case] limit: u32, #[case] expected: Vec<u32>) {
+    let seats = seats(9, 1);
+    let s = server("s", limit);
+    let share = |seat: &Seat| seat_share(&s, &seats, seat.id).0;
+    let mut got: Vec<u32> = seats[..9].iter().map(share).collect();
+    got.sort_unstable();
+    got.push(share(&seats[9]));
+    assert_eq!(got, expected);
+    assert_eq!(got.iter().sum::<u32>(), limit);
+}
+
+#[test]
+fn a_remainder_goes_to_the_servers_own_data_centre() {
+    let seats = seats(9, 1);
+    let s = server("s", 13);
+    let two: Vec<_> = seats
+        .iter()
+        .filter(|x| seat_share(&s, &seats, x.id) == Connections(2))
+        .filter_map(|x| x.data_centre.as_ref().map(|d| d.to_string()))
+        .collect();
+    assert_eq!(two, ["dc-1", "dc-1", "dc-1"]);
+}
+
+#[test]
+fn a_larger_limit_gives_no_seat_less() {
+    let seats = seats(9, 2);
+    for limit in 0..200 {
+        for x in &seats {
+            let less = seat_share(&server("s", limit), &seats, x.id);
+            let more = seat_share(&server("s", limit + 1), &seats, x.id);
+            assert!(less <= more, "seat {:?} at limit {limit}", x.id);
+        }
+    }
+}
+
+fn nine() -> World {
+    let mut w = World::new(&[25, 40, 100]);
+    (0..9).for_each(|i| w.start(i));
+    w.run(Duration::from_secs(10));
+    w
+}
+
+fn sums(w: &World) -> Vec<u32> {
+    w.servers.iter().map(|s| w.sum(s)).collect()
+}
+
+#[test]
+fn nine_starting_together_soon_hold_nearly_all() {
+    assert_eq!(sums(&nine()), [24, 38, 95]);
+}
+
+/// A VM is stopped under load. Its connections stay open at the servers, and as nobody can tell a
+/// stopped VM from a dead one, giving its share away would pass the servers' limits.
+#[test]
+fn a_paused_vm_keeps_its_share() {
+    let mut w = nine();
+    let before = w.processes[&4].held.clone();
+    w.processes.get_mut(&4).expect("running").paused = true;
+    w.run(Duration::from_secs(60));
+    assert_eq!(w.processes[&4].held, before);
+    assert_eq!(sums(&w), [24, 38, 95]);
+}
+
+/// A tenth VM joins while another is cut off from everybody, and so cannot agree to hold less.
+/// Without a spare seat the newcomer would hold no connection until the cut heals.
+#[test]
+fn a_newcomer_gets_connections_while_another_vm_is_cut_off() {
+    let mut w = nine();
+    w.processes.get_mut(&4).expect("running").cut = true;
+    w.start(9);
+    w.run(Duration::from_secs(5));
+    let held: Vec<_> = w.processes[&9].held.values().copied().collect();
+    assert_eq!(held, [5, 1, 2]);
+}
+
+/// Two VMs are replaced while a third is cut off. The platform removes the old ones, so that their
+/// seats are free for the new ones at once, whatever the cut-off one knows.
+#[test]
+fn replacements_take_the_seats_of_removed_vms_during_a_cut() {
+    let mut w = nine();
+    w.processes.get_mut(&4).expect("running").cut = true;
+    for i in [1, 2] {
+        w.kill(i);
+        w.remove(i);
+    }
+    w.run(Duration::from_secs(14));
+    w.start(10);
+    w.start(11);
+    w.run(Duration::from_secs(5));
+    let of_25 = |i: u8| w.processes[&i].held[&w.servers[0].server];
+    assert_eq!((of_25(10), of_25(11)), (3, 3));
+}
+
+/// A process is killed and started again on its VM at once. Its seat is its own still, so it holds
+/// its share again after one write, without anybody's consent.
+#[test]
+fn a_restarted_process_has_its_share_back() {
+    let mut w = nine();
+    let before = w.processes[&3].held.clone();
+    w.kill(3);
+    w.start(3);
+    w.run(Duration::from_secs(2));
+    assert_eq!(w.processes[&3].held, before);
+}
+
+/// A leaving process gives up its seat by a write whose answer is lost and which is still under way
+/// when its next run starts. If it took effect then, a newcomer would be given a seat in use.
+#[test]
+fn a_late_write_of_an_earlier_run_cannot_vacate_the_seat() {
+    let mut w = nine();
+    w.mood = Mood::Late;
+    w.leave(3);
+    w.run(Duration::from_millis(300));
+    w.kill(3);
+    w.mood = Mood::Well;
+    w.start(3);
+    w.run(Duration::from_secs(2));
+    w.land_late();
+    w.start(9);
+    w.start(10);
+    w.run(Duration::from_secs(30));
+    assert_eq!(sums(&w), [24, 38, 96]);
+}
+
+/// After a VM is removed for good, the rest share its connections, once everyone has lowered to
+/// the table without its seat.
+#[test]
+fn the_rest_share_what_a_removed_vm_held() {
+    let mut w = nine();
+    w.kill(8);
+    w.remove(8);
+    w.run(Duration::from_secs(40));
+    assert_eq!(sums(&w), [24, 38, 94]);
+    assert_eq!(w.processes.len(), 8);
+}
--- /dev/null
+++ b/crates/member/tests/member/table.rs
@@ -0,0 +1,41 @@
+//! The seat table's object.
+
+use gs_member::SeatTable;
+use gs_types::prelude::*;
+use proptest::prelude::*;
+
+fn dcs() -> Vec<DataCentre> {
+    ["a", "b"].map(|d| d.parse().expect("a name")).to_vec()
+}
+
+#[test]
+fn a_table_survives_its_object() {
+    let table = SeatTable::first(dcs().iter());
+    let content = table.encode().expect("encodes");
+    assert_eq!(SeatTable::decode(&content), Ok(table));
+}
+
+#[test]
+fn another_form_is_refused() {
+    let mut content = SeatTable::first(dcs().iter()).encode().expect("encodes");
+    content[0] = 9;
+    let e = SeatTable::decode(&content).expect_err("refused");
+    assert_eq!(e.kind(), ErrorKind::Version);
+    assert_eq!(
+        e.to_string(),
+        "the seat table has form 9, not 1 (step: read seat table)"
+    );
+}
+
+proptest! {
+    #![proptest_config(crate::fuzz::config(256))]
+
+    #[test]
+    fn any_bytes_are_a_table_or_an_error(mut bytes: Vec<u8>) {
+        let _ = SeatTable::decode(&bytes);
+        bytes.insert(0, 1);
+        if let Ok(table) = SeatTable::decode(&bytes) {
+            prop_assert!(table.encode().is_ok());
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/tests/member/world.rs
@@ -0,0 +1,350 @@
+//! A fleet of decision machines, a fake platform and a fake network, all in one thread.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_member::Action;
+use gs_member::Beat;
+use gs_member::Epoch;
+use gs_member::Event;
+use gs_member::MemberSettings;
+use gs_member::Membership;
+use gs_member::ServerLimit;
+use gs_member::StoreError;
+use gs_member::Stored;
+use gs_member::VmEntry;
+use gs_types::prelude::*;
+
+const STEP: Duration = Duration::from_millis(50);
+const LIST_EVERY: Duration = Duration::from_secs(1);
+/// The list never lags longer than this, well under `gone_after`.
+const LAG_MAX: Duration = Duration::from_secs(4);
+const QUEUE_MAX: usize = 64;
+
+/// What the fake platform does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    Well,
+    Away,
+    /// Writes take effect and their answers are lost.
+    LosesAnswers,
+    /// Writes take effect only when [`World::land_late`] is called; their answers are lost.
+    Late,
+}
+
+/// One process, dead ones left out.
+pub struct Process {
+    pub m: Membership,
+    entry: VmEntry,
+    incarnation: Incarnation,
+    pub paused: bool,
+    /// Whether it closes connections above its share only when told to.
+    pub slow: bool,
+    pub cut: bool,
+    /// Whether it said its last word.
+    pub left: bool,
+    pub held: BTreeMap<ServerName, u32>,
+    told: (Epoch, BTreeMap<ServerName, u32>),
+    inbox: VecDeque<Event>,
+    wake: Instant,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub mood: Mood,
+    pub processes: BTreeMap<u8, Process>,
+    pub servers: Vec<ServerLimit>,
+    pub bytes: u64,
+    pub messages: u64,
+    listed: BTreeMap<u8, VmEntry>,
+    shown: Vec<VmEntry>,
+    frozen: Option<Instant>,
+    next_list: Instant,
+    table: Option<Stored>,
+    version: u64,
+    late: Vec<(u64, Vec<u8>)>,
+    runs: u64,
+}
+
+pub fn vm(i: u8) -> VmId {
+    format!("entry-{i}").parse().expect("a name")
+}
+
+fn entry(i: u8) -> VmEntry {
+    let addr = format!("10.0.0.{}:70", i).parse().expect("an address");
+    VmEntry {
+        vm: vm(i),
+        data_centre: format!("dc-{}", i % 3).parse().expect("a name"),
+        region: "south".parse().expect("a name"),
+        mesh: addr,
+        callers: addr,
+        admin: addr,
+        leaving: false,
+    }
+}
+
+pub fn server(name: &str, limit: u32) -> ServerLimit {
+    ServerLimit {
+        server: name.parse().expect("a name"),
+        data_centre: "dc-1".parse().expect("a name"),
+        connections: Connections(limit),
+    }
+}
+
+impl World {
+    pub fn new(limits: &[u32]) -> Self {
+        let now = Instant::now();
+        let named = |l: &u32| server(&format!("s-{l}"), *l);
+        Self {
+            now,
+            mood: Mood::Well,
+            processes: BTreeMap::new(),
+            servers: limits.iter().map(named).collect(),
+            bytes: 0,
+            messages: 0,
+            listed: BTreeMap::new(),
+            shown: Vec::new(),
+            frozen: None,
+            next_list: now,
+            table: None,
+            version: 0,
+            late: Vec::new(),
+            runs: 0,
+        }
+    }
+
+    /// Starts a VM, or the next run of its process.
+    pub fn start(&mut self, i: u8) {
+        self.runs += 1;
+        self.listed.insert(i, entry(i));
+        let cfg = MemberSettings::builder()
+            .me(entry(i))
+            .incarnation(Incarnation(self.runs))
+            .seed(self.runs)
+            .gone_after(Duration::from_secs(10))
+            .shrink_after(Duration::from_secs(15))
+            .build();
+        let mut p = Process {
+            m: Membership::new(cfg).expect("a chart"),
+            entry: entry(i),
+            incarnation: Incarnation(self.runs),
+            paused: false,
+            slow: false,
+            cut: false,
+            left: false,
+            held: BTreeMap::new(),
+            told: (Epoch::default(), BTreeMap::new()),
+            inbox: VecDeque::new(),
+            wake: self.now,
+        };
+        p.inbox.push_back(Event::Servers(self.servers.clone()));
+        self.processes.insert(i, p);
+    }
+
+    pub fn kill(&mut self, i: u8) {
+        self.processes.remove(&i);
+    }
+
+    /// The platform removes a VM that no longer runs.
+    pub fn remove(&mut self, i: u8) {
+        if !self.processes.contains_key(&i) {
+            self.listed.remove(&i);
+        }
+    }
+
+    /// The process closes what it holds, says its last word and goes on gossiping until killed.
+    pub fn leave(&mut self, i: u8) {
+        let Some(p) = self.processes.get_mut(&i) else {
+            return;
+        };
+        p.left = true;
+        p.inbox.push_back(Event::Leave);
+        p.inbox.push_back(Event::Released);
+    }
+
+    pub fn freeze_list(&mut self) {
+        self.frozen.get_or_insert(self.now);
+    }
+
+    /// Writes that were sent long ago take effect now, where their condition still holds.
+    pub fn land_late(&mut self) {
+        for (if_version, content) in std::mem::take(&mut self.late) {
+            let _ = self.put(if_version, content);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.show_list();
+            for i in self.processes.keys().copied().collect::<Vec<_>>() {
+                self.run_process(i);
+            }
+            self.check();
+        }
+    }
+
+    /// The oracle: no server ever sees more connections than its limit.
+    pub fn check(&self) {
+        for s in &self.servers {
+            let held = |p: &Process| p.held.get(&s.server).copied().unwrap_or(0);
+            let sum: u32 = self.processes.values().map(held).sum();
+            let all: Vec<_> = self.processes.iter().map(|(i, p)| (i, held(p))).collect();
+            assert!(sum <= s.connections.0, "{} has {sum}: {all:?}", s.server);
+        }
+    }
+
+    pub fn sum(&self, s: &ServerLimit) -> u32 {
+        let held = self.processes.values().map(|p| p.held.get(&s.server));
+        held.flatten().sum()
+    }
+
+    fn show_list(&mut self) {
+        if self.now < self.next_list {
+            return;
+        }
+        self.next_list = self.now + LIST_EVERY;
+        if self.frozen.is_none_or(|t| self.now > t + LAG_MAX) {
+            self.frozen = None;
+            self.shown = self.listed.values().cloned().collect();
+        }
+        let away = self.mood == Mood::Away;
+        for p in self.processes.values_mut().filter(|p| !p.cut && !away) {
+            p.push(Event::List(self.shown.clone()));
+        }
+    }
+
+    fn run_process(&mut self, i: u8) {
+        let Some(p) = self.processes.get_mut(&i) else {
+            return;
+        };
+        if p.paused {
+            return;
+        }
+        if !p.slow {
+            p.settle();
+        }
+        if self.now >= p.wake {
+            p.push(Event::Tick);
+        }
+        let mut out = Vec::new();
+        for event in std::mem::take(&mut p.inbox) {
+            p.m.on(self.now, event, &mut out);
+        }
+        for action in out {
+            self.act(i, action);
+        }
+    }
+
+    fn act(&mut self, i: u8, action: Action) {
+        match action {
+            Action::Send(to, beat) => self.send(i, &to, beat),
+            Action::Shares { epoch, shares } => {
+                let p = self.processes.get_mut(&i).expect("a process");
+                p.told = (epoch, shares.into_iter().map(|(s, n)| (s, n.0)).collect());
+                p.raise();
+            }
+            Action::ReadTable => {
+                let answer = match self.reachable(i) {
+                    true => Ok(self.table.clone()),
+                    false => Err(StoreError::NotDone),
+                };
+                self.answer(i, Event::TableRead(answer));
+            }
+            Action::WriteTable {
+                if_version,
+                content,
+            } => {
+                let answer = self.write(i, if_version, content);
+                self.answer(i, Event::TableWrote(answer));
+            }
+            Action::Wake(after) => {
+                let wake = self.now + after;
+                self.processes.get_mut(&i).expect("a process").wake = wake;
+            }
+            Action::Peers(_) | Action::View(_) => {}
+        }
+    }
+
+    fn send(&mut self, from: u8, to: &VmId, beat: Beat) {
+        self.messages += 1;
+        self.bytes += postcard::to_allocvec(&beat).expect("a beat").len() as u64;
+        let p = &self.processes[&from];
+        let heard = Event::Heard {
+            from: p.entry.vm.clone(),
+            incarnation: p.incarnation,
+            beat,
+        };
+        let cut = p.cut;
+        let mut all = self.processes.values_mut();
+        if let Some(p) = all.find(|p| p.entry.vm == *to && p.cut == cut) {
+            p.push(heard);
+        }
+    }
+
+    fn reachable(&self, i: u8) -> bool {
+        self.mood != Mood::Away && !self.processes[&i].cut
+    }
+
+    fn write(&mut self, i: u8, if_version: u64, content: Vec<u8>) -> Result<u64, StoreError> {
+        if !self.reachable(i) {
+            return Err(StoreError::NotDone);
+        }
+        match self.mood {
+            Mood::Late => {
+                self.late.push((if_version, content));
+                Err(StoreError::Lost)
+            }
+            Mood::LosesAnswers => {
+                let _ = self.put(if_version, content);
+                Err(StoreError::Lost)
+            }
+            _ => self.put(if_version, content),
+        }
+    }
+
+    fn put(&mut self, if_version: u64, content: Vec<u8>) -> Result<u64, StoreError> {
+        let current = self.table.as_ref().map_or(0, |s| s.version);
+        if current != if_version {
+            return Err(StoreError::Conflict);
+        }
+        self.version += 1;
+        self.table = Some(Stored {
+            version: self.version,
+            content,
+        });
+        Ok(self.version)
+    }
+
+    fn answer(&mut self, i: u8, event: Event) {
+        let p = self.processes.get_mut(&i).expect("a process");
+        p.inbox.push_back(event);
+    }
+}
+
+impl Process {
+    fn push(&mut self, event: Event) {
+        if self.inbox.len() < QUEUE_MAX {
+            self.inbox.push_back(event);
+        }
+    }
+
+    /// Opens all the connections it may.
+    fn raise(&mut self) {
+        for (s, n) in &self.told.1 {
+            let held = self.held.entry(s.clone()).or_default();
+            *held = (*held).max(*n);
+        }
+    }
+
+    /// Closes what it holds above its shares, and says so.
+    fn settle(&mut self) {
+        for (s, held) in &mut self.held {
+            *held = (*held).min(self.told.1.get(s).copied().unwrap_or(0));
+        }
+        self.inbox.push_back(Event::Lowered(self.told.0));
+    }
+}
