--- /dev/null
+++ b/crates/limit/src/fixed.rs
@@ -0,0 +1,51 @@
+//! The baseline: a fixed bound on lookups in flight.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::admission::AdmissionPolicy;
+use crate::admission::Ask;
+use crate::admission::Ended;
+use crate::admission::Verdict;
+use crate::dump::AdmissionDump;
+
+/// When a refused lookup is worth asking again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Admits everything below a fixed bound, blind to deadlines, urgency and queues.
+#[derive(Debug)]
+pub struct Fixed {
+    max: usize,
+}
+
+impl Fixed {
+    /// Bounds lookups in flight.
+    #[must_use]
+    pub fn new(max: usize) -> Self {
+        Self { max }
+    }
+}
+
+impl AdmissionPolicy for Fixed {
+    fn admit(&mut self, _: Instant, ask: &Ask) -> Verdict {
+        if ask.in_flight < self.max {
+            Verdict::Admit
+        } else {
+            Verdict::Refuse(RETRY_AFTER)
+        }
+    }
+
+    fn ended(&mut self, _: Instant, _: &Ended) {}
+
+    fn overloaded(&self, _: Instant) -> bool {
+        false
+    }
+
+    fn dump(&self, _: Instant) -> AdmissionDump {
+        AdmissionDump {
+            policy: "fixed",
+            limit: self.max as f64,
+            overloaded: false,
+        }
+    }
+}
--- a/crates/query/src/counters.rs
+++ b/crates/query/src/counters.rs
@@ -88,3 +88,29 @@
         }
     }
 }
+impl Counters {
+    /// Counts the end of a lookup.
+    pub(crate) fn ended(&mut self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Answered(a) => self.answered(a),
+            Outcome::NotRun(r) => self.refusal(r.reason).not_run += 1,
+            Outcome::Unknown(r) => self.refusal(r.reason).unknown += 1,
+        }
+    }
+
+    fn answered(&mut self, answer: &Answer) {
+        self.shards_asked += u64::from(answer.coverage.shards);
+        self.shards_whole += u64::from(answer.coverage.whole);
+        if answer.ended_early {
+            self.answered_early += 1;
+        } else if answer.coverage.is_full() {
+            self.answered_full += 1;
+        } else {
+            self.answered_thin += 1;
+        }
+    }
+
+    fn refusal(&mut self, reason: RefusalReason) -> &mut RefusalCount {
+        &mut self.refusals[reason as usize]
+    }
+}
--- a/crates/query/src/dump.rs
+++ b/crates/query/src/dump.rs
@@ -1,11 +1,14 @@
 //! What an operator sees of the engine on request.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_types::prelude::*;
 use serde::Serialize;
 
 use crate::counters::Counters;
+use crate::engine::Engine;
+use crate::lookup::LookupRun;
 
 /// The engine's state, for people and `--json`.
 #[derive(Clone, Debug, Serialize)]
@@ -32,6 +35,8 @@
     pub extra_left: f64,
     /// The admission policy's state.
     pub admission: gs_limit::AdmissionDump,
+    /// The name of the policy that picks replicas.
+    pub replica_policy: &'static str,
     /// Running totals.
     pub counters: Counters,
 }
@@ -86,3 +91,61 @@
     /// Shards whole so far.
     pub whole: u32,
 }
+
+impl Engine {
+    /// The state of everything, for an operator.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> EngineDump {
+        let groups = self.dump_groups();
+        let core = &self.core;
+        EngineDump {
+            config: core.config,
+            leaving: core.is_leaving,
+            groups,
+            servers: core.servers.by_name().map(|(_, v)| v.dump()).collect(),
+            suspects: core.suspects.dump(now),
+            lookups: self.lookups.len(),
+            oldest: self
+                .lookups
+                .values()
+                .take(LOOKUPS_SHOWN)
+                .map(|lk| dump_lookup(now, lk))
+                .collect(),
+            waiting: core.waiting.parts(),
+            orphans: core.orphans.len(),
+            extra_left: core.budget.left(),
+            admission: core.admission.dump(now),
+            replica_policy: core.replica.name(),
+            counters: core.counters.clone(),
+        }
+    }
+
+    fn dump_groups(&self) -> Vec<GroupDump> {
+        let core = &self.core;
+        let servers = &core.servers;
+        let mut dumps = Vec::new();
+        for group in &core.groups {
+            let pin = group.view.peek(servers);
+            dumps.push(GroupDump {
+                group: group.name.clone(),
+                revision: group.view.revision(),
+                pinned: pin.as_ref().map(|p| p.snapshot.id),
+                shards: pin.as_ref().map_or(0, |p| p.snapshot.shards.len() as u32),
+                ready: pin.as_ref().map_or(0, |p| p.ready),
+                hedge_after: group.hedge.delay(),
+            });
+        }
+        dumps
+    }
+}
+
+fn dump_lookup(now: Instant, lk: &LookupRun) -> LookupDump {
+    LookupDump {
+        seq: lk.seq,
+        fingerprint: lk.fingerprint,
+        age: now.saturating_duration_since(lk.arrived),
+        snapshot: lk.snapshot.id,
+        shards: lk.shards.len() as u32,
+        whole: lk.whole,
+    }
+}
--- /dev/null
+++ b/crates/query/src/finish.rs
@@ -0,0 +1,196 @@
+//! The end of a lookup: its one outcome.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_limit::Ended;
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::attempt::AttemptState;
+use crate::core::Core;
+use crate::core::Orphan;
+use crate::core::Timer;
+use crate::lookup::LookupRun;
+use crate::lookup::Phase;
+use crate::lookup::ShardState;
+use crate::merge;
+
+/// When a refusal without a better time is worth asking again.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How long after a lookup's end the shell may take to tell the end of its attempts.
+const ORPHAN_GRACE: Duration = Duration::from_secs(2);
+
+impl Core {
+    /// Ends the lookup if nothing more can come, or if there are hits enough.
+    pub(crate) fn check_end(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if lk.is_done || lk.phase == Phase::Claiming {
+            return;
+        }
+        let shards = lk.shards.len() as u32;
+        if lk.whole + lk.missing >= shards {
+            self.conclude(now, lk, false, out);
+            return;
+        }
+        let is_hopeless = lk.decl.promise == Promise::Complete && lk.missing > 0;
+        if is_hopeless {
+            self.conclude(now, lk, false, out);
+            return;
+        }
+        let enough = lk.decl.enough_at.map_or(u64::MAX, u64::from);
+        if lk.decl.promise == Promise::Urgent && lk.whole > 0 && lk.hits >= enough {
+            self.conclude(now, lk, true, out);
+        }
+    }
+
+    /// Ends the lookup with what is there.
+    pub(crate) fn conclude(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        ended_early: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let is_full = lk.whole as usize == lk.shards.len();
+        let outcome = match lk.decl.promise {
+            _ if is_full => Outcome::Answered(merge::answer(lk, ended_early)),
+            // A page without a single shard behind it would read as "nothing matches".
+            Promise::Urgent if lk.whole > 0 => Outcome::Answered(merge::answer(lk, ended_early)),
+            Promise::Urgent | Promise::Complete => self.incomplete(now, lk),
+            Promise::AtMostOnce => once_failed(lk),
+        };
+        self.finish(now, lk, outcome, out);
+    }
+
+    /// Ends the lookup with a refusal, which says `not-run` only if that is true.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        refusal: Refusal,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = by_truth(lk, refusal);
+        self.finish(now, lk, outcome, out);
+    }
+
+    fn incomplete(&self, now: Instant, lk: &LookupRun) -> Outcome {
+        let unsent = lk.may_have_run == 0 && now >= lk.answer_by;
+        let reason = if unsent {
+            RefusalReason::TooLate
+        } else {
+            RefusalReason::Incomplete
+        };
+        by_truth(
+            lk,
+            Refusal {
+                reason,
+                retry_after: Some(RETRY_AFTER),
+                missing: lk.missing_shards(false),
+            },
+        )
+    }
+
+    /// Gives the last word, and lets go of everything that the lookup held.
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.ended(&outcome);
+        let in_time = lk.whole as usize == lk.shards.len()
+            || matches!(&outcome, Outcome::Answered(a) if a.ended_early);
+        out.push(Action::Answer(lk.seq, outcome));
+        self.let_go(now, lk, in_time, out);
+    }
+
+    /// Lets go of everything that the lookup held; its last word was given or has no reader.
+    pub(crate) fn let_go(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        in_time: bool,
+        out: &mut Vec<Action>,
+    ) {
+        lk.is_done = true;
+        let waited = lk.shards.iter().any(|s| s.state == ShardState::Waiting);
+        for at in 0..lk.shards.len() {
+            self.unqueue(lk, at);
+            self.stop_attempts(now, lk, at, out);
+        }
+        self.orphan_all(now, lk);
+        self.disarm(lk);
+        self.suspects.ended(lk.fingerprint, lk.seq);
+        self.admission.ended(
+            now,
+            &Ended {
+                in_time,
+                congested: lk.is_congested || waited,
+                in_flight: self.in_flight,
+            },
+        );
+    }
+
+    /// Keeps count of attempts that the shell has yet to end.
+    pub(crate) fn orphan_all(&mut self, now: Instant, lk: &LookupRun) {
+        let expires = now.max(lk.answer_by) + ORPHAN_GRACE;
+        let was_empty = self.orphans.is_empty();
+        for s in &lk.shards {
+            for a in &s.attempts {
+                let ended = matches!(
+                    a.state,
+                    AttemptState::Whole | AttemptState::NotRun | AttemptState::Failed
+                );
+                if ended {
+                    continue;
+                }
+                let orphan = Orphan {
+                    server: a.server,
+                    fingerprint: lk.fingerprint,
+                    is_sent: a.sent.is_some(),
+                    is_proven: lk.is_proven,
+                    expires,
+                };
+                self.orphans.insert((lk.seq, s.id, a.number), orphan);
+            }
+        }
+        if was_empty && !self.orphans.is_empty() {
+            self.timers.insert((expires, Timer::Orphans));
+        }
+    }
+}
+
+/// `not-run` if nothing was handed over that did not come back as not run, else `unknown`.
+fn by_truth(lk: &LookupRun, refusal: Refusal) -> Outcome {
+    if lk.may_have_run == 0 {
+        Outcome::NotRun(refusal)
+    } else {
+        Outcome::Unknown(refusal)
+    }
+}
+
+/// The refusal of an at-most-once lookup whose claim was granted.
+///
+/// Its key is used up whatever happened. If nothing ran, nothing can run under that key any more,
+/// so `not-run` without a time to come back says: ask again with a new key, and only then.
+fn once_failed(lk: &LookupRun) -> Outcome {
+    let miss = lk.shards.first().map_or(MissReason::Late, |s| s.miss);
+    let reason = match miss {
+        _ if lk.may_have_run > 0 => RefusalReason::Failed,
+        MissReason::Shed => RefusalReason::Overload,
+        MissReason::Late => RefusalReason::TooLate,
+        MissReason::SnapshotGone => RefusalReason::NoSnapshot,
+        _ => RefusalReason::Failed,
+    };
+    by_truth(
+        lk,
+        Refusal {
+            reason,
+            retry_after: None,
+            missing: lk.missing_shards(false),
+        },
+    )
+}
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,17 +4,34 @@
 //! no random source of its own. A process, a replayed trace and a fuzzer all drive the same code.
 
 mod action;
+mod arrive;
+mod attempt;
+mod core;
 mod counters;
 mod dump;
 mod engine;
 mod event;
+mod finish;
 mod keyed;
+mod life;
+mod lookup;
+mod merge;
 mod options;
+mod place;
+mod policies;
+mod reply;
+mod signs;
+mod suspects;
+mod timers;
+mod waiting;
 
 pub use action::Action;
 pub use action::ClaimAsk;
 pub use action::Dispatch;
 pub use action::Sign;
+pub use attempt::AttemptEvent;
+pub use attempt::AttemptState;
+pub use attempt::attempt_chart;
 pub use counters::Counters;
 pub use counters::RefusalCount;
 pub use dump::EngineDump;
--- /dev/null
+++ b/crates/query/src/merge.rs
@@ -0,0 +1,37 @@
+//! Merges parts into one page by rank.
+
+use std::cmp::Ordering;
+
+use gs_types::prelude::*;
+
+use crate::lookup::LookupRun;
+
+/// Larger scores first, then smaller document ids.
+fn by_rank(a: &&Hit, b: &&Hit) -> Ordering {
+    b.score.cmp(&a.score).then_with(|| a.doc.cmp(&b.doc))
+}
+
+/// The page of a lookup from the parts that are in.
+pub(crate) fn answer(lk: &LookupRun, ended_early: bool) -> Answer {
+    let parts = || lk.shards.iter().filter_map(|s| s.part.as_deref());
+    let mut hits: Vec<&Hit> = parts().flat_map(|p| &p.hits).collect();
+    let page = lk.decl.page as usize;
+    if page < hits.len() {
+        // Only the page needs an order; the rest is split off in linear time first.
+        hits.select_nth_unstable_by(page, by_rank);
+        hits.truncate(page);
+    }
+    hits.sort_unstable_by(by_rank);
+    Answer {
+        snapshot: lk.snapshot.id,
+        hits: hits.into_iter().cloned().collect(),
+        matched: parts().fold(0, |sum, p| sum.saturating_add(p.matched)),
+        coverage: Coverage {
+            shards: lk.shards.len() as u32,
+            whole: lk.whole,
+            missing: lk.missing_shards(ended_early),
+        },
+        ended_early,
+        extra_attempts: lk.extra,
+    }
+}
--- a/crates/query/src/options.rs
+++ b/crates/query/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -67,14 +68,47 @@
             policy: PolicyName::Chosen,
             lookups_max: 4096,
             tries_max: 4,
-            extra_ratio: 0.02,
+            extra_ratio: 0.03,
             extra_burst: 256,
             extra_floor: 10.0,
-            hedge_quantile: 0.975,
+            hedge_quantile: 0.98,
             attempt_timeout: Duration::from_millis(250),
-            quarantine: Duration::from_secs(60),
+            quarantine: Duration::from_secs(30),
             suspicion: Duration::from_secs(10),
             slow_start: Duration::from_secs(3),
         }
     }
 }
+
+impl EngineOptions {
+    /// Checks every option's range.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] with the option's name and its range.
+    pub fn check(&self) -> Result<()> {
+        let bad = |name: &str, range: &str| {
+            Err(
+                Error::new(ErrorKind::BadInput, format!("`{name}` is out of range"))
+                    .at("check engine options")
+                    .with_hint(format!("give `{name}` {range}")),
+            )
+        };
+        if self.lookups_max == 0 {
+            return bad("lookups_max", "at least 1");
+        }
+        if self.tries_max == 0 {
+            return bad("tries_max", "at least 1");
+        }
+        if !(0.0..=1.0).contains(&self.extra_ratio) {
+            return bad("extra_ratio", "from 0 to 1");
+        }
+        if !(0.0..=10_000.0).contains(&self.extra_floor) {
+            return bad("extra_floor", "from 0 to 10000");
+        }
+        if !(0.5..1.0).contains(&self.hedge_quantile) {
+            return bad("hedge_quantile", "from 0.5 to below 1");
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/query/src/reply.rs
@@ -0,0 +1,314 @@
+//! What the shell tells of attempts.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_route::Failure;
+use gs_route::ServerIdx;
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::attempt::AttemptEvent;
+use crate::attempt::AttemptState;
+use crate::attempt::Kind;
+use crate::core::Core;
+use crate::event::PartReply;
+use crate::life::Lost;
+use crate::lookup::LookupRun;
+use crate::lookup::Phase;
+use crate::lookup::ShardState;
+use crate::suspects::Finding;
+
+impl Core {
+    /// An attempt of a lookup in flight passes the point of no return.
+    pub(crate) fn sent(&mut self, now: Instant, lk: &mut LookupRun, id: &AttemptId) {
+        let Some((at, n)) = find(lk, id) else {
+            self.orphan_sent(id);
+            return;
+        };
+        let a = &mut lk.shards[at].attempts[n];
+        if let Some(next) = self.chart.next(a.state, AttemptEvent::Send) {
+            a.state = next;
+        }
+        a.sent.get_or_insert(now);
+        lk.was_sent = true;
+    }
+
+    /// An attempt of a lookup in flight ended.
+    pub(crate) fn replied(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        id: &AttemptId,
+        reply: PartReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((at, n)) = find(lk, id) else {
+            self.orphan_replied(now, id, &reply, out);
+            return;
+        };
+        let a = &mut lk.shards[at].attempts[n];
+        let event = a.event_of(&reply);
+        let Some(next) = self.chart.next(a.state, event) else {
+            self.counters.stray_replies += 1;
+            return;
+        };
+        // Whatever came back from a server was sent, even if the shell's word of that is lost.
+        lk.was_sent |= event != AttemptEvent::NotSent;
+        let was_live = a.is_live();
+        a.state = next;
+        let server = a.server;
+        self.servers.released(server);
+        self.freed.push(server);
+        if next == AttemptState::NotRun {
+            lk.may_have_run = lk.may_have_run.saturating_sub(1);
+        }
+        match reply {
+            PartReply::Whole {
+                snapshot,
+                part,
+                load,
+                draining,
+            } => {
+                self.servers.succeeded(now, server, load);
+                self.learn(now, lk, at, n);
+                if draining {
+                    self.drain_seen(server, out);
+                }
+                self.whole(now, lk, at, n, snapshot, part, out);
+            }
+            PartReply::Broken => self.broke(now, lk, at, n, was_live, out),
+            other => self.unanswered(now, lk, at, n, other, was_live, out),
+        }
+        self.after(now, lk, out);
+    }
+
+    /// Learns from the time that a part took.
+    fn learn(&mut self, now: Instant, lk: &LookupRun, at: usize, n: usize) {
+        let a = &lk.shards[at].attempts[n];
+        let on_server = now.saturating_duration_since(a.sent.unwrap_or(a.at));
+        self.servers.took(now, a.server, on_server);
+        let whole = now.saturating_duration_since(a.at);
+        self.groups[lk.group].hedge.observe(whole);
+    }
+
+    /// Takes a part in, if it is of the pinned snapshot and its shard still lacks one.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one reply")]
+    fn whole(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        at: usize,
+        n: usize,
+        snapshot: SnapshotId,
+        part: Arc<Part>,
+        out: &mut Vec<Action>,
+    ) {
+        self.prove(now, lk, out);
+        if snapshot != lk.snapshot.id {
+            self.counters.wrong_snapshot += 1;
+            self.lost(now, lk, at, Lost::Failed, out);
+            self.resume(now, lk, out);
+            return;
+        }
+        self.unqueue(lk, at);
+        let shard = &mut lk.shards[at];
+        match shard.state {
+            ShardState::Whole => return,
+            ShardState::Missing => lk.missing -= 1,
+            ShardState::Held | ShardState::Waiting | ShardState::Running => {}
+        }
+        if shard.attempts[n].kind == Kind::Hedge {
+            self.counters.hedges_won += 1;
+        }
+        shard.state = ShardState::Whole;
+        lk.whole += 1;
+        lk.hits += part.hits.len() as u64;
+        shard.part = Some(part);
+        self.stop_attempts(now, lk, at, out);
+        self.resume(now, lk, out);
+    }
+
+    /// A server ran the lookup and lived, so it is not poisoned.
+    fn prove(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if lk.is_proven {
+            return;
+        }
+        lk.is_proven = true;
+        if self.suspects.prove(now, lk.fingerprint) {
+            self.spread_suspect(lk.fingerprint, 0, Duration::ZERO, out);
+        }
+    }
+
+    /// Goes on with everything that was held back under suspicion.
+    fn resume(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if matches!(lk.phase, Phase::Settling(_) | Phase::Canary(_)) && !lk.is_done {
+            self.fan_out(now, lk, out);
+        }
+    }
+
+    /// An attempt ended without a part, and without breaking its connection.
+    #[expect(clippy::too_many_arguments, reason = "the parts of one reply")]
+    fn unanswered(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        at: usize,
+        n: usize,
+        reply: PartReply,
+        was_live: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let server = lk.shards[at].attempts[n].server;
+        self.judge(now, server, &reply, was_live, out);
+        let lost = match reply {
+            PartReply::Shed { .. } => {
+                lk.is_congested = true;
+                Lost::NotRun(MissReason::Shed)
+            }
+            PartReply::Draining => Lost::NotRun(MissReason::NoReplica),
+            PartReply::NoSnapshot { .. } => Lost::NotRun(MissReason::SnapshotGone),
+            PartReply::NotSent => Lost::NotRun(MissReason::Failed),
+            _ => Lost::Failed,
+        };
+        self.lost(now, lk, at, lost, out);
+    }
+
+    /// Takes in what a reply says about its server.
+    fn judge(
+        &mut self,
+        now: Instant,
+        server: ServerIdx,
+        reply: &PartReply,
+        was_live: bool,
+        out: &mut Vec<Action>,
+    ) {
+        match reply {
+            PartReply::Shed { retry_after } => self.servers.shed(now, server, *retry_after),
+            PartReply::Draining => self.drain_seen(server, out),
+            PartReply::NoSnapshot { holds } => self.holds_seen(now, server, holds),
+            PartReply::NotSent if was_live => {
+                self.servers.failed(now, server, Failure::Unreached);
+            }
+            PartReply::Failed | PartReply::Garbled => {
+                self.servers.failed(now, server, Failure::Error);
+            }
+            _ => {}
+        }
+    }
+
+    /// A server said which snapshots it holds; parts that wait for it may have to move.
+    fn holds_seen(&mut self, now: Instant, server: ServerIdx, holds: &[SnapshotId]) {
+        if self.servers.said_holds(now, server, holds) {
+            self.changed.push(server);
+        }
+    }
+
+    /// A connection broke under an attempt.
+    fn broke(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        at: usize,
+        n: usize,
+        was_live: bool,
+        out: &mut Vec<Action>,
+    ) {
+        let a = &mut lk.shards[at].attempts[n];
+        a.broken = true;
+        let server = a.server;
+        self.servers.failed(now, server, Failure::Broken);
+        if lk.is_proven {
+            self.lost(now, lk, at, Lost::Failed, out);
+            return;
+        }
+        let alone = was_live && (lk.phase == Phase::Canary(at) || lk.shards.len() == 1);
+        match self.crash_seen(now, lk.fingerprint, server, alone, out) {
+            Finding::Quarantined => {
+                let rest = self.options.quarantine;
+                let refusal = Refusal::new(RefusalReason::Quarantined, Some(rest));
+                self.refuse(now, lk, refusal, out);
+            }
+            Finding::Harmless => self.lost(now, lk, at, Lost::Failed, out),
+            Finding::Suspected if lk.is_once() => self.lost(now, lk, at, Lost::Failed, out),
+            Finding::Suspected => {
+                lk.shards[at].miss = MissReason::Failed;
+                self.settle(now, lk, out);
+            }
+        }
+    }
+
+    /// Takes a crash in, and tells peers of it.
+    fn crash_seen(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        server: ServerIdx,
+        alone: bool,
+        out: &mut Vec<Action>,
+    ) -> Finding {
+        let name = self.servers.view(server).decl().name.clone();
+        let finding = self.suspects.crashed(now, fingerprint, &name, alone);
+        let crashes = self.suspects.crashes(fingerprint);
+        match finding {
+            Finding::Harmless => {}
+            Finding::Suspected => {
+                self.spread_suspect(fingerprint, crashes, Duration::ZERO, out);
+            }
+            Finding::Quarantined => {
+                self.counters.quarantines += 1;
+                self.spread_suspect(fingerprint, crashes, self.options.quarantine, out);
+            }
+        }
+        finding
+    }
+
+    /// An attempt whose lookup has ended passes the point of no return.
+    pub(crate) fn orphan_sent(&mut self, id: &AttemptId) {
+        if let Some(o) = self.orphans.get_mut(&(id.lookup, id.shard, id.attempt)) {
+            o.is_sent = true;
+        }
+    }
+
+    /// An attempt whose lookup has ended, or began again, ended itself.
+    pub(crate) fn orphan_replied(
+        &mut self,
+        now: Instant,
+        id: &AttemptId,
+        reply: &PartReply,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(o) = self.orphans.remove(&(id.lookup, id.shard, id.attempt)) else {
+            self.counters.stray_replies += 1;
+            return;
+        };
+        self.servers.released(o.server);
+        self.freed.push(o.server);
+        match reply {
+            PartReply::Whole { load, draining, .. } => {
+                self.servers.succeeded(now, o.server, *load);
+                if *draining {
+                    self.drain_seen(o.server, out);
+                }
+                if self.suspects.prove(now, o.fingerprint) {
+                    self.spread_suspect(o.fingerprint, 0, Duration::ZERO, out);
+                }
+            }
+            PartReply::Broken => {
+                self.servers.failed(now, o.server, Failure::Broken);
+                if o.is_sent && !o.is_proven {
+                    self.crash_seen(now, o.fingerprint, o.server, false, out);
+                }
+            }
+            other => self.judge(now, o.server, other, false, out),
+        }
+    }
+}
+
+/// The place of an attempt: its shard's and its own.
+fn find(lk: &LookupRun, id: &AttemptId) -> Option<(usize, usize)> {
+    let at = lk.position(id.shard)?;
+    let n = usize::from(id.attempt.checked_sub(lk.first_number)?);
+    (n < lk.shards[at].attempts.len()).then_some((at, n))
+}
--- /dev/null
+++ b/crates/query/src/timers.rs
@@ -0,0 +1,149 @@
+//! What falls due: deadlines, hedges, timeouts, canaries.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::attempt::Kind;
+use crate::core::Core;
+use crate::core::Timer;
+use crate::finish::RETRY_AFTER;
+use crate::life::Lost;
+use crate::lookup::LookupRun;
+use crate::lookup::Phase;
+use crate::lookup::ShardState;
+use crate::options::PolicyName;
+
+/// The least time between two looks at a lookup whose hedge could not be made.
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
+
+impl Core {
+    /// The time after an attempt's begin at which it is looked at; `None` for never.
+    pub(crate) fn look_after(&self, lk: &LookupRun) -> Option<Duration> {
+        if lk.is_once() {
+            return None;
+        }
+        match self.options.policy {
+            PolicyName::Baseline => Some(self.options.attempt_timeout),
+            PolicyName::Chosen => self.groups[lk.group].hedge.delay(),
+        }
+    }
+
+    /// A lookup's timer is due.
+    pub(crate) fn due(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        lk.timer = None;
+        if now >= lk.answer_by {
+            self.time_up(now, lk, out);
+            return;
+        }
+        if lk.phase == Phase::Running {
+            self.look_at_attempts(now, lk, out);
+        }
+        self.after(now, lk, out);
+        if lk.is_done {
+            return;
+        }
+        let next = match lk.phase {
+            Phase::Settling(until) => until,
+            _ => lk.answer_by,
+        };
+        self.arm(lk, next);
+    }
+
+    /// The deadline is here: answer with what there is.
+    fn time_up(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if lk.phase == Phase::Claiming {
+            // The claim may have been made, or an earlier submission under the key may have run.
+            let refusal = Refusal::new(RefusalReason::ClaimsAway, Some(RETRY_AFTER));
+            self.finish(now, lk, Outcome::Unknown(refusal), out);
+            return;
+        }
+        self.conclude(now, lk, false, out);
+    }
+
+    /// Hedges, or times out, the attempts that took too long; plans the next look.
+    fn look_at_attempts(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        let Some(after) = self.look_after(lk) else {
+            return;
+        };
+        let mut next = lk.answer_by;
+        for at in 0..lk.shards.len() {
+            if lk.is_done || lk.phase != Phase::Running {
+                return;
+            }
+            let Some(begun) = slow_candidate(lk, at) else {
+                continue;
+            };
+            if begun + after > now {
+                next = next.min(begun + after);
+            } else if !self.overtake(now, lk, at, out) {
+                next = next.min(now + after.max(LOOK_AGAIN));
+            }
+        }
+        self.arm(lk, next);
+    }
+
+    /// Makes a second attempt beside a slow one, or in its place; `false` if it could not be made.
+    fn overtake(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        at: usize,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        if self.options.policy == PolicyName::Baseline {
+            self.stop_attempts(now, lk, at, out);
+            self.lost(now, lk, at, Lost::Failed, out);
+            return true;
+        }
+        if self.admission.overloaded(now) {
+            return false;
+        }
+        let Some(server) = self.place_hedge(now, lk, at) else {
+            return false;
+        };
+        if !self.budget.take_hedge(now) {
+            self.counters.extra_refused += 1;
+            return false;
+        }
+        self.dispatch(now, lk, at, server, Kind::Hedge, out);
+        true
+    }
+
+    /// Lets go of orphans that the shell never ended, so that they cannot hold connections for ever.
+    pub(crate) fn drop_orphans(&mut self, now: Instant) {
+        let expired: Vec<_> = self
+            .orphans
+            .iter()
+            .filter(|(_, o)| o.expires <= now)
+            .map(|(key, o)| (*key, o.server))
+            .collect();
+        for (key, server) in expired {
+            log::warn!(
+                "event=attempt-forgotten attempt={} server={}",
+                self.id(key),
+                self.servers.view(server).decl().name
+            );
+            self.orphans.remove(&key);
+            self.servers.released(server);
+            self.freed.push(server);
+        }
+        if let Some(next) = self.orphans.values().map(|o| o.expires).min() {
+            self.timers.insert((next, Timer::Orphans));
+        }
+    }
+}
+
+/// When the shard's one attempt under way began; `None` if there is not exactly one, or if it was
+/// hedged before.
+fn slow_candidate(lk: &LookupRun, at: usize) -> Option<Instant> {
+    let shard = &lk.shards[at];
+    if shard.state != ShardState::Running || shard.attempts.iter().any(|a| a.kind == Kind::Hedge) {
+        return None;
+    }
+    let mut live = shard.attempts.iter().filter(|a| a.is_live());
+    let first = live.next()?;
+    live.next().is_none().then_some(first.at)
+}
--- /dev/null
+++ b/crates/route/src/options.rs
@@ -0,0 +1,31 @@
+//! Settings of the backend servers' views.
+
+use std::time::Duration;
+
+/// Settings of the backend servers' views.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RouteOptions {
+    /// How long a cold server takes to get its full share of attempts.
+    pub slow_start: Duration,
+    /// The first rest of a server that was set aside; doubled each time in a row.
+    pub rest_min: Duration,
+    /// The longest rest.
+    pub rest_max: Duration,
+    /// The weight of failures in a row at which a server is set aside; see
+    /// [`Failure::weight`](crate::Failure::weight).
+    pub failures_max: u32,
+    /// How long a server's own word on its snapshots outweighs its health endpoint's.
+    pub own_word: Duration,
+}
+
+impl Default for RouteOptions {
+    fn default() -> Self {
+        Self {
+            slow_start: Duration::from_secs(3),
+            rest_min: Duration::from_millis(250),
+            rest_max: Duration::from_secs(5),
+            failures_max: 4,
+            own_word: Duration::from_secs(3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/servers.rs
@@ -0,0 +1,382 @@
+//! Every backend server, and what changes the view of one.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_chart::Chart;
+use gs_types::prelude::*;
+use smallvec::SmallVec;
+
+use crate::options::RouteOptions;
+use crate::server::Failure;
+use crate::server::ServerView;
+use crate::server::Standing;
+use crate::state;
+use crate::state::ServerEvent;
+use crate::state::ServerState;
+
+/// The longest pause that a server may ask for.
+const SHED_MAX: Duration = Duration::from_secs(5);
+
+/// The place of a server in [`Servers`]; stays the same for the life of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerIdx(u32);
+
+impl ServerIdx {
+    /// The place as a number, from 0 without gaps.
+    #[must_use]
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// What a server's health and load endpoint says.
+#[derive(Clone, Copy, Debug)]
+pub struct Report<'a> {
+    /// The run of the server; `None` if it did not answer.
+    pub incarnation: Option<Incarnation>,
+    /// The snapshots that it says are ready.
+    pub snapshots: &'a [SnapshotId],
+    /// The load that it claims.
+    pub load: u32,
+    /// Whether it says it is draining.
+    pub draining: bool,
+}
+
+/// What a report or a sign changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Nothing that matters to work in flight.
+    Nothing,
+    /// The server has begun to drain.
+    Drained,
+    /// A new run of the server is there, and takes work.
+    NewRun,
+}
+
+/// The views of all backend servers.
+#[derive(Debug)]
+pub struct Servers {
+    list: Vec<ServerView>,
+    names: BTreeMap<ServerName, ServerIdx>,
+    services: BTreeMap<ServiceName, SmallVec<[ServerIdx; 4]>>,
+    /// Counts changes of what can be pinned: snapshots held and drains.
+    changes: u64,
+    data_centre: DataCentre,
+    chart: Chart<ServerState, ServerEvent>,
+    options: RouteOptions,
+}
+
+impl Servers {
+    /// Starts without servers.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] if the embedded chart is broken.
+    pub fn new(data_centre: DataCentre, options: RouteOptions) -> Result<Self> {
+        Ok(Self {
+            list: Vec::new(),
+            names: BTreeMap::new(),
+            services: BTreeMap::new(),
+            changes: 0,
+            data_centre,
+            chart: state::chart()?,
+            options,
+        })
+    }
+
+    /// Takes a declaration in; a server of that name keeps its view.
+    pub fn declare(&mut self, decl: &Arc<ServerDecl>) -> ServerIdx {
+        let local = decl.data_centre == self.data_centre;
+        let idx = match self.names.get(&decl.name) {
+            Some(idx) => *idx,
+            None => self.add(decl, local),
+        };
+        let view = &mut self.list[idx.index()];
+        if view.decl.service != decl.service
+            && let Some(old) = self.services.get_mut(&view.decl.service)
+        {
+            old.retain(|i| *i != idx);
+        }
+        view.decl = Arc::clone(decl);
+        view.local = local;
+        let members = self.services.entry(decl.service.clone()).or_default();
+        if !members.contains(&idx) {
+            members.push(idx);
+        }
+        idx
+    }
+
+    fn add(&mut self, decl: &Arc<ServerDecl>, local: bool) -> ServerIdx {
+        // A group map is at most a megabyte, so there are far fewer than 2^32 servers.
+        let idx = ServerIdx(self.list.len() as u32);
+        let view = ServerView::new(Arc::clone(decl), local, self.chart.initial());
+        self.list.push(view);
+        self.names.insert(decl.name.clone(), idx);
+        self.changes += 1;
+        idx
+    }
+
+    /// The place of a server; `None` if it was never declared.
+    #[must_use]
+    pub fn find(&self, name: &ServerName) -> Option<ServerIdx> {
+        self.names.get(name).copied()
+    }
+
+    /// The view of a server.
+    #[must_use]
+    pub fn view(&self, idx: ServerIdx) -> &ServerView {
+        &self.list[idx.index()]
+    }
+
+    /// All servers in the order of their names.
+    pub fn by_name(&self) -> impl Iterator<Item = (ServerIdx, &ServerView)> {
+        self.names.values().map(|idx| (*idx, self.view(*idx)))
+    }
+
+    /// How many servers there are.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Counts changes of what can be pinned.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// The settings.
+    #[must_use]
+    pub fn options(&self) -> &RouteOptions {
+        &self.options
+    }
+
+    /// Whether a server can take an attempt now.
+    #[must_use]
+    pub fn standing(&self, now: Instant, idx: ServerIdx) -> Standing {
+        self.view(idx).standing(now, &self.options)
+    }
+
+    /// Takes a health report in, as a hint; one of an earlier run is dropped.
+    pub fn report(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) -> Heard {
+        let Some(told) = report.incarnation else {
+            return Heard::Nothing;
+        };
+        let view = &mut self.list[idx.index()];
+        let known = view.incarnation;
+        if known.is_some_and(|known| told < known) {
+            return Heard::Nothing;
+        }
+        view.incarnation = Some(told);
+        let is_new = known.is_some_and(|known| told > known);
+        if is_new {
+            self.new_run(now, idx);
+        }
+        self.take_hints(now, idx, report);
+        if report.draining && self.drain(idx, Some(told)) {
+            return Heard::Drained;
+        }
+        if is_new {
+            Heard::NewRun
+        } else {
+            Heard::Nothing
+        }
+    }
+
+    fn take_hints(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) {
+        let view = &mut self.list[idx.index()];
+        if view.load_at.is_none() {
+            view.load = report.load;
+        }
+        if view.own_word_until.is_some_and(|until| until > now) {
+            return;
+        }
+        let same = view
+            .snapshots
+            .as_ref()
+            .is_some_and(|held| held.as_slice() == report.snapshots);
+        if !same {
+            view.snapshots = Some(SmallVec::from_slice(report.snapshots));
+            self.changes += 1;
+        }
+    }
+
+    /// A new run holds what it says, is cold, and carries none of the old run's marks.
+    fn new_run(&mut self, now: Instant, idx: ServerIdx) {
+        self.step(idx, ServerEvent::NewRun);
+        let view = &mut self.list[idx.index()];
+        view.warming_since = Some(now);
+        view.snapshots = Some(SmallVec::new());
+        view.own_word_until = None;
+        view.latency.clear();
+        view.load = 0;
+        view.load_at = None;
+        view.failures = 0;
+        view.rests = 0;
+        view.rest_until = None;
+        view.shed_until = None;
+        self.changes += 1;
+    }
+
+    /// Marks a run of a server as draining; `true` if it was not marked before.
+    ///
+    /// A sign for an earlier run than the one known is dropped. A sign that names no run counts for
+    /// the run known now, and told again after a restart it is dropped too.
+    pub fn drain(&mut self, idx: ServerIdx, incarnation: Option<Incarnation>) -> bool {
+        let view = &mut self.list[idx.index()];
+        match incarnation {
+            Some(told) if view.incarnation.is_some_and(|known| told < known) => return false,
+            Some(told) => view.incarnation = Some(told),
+            None if view
+                .unnamed_drain
+                .is_some_and(|run| run != view.incarnation) =>
+            {
+                return false;
+            }
+            None => view.unnamed_drain = Some(view.incarnation),
+        }
+        if view.is_draining() {
+            return false;
+        }
+        self.step(idx, ServerEvent::Drain);
+        self.changes += 1;
+        true
+    }
+
+    /// Sets how many connections this VM may hold to a server.
+    pub fn set_share(&mut self, idx: ServerIdx, share: Connections) {
+        self.list[idx.index()].share = share;
+    }
+
+    /// Counts a connection that opened or closed.
+    pub fn connection(&mut self, idx: ServerIdx, opened: bool) {
+        let view = &mut self.list[idx.index()];
+        view.open = if opened {
+            view.open.saturating_add(1)
+        } else {
+            view.open.saturating_sub(1)
+        };
+    }
+
+    /// An attempt was handed over; it holds a connection until [`Servers::released`].
+    pub fn dispatched(&mut self, now: Instant, idx: ServerIdx) {
+        let warm = self.view(idx).warmth(now, &self.options) >= 1.0;
+        let view = &mut self.list[idx.index()];
+        view.in_flight += 1;
+        match view.state {
+            ServerState::SetAside => self.step(idx, ServerEvent::RestOver),
+            ServerState::Warming if warm => self.step(idx, ServerEvent::Warmed),
+            _ => {}
+        }
+    }
+
+    /// An attempt's connection is free again, or closed.
+    pub fn released(&mut self, idx: ServerIdx) {
+        let view = &mut self.list[idx.index()];
+        view.in_flight = view.in_flight.saturating_sub(1);
+    }
+
+    /// A part came back whole from a server, with the load it told.
+    pub fn succeeded(&mut self, now: Instant, idx: ServerIdx, load: u32) {
+        let view = &mut self.list[idx.index()];
+        view.failures = 0;
+        view.rests = 0;
+        view.load = load;
+        view.load_at = Some(now);
+        if view.state == ServerState::Probing {
+            view.warming_since = Some(now);
+            self.step(idx, ServerEvent::ProbeOk);
+        }
+    }
+
+    /// An attempt that was sent took this long, or was given up after it.
+    pub fn took(&mut self, now: Instant, idx: ServerIdx, latency: Duration) {
+        self.list[idx.index()].latency.add(now, latency);
+    }
+
+    /// An attempt at a server failed.
+    pub fn failed(&mut self, now: Instant, idx: ServerIdx, failure: Failure) {
+        let view = &mut self.list[idx.index()];
+        view.failures = view.failures.saturating_add(failure.weight());
+        let failing = view.failures >= self.options.failures_max;
+        match self.view(idx).state {
+            ServerState::Probing => self.set_aside(now, idx, ServerEvent::ProbeFailed),
+            ServerState::Serving | ServerState::Warming if failing && self.may_set_aside(idx) => {
+                self.set_aside(now, idx, ServerEvent::Failing);
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether the cap leaves room to set a server aside.
+    ///
+    /// A wrong signal that hits every replica, such as a lookup that fails everywhere, would else
+    /// empty the service; so at most half of its replicas, and never all, rest at a time.
+    fn may_set_aside(&self, idx: ServerIdx) -> bool {
+        let Some(members) = self.services.get(&self.view(idx).decl.service) else {
+            return false;
+        };
+        let resting = members
+            .iter()
+            .filter(|i| {
+                matches!(
+                    self.view(**i).state,
+                    ServerState::SetAside | ServerState::Probing | ServerState::Draining
+                )
+            })
+            .count();
+        resting < members.len() / 2
+    }
+
+    fn set_aside(&mut self, now: Instant, idx: ServerIdx, event: ServerEvent) {
+        let options = &self.options;
+        let view = &mut self.list[idx.index()];
+        let rest = options
+            .rest_min
+            .saturating_mul(1 << view.rests.min(16))
+            .min(options.rest_max);
+        view.rests = view.rests.saturating_add(1);
+        view.rest_until = Some(now + rest);
+        self.step(idx, event);
+    }
+
+    /// A server refused for load and asks for a pause.
+    pub fn shed(&mut self, now: Instant, idx: ServerIdx, retry_after: Duration) {
+        let view = &mut self.list[idx.index()];
+        view.shed_until = Some(now + retry_after.min(SHED_MAX));
+    }
+
+    /// A server said itself which snapshots it holds, with a refusal; `true` if that is new.
+    pub fn said_holds(&mut self, now: Instant, idx: ServerIdx, holds: &[SnapshotId]) -> bool {
+        let until = now + self.options.own_word;
+        let view = &mut self.list[idx.index()];
+        view.own_word_until = Some(until);
+        if view
+            .snapshots
+            .as_ref()
+            .is_some_and(|held| held.as_slice() == holds)
+        {
+            return false;
+        }
+        view.snapshots = Some(SmallVec::from_slice(holds));
+        self.changes += 1;
+        true
+    }
+
+    fn step(&mut self, idx: ServerIdx, event: ServerEvent) {
+        let view = &mut self.list[idx.index()];
+        let Some(next) = self.chart.next(view.state, event) else {
+            return;
+        };
+        log::info!(
+            "event=server-state server={} incarnation={} from={} to={next} by={event}",
+            view.decl.name,
+            view.incarnation.unwrap_or_default(),
+            view.state,
+        );
+        view.state = next;
+    }
+}
