feat(query): rules of the engine, each with its test

A test on equal replicas found that ties always went to the first declared, which would have sent every VM's first attempts to one server; the first drawn now wins a tie. At-most-once lookups go on when their caller hangs up after they were handed over.

--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -75,7 +75,7 @@
             }
             Event::Sent(id) => self.sent(now, &id),
             Event::Reply(id, reply) => self.reply(now, &id, reply, out),
-            Event::Gone(seq) => self.gone(now, seq, out),
+            Event::Gone(seq) => self.with(seq, |core, lk| core.gone(now, lk, out)),
             Event::Connection(server, opened) => self.connection(&server, opened),
             Event::Tick => self.tick(now, out),
             Event::Leave => self.core.is_leaving = true,
@@ -219,13 +219,6 @@
         id.incarnation == self.core.incarnation && id.vm == self.core.vm
     }
 
-    fn gone(&mut self, now: Instant, seq: LookupSeq, out: &mut Vec<Action>) {
-        self.with(seq, |core, lk| {
-            core.counters.gone += 1;
-            core.let_go(now, lk, true, out);
-        });
-    }
-
     fn connection(&mut self, server: &ServerName, opened: bool) {
         if let Some(idx) = self.core.servers.find(server) {
             self.core.servers.connection(idx, opened);
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -100,13 +100,29 @@
         outcome: Outcome,
         out: &mut Vec<Action>,
     ) {
-        self.counters.ended(&outcome);
         let in_time = lk.whole as usize == lk.shards.len()
             || matches!(&outcome, Outcome::Answered(a) if a.ended_early);
-        out.push(Action::Answer(lk.seq, outcome));
+        if !lk.is_gone {
+            self.counters.ended(&outcome);
+            out.push(Action::Answer(lk.seq, outcome));
+        }
         self.let_go(now, lk, in_time, out);
     }
 
+    /// The caller hung up.
+    ///
+    /// An at-most-once lookup that is with a server goes on: stopped, it would be open whether it
+    /// ran, and its key is used up either way.
+    pub(crate) fn gone(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if !lk.is_gone {
+            self.counters.gone += 1;
+        }
+        lk.is_gone = true;
+        if !(lk.is_once() && lk.may_have_run > 0) {
+            self.let_go(now, lk, true, out);
+        }
+    }
+
     /// Lets go of everything that the lookup held; its last word was given or has no reader.
     pub(crate) fn let_go(
         &mut self,
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -118,6 +118,8 @@
     pub(crate) restarts: u8,
     /// When the engine looks at it next.
     pub(crate) timer: Option<Instant>,
+    /// Whether its caller hung up, so that nobody hears its last word.
+    pub(crate) is_gone: bool,
     /// Whether its last word was given.
     pub(crate) is_done: bool,
 }
--- /dev/null
+++ b/crates/query/tests/engine/charts.rs
@@ -0,0 +1,26 @@
+//! The chart of an attempt.
+
+use gs_query::AttemptEvent;
+use gs_query::AttemptState;
+use gs_query::attempt_chart;
+use strum::IntoEnumIterator;
+
+/// Parsing proves that every state can be reached and answers every event.
+#[test]
+fn the_attempts_chart_is_whole() {
+    let chart = attempt_chart().expect("a whole chart");
+    assert_eq!(chart.initial(), AttemptState::Handed);
+}
+
+#[test]
+fn no_event_leads_back_from_the_point_of_no_return() {
+    let chart = attempt_chart().expect("a whole chart");
+    for event in AttemptEvent::iter() {
+        assert_ne!(
+            chart.next(AttemptState::Sent, event),
+            Some(AttemptState::Handed)
+        );
+    }
+    let not_sent = chart.next(AttemptState::Sent, AttemptEvent::NotSent);
+    assert_eq!(not_sent, Some(AttemptState::Failed));
+}
--- /dev/null
+++ b/crates/query/tests/engine/connections.rs
@@ -0,0 +1,132 @@
+//! Attempts in flight never pass this VM's share of a server's connections.
+
+use std::time::Duration;
+
+use gs_query::Action;
+use gs_query::EngineOptions;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+
+use crate::world::World;
+use crate::world::group;
+use crate::world::report;
+use crate::world::server;
+use crate::world::whole;
+
+#[test]
+fn above_the_share_parts_wait_and_go_in_the_order_of_their_deadlines() {
+    let mut w = World::new(1, 1);
+    let seqs: Vec<_> = (0..4).map(|_| w.arrive("urgent")).collect();
+    assert_eq!(w.open.len(), 2);
+    let first = w.take(0);
+    w.sent(&first);
+    w.reply(&first, whole(&first));
+    let lookups: Vec<_> = w.open.iter().map(|d| d.attempt.lookup).collect();
+    assert_eq!(lookups, [seqs[1], seqs[2]]);
+}
+
+#[test]
+fn a_cancelled_attempt_holds_its_connection_until_the_shell_tells_its_end() {
+    let mut w = World::new(1, 1);
+    w.share_all(&group(1, 1, &[(1, 1)]), 1);
+    w.arrive("urgent");
+    let d = w.take(0);
+    w.sent(&d);
+    w.pass(Duration::from_millis(199));
+    assert_eq!(w.cancelled.len(), 1);
+    w.arrive("urgent");
+    assert!(w.open.is_empty());
+    w.reply(&d, PartReply::Cancelled);
+    assert_eq!(w.open.len(), 1);
+}
+
+/// A shell that forgets to tell an attempt's end would hold the server's connections for ever.
+#[test]
+fn a_forgotten_attempt_gives_its_connection_back_in_time() {
+    let mut w = World::new(1, 1);
+    w.share_all(&group(1, 1, &[(1, 1)]), 1);
+    w.arrive("urgent");
+    w.open.clear();
+    w.pass(Duration::from_millis(199));
+    w.pass(Duration::from_secs(3));
+    w.arrive("urgent");
+    assert_eq!(w.open.len(), 1);
+}
+
+#[test]
+fn a_larger_share_lets_waiting_parts_go() {
+    let mut w = World::new(1, 1);
+    for _ in 0..5 {
+        w.arrive("urgent");
+    }
+    assert_eq!(w.open.len(), 2);
+    w.share_all(&group(1, 1, &[(1, 1)]), 4);
+    assert_eq!(w.open.len(), 4);
+}
+
+#[test]
+fn the_share_is_held_warm() {
+    let mut w = World::new(1, 1);
+    let out = w.on(Event::Shares(vec![(server(0, 0), Connections(3))]));
+    assert!(out.contains(&Action::Warm(server(0, 0), Connections(3))));
+}
+
+/// A server that has just started is cold. It gets one attempt at a time at first.
+#[test]
+fn a_new_run_of_a_server_starts_slowly() {
+    let mut w = World::with(EngineOptions::default(), &group(1, 1, &[(1, 1)]));
+    w.share_all(&group(1, 1, &[(1, 1)]), 4);
+    w.on(Event::Report(report(server(0, 0), 1, &[1])));
+    w.on(Event::Report(report(server(0, 0), 2, &[1])));
+    for _ in 0..4 {
+        w.arrive("urgent");
+    }
+    assert_eq!(w.open.len(), 1);
+    w.serve_all();
+    w.pass(Duration::from_secs(4));
+    for _ in 0..4 {
+        w.arrive("urgent");
+    }
+    assert_eq!(w.open.len(), 4);
+}
+
+#[test]
+fn a_server_that_sheds_is_left_alone_for_as_long_as_it_asked() {
+    let mut w = World::new(1, 1);
+    let seq = w.arrive("urgent");
+    w.serve(
+        0,
+        PartReply::Shed {
+            retry_after: Duration::from_millis(30),
+        },
+    );
+    w.pass(Duration::from_millis(29));
+    assert!(w.open.is_empty());
+    w.pass(Duration::from_millis(1));
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+/// Every attempt at both replicas fails. One is set aside; the other goes on being asked, so that
+/// a wrong signal cannot empty the service.
+#[test]
+fn failing_servers_are_set_aside_but_never_all_of_a_service() {
+    let mut w = World::with(EngineOptions::default(), &group(1, 2, &[(1, 1)]));
+    for _ in 0..12 {
+        w.arrive("urgent");
+        while !w.open.is_empty() {
+            w.serve(0, PartReply::Failed);
+        }
+    }
+    let states: Vec<_> = w
+        .engine
+        .dump(w.now)
+        .servers
+        .iter()
+        .map(|s| s.state.clone())
+        .collect();
+    assert_eq!(states.iter().filter(|s| *s == "set-aside").count(), 1);
+    w.arrive("urgent");
+    assert_eq!(w.open.len(), 1);
+}
--- /dev/null
+++ b/crates/query/tests/engine/hedge.rs
@@ -0,0 +1,160 @@
+//! Hedges and retries, and the budget that bounds them.
+
+use std::time::Duration;
+
+use gs_query::EngineOptions;
+use gs_query::PartReply;
+use gs_query::PolicyName;
+use gs_types::prelude::*;
+
+use crate::world::World;
+use crate::world::brute_force;
+use crate::world::group;
+use crate::world::whole;
+
+/// A world that has learned that parts take about 2 ms.
+fn taught(options: EngineOptions) -> World {
+    let mut w = World::with(options, &group(1, 2, &[(1, 4)]));
+    for _ in 0..80 {
+        w.arrive("urgent");
+        w.now += Duration::from_millis(2);
+        w.serve_all();
+    }
+    w
+}
+
+/// One server of four is slow. Its part is asked for again elsewhere, and the page does not wait.
+#[test]
+fn a_slow_part_is_hedged_at_another_server_and_the_loser_is_cancelled() {
+    let mut w = taught(EngineOptions::default());
+    let seq = w.arrive("urgent");
+    let slow = w.take(3);
+    w.sent(&slow);
+    w.now += Duration::from_millis(2);
+    w.serve_all();
+    w.pass(Duration::from_millis(4));
+    assert_eq!(w.open.len(), 1);
+    assert_ne!(w.open[0].server.name, slow.server.name);
+    assert_ne!(w.open[0].attempt, slow.attempt);
+    w.serve_all();
+    let a = w.answer(seq);
+    assert_eq!(a.hits, brute_force(1, &[0, 1, 2, 3], 5));
+    assert_eq!(a.extra_attempts, 1);
+    assert_eq!(w.cancelled, [slow.attempt]);
+    assert_eq!(w.engine.counters().hedges_won, 1);
+}
+
+/// Every part of every lookup is slow. Hedging all of them would double the load that makes them
+/// slow; the budget lets a few per cent through.
+#[test]
+fn when_everything_is_slow_hedges_stay_within_the_budget() {
+    let options = EngineOptions {
+        extra_burst: 8,
+        extra_floor: 0.0,
+        ..EngineOptions::default()
+    };
+    let mut w = taught(options);
+    let before = w.engine.counters().clone();
+    for _ in 0..100 {
+        w.arrive("urgent");
+        let first = std::mem::take(&mut w.open);
+        w.pass(Duration::from_millis(20));
+        w.open.extend(first);
+        w.serve_all();
+    }
+    let c = w.engine.counters();
+    let hedges = c.hedges - before.hedges;
+    let first = c.attempts - before.attempts - hedges;
+    // 3% of the first attempts, and what was saved up before.
+    assert!(
+        hedges as f64 <= first as f64 * 0.03 + 4.0,
+        "{hedges} of {first}"
+    );
+    assert!(c.extra_refused > before.extra_refused);
+}
+
+/// A storm of failures: without a bound, each lookup would make four attempts a shard.
+#[test]
+fn when_everything_fails_retries_stay_within_the_budget() {
+    let options = EngineOptions {
+        extra_burst: 10,
+        extra_floor: 0.0,
+        ..EngineOptions::default()
+    };
+    let mut w = World::with(options, &group(1, 2, &[(1, 4)]));
+    for _ in 0..50 {
+        w.arrive("urgent");
+        while let Some(d) = w.open.pop() {
+            w.sent(&d);
+            w.reply(&d, PartReply::Failed);
+        }
+    }
+    let c = w.engine.counters();
+    assert!(c.retries <= 11, "{} retries of {}", c.retries, c.attempts);
+}
+
+#[test]
+fn a_failed_attempt_is_retried_at_another_server() {
+    let mut w = World::new(2, 2);
+    let seq = w.arrive("complete");
+    let failed = w.serve(1, PartReply::Failed);
+    let again = w.take(1);
+    assert_ne!(again.server.name, failed.server.name);
+    assert_eq!(again.attempt.attempt, 1);
+    assert!(again.budget <= failed.budget);
+    w.sent(&again);
+    w.reply(&again, whole(&again));
+    w.serve_all();
+    assert_eq!(w.answer(seq).extra_attempts, 1);
+}
+
+#[test]
+fn the_time_already_spent_is_taken_off_what_a_retry_may_use() {
+    let mut w = World::new(1, 2);
+    w.arrive("complete");
+    let first = w.take(0);
+    w.sent(&first);
+    w.now += Duration::from_millis(70);
+    w.reply(&first, PartReply::Failed);
+    let again = w.take(0);
+    assert_eq!(again.budget, first.budget - Duration::from_millis(70));
+}
+
+#[test]
+fn the_baseline_never_hedges_but_times_out_and_tries_once_more() {
+    let options = EngineOptions {
+        policy: PolicyName::Baseline,
+        attempt_timeout: Duration::from_millis(50),
+        tries_max: 2,
+        ..EngineOptions::default()
+    };
+    let mut w = taught(options);
+    let seq = w.arrive("urgent");
+    let slow = w.take(3);
+    w.sent(&slow);
+    w.serve_all();
+    w.pass(Duration::from_millis(49));
+    assert!(w.open.is_empty());
+    w.pass(Duration::from_millis(1));
+    assert_eq!(w.cancelled, [slow.attempt]);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    assert_eq!(w.engine.counters().hedges, 0);
+}
+
+#[test]
+fn equal_events_and_seeds_give_equal_attempts() {
+    let run = || {
+        let mut w = taught(EngineOptions::default());
+        for _ in 0..20 {
+            w.arrive("urgent");
+            w.serve_all();
+        }
+        w.arrive("urgent");
+        w.open
+            .iter()
+            .map(|d| (d.attempt.shard, d.server.name.clone()))
+            .collect::<Vec<(ShardId, _)>>()
+    };
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/crates/query/tests/engine/main.rs
@@ -0,0 +1,13 @@
+//! The engine's promises, one behaviour a test.
+
+mod charts;
+mod connections;
+mod coverage;
+mod drain;
+mod hedge;
+mod once;
+mod outcome;
+mod poison;
+mod replies;
+mod snapshot;
+mod world;
--- /dev/null
+++ b/crates/query/tests/engine/once.rs
@@ -0,0 +1,139 @@
+//! At-most-once lookups: claim first, one attempt, never again.
+
+use std::time::Duration;
+
+use gs_query::ClaimVerdict;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use crate::world::World;
+use crate::world::whole;
+
+/// A levy lookup whose claim is granted, on a group of one shard with two replicas.
+fn granted() -> (World, LookupSeq) {
+    let mut w = World::new(1, 2);
+    let seq = w.arrive("levy");
+    assert!(w.open.is_empty(), "sent before the claim");
+    assert_eq!(w.claims, [seq]);
+    w.on(Event::Claim(seq, ClaimVerdict::Granted));
+    (w, seq)
+}
+
+#[test]
+fn it_is_sent_once_the_claim_is_granted() {
+    let (mut w, seq) = granted();
+    assert_eq!(w.open.len(), 1);
+    assert!(w.open[0].once);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+#[rstest]
+#[case(ClaimVerdict::Taken, RefusalReason::AlreadyClaimed, false, false)]
+#[case(ClaimVerdict::Expired, RefusalReason::KeyExpired, false, false)]
+#[case(ClaimVerdict::Unknown, RefusalReason::ClaimsAway, false, true)]
+#[case(ClaimVerdict::Refused, RefusalReason::ClaimsAway, true, true)]
+fn without_a_granted_claim_nothing_is_sent(
+    #[case] verdict: ClaimVerdict,
+    #[case] reason: RefusalReason,
+    #[case] not_run: bool,
+    #[case] retry: bool,
+) {
+    let mut w = World::new(1, 2);
+    let seq = w.arrive("levy");
+    w.on(Event::Claim(seq, verdict));
+    assert!(w.open.is_empty());
+    let (said_not_run, r) = match w.outcome(seq) {
+        Outcome::NotRun(r) => (true, r),
+        Outcome::Unknown(r) => (false, r),
+        Outcome::Answered(a) => panic!("{a:?}"),
+    };
+    assert_eq!(
+        (r.reason, said_not_run, r.retry_after.is_some()),
+        (reason, not_run, retry)
+    );
+}
+
+/// The levy's server breaks, errs or is slow after it got the request. Another attempt could take
+/// the levy twice, so there is none, and the caller is told that it may have run.
+#[rstest]
+#[case(PartReply::Broken)]
+#[case(PartReply::Garbled)]
+#[case(PartReply::Failed)]
+#[case(PartReply::Cancelled)]
+fn after_it_was_sent_it_is_never_tried_again(#[case] reply: PartReply) {
+    let (mut w, seq) = granted();
+    w.serve(0, reply);
+    assert!(w.open.is_empty());
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Failed);
+}
+
+/// The server refused the levy and says that it did not run it. The key is used up, as the claim
+/// was granted to this lookup; so nothing ran and nothing can any more: a new key is safe.
+#[rstest]
+#[case(PartReply::Shed { retry_after: Duration::from_millis(5) })]
+#[case(PartReply::Draining)]
+fn a_refusal_by_the_server_is_not_run_for_good(#[case] reply: PartReply) {
+    let (mut w, seq) = granted();
+    w.serve(0, reply);
+    assert!(w.open.is_empty());
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.retry_after, None);
+}
+
+#[test]
+fn an_attempt_that_never_left_may_go_to_another_server() {
+    let (mut w, seq) = granted();
+    let d = w.take(0);
+    w.reply(&d, PartReply::NotSent);
+    assert_eq!(w.open.len(), 1);
+    assert_ne!(w.open[0].server.name, d.server.name);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+#[test]
+fn it_is_never_hedged() {
+    let (mut w, _) = granted();
+    let d = w.take(0);
+    w.sent(&d);
+    for _ in 0..18 {
+        w.pass(Duration::from_millis(10));
+    }
+    assert!(w.open.is_empty());
+}
+
+/// The platform answers the claim only after the caller's deadline. The lookup is over by then, and
+/// must not be sent behind the caller's back.
+#[test]
+fn a_claim_granted_too_late_sends_nothing() {
+    let mut w = World::new(1, 1);
+    let seq = w.arrive("levy");
+    w.pass(Duration::from_millis(199));
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::ClaimsAway);
+    w.on(Event::Claim(seq, ClaimVerdict::Granted));
+    assert!(w.open.is_empty());
+}
+
+/// The caller hangs up while its levy is with a server. Stopping it would leave open whether it
+/// ran; let go on, it ends as it would have.
+#[test]
+fn it_goes_on_when_the_caller_hangs_up() {
+    let (mut w, seq) = granted();
+    let d = w.take(0);
+    w.sent(&d);
+    w.on(Event::Gone(seq));
+    assert!(w.cancelled.is_empty());
+    w.reply(&d, whole(&d));
+    assert!(w.answers.is_empty());
+}
--- /dev/null
+++ b/crates/query/tests/engine/outcome.rs
@@ -0,0 +1,126 @@
+//! A refusal says `not-run` only when that is true.
+
+use std::time::Duration;
+
+use gs_query::EngineOptions;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use crate::world::World;
+use crate::world::group;
+
+/// What came of the only attempt of a complete lookup, in one word.
+fn word(w: &World, seq: LookupSeq) -> &'static str {
+    match w.outcome(seq) {
+        Outcome::Answered(_) => "answered",
+        Outcome::NotRun(_) => "not-run",
+        Outcome::Unknown(_) => "unknown",
+    }
+}
+
+#[rstest]
+#[case::draining(PartReply::Draining, "not-run")]
+#[case::snapshot_gone(PartReply::NoSnapshot { holds: Default::default() }, "not-run")]
+#[case::failed(PartReply::Failed, "unknown")]
+#[case::broken(PartReply::Broken, "unknown")]
+fn a_lookup_is_not_run_only_if_its_attempt_says_so(
+    #[case] reply: PartReply,
+    #[case] expected: &str,
+) {
+    let options = EngineOptions {
+        tries_max: 1,
+        ..EngineOptions::default()
+    };
+    let mut w = World::with(options, &group(1, 1, &[(1, 1)]));
+    let seq = w.arrive("complete");
+    w.serve(0, reply);
+    assert_eq!(word(&w, seq), expected);
+}
+
+/// The deadline passes while an attempt is with the shell, which may write its first byte at that
+/// very moment: the word of it is then still on its way to the engine. So it may have run.
+#[test]
+fn an_attempt_that_the_shell_still_has_may_have_run() {
+    let mut w = World::new(1, 1);
+    let seq = w.arrive("complete");
+    w.pass(Duration::from_millis(199));
+    assert_eq!(word(&w, seq), "unknown");
+}
+
+#[test]
+fn a_lookup_that_only_ever_waited_is_not_run() {
+    let mut w = World::new(1, 1);
+    w.share_all(&group(1, 1, &[(1, 1)]), 0);
+    let seq = w.arrive("urgent");
+    assert!(w.open.is_empty());
+    w.pass(Duration::from_millis(199));
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::TooLate);
+    assert!(r.retry_after.is_some());
+}
+
+#[test]
+fn a_leaving_process_refuses_new_lookups_and_finishes_the_old() {
+    let mut w = World::new(2, 1);
+    let old = w.arrive("complete");
+    w.on(Event::Leave);
+    let new = w.arrive("complete");
+    let Outcome::NotRun(r) = w.outcome(new) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Leaving);
+    w.serve_all();
+    assert_eq!(word(&w, old), "answered");
+    assert_eq!(w.engine.in_flight(), 0);
+}
+
+#[test]
+fn more_than_can_end_in_time_is_refused_at_once_as_overload() {
+    let mut w = World::new(1, 1);
+    // A server that needs 50 ms a part teaches what a place in its queue costs.
+    for _ in 0..4 {
+        w.arrive("complete");
+        let d = w.take(0);
+        w.sent(&d);
+        w.pass(Duration::from_millis(50));
+        w.reply(&d, crate::world::whole(&d));
+    }
+    let seqs: Vec<_> = (0..12).map(|_| w.arrive("complete")).collect();
+    let refused: Vec<_> = seqs.iter().filter(|s| w.is_over(**s)).collect();
+    assert!(!refused.is_empty(), "nothing refused");
+    assert!(refused.len() < 11, "all but one refused");
+    for seq in refused {
+        let Outcome::NotRun(r) = w.outcome(*seq) else {
+            panic!("{:?}", w.answers);
+        };
+        assert_eq!(r.reason, RefusalReason::Overload);
+        assert!(r.retry_after.is_some());
+    }
+}
+
+#[test]
+fn a_deadline_of_zero_is_refused_and_nothing_is_sent() {
+    let mut w = World::new(1, 1);
+    let mut req = World::request("urgent", "pine");
+    req.deadline = Some(Duration::ZERO);
+    let seq = w.arrive_with(req);
+    assert_eq!(word(&w, seq), "not-run");
+    assert!(w.open.is_empty());
+}
+
+#[rstest]
+#[case::no_tries(EngineOptions { tries_max: 0, ..Default::default() }, "tries_max")]
+#[case::no_lookups(EngineOptions { lookups_max: 0, ..Default::default() }, "lookups_max")]
+#[case::not_a_number(EngineOptions { extra_ratio: f64::NAN, ..Default::default() }, "extra_ratio")]
+#[case::all(EngineOptions { hedge_quantile: 1.0, ..Default::default() }, "hedge_quantile")]
+fn an_option_out_of_range_is_named(#[case] options: EngineOptions, #[case] named: &str) {
+    let e = options.check().expect_err("out of range");
+    assert_eq!(
+        e.to_string(),
+        format!("`{named}` is out of range (step: check engine options)")
+    );
+}
--- /dev/null
+++ b/crates/query/tests/engine/poison.rs
@@ -0,0 +1,236 @@
+//! Lookups that crash the servers that run them.
+
+use std::time::Duration;
+
+use gs_query::Dispatch;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_query::Sign;
+use gs_query::SignSource;
+use gs_types::prelude::*;
+
+use crate::world::World;
+use crate::world::report;
+use crate::world::server;
+use crate::world::whole;
+
+fn fingerprint(lookup: &str) -> Fingerprint {
+    World::request(lookup, "pine").fingerprint()
+}
+
+fn quarantine(w: &mut World, crashes: u32, rest: Duration) {
+    let sign = Sign::Quarantine {
+        fingerprint: fingerprint("urgent"),
+        crashes,
+        rest,
+    };
+    w.on(Event::Sign(sign, SignSource::Peer));
+}
+
+/// Breaks an attempt as a crash does.
+fn crash(w: &mut World, d: &Dispatch) {
+    w.sent(d);
+    w.reply(d, PartReply::Broken);
+}
+
+/// A poisoned lookup is fanned out. The first server crashes; all other attempts are stopped
+/// before they run, and one server alone gets it next. When that crashes too, the lookup is refused,
+/// here and by every peer, and nobody else sees it.
+#[test]
+fn at_most_one_further_server_sees_a_suspect() {
+    let mut w = World::new(6, 2);
+    let seq = w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    assert_eq!(w.cancelled.len(), 5);
+    for d in std::mem::take(&mut w.open) {
+        w.reply(&d, PartReply::NotSent);
+    }
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    let canary = w.open.remove(0);
+    assert_ne!(canary.server.name, first.server.name);
+    crash(&mut w, &canary);
+    assert!(w.open.is_empty());
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    let told = |crashes, rest| Sign::Quarantine {
+        fingerprint: fingerprint("urgent"),
+        crashes,
+        rest,
+    };
+    assert_eq!(
+        w.spread,
+        [told(1, Duration::ZERO), told(2, Duration::from_secs(30))]
+    );
+}
+
+#[test]
+fn a_resend_of_a_quarantined_lookup_is_refused_at_once() {
+    let mut w = World::new(3, 1);
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    w.pass(Duration::from_secs(10));
+    let seq = w.arrive("urgent");
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    assert_eq!(r.retry_after, Some(Duration::from_secs(20)));
+    assert!(w.open.is_empty());
+}
+
+/// The caller resends its poisoned lookup while the first is still being tried on one server.
+#[test]
+fn while_a_suspect_is_tried_its_resends_are_refused() {
+    let mut w = World::new(4, 2);
+    w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    let resend = w.arrive("urgent");
+    let Outcome::NotRun(r) = w.outcome(resend) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// A server dies by itself under a harmless lookup. The canary's answer clears the lookup, the
+/// rest of the fan-out follows, and the page is whole.
+#[test]
+fn a_harmless_lookup_is_cleared_by_its_canary_and_answered_whole() {
+    let mut w = World::new(4, 2);
+    let seq = w.arrive("complete");
+    let first = w.take(2);
+    crash(&mut w, &first);
+    for d in std::mem::take(&mut w.open) {
+        w.reply(&d, PartReply::NotSent);
+    }
+    assert_eq!(w.open.len(), 1);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    assert!(matches!(
+        w.spread.last(),
+        Some(Sign::Quarantine { crashes: 0, .. })
+    ));
+    assert!(w.engine.dump(w.now).suspects.is_empty());
+}
+
+/// A server dies under a lookup that another shard has answered already. A poisoned lookup crashes
+/// each server that runs it, so this one is harmless: no canary, only a retry of the lost part.
+#[test]
+fn a_lookup_that_a_server_survived_is_no_suspect() {
+    let mut w = World::new(3, 2);
+    let seq = w.arrive("urgent");
+    let ok = w.take(0);
+    w.sent(&ok);
+    w.reply(&ok, whole(&ok));
+    let broken = w.take(1);
+    crash(&mut w, &broken);
+    assert!(w.cancelled.is_empty());
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    assert_eq!(w.spread, []);
+}
+
+#[test]
+fn under_a_peers_suspicion_a_lookup_shows_one_server_first() {
+    let mut w = World::new(5, 1);
+    quarantine(&mut w, 1, Duration::ZERO);
+    let early = w.arrive("urgent");
+    assert!(w.is_over(early), "left to the peer's canary at first");
+    w.pass(Duration::from_secs(2));
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 1);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+/// A quarantine somewhere raises suspicion: variants of the poisoned text may follow. A lookup
+/// never seen before shows one server first; one that ran well just now does not.
+#[test]
+fn while_suspicion_is_up_only_unproven_lookups_get_a_canary() {
+    let mut w = World::new(5, 1);
+    w.arrive_with(World::request("urgent", "known"));
+    w.serve_all();
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    w.arrive_with(World::request("urgent", "known"));
+    assert_eq!(w.open.len(), 5);
+    w.serve_all();
+    w.arrive_with(World::request("urgent", "variant"));
+    assert_eq!(w.open.len(), 1);
+}
+
+#[test]
+fn a_peers_quarantine_stops_the_lookup_here() {
+    let mut w = World::new(3, 1);
+    let seq = w.arrive("urgent");
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    assert_eq!(w.cancelled.len(), 3);
+}
+
+/// The crashed servers restart. Their new runs are served again at once, and owe nothing to the
+/// failures of the old.
+#[test]
+fn a_crashed_server_is_back_with_its_new_run() {
+    let mut w = World::new(1, 2);
+    for r in 0..2 {
+        w.on(Event::Report(report(server(0, r), 1, &[1])));
+    }
+    w.arrive("book");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    let second = w.take(0);
+    crash(&mut w, &second);
+    for r in 0..2 {
+        w.on(Event::Report(report(server(0, r), 2, &[1])));
+    }
+    let seq = w.arrive_with(World::request("urgent", "other"));
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    let failures: u32 = w
+        .engine
+        .dump(w.now)
+        .servers
+        .iter()
+        .map(|s| s.failures)
+        .sum();
+    assert_eq!(failures, 0);
+}
+
+/// A data centre goes: many servers break at once under a lookup that ran well a moment ago. It
+/// must not be put into quarantine for that.
+#[test]
+fn a_proven_lookup_is_not_quarantined_when_a_data_centre_goes() {
+    let mut w = World::new(6, 2);
+    w.arrive("urgent");
+    w.serve_all();
+    let seq = w.arrive("urgent");
+    let (gone, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut w.open)
+        .into_iter()
+        .partition(|d| d.server.data_centre == name_near());
+    for d in &gone {
+        crash(&mut w, d);
+    }
+    w.open.extend(rest);
+    w.open.retain(|d| d.server.data_centre != name_near());
+    let cancelled = w.cancelled.clone();
+    for d in std::mem::take(&mut w.open) {
+        if cancelled.contains(&d.attempt) {
+            w.reply(&d, PartReply::NotSent);
+        } else {
+            w.sent(&d);
+            w.reply(&d, whole(&d));
+        }
+    }
+    w.pass(Duration::from_millis(60));
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+fn name_near() -> DataCentre {
+    crate::world::name("near")
+}
--- a/crates/query/tests/common/mod.rs
+++ b/crates/query/tests/engine/world.rs
@@ -158,7 +158,10 @@
 impl World {
     /// A group of one snapshot, number 1, with each server's share at 2 connections.
     pub fn new(shards: u32, replicas: u32) -> Self {
-        Self::with(EngineOptions::default(), &group(1, replicas, &[(1, shards)]))
+        Self::with(
+            EngineOptions::default(),
+            &group(1, replicas, &[(1, shards)]),
+        )
     }
 
     pub fn with(options: EngineOptions, map: &GroupMap) -> Self {
--- a/crates/route/src/observed.rs
+++ b/crates/route/src/observed.rs
@@ -48,18 +48,20 @@
         take: impl Fn(&Candidate) -> bool,
         rng: &mut ChaCha8Rng,
     ) -> Option<(usize, f64)> {
-        let count = candidates.iter().filter(|c| take(c)).count();
-        let first = rng.random_range(0..count.max(1));
-        let step = rng.random_range(0..count.saturating_sub(1).max(1));
-        let second = (first + 1 + step) % count.max(1);
-        candidates
-            .iter()
-            .enumerate()
-            .filter(|(_, c)| take(c))
-            .enumerate()
-            .filter(|(n, _)| *n == first || *n == second)
-            .map(|(_, (at, c))| (at, Self::cost(c)))
-            .min_by(|a, b| a.1.total_cmp(&b.1))
+        let admitted = || candidates.iter().enumerate().filter(|(_, c)| take(c));
+        let count = admitted().count();
+        if count == 0 {
+            return None;
+        }
+        let first = rng.random_range(0..count);
+        let (at, cost) = admitted().nth(first).map(|(at, c)| (at, Self::cost(c)))?;
+        if count == 1 {
+            return Some((at, cost));
+        }
+        let second = (first + rng.random_range(1..count)) % count;
+        let other = admitted().nth(second).map(|(at, c)| (at, Self::cost(c)))?;
+        // The first wins a tie, and as it was drawn, equal replicas share the work.
+        Some(if other.1 < cost { other } else { (at, cost) })
     }
 }
 
