--- /dev/null
+++ b/tests/process/main.rs
@@ -0,0 +1,6 @@
+//! Process tests: the real binary in a small deployment, with faults from outside.
+
+mod platform_faults;
+mod server_faults;
+mod support;
+mod vm_faults;
