--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,97 @@
+//! `check`: what is wrong with a settings file or a patch, before anything uses it.
+
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgGroup;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use gs_settings::Faults;
+use gs_settings::Settings;
+use serde_json::json;
+
+use super::after_help;
+use super::json_arg;
+use super::patch_file;
+use super::wants_json;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::output;
+
+const SETTINGS: &str = "settings";
+const PATCH: &str = "patch";
+const CONFIG: &str = "config";
+
+/// Declares the command.
+pub(crate) fn command() -> Command {
+    Command::new("check")
+        .about("Checks a settings file or a patch and starts nothing")
+        .arg(settings_arg())
+        .arg(path_arg(PATCH, "Check this patch file (JSON)"))
+        .arg(
+            path_arg(
+                CONFIG,
+                "With --patch: apply it to this configuration (JSON)",
+            )
+            .requires(PATCH),
+        )
+        .group(
+            ArgGroup::new("what")
+                .args([SETTINGS, PATCH])
+                .required(true)
+                .multiple(true),
+        )
+        .arg(json_arg())
+        .after_help(after_help(
+            "  gentiansill check --settings vm.toml\n  \
+             gentiansill check --patch change.json --config current.json",
+        ))
+}
+
+/// The `--settings` option, for `serve` too.
+pub(super) fn settings_arg() -> Arg {
+    path_arg(
+        SETTINGS,
+        "The settings file (TOML); docs/SETTINGS.md lists its keys",
+    )
+}
+
+fn path_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help(help)
+}
+
+/// Reads the settings file named.
+pub(super) fn load(m: &ArgMatches) -> Result<Settings, Faults> {
+    let path = m.get_one::<PathBuf>(SETTINGS).cloned().unwrap_or_default();
+    gs_settings::load(&path)
+}
+
+/// Runs the command.
+pub(crate) fn run(m: &ArgMatches) -> Result<Exit, Failure> {
+    let json = wants_json(m);
+    if m.contains_id(SETTINGS) {
+        let settings = load(m)?;
+        match json {
+            true => output::json(&json!({ "settings": settings })),
+            false => output::line("the settings are good"),
+        }
+    }
+    if let Some(path) = m.get_one::<PathBuf>(PATCH) {
+        let warnings = patch_file::check(path, m.get_one::<PathBuf>(CONFIG))?;
+        match json {
+            true => output::json(&json!({ "warnings": warnings })),
+            false => {
+                for w in warnings {
+                    output::line(&format!("warning: {w}"));
+                }
+                output::line("the patch is good");
+            }
+        }
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/src/commands/replay.rs
@@ -0,0 +1,216 @@
+//! `replay`: a trace through the decisions, judged.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Instant;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+use gs_trace::Checker;
+use gs_trace::Divergence;
+use gs_trace::Expectations;
+use gs_trace::Header;
+use gs_trace::OutcomeKind;
+use gs_trace::Reader;
+use gs_trace::Record;
+use gs_trace::Replay;
+use gs_trace::Script;
+use gs_trace::Step;
+use gs_types::prelude::*;
+use serde_json::Value;
+use serde_json::json;
+
+use super::after_help;
+use super::json_arg;
+use super::wants_json;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::input;
+use crate::output;
+
+const TRACE: &str = "trace";
+const EXPECT: &str = "expect";
+const PARTIAL: &str = "partial";
+const STEPS: &str = "steps";
+
+/// Declares the command.
+pub(crate) fn command() -> Command {
+    Command::new("replay")
+        .about("Runs a trace through the decisions and compares the outcomes with the stated ones")
+        .long_about(
+            "Runs a trace through the decisions and compares the outcomes with the stated ones.\n\n\
+             What must always hold is judged in any case: each lookup has one final word, each page \
+             is of one snapshot with a true coverage, `not-run` is true, an at-most-once lookup runs \
+             at most once, and a draining server gets no new work. The first step that differs is \
+             shown.",
+        )
+        .arg(
+            Arg::new(TRACE)
+                .value_name("TRACE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("A trace from `serve --record`, or a script that ends in `.toml`"),
+        )
+        .arg(
+            Arg::new(EXPECT)
+                .long("expect")
+                .value_name("OUTCOMES")
+                .value_parser(value_parser!(PathBuf))
+                .help("The stated outcomes (TOML); docs/TRACES.md lists the keys"),
+        )
+        .arg(
+            Arg::new(PARTIAL)
+                .long("partial")
+                .action(ArgAction::SetTrue)
+                .help("Replay the whole records of a trace that is cut short or corrupt further on"),
+        )
+        .arg(
+            Arg::new(STEPS)
+                .long("steps")
+                .action(ArgAction::SetTrue)
+                .help("Show each step: its number, time, event and actions"),
+        )
+        .arg(json_arg())
+        .after_help(after_help(
+            "  gentiansill replay vm.trace --expect vm.expect.toml\n  \
+             gentiansill replay traces/one-snapshot.toml --expect traces/one-snapshot.expect.toml\n  \
+             gentiansill replay vm.trace --steps | less",
+        ))
+}
+
+/// Runs the command.
+pub(crate) fn run(m: &ArgMatches) -> Result<Exit, Failure> {
+    let path = m.get_one::<PathBuf>(TRACE).cloned().unwrap_or_default();
+    let stated = match m.get_one::<PathBuf>(EXPECT) {
+        Some(path) => Expectations::parse(&input::text(path, "read outcomes")?)?,
+        None => Expectations::default(),
+    };
+    let (header, records) = open(&path)?;
+    let records: Records = match m.get_flag(PARTIAL) {
+        true => Box::new(records.map_while(whole)),
+        false => records,
+    };
+    let mut checker = Checker::new(stated);
+    let judged = judge(&header, records, &mut checker, m.get_flag(STEPS))?;
+    tell(&checker, &judged, wants_json(m));
+    Ok(match judged {
+        Ok(_) => Exit::Done,
+        Err(_) => Exit::Refused,
+    })
+}
+
+type Records = Box<dyn Iterator<Item = Result<Record>>>;
+
+/// Opens a trace or a script.
+fn open(path: &Path) -> Result<(Header, Records)> {
+    if path.extension().is_some_and(|e| e == "toml") {
+        let script = Script::parse(&input::text(path, "read script")?)?;
+        let events = script.events()?.into_iter();
+        let records = events.map(|(at, event)| Ok(Record::Event { at, event }));
+        return Ok((script.header(), Box::new(records)));
+    }
+    let file = File::open(path).map_err(|e| {
+        Error::new(ErrorKind::Io, format!("{}: {e}", path.display()))
+            .at("open trace")
+            .with_hint("check the path and its permissions")
+    })?;
+    let reader = Reader::new(BufReader::new(file))?;
+    Ok((reader.header().clone(), Box::new(reader)))
+}
+
+/// A record that can be read; ends a partial replay with the reason at the first that cannot.
+fn whole(record: Result<Record>) -> Option<Result<Record>> {
+    match record {
+        Ok(r) => Some(Ok(r)),
+        Err(e) => {
+            eprintln!("replayed up to here: {e}");
+            None
+        }
+    }
+}
+
+/// A divergence, with its step spelled out if it is one step's.
+struct Diverged {
+    divergence: Divergence,
+    step: Option<String>,
+}
+
+/// Replays and judges; gives the number of steps, or the first divergence.
+fn judge(
+    header: &Header,
+    records: Records,
+    checker: &mut Checker,
+    show: bool,
+) -> Result<Result<u64, Diverged>> {
+    let engine = gs_trace::engine(header)?;
+    let mut steps = 0;
+    for step in Replay::new(records, engine, Instant::now()) {
+        let step = step?;
+        if show {
+            output::line(&spell(&step));
+        }
+        steps = step.number;
+        if let Err(divergence) = checker.on(&step) {
+            return Ok(Err(Diverged {
+                divergence,
+                step: Some(spell(&step)),
+            }));
+        }
+    }
+    let diverged = |divergence| Diverged {
+        divergence,
+        step: None,
+    };
+    Ok(checker.end().map(|()| steps).map_err(diverged))
+}
+
+fn spell(step: &Step) -> String {
+    let at = humantime::format_duration(step.at);
+    let mut s = format!("step {} at {at}: {:?}", step.number, step.event);
+    for action in &step.actions {
+        s.push_str(&format!("\n    -> {action:?}"));
+    }
+    s
+}
+
+fn tell(checker: &Checker, judged: &Result<u64, Diverged>, json: bool) {
+    let (answered, not_run, unknown, attempts) = (
+        checker.count(OutcomeKind::Answered),
+        checker.count(OutcomeKind::NotRun),
+        checker.count(OutcomeKind::Unknown),
+        checker.attempts(),
+    );
+    if json {
+        output::json(&json!({
+            "steps": judged.as_ref().ok(),
+            "diverges": judged.as_ref().err().map(diverged_json),
+            "answered": answered,
+            "not-run": not_run,
+            "unknown": unknown,
+            "attempts": attempts,
+        }));
+        return;
+    }
+    match judged {
+        Ok(steps) => output::line(&format!(
+            "as stated: {steps} steps, {answered} answered, {not_run} not run, {unknown} unknown, \
+             {attempts} attempts"
+        )),
+        Err(d) => {
+            output::line(&format!("diverges at {}", d.divergence));
+            if let Some(step) = &d.step {
+                output::line(step);
+            }
+        }
+    }
+}
+
+fn diverged_json(d: &Diverged) -> Value {
+    let Divergence { step, at, text } = &d.divergence;
+    json!({ "step": step, "at-ms": at.as_secs_f64() * 1e3, "text": text, "told": d.step })
+}
--- /dev/null
+++ b/src/commands/status.rs
@@ -0,0 +1,35 @@
+//! `status`: a summary of one process.
+
+use clap::ArgMatches;
+use clap::Command;
+
+use super::admin;
+use super::after_help;
+use super::wants_json;
+use crate::exit::Exit;
+use crate::failure::Failure;
+use crate::output;
+
+/// Where the process tells it.
+const PATH: &str = "/admin/v1/status";
+
+/// Declares the command.
+pub(crate) fn command() -> Command {
+    let c = Command::new("status")
+        .about("Shows a summary of a process, one `key = value` a line")
+        .after_help(after_help(
+            "  gentiansill status --admin 10.0.0.1:8002 --key-file team.key\n  \
+             gentiansill status --admin 10.0.0.1:8002 --key-file team.key --json",
+        ));
+    admin::options(c, "5s")
+}
+
+/// Runs the command.
+pub(crate) fn run(m: &ArgMatches) -> Result<Exit, Failure> {
+    let status = admin::client(m)?.get(PATH)?;
+    match wants_json(m) {
+        true => output::json(&status),
+        false => output::flat(&status),
+    }
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/src/failure.rs
@@ -0,0 +1,115 @@
+//! Errors for people: a report on stderr, and its exit code.
+
+use std::fmt;
+use std::io::IsTerminal;
+
+use gs_settings::Faults;
+use gs_types::prelude::*;
+use miette::Diagnostic;
+use miette::GraphicalReportHandler;
+use miette::GraphicalTheme;
+
+use crate::exit::Exit;
+
+/// The width of a report, in columns.
+const WIDTH: usize = 100;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// A step failed.
+    Step(Error),
+    /// The settings are at fault.
+    Settings(Faults),
+}
+
+impl Failure {
+    /// The exit code's meaning.
+    pub(crate) fn exit(&self) -> Exit {
+        match self {
+            Self::Step(e) => Exit::of(e.kind()),
+            Self::Settings(_) => Exit::BadInput,
+        }
+    }
+
+    /// The report for a person, coloured on a terminal only.
+    pub(crate) fn report(&self) -> String {
+        let theme = match std::io::stderr().is_terminal() {
+            true => GraphicalTheme::unicode(),
+            false => GraphicalTheme::unicode_nocolor(),
+        };
+        let mut s = String::new();
+        let handler = GraphicalReportHandler::new_themed(theme).with_width(WIDTH);
+        match handler.render_report(&mut s, self.diagnostic()) {
+            Ok(()) => s,
+            Err(_) => format!("{self}\n"),
+        }
+    }
+
+    /// The error for a program, in the form of the administration API.
+    pub(crate) fn json(&self) -> serde_json::Value {
+        match self {
+            Self::Step(e) => serde_json::json!({
+                "kind": e.kind(),
+                "error": e.to_string(),
+                "step": e.step(),
+                "peer": e.peer(),
+                "hint": e.hint(),
+            }),
+            Self::Settings(f) => serde_json::json!({
+                "kind": ErrorKind::BadInput,
+                "error": f.to_string(),
+                "step": "read settings",
+                "faults": f.faults().iter().map(fault_json).collect::<Vec<_>>(),
+            }),
+        }
+    }
+
+    fn diagnostic(&self) -> &dyn Diagnostic {
+        match self {
+            Self::Step(_) => self,
+            Self::Settings(f) => f,
+        }
+    }
+}
+
+fn fault_json(f: &gs_settings::Fault) -> serde_json::Value {
+    serde_json::json!({
+        "kind": f.kind().to_string(),
+        "error": f.to_string(),
+        "place": f.place().map(|p| [p.start, p.end]),
+        "hint": f.mend(),
+    })
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Step(e) => e.fmt(f),
+            Self::Settings(e) => e.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl Diagnostic for Failure {
+    fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
+        match self {
+            Self::Step(e) => e.hint().map(|h| Box::new(h) as Box<dyn fmt::Display>),
+            Self::Settings(_) => None,
+        }
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(e: Error) -> Self {
+        Self::Step(e)
+    }
+}
+
+impl From<Faults> for Failure {
+    fn from(f: Faults) -> Self {
+        Self::Settings(f)
+    }
+}
