--- a/crates/query/src/place.rs
+++ b/crates/query/src/place.rs
@@ -274,6 +274,7 @@
             page: lk.decl.page,
             budget: lk.answer_by.saturating_duration_since(now),
             once: lk.is_once(),
+            idempotency_key: lk.idempotency_key.clone().filter(|_| lk.is_once()),
         }));
         self.arm_attempt(now, lk, kind);
     }
