--- a/crates/node/src/book_shell.rs
+++ b/crates/node/src/book_shell.rs
@@ -85,6 +85,7 @@
                     feed.push(Event::Wrote(id, written(r.map(|v| v.0))));
                 });
             }
+            Action::Prune(path) => self.calls.prune(path),
             Action::Send(vm, msg) => self.spread.send(&vm, &Message::Conf(msg)),
             Action::Broadcast(msg) => self.spread.broadcast(&Message::Conf(msg)),
             Action::Apply(config) => {
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -48,4 +48,16 @@
         let platform = Arc::clone(&self.0);
         tokio::spawn(async move { done(platform.delete(&path, Version(if_version)).await) });
     }
+
+    /// Deletes an object whatever its version; a failure leaves it for the next time.
+    pub(crate) fn prune(&self, path: String) {
+        let platform = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            if let Ok(Some(o)) = platform.read(&path).await
+                && let Err(e) = platform.delete(&path, o.version).await
+            {
+                log::debug!("event=prune-failed path={path} error=\"{e}\"");
+            }
+        });
+    }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod operators;
 mod poll;
 mod recording;
+mod scratch_admin;
 mod serve;
 mod shutdown;
 mod spread;
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -101,7 +101,7 @@
     let pending = Arc::new(Pending::default());
     let asks = Arc::new(Asks::default());
     let engine = shared(engine(&settings, incarnation, seed)?);
-    let book = shared(book(&settings, incarnation, seed));
+    let book = shared(book(&settings, incarnation, seed)?);
     let member = shared(Membership::new(member_settings(
         &settings,
         incarnation,
@@ -214,7 +214,8 @@
         metrics,
         clock: Arc::clone(&clock),
     };
-    let _ = (operators, fleet);
+    let (_astop, astopped) = watch::channel(false);
+    tokio::spawn(Server::new(operators, caller_limits(&settings)).run(Arc::new(crate::scratch_admin::Scratch(fleet)), astopped));
 
     let (stop, stopped) = watch::channel(false);
     let body = usize::try_from(settings.callers.body.0).unwrap_or(usize::MAX);
@@ -326,7 +327,7 @@
     Recording::start(file, &header, clock.now())
 }
 
-fn book(s: &Settings, incarnation: Incarnation, seed: u64) -> Book {
+fn book(s: &Settings, incarnation: Incarnation, seed: u64) -> Result<Book> {
     let options = BookOptions::builder()
         .vm(s.vm.name.clone())
         .incarnation(incarnation)
