feat(conf): the book of patches, from proposal to verdict

Two conditional writes on config/current: the first prepares the patch, so that every VM that reads the object knows of it, the second commits it after every VM acknowledged. Fuzzed with a fake platform and network in virtual time; stories of races, pauses, cuts and outages beside it.

--- a/crates/conf/src/action.rs
+++ b/crates/conf/src/action.rs
@@ -17,7 +17,8 @@
 #[serde(transparent)]
 pub struct WriteId(pub u64);
 
-/// One output of the book.
+/// One output of the book; the shell carries them out in order, so that a VM never tells a peer that
+/// a version is in force before it is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Action {
@@ -34,6 +35,8 @@
         /// The content.
         content: Arc<str>,
     },
+    /// Delete an object whatever its version; it may be tried once, and may fail.
+    Prune(String),
     /// Send a message to a peer; it may be lost.
     Send(VmId, Message),
     /// Send a message to every peer; it may be lost.
--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -53,6 +53,12 @@
         self.heard.get(vm).map(|(g, _)| g.version)
     }
 
+    /// The newest object version that a VM said it holds.
+    pub(crate) fn newest(&self) -> u64 {
+        let heard = self.heard.values().map(|(g, _)| g.object);
+        heard.max().unwrap_or(0)
+    }
+
     /// What each VM of the list has in force.
     pub(crate) fn status(&self, now: Instant) -> Vec<VmStatus> {
         let one = |vm: &VmId| VmStatus {
--- a/crates/conf/src/options.rs
+++ b/crates/conf/src/options.rs
@@ -31,10 +31,10 @@
     pub ack_wait: Duration,
     /// How long a VM that acknowledged goes on serving what the patch changes without word from
     /// the proposer or the platform.
-    #[builder(default = Duration::from_secs(2))]
+    #[builder(default = Duration::from_millis(1_500))]
     pub doubt_after: Duration,
     /// How long a prepared patch may stand before any VM withdraws it for its proposer.
-    #[builder(default = Duration::from_secs(5))]
+    #[builder(default = Duration::from_secs(3))]
     pub withdraw_after: Duration,
     /// How long an operator waits for a verdict at most.
     #[builder(default = Duration::from_secs(10))]
--- a/crates/conf/src/patch.rs
+++ b/crates/conf/src/patch.rs
@@ -73,6 +73,13 @@
 }
 
 impl Patch {
+    /// A hash of its content, equal for every resend.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        let json = serde_json::to_string(self).unwrap_or_default();
+        Fingerprint::of(&[&json]).0
+    }
+
     /// What the patch changes for callers; team changes touch no caller.
     #[must_use]
     pub fn touched(&self) -> Vec<Touched> {
--- a/crates/conf/src/record.rs
+++ b/crates/conf/src/record.rs
@@ -1,5 +1,7 @@
 //! What the platform's object holds.
 
+use std::sync::Arc;
+
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
@@ -15,6 +17,9 @@
 /// The largest object that the platform takes, in bytes.
 pub const OBJECT_MAX: usize = 1_000_000;
 
+/// The longest reason kept with a refused patch, in characters.
+const REASON_MAX: usize = 200;
+
 /// How many settled patches the record remembers for resends.
 pub const SETTLED_MAX: usize = 128;
 
@@ -50,6 +55,64 @@
 }
 
 impl Record {
+    /// Reads the content of the object.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] if it is no record that this process understands.
+    pub fn parse(content: &str) -> Result<Self> {
+        serde_json::from_str(content).map_err(|e| {
+            Error::new(ErrorKind::BadInput, format!("{CURRENT}: {e}"))
+                .at("read configuration")
+                .with_hint("another build may have written it: run one build on every VM")
+        })
+    }
+
+    /// The content of the object.
+    pub(crate) fn encode(&self) -> Arc<str> {
+        // Of these types only a map with keys that are no text could fail, and there is none.
+        serde_json::to_string(self).unwrap_or_default().into()
+    }
+
+    /// The configuration, without what settles patches.
+    #[must_use]
+    pub fn config(&self) -> Config {
+        Config {
+            version: self.version,
+            patch: self.patch.clone(),
+            teams: self.teams.clone(),
+            fronts: self.fronts.clone(),
+        }
+    }
+
+    /// The record after this one, with this configuration in force.
+    pub(crate) fn with_config(&self, cfg: Config) -> Self {
+        Self {
+            version: cfg.version,
+            patch: cfg.patch,
+            teams: cfg.teams,
+            fronts: cfg.fronts,
+            settled: self.settled.clone(),
+            pending: None,
+        }
+    }
+
+    /// The record with its pending patch refused; as it is if none is pending.
+    pub(crate) fn withdrawn(&self, reason: &str) -> Self {
+        let mut next = self.clone();
+        if let Some(p) = &self.pending {
+            let reason = reason.chars().take(REASON_MAX).collect();
+            next.settle(p.settled(None, Some(reason)));
+        }
+        next
+    }
+
+    /// The word on a patch, if it is still remembered.
+    #[must_use]
+    pub fn find_settled(&self, id: &PatchId) -> Option<&Settled> {
+        self.settled.iter().rev().find(|s| s.id == *id)
+    }
+
     /// Notes a settled patch, and forgets the oldest if there are too many.
     pub(crate) fn settle(&mut self, settled: Settled) {
         self.pending = None;
@@ -93,3 +156,17 @@
     /// Tells this proposal from every other, so that a lost answer is decided by reading back.
     pub nonce: u64,
 }
+
+impl Pending {
+    /// The word on it.
+    pub(crate) fn settled(&self, version: Option<ConfVersion>, reason: Option<String>) -> Settled {
+        Settled {
+            id: self.patch.id.clone(),
+            digest: self.patch.digest(),
+            team: self.team.clone(),
+            proposer: self.proposer.clone(),
+            version,
+            reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/conf/tests/patches/fuzz.rs
@@ -0,0 +1,205 @@
+//! Patches under faults in any order, against the promises of the brief.
+//!
+//! `GS_FUZZ_CASES=2000 cargo test -p gs-conf --release --test patches` runs longer.
+
+use gs_conf::CURRENT;
+use gs_conf::Change;
+use gs_conf::Patch;
+use gs_conf::Record;
+use gs_conf::history_path;
+use gs_types::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::Config as ProptestConfig;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::ReferenceStateMachine;
+use proptest_state_machine::StateMachineTest;
+use proptest_state_machine::prop_state_machine;
+
+use crate::world::World;
+
+const VMS: usize = 4;
+
+/// What an operator or fate does next.
+#[derive(Clone, Debug)]
+enum Step {
+    /// A new patch, on a VM, to a front; `stale` against the version before the one held there.
+    Propose {
+        vm: usize,
+        front: u8,
+        stale: bool,
+    },
+    /// The patch of this number again, on a VM.
+    Resend {
+        vm: usize,
+        patch: usize,
+    },
+    Run(u64),
+    Loss(bool),
+    Down(bool),
+    Lose(u32),
+    Stall(bool),
+    Slow(bool),
+    CutFromPlatform(usize, bool),
+    CutFromPeers(usize, bool),
+    Kill(usize),
+    Restart(usize),
+    Pause(usize, bool),
+    Delist(usize),
+}
+
+fn step() -> BoxedStrategy<Step> {
+    let vm = 0..VMS;
+    prop_oneof![
+        6 => (vm.clone(), 0..2_u8, prop::bool::weighted(0.1))
+            .prop_map(|(vm, front, stale)| Step::Propose { vm, front, stale }),
+        3 => (vm.clone(), 0..50_usize).prop_map(|(vm, patch)| Step::Resend { vm, patch }),
+        6 => (1..40_u64).prop_map(Step::Run),
+        6 => (40..2_500_u64).prop_map(Step::Run),
+        1 => any::<bool>().prop_map(Step::Loss),
+        2 => any::<bool>().prop_map(Step::Down),
+        2 => (1..3_u32).prop_map(Step::Lose),
+        1 => any::<bool>().prop_map(Step::Stall),
+        1 => any::<bool>().prop_map(Step::Slow),
+        2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::CutFromPlatform(v, on)),
+        2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::CutFromPeers(v, on)),
+        1 => vm.clone().prop_map(Step::Kill),
+        2 => vm.clone().prop_map(Step::Restart),
+        2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::Pause(v, on)),
+        1 => vm.prop_map(Step::Delist),
+    ]
+    .boxed()
+}
+
+struct Fate;
+
+impl ReferenceStateMachine for Fate {
+    type State = u64;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<u64> {
+        (0..u64::MAX).boxed()
+    }
+
+    fn transitions(_: &u64) -> BoxedStrategy<Step> {
+        step()
+    }
+
+    fn apply(seed: u64, _: &Step) -> u64 {
+        seed
+    }
+}
+
+struct Patches;
+
+struct Sut {
+    world: World,
+    sent: Vec<Patch>,
+}
+
+impl Sut {
+    fn propose(&mut self, vm: usize, front: u8, stale: bool) {
+        let held = self.world.vms[vm].book.as_ref().and_then(|b| b.config());
+        let held = held.map_or(1, |c| c.version.0);
+        let against = ConfVersion(held.saturating_sub(u64::from(stale)));
+        let front = Front {
+            name: format!("front-{front}").parse().expect("a name"),
+            lookups: Vec::new(),
+        };
+        let patch = Patch {
+            id: format!("patch-{}", self.sent.len())
+                .parse()
+                .expect("a name"),
+            against,
+            changes: vec![Change::PutFront(front)],
+        };
+        self.sent.push(patch.clone());
+        self.world.propose(vm, patch);
+    }
+
+    fn take(&mut self, step: Step) {
+        let w = &mut self.world;
+        match step {
+            Step::Propose { vm, front, stale } => self.propose(vm, front, stale),
+            Step::Resend { vm, patch } => {
+                if let Some(p) = self.sent.get(patch % self.sent.len().max(1)) {
+                    w.propose(vm, p.clone());
+                }
+            }
+            Step::Run(ms) => w.run(ms),
+            Step::Loss(on) => w.loss = if on { 0.3 } else { 0.0 },
+            Step::Down(on) => w.platform.down = on,
+            Step::Lose(n) => w.platform.lose = n,
+            Step::Stall(true) => w.platform.stall = true,
+            Step::Stall(false) => w.unstall(),
+            Step::Slow(on) => w.platform.slow = if on { 900 } else { 0 },
+            Step::CutFromPlatform(vm, on) => w.vms[vm].from_platform = on,
+            Step::CutFromPeers(vm, on) => w.vms[vm].from_peers = on,
+            Step::Kill(vm) => w.kill(vm),
+            Step::Restart(vm) => w.restart(vm),
+            Step::Pause(vm, on) => w.pause(vm, on),
+            Step::Delist(vm) => {
+                if w.vms[vm].book.is_none() {
+                    w.delist(vm);
+                }
+            }
+        }
+    }
+}
+
+impl StateMachineTest for Patches {
+    type SystemUnderTest = Sut;
+    type Reference = Fate;
+
+    fn init_test(seed: &u64) -> Sut {
+        Sut {
+            world: World::start(VMS, *seed),
+            sent: Vec::new(),
+        }
+    }
+
+    fn apply(mut sut: Sut, _: &u64, step: Step) -> Sut {
+        sut.take(step);
+        sut
+    }
+
+    /// After the faults end, every VM holds the newest, nothing is left undecided, and every
+    /// version that was replaced is in the history.
+    fn teardown(mut sut: Sut, _: u64) {
+        let w = &mut sut.world;
+        w.heal();
+        w.run(30_000);
+        assert_eq!(w.oracle.unanswered(&w.vms), Vec::new());
+        let (object, content) = w.platform.get(CURRENT).expect("there").clone();
+        let record = Record::parse(&content).expect("a record");
+        assert_eq!(record.pending, None, "a patch is left undecided");
+        for vm in &w.vms {
+            let book = vm.book.as_ref().expect("healed");
+            assert!(book.ready());
+            assert_eq!(book.gossip().object, object, "not the newest");
+            assert_eq!(book.doubts(w.now), &[], "still in doubt");
+        }
+        for v in 1..record.version.0 {
+            let (_, old) = w.platform.get(&history_path(ConfVersion(v))).expect("kept");
+            let old: Config = serde_json::from_str(old).expect("a configuration");
+            assert_eq!(old.version.0, v);
+        }
+    }
+}
+
+fn config() -> ProptestConfig {
+    let cases = std::env::var("GS_FUZZ_CASES").ok();
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        cases: cases.and_then(|c| c.parse().ok()).unwrap_or(60),
+        max_shrink_iters: 3_000,
+        ..ProptestConfig::default()
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn patches_keep_their_promises(sequential 1..60 => Patches);
+}
--- /dev/null
+++ b/crates/conf/tests/patches/main.rs
@@ -0,0 +1,5 @@
+//! Patches on several VMs, with a platform and a network that fail.
+
+mod fuzz;
+mod races;
+mod world;
