--- a/crates/admin/src/fleet.rs
+++ b/crates/admin/src/fleet.rs
@@ -1,5 +1,7 @@
 //! What the process offers to operators.
 
+use std::sync::Arc;
+
 use async_trait::async_trait;
 use gs_conf::Patch;
 use gs_conf::Settled;
@@ -8,7 +10,6 @@
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
-use std::sync::Arc;
 
 /// What the process offers to operators. Values handed out hold no keys and no secrets.
 #[async_trait]
@@ -29,6 +30,11 @@
     /// The last patches settled, oldest first.
     fn settled(&self) -> Vec<Settled>;
 
+    /// The patch that is being decided, as far as this VM knows.
+    fn pending(&self) -> Option<PatchId> {
+        None
+    }
+
     /// The versions that the platform keeps, oldest first.
     ///
     /// # Errors
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -61,5 +61,6 @@
 pub use team::authenticate;
 pub use team::check_scope;
 pub use team::hash_key;
+pub use team::redacted;
 pub use verdict::Opponent;
 pub use verdict::Verdict;
--- a/crates/conf/src/team.rs
+++ b/crates/conf/src/team.rs
@@ -8,6 +8,9 @@
 use crate::patch::Change;
 use crate::patch::Patch;
 
+/// What is shown in place of the hash of a key.
+const NOT_SHOWN: &str = "(not shown)";
+
 /// The SHA-256 of a team's key in hexadecimal, as the configuration keeps it.
 #[must_use]
 pub fn hash_key(key: &str) -> String {
@@ -35,6 +38,16 @@
     }
 }
 
+/// The configuration as it may be shown: the hashes of keys are left out.
+#[must_use]
+pub fn redacted(cfg: &Config) -> Config {
+    let mut shown = cfg.clone();
+    for t in &mut shown.teams {
+        t.key_sha256 = NOT_SHOWN.to_owned();
+    }
+    shown
+}
+
 /// Checks that a team changes only its own fronts, and that only an admin team changes teams.
 ///
 /// # Errors
