--- /dev/null
+++ b/crates/admin/tests/admin/main.rs
@@ -0,0 +1,5 @@
+//! The operators' interface over loopback.
+
+mod common;
+mod hostile;
+mod interface;
