--- /dev/null
+++ b/crates/conf/tests/rules/chart.rs
@@ -0,0 +1,21 @@
+//! The chart of a proposal.
+
+use gs_conf::PatchEvent;
+use gs_conf::PatchState;
+use gs_conf::patch_chart;
+
+#[test]
+fn the_chart_fits_its_states_and_events() {
+    let chart = patch_chart().expect("the chart fits");
+    assert_eq!(chart.initial(), PatchState::Reading);
+    assert!(chart.is_last(PatchState::Done));
+}
+
+/// Once the commit is out, it may take effect at any time: nothing may lead back from there.
+#[test]
+fn nothing_leads_back_from_the_commit() {
+    let chart = patch_chart().expect("the chart fits");
+    let late = chart.next(PatchState::Committing, PatchEvent::Late);
+    let opposed = chart.next(PatchState::Committing, PatchEvent::Opposed);
+    assert_eq!((late, opposed), (None, None));
+}
