--- a/crates/conf/tests/patches/fuzz.rs
+++ b/crates/conf/tests/patches/fuzz.rs
@@ -5,7 +5,6 @@
 use gs_conf::CURRENT;
 use gs_conf::Change;
 use gs_conf::Patch;
-use gs_conf::Record;
 use gs_conf::history_path;
 use gs_types::prelude::*;
 use proptest::prelude::*;
@@ -41,6 +40,8 @@
     Slow(bool),
     CutFromPlatform(usize, bool),
     CutFromPeers(usize, bool),
+    /// A data centre of two VMs is cut off from the rest and from the platform, or healed.
+    Split(usize, bool),
     Kill(usize),
     Restart(usize),
     Pause(usize, bool),
@@ -53,7 +54,7 @@
         6 => (vm.clone(), 0..2_u8, prop::bool::weighted(0.1))
             .prop_map(|(vm, front, stale)| Step::Propose { vm, front, stale }),
         3 => (vm.clone(), 0..50_usize).prop_map(|(vm, patch)| Step::Resend { vm, patch }),
-        6 => (1..40_u64).prop_map(Step::Run),
+        9 => (1..40_u64).prop_map(Step::Run),
         6 => (40..2_500_u64).prop_map(Step::Run),
         1 => any::<bool>().prop_map(Step::Loss),
         2 => any::<bool>().prop_map(Step::Down),
@@ -62,6 +63,7 @@
         1 => any::<bool>().prop_map(Step::Slow),
         2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::CutFromPlatform(v, on)),
         2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::CutFromPeers(v, on)),
+        3 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::Split(v, on)),
         1 => vm.clone().prop_map(Step::Kill),
         2 => vm.clone().prop_map(Step::Restart),
         2 => (vm.clone(), any::<bool>()).prop_map(|(v, on)| Step::Pause(v, on)),
@@ -134,6 +136,12 @@
             Step::Slow(on) => w.platform.slow = if on { 900 } else { 0 },
             Step::CutFromPlatform(vm, on) => w.vms[vm].from_platform = on,
             Step::CutFromPeers(vm, on) => w.vms[vm].from_peers = on,
+            Step::Split(vm, on) => {
+                for vm in [vm, (vm + 1) % VMS] {
+                    w.vms[vm].from_platform = on;
+                    w.vms[vm].from_peers = on;
+                }
+            }
             Step::Kill(vm) => w.kill(vm),
             Step::Restart(vm) => w.restart(vm),
             Step::Pause(vm, on) => w.pause(vm, on),
@@ -169,8 +177,8 @@
         w.heal();
         w.run(30_000);
         assert_eq!(w.oracle.unanswered(&w.vms), Vec::new());
-        let (object, content) = w.platform.get(CURRENT).expect("there").clone();
-        let record = Record::parse(&content).expect("a record");
+        let object = w.platform.get(CURRENT).expect("there").0;
+        let record = w.platform.record();
         assert_eq!(record.pending, None, "a patch is left undecided");
         for vm in &w.vms {
             let book = vm.book.as_ref().expect("healed");
--- a/crates/conf/tests/patches/races.rs
+++ b/crates/conf/tests/patches/races.rs
@@ -241,3 +241,39 @@
     assert!(knows || book.in_doubt(w.now, &archive, &any));
     let _ = w.verdict(a);
 }
+
+/// The commit takes effect, and its answer is lost together with the link of the proposer's data
+/// centre to everyone else. The operator sends the patch again elsewhere and hears that it is
+/// accepted. In the cut-off data centre the proposer must not keep its neighbour serving by the
+/// version before, and must not go on itself.
+#[test]
+fn a_cut_off_proposer_that_waits_for_its_answer_keeps_nobody_serving() {
+    let mut w = World::start(4, 11);
+    let _ = w.propose(0, patch("a", 1)).expect("runs");
+    while w.vms[0]
+        .book
+        .as_ref()
+        .is_some_and(|b| b.pending().is_none())
+    {
+        w.run(1);
+    }
+    w.platform.lose = 10;
+    while w.platform.record().version == ConfVersion(1) {
+        w.run(1);
+    }
+    for vm in [0, 3] {
+        w.vms[vm].from_platform = true;
+        w.vms[vm].from_peers = true;
+    }
+    let Verdict::Accepted { awaiting, .. } = propose(&mut w, 1, patch("a", 1)) else {
+        panic!("it is committed");
+    };
+    assert_eq!(awaiting, [name(0), name(3)]);
+    w.run(10_000);
+    w.heal();
+    w.run(5_000);
+    for vm in &w.vms {
+        let held = vm.book.as_ref().and_then(|b| b.config());
+        assert_eq!(held.map(|c| c.version), Some(ConfVersion(2)));
+    }
+}
--- a/crates/conf/tests/patches/world/mod.rs
+++ b/crates/conf/tests/patches/world/mod.rs
@@ -41,6 +41,7 @@
     Tick(u64),
     Call(platform::Call),
     Answer(Event),
+    Watch(Event),
     Members,
 }
 
@@ -235,6 +236,7 @@
             Later::Answer(event) if self.vms[vm].incarnation == incarnation => {
                 self.feed(vm, event);
             }
+            Later::Watch(event) if !self.vms[vm].from_platform => self.feed(vm, event),
             Later::Members => {
                 let members = self.platform.listed().map(name).collect();
                 self.feed(vm, Event::Members(members));
@@ -262,7 +264,7 @@
             for vm in 0..self.vms.len() {
                 if !self.vms[vm].from_platform && write.is_current() {
                     let late = self.rng.random_range(1..40);
-                    self.later(vm, late, Later::Answer(write.event()));
+                    self.later(vm, late, Later::Watch(write.event()));
                 }
             }
         }
--- a/crates/conf/tests/patches/world/platform.rs
+++ b/crates/conf/tests/patches/world/platform.rs
@@ -110,6 +110,12 @@
         self.objects.get(path)
     }
 
+    /// What the object of the configuration holds.
+    pub fn record(&self) -> Record {
+        let (_, content) = self.objects.get(CURRENT).expect("there");
+        Record::parse(content).expect("a record")
+    }
+
     pub fn prune(&mut self, path: &str) {
         self.objects.remove(path);
     }
