feat(once): claims in platform objects, by conditional write in groups

A claim is an entry with the ask's id as its nonce, in an object named by bucket, minute of minting and part. The verdict follows from whose entry stands; a lost answer is read back; an ask that a write or forward may still serve is Unknown when given up, any other is Refused. Keys expire by a floor object that whoever creates or first reads a claim object reads afterwards, so that no clock decides whether a key can run twice. A key from the future, or too old by the clock alone, is Refused rather than Expired: it may be claimed later.

--- a/crates/once/src/claim.rs
+++ b/crates/once/src/claim.rs
@@ -78,8 +78,10 @@
     Forwarded,
     /// In a write whose answer is awaited.
     Writing,
-    /// In a write whose answer is lost; being read back.
-    Resolving,
+    /// In no write, while an earlier write or forward may still take effect.
+    Exposed,
+    /// In a write, while an earlier write or forward may still take effect.
+    Rewriting,
     /// Its entry stands.
     Granted,
     /// Another entry stands for its key.
@@ -102,9 +104,9 @@
     Forward,
     /// It was put into a write.
     Write,
-    /// The write's answer is lost.
+    /// The write's or forward's answer is lost or late.
     Lose,
-    /// The write provably did not happen, or the writer says that it dropped the ask.
+    /// The write or forward provably has no effect.
     Miss,
     /// Its entry was seen to stand.
     Stand,
--- a/crates/once/src/event.rs
+++ b/crates/once/src/event.rs
@@ -1,5 +1,8 @@
 //! What the claims are told.
 
+use std::sync::Arc;
+
+use gs_member::View;
 use gs_query::ClaimAsk;
 use gs_types::prelude::*;
 use serde::Deserialize;
@@ -27,7 +30,7 @@
         /// Its new version, or why it is not known to be written.
         result: Result<u64, StoreError>,
     },
-    /// A [`crate::Action::Remove`] ended; a lost answer may be told as such.
+    /// A [`crate::Action::Remove`] ended; an object that is not there counts as removed.
     Removed {
         /// The object.
         path: String,
@@ -36,8 +39,8 @@
     },
     /// An authenticated message of another VM.
     Peer(VmId, Message),
-    /// The live VMs, this one included; any order.
-    Members(Vec<VmId>),
+    /// The VMs as this one sees them.
+    Members(Arc<View>),
     /// A timer asked for by [`crate::Action::Wake`] is due.
     Tick,
 }
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -6,12 +6,16 @@
 //! ever. Nothing else decides: no lease, no clock and no word of another VM can grant one.
 
 mod action;
+mod asks;
 mod claim;
 mod event;
 mod floor;
+mod keep;
 mod message;
 mod once;
 mod part;
+mod peers;
+mod pump;
 mod settings;
 mod shelf;
 
--- a/crates/once/src/message.rs
+++ b/crates/once/src/message.rs
@@ -11,15 +11,18 @@
 /// A message between the claims of two VMs; any may be lost, late or doubled.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Please make these claims in one group with yours.
+    /// Please make this claim in one group with yours.
     Make {
-        /// The claims wanted, on behalf of the sender.
-        asks: Vec<Ask>,
+        /// Counts these messages of one run of the sender; one that is not larger than the last is
+        /// ignored, so that a message that comes twice cannot bring back an ask that was dropped.
+        number: u64,
+        /// The claim wanted, on behalf of the sender.
+        ask: Ask,
         /// How long the sender waits for the answer.
         budget: Duration,
     },
-    /// How asked claims ended.
-    Made(Vec<(AskId, Settled)>),
+    /// How a claim asked for ended.
+    Made(AskId, Settled),
 }
 
 /// How a claim made on another VM's behalf ended.
--- /dev/null
+++ b/crates/once/src/peers.rs
@@ -0,0 +1,106 @@
+//! Asks handed to the bucket's writer, and those of other VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_member::View;
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::claim::Ask;
+use crate::claim::AskId;
+use crate::claim::ClaimEvent;
+use crate::claim::ClaimState;
+use crate::message::Message;
+use crate::message::Settled;
+use crate::once::Cx;
+use crate::once::Once;
+
+/// Senders remembered; beyond that, those that are not in view are forgotten.
+const SENDERS_MAX: usize = 10_000;
+
+impl Once {
+    /// Takes a newer view.
+    pub(crate) fn members(&mut self, view: Arc<View>) {
+        if self.heard.len() > SENDERS_MAX {
+            let seen = |vm: &VmId| view.vms.iter().any(|v| v.entry.vm == *vm);
+            self.heard.retain(|vm, _| seen(vm));
+        }
+        self.view = Some(view);
+    }
+
+    /// Hands an ask to the bucket's writer, for speed only: more asks go into one write there.
+    pub(crate) fn forward(&mut self, cx: &mut Cx<'_>, writer: VmId, ask: Ask, budget: Duration) {
+        self.counts.forwarded += 1;
+        self.sent += 1;
+        self.asks.forward(&ask.id, cx.now + self.cfg.forward_for);
+        let message = Message::Make {
+            number: self.sent,
+            ask,
+            budget,
+        };
+        cx.out.push(Action::Send(writer, message));
+    }
+
+    pub(crate) fn peer(&mut self, cx: &mut Cx<'_>, from: &VmId, message: Message) {
+        match message {
+            Message::Make {
+                number,
+                ask,
+                budget,
+            } => {
+                if ask.id.vm == *from && self.is_fresh(&ask.id, number) {
+                    self.make(cx, from, ask, budget);
+                }
+            }
+            Message::Made(id, settled) => self.made(cx, &id, settled),
+        }
+    }
+
+    /// Whether a forward is newer than every one taken of its sender.
+    ///
+    /// One that came twice, or late, could otherwise bring an ask to life that was told `Dropped`,
+    /// and whose caller was told that nothing would happen.
+    fn is_fresh(&mut self, id: &AskId, number: u64) -> bool {
+        let this = (id.incarnation, number);
+        let last = self.heard.entry(id.vm.clone()).or_default();
+        let fresh = this > *last;
+        *last = this.max(*last);
+        fresh
+    }
+
+    fn make(&mut self, cx: &mut Cx<'_>, from: &VmId, ask: Ask, budget: Duration) {
+        let id = ask.id.clone();
+        let closed = ask.window <= self.floor.floor.closed;
+        if closed || self.asks.len() >= self.cfg.asks_max {
+            let dropped = Message::Made(id, Settled::Dropped);
+            cx.out.push(Action::Send(from.clone(), dropped));
+            return;
+        }
+        let deadline = cx.now + budget;
+        self.asks.add(ask, 0, Some(from.clone()), deadline);
+        self.enqueue(cx, &id);
+    }
+
+    fn made(&mut self, cx: &mut Cx<'_>, id: &AskId, settled: Settled) {
+        let Some(p) = self.asks.find(id).filter(|p| p.forward_open) else {
+            return;
+        };
+        let state = p.state;
+        match settled {
+            Settled::Yours => self.grant(cx, id),
+            Settled::Taken => self.end(cx, id, ClaimEvent::Clash),
+            Settled::Unsure => {
+                self.end(cx, id, ClaimEvent::Lose);
+                self.enqueue(cx, id);
+            }
+            Settled::Dropped => {
+                self.asks.close_forward(id);
+                if matches!(state, ClaimState::Forwarded | ClaimState::Exposed) {
+                    self.absolve(cx, id);
+                    self.enqueue(cx, id);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/pump.rs
@@ -0,0 +1,283 @@
+//! Reads and writes of claim objects.
+
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::claim::AskId;
+use crate::claim::ClaimEvent;
+use crate::claim::KeyHash;
+use crate::event::StoreError;
+use crate::event::Stored;
+use crate::once::Cx;
+use crate::once::Once;
+use crate::part::Part;
+use crate::part::PartPath;
+use crate::part::Window;
+use crate::shelf::Call;
+use crate::shelf::Met;
+use crate::shelf::Shelf;
+
+/// Entries that are kept in memory; buckets and windows that nobody asks for go beyond that.
+const ENTRIES_MAX: usize = 200_000;
+
+type Key = (Window, u16);
+
+impl Once {
+    /// Starts every call that is due.
+    pub(crate) fn pump(&mut self, cx: &mut Cx<'_>) {
+        if !self.is_away(cx.now) {
+            let keys: Vec<Key> = self.shelves.keys().copied().collect();
+            for key in keys {
+                self.pump_shelf(cx, key);
+            }
+            self.start_floor_read(cx);
+        }
+        self.forget();
+    }
+
+    fn pump_shelf(&mut self, cx: &mut Cx<'_>, key: Key) {
+        let Some(shelf) = self.shelves.get_mut(&key) else {
+            return;
+        };
+        let asks = &self.asks;
+        shelf.queue.retain(|id| asks.find(id).is_some());
+        shelf.standing.retain(|id| asks.find(id).is_some());
+        if !shelf.standing.is_empty() && shelf.proof.is_none() {
+            shelf.proof = Some(self.floor.want());
+        }
+        if shelf.call != Call::None || shelf.queue.is_empty() {
+            return;
+        }
+        if !shelf.is_loaded() {
+            shelf.call = Call::Read;
+            self.counts.reads += 1;
+            let path = shelf.path().to_string();
+            cx.out.push(Action::Read { path });
+        } else if shelf.next_write.is_none_or(|t| cx.now >= t) {
+            self.write(cx, key);
+        }
+    }
+
+    /// Writes all queued asks of a bucket and window at once.
+    fn write(&mut self, cx: &mut Cx<'_>, key: Key) {
+        let Some(shelf) = self.shelves.get_mut(&key) else {
+            return;
+        };
+        let asks = &self.asks;
+        let (met, part) = shelf.gather(self.cfg.part_claims, |id| asks.find(id).map(|p| &p.ask));
+        let batch = match &shelf.call {
+            Call::Write { batch, .. } => batch.clone(),
+            _ => Vec::new(),
+        };
+        let (path, if_version) = (shelf.path().to_string(), shelf.version());
+        if let Some(content) = part.and_then(|p| p.encode().ok()) {
+            shelf.next_write = Some(cx.now + self.cfg.gather);
+            self.counts.writes += 1;
+            cx.out.push(Action::Write {
+                path,
+                if_version,
+                content,
+            });
+        }
+        for id in batch {
+            self.end(cx, &id, ClaimEvent::Write);
+        }
+        for m in met {
+            match m {
+                Met::Own(id) => self.stand(cx, key, &id),
+                Met::Other(id) => self.end(cx, &id, ClaimEvent::Clash),
+            }
+        }
+    }
+
+    pub(crate) fn read(
+        &mut self,
+        cx: &mut Cx<'_>,
+        path: &str,
+        result: Result<Option<Stored>, StoreError>,
+    ) {
+        if self.is_swept(path) {
+            self.sweep_read(cx, result);
+            return;
+        }
+        let Some((key, shelf)) = self.called(path, |c| *c == Call::Read) else {
+            return;
+        };
+        shelf.call = Call::None;
+        let read = match result {
+            Ok(None) => Some((0, Part::default())),
+            Ok(Some(s)) => decoded(path, &s).map(|part| (s.version, part)),
+            Err(_) => None,
+        };
+        let Some((version, part)) = read else {
+            self.go_away(cx);
+            return;
+        };
+        let full = self.cfg.part_claims;
+        if let Some(shelf) = self.shelves.get_mut(&key) {
+            shelf.read(version, part, full);
+        }
+        self.settle(cx, key);
+    }
+
+    pub(crate) fn wrote(&mut self, cx: &mut Cx<'_>, path: &str, result: Result<u64, StoreError>) {
+        let full = self.cfg.part_claims;
+        let Some((key, shelf)) = self.called(path, |c| matches!(c, Call::Write { .. })) else {
+            return;
+        };
+        let Call::Write { batch, part } = std::mem::replace(&mut shelf.call, Call::None) else {
+            return;
+        };
+        match result {
+            Ok(version) => {
+                shelf.wrote(version, part, full);
+                for id in &batch {
+                    self.stand(cx, key, id);
+                }
+                self.settle(cx, key);
+            }
+            Err(StoreError::Lost) => {
+                shelf.doubt(batch.clone());
+                self.again(cx, &batch, ClaimEvent::Lose);
+            }
+            Err(StoreError::Conflict) => {
+                shelf.reread();
+                self.again(cx, &batch, ClaimEvent::Miss);
+            }
+            Err(StoreError::NotDone) => {
+                self.again(cx, &batch, ClaimEvent::Miss);
+                self.go_away(cx);
+            }
+        }
+    }
+
+    /// Puts the asks of a write that did not succeed back.
+    fn again(&mut self, cx: &mut Cx<'_>, batch: &[AskId], event: ClaimEvent) {
+        for id in batch {
+            self.end(cx, id, event);
+            if event == ClaimEvent::Miss {
+                self.absolve(cx, id);
+            }
+            self.enqueue(cx, id);
+        }
+    }
+
+    /// Works out what became of lost writes, now that the last part's version is known.
+    fn settle(&mut self, cx: &mut Cx<'_>, key: Key) {
+        let Some(shelf) = self.shelves.get_mut(&key) else {
+            return;
+        };
+        for id in shelf.settle_doubts() {
+            let claimed = self.asks.find(&id).map(|p| p.ask.key);
+            let holder = claimed.and_then(|k| self.holder(key, k));
+            if holder == Some(&id) {
+                self.stand(cx, key, &id);
+            } else {
+                self.absolve(cx, &id);
+            }
+        }
+    }
+
+    /// Notes that nothing can make an ask an entry any more, unless something still can.
+    pub(crate) fn absolve(&mut self, cx: &mut Cx<'_>, id: &AskId) {
+        let Some(p) = self.asks.find(id) else {
+            return;
+        };
+        let key = (p.ask.window, self.bucket(p.ask.key));
+        let shelf = self.shelves.get(&key);
+        let doubted = shelf.is_some_and(|s| s.is_doubted(id));
+        if !doubted && !p.forward_open {
+            self.end(cx, id, ClaimEvent::Miss);
+        }
+    }
+
+    /// An ask's entry is there; it is granted once the floor was seen below it.
+    fn stand(&mut self, cx: &mut Cx<'_>, key: Key, id: &AskId) {
+        let Some(shelf) = self.shelves.get_mut(&key) else {
+            return;
+        };
+        if shelf.proven {
+            self.grant(cx, id);
+        } else if self.asks.find(id).is_some() {
+            shelf.standing.insert(id.clone());
+        }
+    }
+
+    /// Grants an ask whose entry stands, unless its key has become too old meanwhile, as after a
+    /// pause: other VMs may have told its caller so.
+    pub(crate) fn grant(&mut self, cx: &mut Cx<'_>, id: &AskId) {
+        let Some(p) = self.asks.find(id) else {
+            return;
+        };
+        let late = p.on_behalf.is_none() && self.is_too_old(cx.wall, p.minted);
+        let event = match late {
+            true => ClaimEvent::GiveUp,
+            false => ClaimEvent::Stand,
+        };
+        self.end(cx, id, event);
+    }
+
+    /// The floor was read in this round.
+    pub(crate) fn prove(&mut self, cx: &mut Cx<'_>, round: u64) {
+        let due = |s: &&mut Shelf| s.proof.is_some_and(|r| r <= round);
+        let mut proven = Vec::new();
+        for shelf in self.shelves.values_mut().filter(due) {
+            shelf.proof = None;
+            shelf.proven = true;
+            proven.extend(std::mem::take(&mut shelf.standing));
+        }
+        for id in proven {
+            self.grant(cx, &id);
+        }
+    }
+
+    /// Ends everything at or below the floor.
+    pub(crate) fn close(&mut self, cx: &mut Cx<'_>) {
+        let closed = self.floor.floor.closed;
+        let below = |id: &&AskId| {
+            let window = self.asks.find(id).map(|p| p.ask.window);
+            window.is_some_and(|w| w <= closed)
+        };
+        let ids: Vec<_> = self.asks.ids().filter(below).cloned().collect();
+        for id in ids {
+            self.end(cx, &id, ClaimEvent::Close);
+        }
+        self.shelves.retain(|(window, _), _| *window > closed);
+    }
+
+    /// Lets go of buckets and windows that nobody asks for, oldest first, if there are too many.
+    fn forget(&mut self) {
+        let mut entries: usize = self.shelves.values().map(Shelf::entries).sum();
+        while entries > ENTRIES_MAX {
+            let idle = self.shelves.iter().find(|(_, s)| s.is_idle());
+            let Some((key, n)) = idle.map(|(k, s)| (*k, s.entries())) else {
+                return;
+            };
+            self.shelves.remove(&key);
+            entries -= n;
+        }
+    }
+
+    fn holder(&self, key: Key, claimed: KeyHash) -> Option<&AskId> {
+        self.shelves.get(&key)?.holder(claimed)
+    }
+
+    /// The shelf whose call to this object is under way.
+    fn called(&mut self, path: &str, of: impl Fn(&Call) -> bool) -> Option<(Key, &mut Shelf)> {
+        let path: PartPath = path.parse().ok()?;
+        let key = (path.window, path.bucket);
+        let shelf = self.shelves.get_mut(&key)?;
+        (shelf.path() == path && of(&shelf.call)).then_some((key, shelf))
+    }
+}
+
+fn decoded(path: &str, s: &Stored) -> Option<Part> {
+    let part = Part::decode(&s.content);
+    if let Err(e) = &part {
+        log::error!(
+            "event=claims-unreadable path={path} version={} error=\"{e}\"",
+            s.version
+        );
+    }
+    part.ok()
+}
--- a/crates/once/src/settings.rs
+++ b/crates/once/src/settings.rs
@@ -12,7 +12,7 @@
     /// This run of the process.
     pub incarnation: Incarnation,
     /// How many buckets keys hash to; all VMs must have the same number, for ever.
-    #[builder(default = 8)]
+    #[builder(default = 2)]
     pub buckets: u16,
     /// How long after its minting a key may be claimed; callers never resend later than that.
     #[builder(default = Duration::from_secs(15 * 60))]
@@ -24,7 +24,7 @@
     #[builder(default = Duration::from_secs(10 * 60))]
     pub margin: Duration,
     /// The shortest time between two writes of one bucket and window, in which asks gather.
-    #[builder(default = Duration::from_millis(5))]
+    #[builder(default = Duration::from_millis(15))]
     pub gather: Duration,
     /// How long the bucket's writer is waited for before this VM writes itself.
     #[builder(default = Duration::from_millis(150))]
--- /dev/null
+++ b/crates/once/tests/once/chart.rs
@@ -0,0 +1,24 @@
+//! The chart of an ask's states.
+
+use gs_chart::Chart;
+use gs_once::ClaimEvent;
+use gs_once::ClaimState;
+use rstest::rstest;
+
+#[rstest]
+#[case(ClaimState::Queued, ClaimEvent::GiveUp, Some(ClaimState::Refused))]
+#[case(ClaimState::Forwarded, ClaimEvent::GiveUp, Some(ClaimState::Unknown))]
+#[case(ClaimState::Writing, ClaimEvent::GiveUp, Some(ClaimState::Unknown))]
+#[case(ClaimState::Writing, ClaimEvent::Miss, Some(ClaimState::Queued))]
+#[case(ClaimState::Rewriting, ClaimEvent::Miss, Some(ClaimState::Exposed))]
+#[case(ClaimState::Exposed, ClaimEvent::GiveUp, Some(ClaimState::Unknown))]
+#[case(ClaimState::Granted, ClaimEvent::GiveUp, None)]
+fn a_state_answers_an_event(
+    #[case] from: ClaimState,
+    #[case] event: ClaimEvent,
+    #[case] to: Option<ClaimState>,
+) {
+    let text = include_str!("../../../../charts/claim.toml");
+    let chart: Chart<ClaimState, ClaimEvent> = Chart::parse(text).expect("a sound chart");
+    assert_eq!(chart.next(from, event), to);
+}
--- /dev/null
+++ b/crates/once/tests/once/main.rs
@@ -0,0 +1,7 @@
+//! Tests of claims, by feature.
+
+mod asks;
+mod chart;
+mod fuzz;
+mod part;
+mod world;
--- /dev/null
+++ b/crates/once/tests/once/world.rs
@@ -0,0 +1,388 @@
+//! VMs' decision machines, a fake platform and a fake network, all in one thread.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_member::View;
+use gs_member::ViewVm;
+use gs_member::VmEntry;
+use gs_member::VmState;
+use gs_once::Action;
+use gs_once::AskId;
+use gs_once::Event;
+use gs_once::FLOOR_PATH;
+use gs_once::Message;
+use gs_once::Once;
+use gs_once::OnceSettings;
+use gs_once::Part;
+use gs_once::PartPath;
+use gs_once::StoreError;
+use gs_once::Stored;
+use gs_query::ClaimAsk;
+use gs_query::ClaimVerdict;
+use gs_types::prelude::*;
+
+const STEP: Duration = Duration::from_millis(5);
+pub const START: u64 = 1_800_000_000;
+
+/// What the fake platform does with calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    Well,
+    Away,
+    /// Writes take effect and their answers are lost.
+    LosesAnswers,
+    /// Writes take effect only when [`World::land_late`] is called; their answers are lost.
+    Late,
+    /// Reads fail too, and writes as in `Late`.
+    LateAndBlind,
+}
+
+/// What the fake network does with messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Net {
+    Well,
+    Lossy,
+    Doubling,
+    Dead,
+}
+
+pub struct Process {
+    pub once: Once,
+    pub paused: bool,
+    /// How far its clock is ahead, in seconds.
+    pub ahead: i64,
+    pub cut: bool,
+    incarnation: Incarnation,
+    inbox: VecDeque<Event>,
+    wake: Instant,
+    asked: BTreeMap<LookupSeq, String>,
+}
+
+pub struct World {
+    pub now: Instant,
+    pub mood: Mood,
+    pub net: Net,
+    pub processes: BTreeMap<u8, Process>,
+    pub objects: BTreeMap<String, Stored>,
+    pub verdicts: Vec<(String, ClaimVerdict)>,
+    /// Writes of claims, the floor left out.
+    pub writes: u64,
+    /// Claims after which a part is full.
+    pub part_claims: usize,
+    begun: Instant,
+    version: u64,
+    late: Vec<(String, u64, Vec<u8>)>,
+    granted: BTreeSet<String>,
+    expired: BTreeSet<String>,
+    refused: BTreeSet<AskId>,
+    runs: u64,
+    seq: u64,
+    messages: u64,
+}
+
+fn vm(i: u8) -> VmId {
+    format!("entry-{i}").parse().expect("a name")
+}
+
+fn view(me: u8, all: &[u8]) -> Arc<View> {
+    let addr = "127.0.0.1:1".parse().expect("an address");
+    let one = |i: &u8| ViewVm {
+        entry: VmEntry {
+            vm: vm(*i),
+            data_centre: "dc".parse().expect("a name"),
+            region: "south".parse().expect("a name"),
+            mesh: addr,
+            callers: addr,
+            admin: addr,
+            leaving: false,
+        },
+        incarnation: None,
+        state: VmState::Alive,
+    };
+    Arc::new(View {
+        me: vm(me),
+        vms: all.iter().map(one).collect(),
+    })
+}
+
+impl World {
+    pub fn new(vms: u8) -> Self {
+        let now = Instant::now();
+        let mut w = Self {
+            now,
+            mood: Mood::Well,
+            net: Net::Well,
+            processes: BTreeMap::new(),
+            objects: BTreeMap::new(),
+            verdicts: Vec::new(),
+            writes: 0,
+            part_claims: 3,
+            begun: now,
+            version: 0,
+            late: Vec::new(),
+            granted: BTreeSet::new(),
+            expired: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            runs: 0,
+            seq: 0,
+            messages: 0,
+        };
+        (0..vms).for_each(|i| w.start(i));
+        w
+    }
+
+    pub fn start(&mut self, i: u8) {
+        self.runs += 1;
+        let cfg = OnceSettings::builder()
+            .vm(vm(i))
+            .incarnation(Incarnation(self.runs))
+            .window(Duration::from_secs(120))
+            .skew(Duration::from_secs(10))
+            .margin(Duration::from_secs(60))
+            .part_claims(self.part_claims)
+            .build();
+        let p = Process {
+            once: Once::new(cfg).expect("a chart"),
+            paused: false,
+            ahead: 0,
+            cut: false,
+            incarnation: Incarnation(self.runs),
+            inbox: VecDeque::new(),
+            wake: self.now,
+            asked: BTreeMap::new(),
+        };
+        self.processes.insert(i, p);
+        let all: Vec<u8> = self.processes.keys().copied().collect();
+        for (me, p) in &mut self.processes {
+            p.inbox.push_back(Event::Members(view(*me, &all)));
+        }
+    }
+
+    /// The time of day on a VM, in seconds since the Unix epoch.
+    pub fn wall(&self, i: u8) -> u64 {
+        let wall = START + self.now.duration_since(self.begun).as_secs();
+        wall.saturating_add_signed(self.processes.get(&i).map_or(0, |p| p.ahead))
+    }
+
+    pub fn ask(&mut self, i: u8, key: &str) {
+        self.seq += 1;
+        let seq = LookupSeq(self.seq);
+        let Some(p) = self.processes.get_mut(&i) else {
+            return;
+        };
+        p.asked.insert(seq, key.to_owned());
+        p.inbox.push_back(Event::Ask(ClaimAsk {
+            seq,
+            key: key.parse().expect("a key"),
+            fingerprint: Fingerprint(7),
+            budget: Duration::from_secs(1),
+        }));
+    }
+
+    /// A key minted so many seconds ago by the true clock.
+    pub fn key(&self, age: i64, tail: &str) -> String {
+        let wall = START + self.now.duration_since(self.begun).as_secs();
+        format!("{}-{tail:0>8}", wall.saturating_add_signed(-age))
+    }
+
+    /// Writes that were sent long ago take effect now, where their condition still holds.
+    pub fn land_late(&mut self) {
+        for (path, if_version, content) in std::mem::take(&mut self.late) {
+            let _ = self.put(&path, if_version, content);
+        }
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            for i in self.processes.keys().copied().collect::<Vec<_>>() {
+                self.run_process(i);
+            }
+        }
+    }
+
+    /// Lets the time pass in which nobody asks for anything, quickly.
+    pub fn idle(&mut self, time: Duration) {
+        self.run(Duration::from_millis(50));
+        self.now += time;
+        self.run(Duration::from_millis(50));
+    }
+
+    pub fn unanswered(&self) -> usize {
+        self.processes.values().map(|p| p.asked.len()).sum()
+    }
+
+    fn run_process(&mut self, i: u8) {
+        let wall = self.wall(i);
+        let now = self.now;
+        let Some(p) = self.processes.get_mut(&i) else {
+            return;
+        };
+        if p.paused {
+            return;
+        }
+        if now >= p.wake {
+            p.inbox.push_back(Event::Tick);
+        }
+        let mut out = Vec::new();
+        for event in std::mem::take(&mut p.inbox) {
+            p.once.on(now, wall, event, &mut out);
+        }
+        for action in out {
+            self.act(i, action);
+        }
+    }
+
+    fn act(&mut self, i: u8, action: Action) {
+        let away = self.mood == Mood::Away || self.processes[&i].cut;
+        match action {
+            Action::Read { path } => {
+                let result = match away || self.mood == Mood::LateAndBlind {
+                    true => Err(StoreError::Lost),
+                    false => Ok(self.objects.get(&path).cloned()),
+                };
+                self.tell(i, Event::Read { path, result });
+            }
+            Action::Write {
+                path,
+                if_version,
+                content,
+            } => {
+                self.writes += u64::from(path != FLOOR_PATH);
+                let result = match away {
+                    true => Err(StoreError::NotDone),
+                    false => self.write(&path, if_version, content),
+                };
+                self.tell(i, Event::Wrote { path, result });
+            }
+            Action::Remove { path, if_version } => {
+                let result = match away {
+                    true => Err(StoreError::NotDone),
+                    false => self.remove(&path, if_version),
+                };
+                self.tell(i, Event::Removed { path, result });
+            }
+            Action::Send(to, message) => self.send(i, &to, message),
+            Action::Verdict(seq, verdict) => self.judge(i, seq, verdict),
+            Action::Wake(after) => {
+                let wake = self.now + after;
+                self.processes.get_mut(&i).expect("a process").wake = wake;
+            }
+        }
+    }
+
+    fn write(&mut self, path: &str, if_version: u64, content: Vec<u8>) -> Result<u64, StoreError> {
+        match self.mood {
+            Mood::Late | Mood::LateAndBlind => {
+                self.late.push((path.to_owned(), if_version, content));
+                Err(StoreError::Lost)
+            }
+            Mood::LosesAnswers => {
+                let _ = self.put(path, if_version, content);
+                Err(StoreError::Lost)
+            }
+            _ => self.put(path, if_version, content),
+        }
+    }
+
+    fn put(&mut self, path: &str, if_version: u64, content: Vec<u8>) -> Result<u64, StoreError> {
+        let current = self.objects.get(path).map_or(0, |s| s.version);
+        if current != if_version {
+            return Err(StoreError::Conflict);
+        }
+        self.check_claims(path, &content);
+        self.version += 1;
+        let version = self.version;
+        let stored = Stored { version, content };
+        self.objects.insert(path.to_owned(), stored);
+        Ok(version)
+    }
+
+    fn remove(&mut self, path: &str, if_version: u64) -> Result<(), StoreError> {
+        match self.objects.get(path) {
+            Some(s) if s.version != if_version => Err(StoreError::Conflict),
+            _ => {
+                self.objects.remove(path);
+                Ok(())
+            }
+        }
+    }
+
+    fn send(&mut self, from: u8, to: &VmId, message: Message) {
+        self.messages += 1;
+        let copies = match self.net {
+            Net::Well => 1,
+            Net::Lossy => u64::from(self.messages.is_multiple_of(2)),
+            Net::Doubling => 2,
+            Net::Dead => 0,
+        };
+        let mut all = self.processes.iter_mut();
+        let Some((_, p)) = all.find(|(i, _)| vm(**i) == *to) else {
+            return;
+        };
+        for _ in 0..copies {
+            p.inbox.push_back(Event::Peer(vm(from), message.clone()));
+        }
+    }
+
+    /// The oracle: a key is granted once at most, and never once it was called expired.
+    fn judge(&mut self, i: u8, seq: LookupSeq, verdict: ClaimVerdict) {
+        let p = self.processes.get_mut(&i).expect("a process");
+        let key = p.asked.remove(&seq).expect("one verdict for an ask");
+        let incarnation = p.incarnation;
+        match verdict {
+            ClaimVerdict::Granted => {
+                assert!(self.granted.insert(key.clone()), "{key} is granted twice");
+                assert!(
+                    !self.expired.contains(&key),
+                    "{key} is granted once expired"
+                );
+            }
+            ClaimVerdict::Expired => drop(self.expired.insert(key.clone())),
+            ClaimVerdict::Refused => {
+                let vm = vm(i);
+                let id = AskId {
+                    vm,
+                    incarnation,
+                    seq,
+                };
+                assert!(!self.is_claimed(&id), "{id} is refused and claimed");
+                self.refused.insert(id);
+            }
+            ClaimVerdict::Taken | ClaimVerdict::Unknown => {}
+        }
+        self.verdicts.push((key, verdict));
+    }
+
+    fn is_claimed(&self, id: &AskId) -> bool {
+        let parts = self
+            .objects
+            .iter()
+            .filter_map(|(p, s)| claims(p, &s.content));
+        parts.flat_map(|p| p.claims).any(|c| c.id == *id)
+    }
+
+    /// The oracle: what was refused is never claimed afterwards.
+    fn check_claims(&self, path: &str, content: &[u8]) {
+        let part = claims(path, content).unwrap_or_default();
+        for c in part.claims {
+            assert!(!self.refused.contains(&c.id), "{} was refused", c.id);
+        }
+    }
+
+    fn tell(&mut self, i: u8, event: Event) {
+        let p = self.processes.get_mut(&i).expect("a process");
+        p.inbox.push_back(event);
+    }
+}
+
+fn claims(path: &str, content: &[u8]) -> Option<Part> {
+    path.parse::<PartPath>().ok()?;
+    Part::decode(content).ok()
+}
