--- a/crates/query/src/arrive.rs
+++ b/crates/query/src/arrive.rs
@@ -110,6 +110,7 @@
             extra: 0,
             restarts: 0,
             timer: None,
+            wants_restart: false,
             is_gone: false,
             is_done: false,
         };
--- a/crates/query/src/core.rs
+++ b/crates/query/src/core.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct Orphan {
     pub(crate) server: ServerIdx,
+    /// When it was handed over.
+    pub(crate) at: Instant,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) is_sent: bool,
     /// Whether a server ran its lookup and lived.
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -151,6 +151,9 @@
     fn report(&mut self, now: Instant, r: &ServerReport, out: &mut Vec<Action>) {
         let core = &mut self.core;
         let Some(idx) = core.servers.find(&r.server) else {
+            if r.draining {
+                core.servers.drain_early(&r.server, r.incarnation);
+            }
             return;
         };
         let report = Report {
@@ -172,6 +175,7 @@
     fn shares(&mut self, shares: &[(ServerName, Connections)], out: &mut Vec<Action>) {
         for (name, share) in shares {
             let Some(idx) = self.core.servers.find(name) else {
+                self.core.servers.share_early(name, *share);
                 continue;
             };
             self.core.servers.set_share(idx, *share);
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -23,18 +23,23 @@
 const ORPHAN_GRACE: Duration = Duration::from_secs(2);
 
 impl Core {
-    /// Ends the lookup if nothing more can come, or if there are hits enough.
+    /// Ends the lookup if nothing more can come, or if there are hits enough; begins it again first
+    /// if a shard's snapshot is gone.
+    ///
+    /// Nothing that walks over the shards may come after this, as a restart replaces them.
     pub(crate) fn check_end(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
         if lk.is_done || lk.phase == Phase::Claiming {
             return;
         }
+        if std::mem::take(&mut lk.wants_restart) && self.restart(now, lk, out) {
+            return;
+        }
         let shards = lk.shards.len() as u32;
         if lk.whole + lk.missing >= shards {
             self.conclude(now, lk, false, out);
             return;
         }
-        let is_hopeless = lk.decl.promise == Promise::Complete && lk.missing > 0;
-        if is_hopeless {
+        if lk.is_hopeless() {
             self.conclude(now, lk, false, out);
             return;
         }
@@ -165,6 +170,7 @@
                 }
                 let orphan = Orphan {
                     server: a.server,
+                    at: a.at,
                     fingerprint: lk.fingerprint,
                     is_sent: a.sent.is_some(),
                     is_proven: lk.is_proven,
--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -45,8 +45,7 @@
     pub(crate) fn fan_out(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
         lk.phase = Phase::Running;
         for at in 0..lk.shards.len() {
-            let is_hopeless = lk.decl.promise == Promise::Complete && lk.missing > 0;
-            if lk.is_done || lk.phase != Phase::Running || is_hopeless {
+            if lk.is_hopeless() {
                 break;
             }
             if lk.shards[at].state == ShardState::Held {
@@ -75,13 +74,13 @@
             };
             lk.phase = Phase::Canary(at);
             self.try_shard(now, lk, at, kind, out);
-            if lk.is_done || lk.phase != Phase::Canary(at) {
-                return;
-            }
             if lk.shards[at].is_open() {
                 self.counters.canaries += 1;
                 return;
             }
+            if lk.is_hopeless() {
+                break;
+            }
         }
         self.check_end(now, lk, out);
     }
@@ -126,12 +125,12 @@
     ) {
         let place = self.place(now, lk, at);
         if let Place::Nowhere(reason) = place {
-            self.give_up(now, lk, at, reason, out);
+            self.give_up(lk, at, reason);
             return;
         }
         if kind == Kind::Retry && !self.budget.take_retries(now, 1) {
             self.counters.extra_refused += 1;
-            self.give_up(now, lk, at, MissReason::Failed, out);
+            self.give_up(lk, at, MissReason::Failed);
             return;
         }
         match place {
@@ -160,12 +159,12 @@
         }
         if lk.is_once() && lk.was_sent {
             let miss = lk.shards[at].miss;
-            self.give_up(now, lk, at, miss, out);
+            self.give_up(lk, at, miss);
             return;
         }
         if lk.shards[at].attempts.len() >= usize::from(self.options.tries_max) {
             let miss = lk.shards[at].miss;
-            self.give_up(now, lk, at, miss, out);
+            self.give_up(lk, at, miss);
             return;
         }
         let kind = match lost {
@@ -175,23 +174,14 @@
         self.try_shard(now, lk, at, kind, out);
     }
 
-    /// Gives a shard up, unless the whole lookup can be begun again on another snapshot.
-    pub(crate) fn give_up(
-        &mut self,
-        now: Instant,
-        lk: &mut LookupRun,
-        at: usize,
-        reason: MissReason,
-        out: &mut Vec<Action>,
-    ) {
-        if reason == MissReason::SnapshotGone && self.restart(now, lk, out) {
-            return;
-        }
+    /// Gives a shard up; if its snapshot is gone, [`Core::check_end`] may begin the lookup again.
+    pub(crate) fn give_up(&mut self, lk: &mut LookupRun, at: usize, reason: MissReason) {
         let shard = &mut lk.shards[at];
         shard.state = ShardState::Missing;
         shard.miss = reason;
         lk.missing += 1;
         lk.is_congested |= reason == MissReason::Shed;
+        lk.wants_restart |= reason == MissReason::SnapshotGone;
     }
 
     /// Looks at what an event led to: a canary to send, or the end of the lookup.
@@ -212,7 +202,12 @@
     ///
     /// Repartition drops old snapshots while lookups are pinned to them: parts of two snapshots must
     /// never mix, so nothing of the old one is kept. The parts thrown away count as retries.
-    fn restart(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) -> bool {
+    pub(crate) fn restart(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        out: &mut Vec<Action>,
+    ) -> bool {
         let stuck = lk.restarts >= RESTARTS_MAX || (lk.is_once() && lk.was_sent);
         let group = &mut self.groups[lk.group];
         let pin = group
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -118,6 +118,8 @@
     pub(crate) restarts: u8,
     /// When the engine looks at it next.
     pub(crate) timer: Option<Instant>,
+    /// Whether a shard's replicas dropped the pinned snapshot, so that another should be pinned.
+    pub(crate) wants_restart: bool,
     /// Whether its caller hung up, so that nobody hears its last word.
     pub(crate) is_gone: bool,
     /// Whether its last word was given.
@@ -130,6 +132,11 @@
         self.decl.promise == Promise::AtMostOnce
     }
 
+    /// Whether what is missing already rules an answer out on this snapshot.
+    pub(crate) fn is_hopeless(&self) -> bool {
+        self.missing > 0 && self.decl.promise == Promise::Complete
+    }
+
     /// The place of a shard in [`LookupRun::shards`].
     pub(crate) fn position(&self, shard: ShardId) -> Option<usize> {
         match self.decl.scope {
@@ -159,6 +166,7 @@
         self.whole = 0;
         self.missing = 0;
         self.hits = 0;
+        self.wants_restart = false;
     }
 
     fn shards_of(&self, snapshot: &Snapshot) -> Vec<ShardRun> {
--- a/crates/query/src/place.rs
+++ b/crates/query/src/place.rs
@@ -199,7 +199,7 @@
         match self.place(now, lk, at) {
             Place::Now(server) => self.dispatch(now, lk, at, server, kind, out),
             Place::Wait(servers) => self.queue(lk, at, servers, kind),
-            Place::Nowhere(reason) => self.give_up(now, lk, at, reason, out),
+            Place::Nowhere(reason) => self.give_up(lk, at, reason),
         }
         self.after(now, lk, out);
     }
--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -20,6 +20,16 @@
 use crate::lookup::ShardState;
 use crate::suspects::Finding;
 
+/// What a reply means to the view of its server.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    server: ServerIdx,
+    /// Whether the reply speaks of the run known now.
+    is_current: bool,
+    /// Whether its attempt was still wanted.
+    was_live: bool,
+}
+
 impl Core {
     /// An attempt of a lookup in flight passes the point of no return.
     pub(crate) fn sent(&mut self, now: Instant, lk: &mut LookupRun, id: &AttemptId) {
@@ -59,6 +69,11 @@
         let was_live = a.is_live();
         a.state = next;
         let server = a.server;
+        let heard = Heard {
+            server,
+            is_current: self.servers.view(server).speaks_of_this_run(a.at),
+            was_live,
+        };
         self.servers.released(server);
         self.freed.push(server);
         if next == AttemptState::NotRun {
@@ -71,15 +86,12 @@
                 load,
                 draining,
             } => {
-                self.servers.succeeded(now, server, load);
                 self.learn(now, lk, at, n);
-                if draining {
-                    self.drain_seen(server, out);
-                }
+                self.answered(now, heard, load, draining, out);
                 self.whole(now, lk, at, n, snapshot, part, out);
             }
-            PartReply::Broken => self.broke(now, lk, at, n, was_live, out),
-            other => self.unanswered(now, lk, at, n, other, was_live, out),
+            PartReply::Broken => self.broke(now, lk, at, n, heard, out),
+            other => self.unanswered(now, lk, at, other, heard, out),
         }
         self.after(now, lk, out);
     }
@@ -149,19 +161,16 @@
     }
 
     /// An attempt ended without a part, and without breaking its connection.
-    #[expect(clippy::too_many_arguments, reason = "the parts of one reply")]
     fn unanswered(
         &mut self,
         now: Instant,
         lk: &mut LookupRun,
         at: usize,
-        n: usize,
         reply: PartReply,
-        was_live: bool,
+        heard: Heard,
         out: &mut Vec<Action>,
     ) {
-        let server = lk.shards[at].attempts[n].server;
-        self.judge(now, server, &reply, was_live, out);
+        self.judge(now, &reply, heard, out);
         let lost = match reply {
             PartReply::Shed { .. } => {
                 lk.is_congested = true;
@@ -175,26 +184,42 @@
         self.lost(now, lk, at, lost, out);
     }
 
-    /// Takes in what a reply says about its server.
-    fn judge(
+    /// Takes in what a whole part says about its server.
+    fn answered(
         &mut self,
         now: Instant,
-        server: ServerIdx,
-        reply: &PartReply,
-        was_live: bool,
+        heard: Heard,
+        load: u32,
+        draining: bool,
         out: &mut Vec<Action>,
     ) {
+        if !heard.is_current {
+            return;
+        }
+        self.servers.succeeded(now, heard.server, load);
+        if draining {
+            self.drain_seen(heard.server, out);
+        }
+    }
+
+    /// Takes in what any other reply says about its server.
+    fn judge(&mut self, now: Instant, reply: &PartReply, heard: Heard, out: &mut Vec<Action>) {
+        if !heard.is_current {
+            return;
+        }
+        let server = heard.server;
         match reply {
             PartReply::Shed { retry_after } => self.servers.shed(now, server, *retry_after),
             PartReply::Draining => self.drain_seen(server, out),
             PartReply::NoSnapshot { holds } => self.holds_seen(now, server, holds),
-            PartReply::NotSent if was_live => {
+            PartReply::NotSent if heard.was_live => {
                 self.servers.failed(now, server, Failure::Unreached);
             }
             PartReply::Failed | PartReply::Garbled => {
                 self.servers.failed(now, server, Failure::Error);
             }
-            _ => {}
+            PartReply::Broken => self.servers.failed(now, server, Failure::Broken),
+            PartReply::Whole { .. } | PartReply::NotSent | PartReply::Cancelled => {}
         }
     }
 
@@ -212,19 +237,17 @@
         lk: &mut LookupRun,
         at: usize,
         n: usize,
-        was_live: bool,
+        heard: Heard,
         out: &mut Vec<Action>,
     ) {
-        let a = &mut lk.shards[at].attempts[n];
-        a.broken = true;
-        let server = a.server;
-        self.servers.failed(now, server, Failure::Broken);
+        lk.shards[at].attempts[n].broken = true;
+        self.judge(now, &PartReply::Broken, heard, out);
         if lk.is_proven {
             self.lost(now, lk, at, Lost::Failed, out);
             return;
         }
-        let alone = was_live && (lk.phase == Phase::Canary(at) || lk.shards.len() == 1);
-        match self.crash_seen(now, lk.fingerprint, server, alone, out) {
+        let alone = heard.was_live && (lk.phase == Phase::Canary(at) || lk.shards.len() == 1);
+        match self.crash_seen(now, lk.fingerprint, heard.server, alone, out) {
             Finding::Quarantined => {
                 let rest = self.options.quarantine;
                 let refusal = Refusal::new(RefusalReason::Quarantined, Some(rest));
@@ -283,25 +306,27 @@
             self.counters.stray_replies += 1;
             return;
         };
+        let heard = Heard {
+            server: o.server,
+            is_current: self.servers.view(o.server).speaks_of_this_run(o.at),
+            was_live: false,
+        };
         self.servers.released(o.server);
         self.freed.push(o.server);
         match reply {
             PartReply::Whole { load, draining, .. } => {
-                self.servers.succeeded(now, o.server, *load);
-                if *draining {
-                    self.drain_seen(o.server, out);
-                }
+                self.answered(now, heard, *load, *draining, out);
                 if self.suspects.prove(now, o.fingerprint) {
                     self.spread_suspect(o.fingerprint, 0, Duration::ZERO, out);
                 }
             }
             PartReply::Broken => {
-                self.servers.failed(now, o.server, Failure::Broken);
+                self.judge(now, reply, heard, out);
                 if o.is_sent && !o.is_proven {
                     self.crash_seen(now, o.fingerprint, o.server, false, out);
                 }
             }
-            other => self.judge(now, o.server, other, false, out),
+            other => self.judge(now, other, heard, out),
         }
     }
 }
--- a/crates/query/tests/engine/drain.rs
+++ b/crates/query/tests/engine/drain.rs
@@ -153,3 +153,22 @@
     assert_eq!(r.reason, RefusalReason::Incomplete);
     assert_eq!(r.missing[0].reason, MissReason::NoReplica);
 }
+
+/// A process starts: its peers' gossip of a drain arrives before the map that declares the server.
+/// Its first lookups must not go to the leaving server for that. Found by the fuzzer.
+#[test]
+fn a_drain_told_before_the_server_is_declared_counts() {
+    let mut w = World::with(EngineOptions::default(), &group(1, 2, &[(1, 1)]));
+    let sign = Sign::Drain {
+        server: server(1, 0),
+        incarnation: Some(Incarnation(3)),
+    };
+    w.on(Event::Sign(sign, SignSource::Peer));
+    let map = group(2, 2, &[(1, 2)]);
+    w.on(Event::Group(std::sync::Arc::new(map)));
+    for _ in 0..4 {
+        w.arrive("urgent");
+        assert!(w.open.iter().all(|d| d.server.name != server(1, 0)));
+        w.serve_all();
+    }
+}
--- a/crates/query/tests/engine/main.rs
+++ b/crates/query/tests/engine/main.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod coverage;
 mod drain;
+mod fuzz;
 mod hedge;
 mod once;
 mod outcome;
--- a/crates/query/tests/engine/snapshot.rs
+++ b/crates/query/tests/engine/snapshot.rs
@@ -172,3 +172,28 @@
     w.arrive("urgent");
     assert!(w.open.iter().all(|d| d.snapshot == SnapshotId(1)));
 }
+
+/// A lookup's canary clears it, its fan-out goes on, and a shard's snapshot turns out to be gone.
+/// The lookup begins again on a snapshot with fewer shards; the fan-out of the old one must not
+/// walk on over the new one's shards. Found by the fuzzer as a panic.
+#[test]
+fn a_restart_on_fewer_shards_ends_the_fan_out_of_the_old_snapshot() {
+    let mut w = World::with(EngineOptions::default(), &group(1, 2, &[(1, 2), (2, 5)]));
+    let sign = gs_query::Sign::Quarantine {
+        fingerprint: Fingerprint(9),
+        crashes: 2,
+        rest: Duration::from_secs(5),
+    };
+    w.on(Event::Sign(sign, gs_query::SignSource::Peer));
+    let seq = w.arrive("urgent");
+    let canary = w.take(0);
+    assert_eq!((canary.snapshot, w.open.len()), (SnapshotId(2), 0));
+    for s in 1..5 {
+        tell(&mut w, s, &[1]);
+    }
+    w.sent(&canary);
+    w.reply(&canary, whole(&canary));
+    w.open.retain(|d| d.snapshot == SnapshotId(1));
+    w.serve_all();
+    assert_eq!(w.answer(seq).hits, brute_force(1, &[0, 1], 5));
+}
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -77,6 +77,8 @@
     pub(crate) local: bool,
     pub(crate) state: ServerState,
     pub(crate) incarnation: Option<Incarnation>,
+    /// When the run known now was first heard of, if another was known before.
+    pub(crate) run_since: Option<Instant>,
     /// The run that a sign without a run was taken for; the same sign told again after a restart
     /// must not drain the new run.
     pub(crate) unnamed_drain: Option<Option<Incarnation>>,
@@ -102,6 +104,7 @@
             local,
             state,
             incarnation: None,
+            run_since: None,
             unnamed_drain: None,
             snapshots: None,
             own_word_until: None,
@@ -155,6 +158,15 @@
         &self.latency
     }
 
+    /// Whether what came of an attempt handed over at this time speaks of the run known now.
+    ///
+    /// A reply of the old run may arrive after the new one was heard of; taken for the new run's,
+    /// a late drain answer would keep it out of service until yet another restart.
+    #[must_use]
+    pub fn speaks_of_this_run(&self, handed_over: Instant) -> bool {
+        self.run_since.is_none_or(|since| handed_over >= since)
+    }
+
     /// Whether it takes no new work.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -20,6 +20,16 @@
 /// The longest pause that a server may ask for.
 const SHED_MAX: Duration = Duration::from_secs(5);
 
+/// The most servers of which something is kept that was told before their declaration.
+const EARLY_MAX: usize = 16_384;
+
+/// What was told of a server before its declaration.
+#[derive(Clone, Debug, Default)]
+struct Early {
+    drains: SmallVec<[Option<Incarnation>; 2]>,
+    share: Option<Connections>,
+}
+
 /// The place of a server in [`Servers`]; stays the same for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerIdx(u32);
@@ -62,6 +72,7 @@
     list: Vec<ServerView>,
     names: BTreeMap<ServerName, ServerIdx>,
     services: BTreeMap<ServiceName, SmallVec<[ServerIdx; 4]>>,
+    early: BTreeMap<ServerName, Early>,
     /// Counts changes of what can be pinned: snapshots held and drains.
     changes: u64,
     data_centre: DataCentre,
@@ -80,6 +91,7 @@
             list: Vec::new(),
             names: BTreeMap::new(),
             services: BTreeMap::new(),
+            early: BTreeMap::new(),
             changes: 0,
             data_centre,
             chart: state::chart()?,
@@ -116,9 +128,46 @@
         self.list.push(view);
         self.names.insert(decl.name.clone(), idx);
         self.changes += 1;
+        if let Some(early) = self.early.remove(&decl.name) {
+            self.take_early(idx, early);
+        }
         idx
     }
 
+    fn take_early(&mut self, idx: ServerIdx, early: Early) {
+        for run in early.drains {
+            self.drain(idx, run);
+        }
+        if let Some(share) = early.share {
+            self.set_share(idx, share);
+        }
+    }
+
+    /// Keeps a drain of a server that is not declared yet.
+    ///
+    /// Gossip and a group's map reach a starting process in any order; forgotten, the drain would
+    /// come to light only by work for the leaving server.
+    pub fn drain_early(&mut self, name: &ServerName, incarnation: Option<Incarnation>) {
+        if let Some(early) = self.early_of(name)
+            && !early.drains.contains(&incarnation)
+            && early.drains.len() < early.drains.inline_size()
+        {
+            early.drains.push(incarnation);
+        }
+    }
+
+    /// Keeps the share of a server that is not declared yet.
+    pub fn share_early(&mut self, name: &ServerName, share: Connections) {
+        if let Some(early) = self.early_of(name) {
+            early.share = Some(share);
+        }
+    }
+
+    fn early_of(&mut self, name: &ServerName) -> Option<&mut Early> {
+        let has_room = self.early.len() < EARLY_MAX || self.early.contains_key(name);
+        has_room.then(|| self.early.entry(name.clone()).or_default())
+    }
+
     /// The place of a server; `None` if it was never declared.
     #[must_use]
     pub fn find(&self, name: &ServerName) -> Option<ServerIdx> {
@@ -208,6 +257,7 @@
     fn new_run(&mut self, now: Instant, idx: ServerIdx) {
         self.step(idx, ServerEvent::NewRun);
         let view = &mut self.list[idx.index()];
+        view.run_since = Some(now);
         view.warming_since = Some(now);
         view.snapshots = Some(SmallVec::new());
         view.own_word_until = None;
