--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`deploy`]: the deployments of the brief as settings files and platform objects;
 //! - [`platform`]: the platform's object service and VM list;
 //! - [`process`] and [`deployment`]: the `gentiansill` processes, and everything together;
+//! - [`operator`]: an operator at the administration API;
 //! - [`load`]: open-loop arrivals, checks of every answer, tables and plots.
 
 pub mod control;
@@ -22,6 +23,7 @@
 pub mod link;
 pub mod load;
 pub mod net;
+pub mod operator;
 pub mod platform;
 pub mod process;
 pub mod server;
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Process tests: the real binary in a small deployment, with faults from outside.
 
+mod patches;
 mod platform_faults;
 mod server_faults;
 mod support;
--- a/tests/process/support.rs
+++ b/tests/process/support.rs
@@ -12,6 +12,7 @@
 use gs_rig::deployment::Deployment;
 use gs_rig::deployment::DeploymentOptions;
 use gs_rig::load;
+use gs_rig::load::AskMix;
 use gs_rig::load::Caller;
 use gs_rig::load::LoadSpec;
 use gs_rig::load::LookupAsk;
@@ -76,12 +77,23 @@
 
 /// Runs checked load over every lookup and gives the tallies' sum.
 pub async fn load(d: &Deployment, targets: Arc<Targets>, rate: f64, length: Duration) -> Tally {
+    load_mix(d, d.mix(SEED), targets, rate, length).await
+}
+
+/// Runs checked load over this mix and gives the tallies' sum.
+pub async fn load_mix(
+    d: &Deployment,
+    mix: AskMix,
+    targets: Arc<Targets>,
+    rate: f64,
+    length: Duration,
+) -> Tally {
     let spec = LoadSpec::builder()
         .rate(rate)
         .length(length)
         .seed(SEED)
         .build();
-    let tallies = load::run(spec, d.mix(SEED), targets, Some(d.checker())).await;
+    let tallies = load::run(spec, mix, targets, Some(d.checker())).await;
     sum(&tallies)
 }
 
