--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -17,7 +17,7 @@
 use crate::load::Caller;
 
 /// The path that answers 200 once a VM takes lookups.
-pub(crate) const READY: &str = "/v1/ready";
+pub(crate) const READY: &str = "/ready";
 
 /// The time between two looks at something that a process brings about.
 const LOOK_AGAIN: Duration = Duration::from_millis(5);
