--- a/src/client.rs
+++ b/src/client.rs
@@ -31,6 +31,7 @@
 pub(crate) struct Reply {
     pub(crate) status: StatusCode,
     pub(crate) body: Value,
+    peer: SocketAddr,
 }
 
 /// Talks to one process's administration API.
@@ -104,7 +105,11 @@
                 "the answer, of status {status}, does not read: {e}"
             ))
         })?;
-        Ok(Reply { status, body })
+        Ok(Reply {
+            status,
+            body,
+            peer: self.addr,
+        })
     }
 
     async fn connect(&self) -> Result<TcpStream> {
@@ -170,6 +175,7 @@
         if let Some(peer) = text("peer") {
             e = e.from_peer(peer);
         }
+        e = e.from_peer(self.peer.to_string());
         match (text("hint"), self.status) {
             (Some(hint), _) => e.with_hint(hint),
             (None, StatusCode::UNAUTHORIZED) => e.with_hint("give the team's key by `--key-file`"),
--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,7 @@
+//! The program as a person or a script runs it: what it prints and the code it exits with.
+
+mod check;
+mod common;
+mod help;
+mod operators;
+mod replay;
