--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod replay;
 mod serve;
 mod status;
+mod steps;
 mod version;
 
 use clap::Arg;
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -20,13 +20,13 @@
 use gs_trace::Record;
 use gs_trace::Replay;
 use gs_trace::Script;
-use gs_trace::Step;
 use gs_types::prelude::*;
 use serde_json::Value;
 use serde_json::json;
 
 use super::after_help;
 use super::json_arg;
+use super::steps;
 use super::wants_json;
 use crate::exit::Exit;
 use crate::failure::Failure;
@@ -148,17 +148,17 @@
     show: bool,
 ) -> Result<Result<u64, Diverged>> {
     let engine = gs_trace::engine(header)?;
-    let mut steps = 0;
+    let mut last = 0;
     for step in Replay::new(records, engine, Instant::now()) {
         let step = step?;
         if show {
-            output::line(&spell(&step));
+            output::line(&steps::spell(&step));
         }
-        steps = step.number;
+        last = step.number;
         if let Err(divergence) = checker.on(&step) {
             return Ok(Err(Diverged {
                 divergence,
-                step: Some(spell(&step)),
+                step: Some(steps::spell(&step)),
             }));
         }
     }
@@ -166,16 +166,7 @@
         divergence,
         step: None,
     };
-    Ok(checker.end().map(|()| steps).map_err(diverged))
-}
-
-fn spell(step: &Step) -> String {
-    let at = humantime::format_duration(step.at);
-    let mut s = format!("step {} at {at}: {:?}", step.number, step.event);
-    for action in &step.actions {
-        s.push_str(&format!("\n    -> {action:?}"));
-    }
-    s
+    Ok(checker.end().map(|()| last).map_err(diverged))
 }
 
 fn tell(checker: &Checker, judged: &Result<u64, Diverged>, json: bool) {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -5,3 +5,4 @@
 mod help;
 mod operators;
 mod replay;
+mod traces;
--- a/tests/cli/replay.rs
+++ b/tests/cli/replay.rs
@@ -33,7 +33,8 @@
     let shown = "diverges at step 2 at 1ms: lookup 1: outcome is NotRun(";
     assert!(r.stdout.starts_with(shown), "{}", r.stdout);
     assert!(
-        r.stdout.contains("\nstep 2 at 1ms: Arrive("),
+        r.stdout
+            .contains("\nstep 2 at 1ms: lookup 1 arrives: quote"),
         "{}",
         r.stdout
     );
