--- a/tests/cli/operators.rs
+++ b/tests/cli/operators.rs
@@ -46,7 +46,7 @@
     let (addr, served) = api(&[&answer("200 OK", "{}")]);
     let addr = addr.to_string();
     let r = run_in(
-        &files(&[]).path().to_owned(),
+        files(&[]).path(),
         &[&["dump", "--admin", &addr], flags].concat(),
     );
     assert_eq!(r.code, 0, "{}", r.stderr);
