--- /dev/null
+++ b/tests/cli/main.rs
@@ -0,0 +1,8 @@
+//! The program as a person or a script runs it: what it prints and the code it exits with.
+
+mod check;
+mod common;
+mod help;
+mod operators;
+mod replay;
+mod traces;
