fix(once): a writer that is unsure twice no longer turns Unknown into Refused; perf(member)

The longer fuzz run (GS_FUZZ_CASES=10000, case 4788, once clocks may be minutes behind) found 'entry-0/1/12 is refused and claimed': a doubled Made(Unsure) moved an ask that was being written back to exposed, and the write's conflict then to queued, whence it was given up as refused while the writer's entry stood. Its test failed first ([Refused] for [Unknown]).

Taking a table by gossip before the platform was read never did harm, as a run must register first: that guard is taken out.

Membership's cost: neighbours and the table's duty are worked out when the view changes, not on every event; the example with 300 members had not ended after 9 minutes before.

--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -32,6 +32,9 @@
     rng: ChaCha8Rng,
     peers: BTreeMap<VmId, Peer>,
     news: News,
+    /// The VMs that this one holds connections to and asks: all of a small fleet, and of a large
+    /// one those that hash highest with this VM, so that a VM's cost does not grow with the fleet.
+    near: Vec<VmId>,
     /// VMs to ask, last first.
     turn: Vec<VmId>,
     /// The last VM told of as part of the digest.
@@ -49,6 +52,7 @@
             rng,
             peers: BTreeMap::new(),
             news: News::default(),
+            near: Vec::new(),
             turn: Vec::new(),
             cursor: None,
             refutes: 0,
@@ -101,6 +105,9 @@
             self.peers.remove(&vm);
             self.changed = true;
         }
+        if self.near.len() != self.peers.len().min(self.cfg.neighbours) || self.changed {
+            self.choose_near();
+        }
     }
 
     fn see_listed(&mut self, now: Instant, entry: &VmEntry) {
@@ -136,6 +143,7 @@
         if let (false, Some(e)) = (self.peers.contains_key(from), entry) {
             let peer = Peer::new(now, e.clone(), self.chart.initial());
             self.peers.insert(from.clone(), peer);
+            self.choose_near();
         }
         let Some(peer) = self.peers.get_mut(from) else {
             return;
@@ -221,7 +229,7 @@
 
     /// Chooses whom to ask in this period: those that owe an answer, then others in turn.
     pub(crate) fn asked(&mut self, now: Instant) -> Vec<VmId> {
-        let near = self.neighbours();
+        let near = self.near.clone();
         let owes = |vm: &&VmId| {
             let state = self.peers.get(*vm).map(|p| (p.asked.is_some(), p.state));
             state.is_some_and(|(asked, s)| asked && s != VmState::Unreachable)
@@ -248,28 +256,27 @@
         chosen
     }
 
-    /// The VMs that this one holds connections to and asks: all of a small fleet, and of a large
-    /// one those that hash highest with this VM, so that a VM's cost does not grow with the fleet.
-    fn neighbours(&self) -> Vec<VmId> {
+    /// Chooses the neighbours again after a VM came or went.
+    fn choose_near(&mut self) {
         let mut all: Vec<VmId> = self.peers.keys().cloned().collect();
         if all.len() > self.cfg.neighbours {
             let me = self.cfg.me.vm.as_str();
-            all.sort_by(|a, b| rank(me, b).cmp(&rank(me, a)));
+            all.sort_by_cached_key(|vm| std::cmp::Reverse(rank(me, vm).0));
             all.truncate(self.cfg.neighbours);
         }
-        all
+        self.near = all;
     }
 
     /// The peers to connect to.
     pub(crate) fn addresses(&self) -> Vec<(VmId, SocketAddr)> {
-        let near = self.neighbours().into_iter();
-        near.filter_map(|vm| self.peers.get(&vm).map(|p| (vm, p.entry.mesh)))
+        let near = self.near.iter();
+        near.filter_map(|vm| self.peers.get(vm).map(|p| (vm.clone(), p.entry.mesh)))
             .collect()
     }
 
     /// The VMs to tell at once of something that cannot wait, at most `max`.
     pub(crate) fn some_live(&mut self, max: usize) -> Vec<VmId> {
-        let mut live: Vec<VmId> = self.neighbours();
+        let mut live: Vec<VmId> = self.near.clone();
         live.retain(|vm| {
             self.peers
                 .get(vm)
--- a/crates/member/src/keeper.rs
+++ b/crates/member/src/keeper.rs
@@ -12,9 +12,7 @@
 use crate::seats::SeatId;
 use crate::seats::SeatTable;
 use crate::settings::MemberSettings;
-use crate::view::View;
 use crate::vm::VmEntry;
-use crate::vm::VmState;
 
 /// The call to the platform that is under way.
 #[derive(Debug)]
@@ -29,6 +27,8 @@
 pub(crate) struct Keeper {
     cfg: MemberSettings,
     pub(crate) call: Call,
+    /// Whether this VM believes that keeping the table is its duty.
+    pub(crate) on_duty: bool,
     /// Not to ask the platform before.
     rest_until: Option<Instant>,
     /// The last time the duty's holder looked.
@@ -46,6 +46,7 @@
         Self {
             cfg,
             call: Call::None,
+            on_duty: false,
             rest_until: None,
             looked: None,
             listed: None,
@@ -76,18 +77,14 @@
     }
 
     /// Whether it is time to read the table.
-    pub(crate) fn is_due(&self, now: Instant, view: &View, h: &Holding) -> bool {
+    pub(crate) fn is_due(&self, now: Instant, leaving: bool, h: &Holding) -> bool {
         let idle = matches!(self.call, Call::None);
         let resting = self.rest_until.is_some_and(|t| now < t);
         if !idle || resting || self.listed.is_none() {
             return false;
         }
         let looked = |t| now.duration_since(t) < self.cfg.table_every;
-        let duty = view.holds(SeatTable::PATH) && !self.looked.is_some_and(looked);
-        let leaving = view
-            .vms
-            .iter()
-            .any(|v| v.entry.vm == view.me && v.state == VmState::Leaving);
+        let duty = self.on_duty && !self.looked.is_some_and(looked);
         let unseated = !h.is_seated() && !leaving;
         let blocked = h.is_blocked() && h.table().is_some_and(SeatTable::has_settled_vacancy);
         let must_vacate = h.is_released() && self.holds_seat(h.table());
@@ -101,13 +98,7 @@
     }
 
     /// The table to write in place of the one read, if any.
-    pub(crate) fn improve(
-        &mut self,
-        now: Instant,
-        g: &Gossip,
-        view: &View,
-        h: &Holding,
-    ) -> Option<SeatTable> {
+    pub(crate) fn improve(&mut self, now: Instant, g: &Gossip, h: &Holding) -> Option<SeatTable> {
         let before = h.table().cloned().unwrap_or_default();
         let mut table = match h.table() {
             Some(t) => t.clone(),
@@ -124,7 +115,7 @@
             } else if !h.is_seated() && !g.is_leaving() {
                 self.sit(&mut table);
             }
-            if view.holds(SeatTable::PATH) {
+            if self.on_duty {
                 self.tidy(now, &mut table, g);
             }
         }
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -40,9 +40,6 @@
     /// Whether what the shares follow from has changed.
     stale: bool,
     next_period: Option<Instant>,
-    /// Whether the platform was read in this run: a table by gossip may be older than one that an
-    /// earlier run of this VM had lowered to, so the first must come from the platform itself.
-    read_once: bool,
 }
 
 impl Membership {
@@ -64,7 +61,6 @@
             shares: None,
             stale: false,
             next_period: None,
-            read_once: false,
             cfg,
         })
     }
@@ -94,7 +90,8 @@
         }
         self.period(now, out);
         self.publish_view(out);
-        if self.keeper.is_due(now, &self.view, &self.holding) {
+        let leaving = self.gossip.is_leaving();
+        if self.keeper.is_due(now, leaving, &self.holding) {
             self.keeper.call = Call::Read;
             out.push(Action::ReadTable);
         }
@@ -147,7 +144,7 @@
             self.gossip.rumour(now, r);
             self.stale |= self.holding.hear(&r.vm, r.lowered);
         }
-        if let (true, Some((version, content))) = (self.read_once, beat.table) {
+        if let Some((version, content)) = beat.table {
             self.adopt(version, &content);
         }
         let behind = beat.claimed.read < self.holding.claimed().read;
@@ -217,7 +214,6 @@
         }
         match result {
             Ok(stored) => {
-                self.read_once = true;
                 self.keeper.look(now);
                 let if_version = stored.as_ref().map_or(0, |s| s.version);
                 if let Some(s) = stored {
@@ -235,9 +231,7 @@
         if !newest || !matches!(self.keeper.call, Call::None) {
             return;
         }
-        let better = self
-            .keeper
-            .improve(now, &self.gossip, &self.view, &self.holding);
+        let better = self.keeper.improve(now, &self.gossip, &self.holding);
         let Some((table, content)) = better.and_then(|t| t.encode().ok().map(|c| (t, c))) else {
             return;
         };
@@ -303,6 +297,7 @@
             return;
         }
         self.view = Arc::new(self.gossip.view());
+        self.keeper.on_duty = self.view.holds(SeatTable::PATH);
         out.push(Action::View(Arc::clone(&self.view)));
         let addresses = self.gossip.addresses();
         if addresses != self.addresses {
--- a/crates/once/src/peers.rs
+++ b/crates/once/src/peers.rs
@@ -90,6 +90,8 @@
         match settled {
             Settled::Yours => self.grant(cx, id),
             Settled::Taken => self.end(cx, id, ClaimEvent::Clash),
+            // Told twice it must not disturb the write that this VM makes by then.
+            Settled::Unsure if state != ClaimState::Forwarded => {}
             Settled::Unsure => {
                 self.end(cx, id, ClaimEvent::Lose);
                 self.enqueue(cx, id);
--- a/crates/once/src/pump.rs
+++ b/crates/once/src/pump.rs
@@ -5,6 +5,7 @@
 use crate::action::Action;
 use crate::claim::AskId;
 use crate::claim::ClaimEvent;
+use crate::claim::ClaimState;
 use crate::claim::KeyHash;
 use crate::event::StoreError;
 use crate::event::Stored;
@@ -154,7 +155,10 @@
     /// Puts the asks of a write that did not succeed back.
     fn again(&mut self, cx: &mut Cx<'_>, batch: &[AskId], event: ClaimEvent) {
         for id in batch {
-            self.end(cx, id, event);
+            let state = self.asks.find(id).map(|p| p.state);
+            if matches!(state, Some(ClaimState::Writing | ClaimState::Rewriting)) {
+                self.end(cx, id, event);
+            }
             if event == ClaimEvent::Miss {
                 self.absolve(cx, id);
             }
--- a/crates/once/tests/once/asks.rs
+++ b/crates/once/tests/once/asks.rs
@@ -2,6 +2,10 @@
 
 use std::time::Duration;
 
+use gs_once::Event;
+use gs_once::Message;
+use gs_once::Settled;
+use gs_once::StoreError;
 use gs_query::ClaimVerdict;
 use gs_query::ClaimVerdict::Expired;
 use gs_query::ClaimVerdict::Granted;
@@ -12,6 +16,7 @@
 use crate::world::Mood;
 use crate::world::Net;
 use crate::world::World;
+use crate::world::vm;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -189,3 +194,57 @@
     // The first ask of each bucket finds it idle and goes at once; the rest follow in one write each.
     assert_eq!(w.writes, 4);
 }
+
+/// One VM's clock is minutes behind. To it a key looks young whose claim was removed long ago, and
+/// the object is not there: without the floor, the lookup would run a second time.
+#[test]
+fn a_clock_that_is_far_behind_does_not_bring_a_key_back() {
+    let mut w = World::new(1);
+    w.net = Net::Dead;
+    w.run(SECOND);
+    let key = w.key(0, "a");
+    w.ask(0, &key);
+    w.run(SECOND);
+    w.idle(300 * SECOND);
+    w.run(SECOND);
+    assert!(w.objects.keys().all(|k| k == "claims/floor"));
+    w.start(1);
+    w.set_clock(1, -300);
+    w.ask(1, &key);
+    w.run(SECOND);
+    assert_eq!(verdicts(&w), [Granted, Expired]);
+}
+
+/// The bucket's writer may have written, says that it is not sure, and the network hands that over
+/// twice, the second time while this VM writes itself. That write meets another and the platform
+/// goes away: the writer's may still land, so "not run" would be a lie.
+#[test]
+fn an_unsure_writer_heard_twice_leaves_the_key_unknown() {
+    let mut w = World::new(2);
+    w.net = Net::Dead;
+    w.run(SECOND);
+    // A key whose bucket the other VM writes, so that it is forwarded.
+    let keys: Vec<_> = (0..9).map(|n| w.key(0, &n.to_string())).collect();
+    let mut forwarded = keys
+        .iter()
+        .filter_map(|k| w.forwarded(0, k).map(|id| (k, id)));
+    let (key, id) = forwarded.next().expect("one of nine");
+    drop(forwarded);
+    let path = w.part_of(key);
+    let unsure = || Event::Peer(vm(1), Message::Made(id.clone(), Settled::Unsure));
+    w.feed(0, unsure());
+    w.feed(0, unsure());
+    let result = Err(StoreError::Conflict);
+    w.feed(
+        0,
+        Event::Wrote {
+            path: path.clone(),
+            result,
+        },
+    );
+    let result = Err(StoreError::Lost);
+    w.feed(0, Event::Read { path, result });
+    // Its last timer was not heeded, so it wakes by itself within five seconds.
+    w.run(6 * SECOND);
+    assert_eq!(verdicts(&w), [Unknown]);
+}
--- a/crates/once/tests/once/world.rs
+++ b/crates/once/tests/once/world.rs
@@ -15,6 +15,7 @@
 use gs_once::AskId;
 use gs_once::Event;
 use gs_once::FLOOR_PATH;
+use gs_once::KeyHash;
 use gs_once::Message;
 use gs_once::Once;
 use gs_once::OnceSettings;
@@ -22,6 +23,7 @@
 use gs_once::PartPath;
 use gs_once::StoreError;
 use gs_once::Stored;
+use gs_once::Window;
 use gs_query::ClaimAsk;
 use gs_query::ClaimVerdict;
 use gs_types::prelude::*;
@@ -74,6 +76,8 @@
     pub writes: u64,
     /// Claims after which a part is full.
     pub part_claims: usize,
+    /// Whether a clock was wrong by more than the margin; `Expired` is only promised without that.
+    wild: bool,
     begun: Instant,
     version: u64,
     late: Vec<(String, u64, Vec<u8>)>,
@@ -85,7 +89,7 @@
     messages: u64,
 }
 
-fn vm(i: u8) -> VmId {
+pub fn vm(i: u8) -> VmId {
     format!("entry-{i}").parse().expect("a name")
 }
 
@@ -122,6 +126,7 @@
             verdicts: Vec::new(),
             writes: 0,
             part_claims: 3,
+            wild: false,
             begun: now,
             version: 0,
             late: Vec::new(),
@@ -169,6 +174,12 @@
         wall.saturating_add_signed(self.processes.get(&i).map_or(0, |p| p.ahead))
     }
 
+    /// Puts a VM's clock ahead by so many seconds.
+    pub fn set_clock(&mut self, i: u8, ahead: i64) {
+        self.wild |= ahead.abs() > 25;
+        self.processes.get_mut(&i).expect("running").ahead = ahead;
+    }
+
     pub fn ask(&mut self, i: u8, key: &str) {
         self.seq += 1;
         let seq = LookupSeq(self.seq);
@@ -184,6 +195,38 @@
         }));
     }
 
+    /// Asks through a VM, and gives the ask's id if it is forwarded; calls go nowhere.
+    pub fn forwarded(&mut self, i: u8, key: &str) -> Option<AskId> {
+        self.ask(i, key);
+        let event = self.processes.get_mut(&i)?.inbox.pop_back()?;
+        let out = self.feed(i, event);
+        out.into_iter().find_map(|a| match a {
+            Action::Send(_, Message::Make { ask, .. }) => Some(ask.id),
+            _ => None,
+        })
+    }
+
+    /// The object that a key's first claim goes to.
+    pub fn part_of(&self, key: &str) -> String {
+        let key: IdempotencyKey = key.parse().expect("a key");
+        let window = Window::at(key.minted()).0;
+        format!("claims/{window}/{}/0", KeyHash::of(&key).0 % 2)
+    }
+
+    /// Gives a VM one event now and carries out none of its actions but verdicts.
+    pub fn feed(&mut self, i: u8, event: Event) -> Vec<Action> {
+        let (now, wall) = (self.now, self.wall(i));
+        let p = self.processes.get_mut(&i).expect("running");
+        let mut out = Vec::new();
+        p.once.on(now, wall, event, &mut out);
+        for a in &out {
+            if let Action::Verdict(seq, verdict) = a {
+                self.judge(i, *seq, *verdict);
+            }
+        }
+        out
+    }
+
     /// A key minted so many seconds ago by the true clock.
     pub fn key(&self, age: i64, tail: &str) -> String {
         let wall = START + self.now.duration_since(self.begun).as_secs();
