--- a/crates/once/examples/claims.rs
+++ b/crates/once/examples/claims.rs
@@ -6,6 +6,7 @@
 //!
 //! ```text
 //! cargo run --release -p gs-once --example claims -- 1 10 100 500
+//! GATHER_MS=60 BUCKETS=4 cargo run --release -p gs-once --example claims -- 500 2000
 //! ```
 
 use std::cmp::Reverse;
@@ -81,12 +82,22 @@
     })
 }
 
+/// A setting from the environment.
+fn setting(name: &str, otherwise: u64) -> u64 {
+    let value = std::env::var(name).ok().and_then(|s| s.parse().ok());
+    value.unwrap_or(otherwise)
+}
+
 impl World {
     fn new() -> Self {
+        let gather = Duration::from_millis(setting("GATHER_MS", 15));
+        let buckets = u16::try_from(setting("BUCKETS", 2)).expect("few buckets");
         let one = |i| {
             let cfg = OnceSettings::builder()
                 .vm(vm(i))
                 .incarnation(Incarnation(1_800_000_000_000))
+                .gather(gather)
+                .buckets(buckets)
                 .build();
             Once::new(cfg).expect("a chart")
         };
