fix(cli): speak the administration API as w/conf serves it

/status, /dump and /dump/fleet stand at the root; a refused or undecided patch comes as an error body with its verdict. The text of an error names its step and peer already, so they are not told twice.

--- a/src/client.rs
+++ b/src/client.rs
@@ -167,18 +167,24 @@
     pub(crate) fn into_error(self) -> Error {
         let text = |name: &str| self.body.get(name).and_then(Value::as_str);
         let kind = text("kind").and_then(|k| k.parse().ok());
+        let kind = kind.unwrap_or_else(|| kind_of(self.status));
+        let place = |what: &str| {
+            let mut e = Error::new(kind, what);
+            if let Some(step) = text("step") {
+                e = e.at(step);
+            }
+            match text("peer") {
+                Some(peer) => e.from_peer(peer),
+                None => e,
+            }
+        };
         let what = text("error").map_or_else(|| format!("status {}", self.status), str::to_owned);
-        let mut e = Error::new(kind.unwrap_or_else(|| kind_of(self.status)), what);
-        if let Some(step) = text("step") {
-            e = e.at(step);
-        }
-        if let Some(peer) = text("peer") {
-            e = e.from_peer(peer);
-        }
-        e = e.from_peer(self.peer.to_string());
+        // The text tells its step and peer already.
+        let what = what.strip_suffix(&place("").to_string()).unwrap_or(&what);
+        let e = place(what).from_peer(self.peer.to_string());
         match (text("hint"), self.status) {
+            (_, StatusCode::UNAUTHORIZED) => e.with_hint("give the team's key by `--key-file`"),
             (Some(hint), _) => e.with_hint(hint),
-            (None, StatusCode::UNAUTHORIZED) => e.with_hint("give the team's key by `--key-file`"),
             (None, _) => e,
         }
     }
--- a/src/commands/dump.rs
+++ b/src/commands/dump.rs
@@ -14,9 +14,9 @@
 
 const FLEET: &str = "fleet";
 /// Where the process tells its own state.
-const OWN: &str = "/admin/v1/dump";
+const OWN: &str = "/dump";
 /// Where it tells every VM's.
-const ALL: &str = "/admin/v1/dump/fleet";
+const ALL: &str = "/dump/fleet";
 
 /// Declares the command.
 pub(crate) fn command() -> Command {
--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -11,7 +11,7 @@
 use crate::output;
 
 /// Where the process tells it.
-const PATH: &str = "/admin/v1/status";
+const PATH: &str = "/status";
 
 /// Declares the command.
 pub(crate) fn command() -> Command {
