--- a/crates/chart/src/chart.rs
+++ b/crates/chart/src/chart.rs
@@ -1,6 +1,5 @@
 //! A checked chart as a table.
 
-use std::fmt::Write as _;
 use std::str::FromStr;
 
 use gs_types::error::Error;
@@ -38,7 +37,7 @@
     /// [`ErrorKind::BadInput`] if the text is no chart, names a state or event that the enums lack,
     /// leaves a variant out, leaves an event unanswered, or has a state that cannot be reached.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let file: ChartFile = toml::from_str(text).map_err(|e| bad(e.to_string()))?;
+        let file = ChartFile::parse(text)?;
         let rows = file
             .state
             .iter()
@@ -79,28 +78,6 @@
         self.rows.iter().any(|r| r.state == state && r.last)
     }
 
-    /// Draws the chart in Mermaid's notation, for the docs.
-    #[must_use]
-    pub fn mermaid(&self) -> String {
-        let mut s = String::from("stateDiagram-v2\n");
-        let _ = writeln!(s, "    [*] --> {}", name_of(self.initial));
-        for r in &self.rows {
-            for (e, to) in &r.on {
-                let _ = writeln!(
-                    s,
-                    "    {} --> {}: {}",
-                    name_of(r.state),
-                    name_of(*to),
-                    name_of(*e)
-                );
-            }
-            if r.last {
-                let _ = writeln!(s, "    {} --> [*]", name_of(r.state));
-            }
-        }
-        s
-    }
-
     fn check_states(&self) -> Result<(), Error> {
         for s in S::iter() {
             let n = self.rows.iter().filter(|r| r.state == s).count();
--- a/crates/chart/src/file.rs
+++ b/crates/chart/src/file.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use gs_types::error::Error;
+use gs_types::error::ErrorKind;
 use serde::Deserialize;
 
 /// A chart as its file spells it.
@@ -13,6 +15,14 @@
     pub(crate) state: Vec<StateFile>,
 }
 
+impl ChartFile {
+    /// Reads a file's text; its rules are the chart's.
+    pub(crate) fn parse(text: &str) -> Result<Self, Error> {
+        toml::from_str(text)
+            .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("read chart"))
+    }
+}
+
 /// One state of a chart file.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/chart/src/lib.rs
+++ b/crates/chart/src/lib.rs
@@ -34,7 +34,9 @@
 //! ```
 
 mod chart;
+mod draw;
 mod file;
 
 pub use chart::Chart;
 pub use chart::Label;
+pub use draw::draw;
