feat(settings)!: one budget for extra attempts, the first admin team, a heartbeat that fits

The engine has one budget for hedges and retries together, so tuning.hedge-budget and retry-budget named what nothing obeyed; tuning.extra-budget (0.03) takes their place. [bootstrap] names the first admin team, without which a fleet on an empty platform could not be patched. A VM is suspected after 1.5 s of silence whatever the heartbeat, so the heartbeat's range is 50ms to 500ms now, not up to 10s. A key given in place of its hash is masked in the report. Cause of all three: read against what node, query, member and conf take.

--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -32,6 +32,22 @@
     check_ports(r, ("callers", l.callers), ("mesh", l.mesh));
     check_ports(r, ("admin", l.admin), ("mesh", l.mesh));
     check_family(s, r);
+    check_bootstrap(r);
+}
+
+fn check_bootstrap(r: &mut Reader<'_>) {
+    let there = |name| r.place("bootstrap", name).is_some();
+    let (lone, other) = match (there("team"), there("key-sha256")) {
+        (true, false) => ("team", "key-sha256"),
+        (false, true) => ("key-sha256", "team"),
+        _ => return,
+    };
+    let f = Fault::new(
+        FaultKind::Clash,
+        format!("`bootstrap.{lone}` stands without `bootstrap.{other}`"),
+        "give both, or neither",
+    );
+    clash(r, f, "bootstrap", lone);
 }
 
 /// The key of the two that stands in the file; a default is never pointed at.
--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -45,6 +45,8 @@
     reason: String,
     place: Option<(Range<usize>, String)>,
     mend: String,
+    /// Whether what stands at the place may be a secret.
+    hidden: bool,
 }
 
 impl Fault {
@@ -54,9 +56,17 @@
             reason: reason.into(),
             place: None,
             mend: mend.into(),
+            hidden: false,
         }
     }
 
+    /// Keeps what stands at the place out of the report.
+    #[must_use]
+    pub(crate) fn hide(mut self) -> Self {
+        self.hidden = true;
+        self
+    }
+
     #[must_use]
     pub(crate) fn at(mut self, place: Range<usize>, label: impl Into<String>) -> Self {
         self.place = Some((place, label.into()));
@@ -118,12 +128,16 @@
 
 impl Faults {
     pub(crate) fn new(name: &str, text: &str, mut faults: Vec<Fault>) -> Self {
+        let mut text = text.to_owned();
+        for place in faults.iter().filter(|f| f.hidden).filter_map(Fault::place) {
+            text.replace_range(place.clone(), &"*".repeat(place.len()));
+        }
         faults.sort_by_key(|f| f.place().map_or(0, |p| p.start));
         let found = faults.len();
         faults.truncate(SHOWN);
         Self {
             found,
-            source: Box::new(NamedSource::new(name, text.to_owned())),
+            source: Box::new(NamedSource::new(name, text)),
             faults,
         }
     }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -46,6 +46,8 @@
     Address,
     /// An IP number.
     Ip,
+    /// A SHA-256 in hexadecimal.
+    Hash,
     /// The path of a file; a relative one starts at the settings file's directory.
     Path,
     /// A duration with its unit.
@@ -70,6 +72,7 @@
             Kind::Name => "a name in quotes, such as \"hobart-1\"",
             Kind::Address => "an IP number and a port in quotes, such as \"10.0.0.1:8080\"",
             Kind::Ip => "an IP number in quotes, such as \"10.0.0.1\"",
+            Kind::Hash => "64 digits of 0-9 and a-f in quotes",
             Kind::Path => "a path in quotes, such as \"mesh.secret\"",
             Kind::Duration(..) => "a duration in quotes, such as \"250ms\" or \"2s\"",
             Kind::Size(..) => "a size in quotes, such as \"64KB\" or \"1MB\"",
@@ -87,6 +90,7 @@
             Kind::Name => "name",
             Kind::Address => "IP number and port",
             Kind::Ip => "IP number",
+            Kind::Hash => "SHA-256",
             Kind::Path => "path",
             Kind::Duration(..) => "duration",
             Kind::Size(..) => "size",
@@ -107,6 +111,7 @@
             ),
             Kind::Address => "port not 0".to_owned(),
             Kind::Ip => "IPv4 or IPv6".to_owned(),
+            Kind::Hash => "64 digits of 0-9, a-f".to_owned(),
             Kind::Path => "a readable or writable file".to_owned(),
             Kind::Duration(min, max) => {
                 let form = humantime::format_duration;
@@ -176,8 +181,8 @@
     key("mesh", "secret-file", Kind::Path, Presence::Required,
         "The file with the secret that every VM shares: 16 bytes to 4KB, a last line break not \
          counted."),
-    key("mesh", "heartbeat", Kind::Duration(ms(10), secs(10)), Presence::Default("\"250ms\""),
-        "The time between two heartbeats."),
+    key("mesh", "heartbeat", Kind::Duration(ms(50), ms(500)), Presence::Default("\"250ms\""),
+        "The time between two heartbeats; a VM silent for 1.5 s is suspected."),
     key("callers", "body", Kind::Size(Bytes(KB), Bytes(16 * MB)), Presence::Default("\"64KB\""),
         "The largest request body."),
     key("callers", "headers", Kind::Size(Bytes(8 * KB), Bytes(MB)), Presence::Default("\"16KB\""),
@@ -192,10 +197,8 @@
         "The most connections of callers held open."),
     key("tuning", "policy", Kind::Choice(&["chosen", "baseline"]), Presence::Default("\"chosen\""),
         "Which set of decisions runs; `baseline` is for measurements only."),
-    key("tuning", "hedge-budget", Kind::Fraction(0.0, 1.0), Presence::Default("0.03"),
-        "Hedges allowed for each attempt."),
-    key("tuning", "retry-budget", Kind::Fraction(0.0, 1.0), Presence::Default("0.1"),
-        "Retries allowed for each attempt."),
+    key("tuning", "extra-budget", Kind::Fraction(0.0, 1.0), Presence::Default("0.03"),
+        "Hedges and retries together, allowed for each first attempt."),
     key("tuning", "seed", Kind::Count(0, i64::MAX as u64), Presence::Unset,
         "The seed of the decisions' random numbers; drawn at start without it."),
     key("shutdown", "lag", Kind::Duration(ms(0), secs(60)), Presence::Default("\"2s\""),
@@ -210,6 +213,10 @@
         "How old an idempotency key may be; an older one is refused for ever."),
     key("claims", "skew", Kind::Duration(ms(0), secs(600)), Presence::Default("\"30s\""),
         "How far the clocks of callers and VMs may differ; shorter than `window`."),
+    key("bootstrap", "team", Kind::Name, Presence::Unset,
+        "The first admin team, made if the platform holds no configuration yet; with `key-sha256`."),
+    key("bootstrap", "key-sha256", Kind::Hash, Presence::Unset,
+        "The hash of that team's key; with `team`."),
     key("log", "level", Kind::Choice(&["off", "error", "warn", "info", "debug", "trace"]),
         Presence::Default("\"info\""),
         "How much is logged on stderr, one key=value line an event."),
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -12,6 +12,7 @@
 use crate::keys::Key;
 use crate::reader::Reader;
 use crate::secret::Secret;
+use crate::settings::Bootstrap;
 use crate::settings::Callers;
 use crate::settings::Claims;
 use crate::settings::Listen;
@@ -51,6 +52,7 @@
             .take("record", "file", values::text)
             .map(|p| r.resolve(&p)),
     };
+    let bootstrap = bootstrap(r);
     let callers = callers(r);
     let tuning = tuning(r);
     let shutdown = shutdown(r);
@@ -68,6 +70,7 @@
         shutdown,
         servers,
         claims,
+        bootstrap,
         log,
         record,
         runtime,
@@ -175,8 +178,7 @@
 fn tuning(r: &mut Reader<'_>) -> Tuning {
     Tuning::builder()
         .maybe_policy(r.take("tuning", "policy", values::choice))
-        .maybe_hedge_budget(r.take("tuning", "hedge-budget", values::fraction))
-        .maybe_retry_budget(r.take("tuning", "retry-budget", values::fraction))
+        .maybe_extra_budget(r.take("tuning", "extra-budget", values::fraction))
         .maybe_seed(r.take("tuning", "seed", values::count))
         .build()
 }
@@ -217,6 +219,15 @@
     }
 }
 
+fn bootstrap(r: &mut Reader<'_>) -> Option<Bootstrap> {
+    let team = r.take("bootstrap", "team", values::name);
+    let key_sha256 = r.take("bootstrap", "key-sha256", values::name);
+    Some(Bootstrap {
+        team: team?,
+        key_sha256: key_sha256?,
+    })
+}
+
 fn runtime(r: &mut Reader<'_>) -> Runtime {
     let default = Runtime::default();
     Runtime {
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -9,7 +9,10 @@
 use serde::Serialize;
 
 use crate::fraction::Fraction;
+use crate::key_hash::KeyHash;
 use crate::secret::Secret;
+use crate::words::LogLevel;
+use crate::words::Policy;
 
 /// All settings of one process.
 ///
@@ -64,6 +67,8 @@
     /// The claims of at-most-once lookups.
     #[builder(default)]
     pub claims: Claims,
+    /// The first admin team, for a platform that holds no configuration yet.
+    pub bootstrap: Option<Bootstrap>,
     /// The log on stderr.
     #[builder(default)]
     pub log: Log,
@@ -173,30 +178,6 @@
     }
 }
 
-/// Which set of decisions runs.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Serialize,
-    strum::Display,
-    strum::EnumString,
-    strum::IntoStaticStr,
-    strum::EnumIter,
-)]
-#[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum Policy {
-    /// The policy that the measurements chose.
-    #[default]
-    Chosen,
-    /// The plain policy that measurements compare with.
-    Baseline,
-}
-
 /// The decisions' policy.
 #[derive(Clone, Debug, PartialEq, Serialize, bon::Builder)]
 #[serde(rename_all = "kebab-case")]
@@ -204,12 +185,9 @@
     /// Which set of decisions runs.
     #[builder(default)]
     pub policy: Policy,
-    /// Hedges allowed for each attempt.
-    #[builder(default = fraction(0.03))]
-    pub hedge_budget: Fraction,
-    /// Retries allowed for each attempt.
-    #[builder(default = fraction(0.1))]
-    pub retry_budget: Fraction,
+    /// Hedges and retries together, allowed for each first attempt.
+    #[builder(default = extra())]
+    pub extra_budget: Fraction,
     /// The seed of the decisions' random numbers; drawn at start if `None`.
     pub seed: Option<u64>,
 }
@@ -220,8 +198,8 @@
     }
 }
 
-fn fraction(n: f64) -> Fraction {
-    Fraction::new(n).unwrap_or_default()
+fn extra() -> Fraction {
+    Fraction::new(0.03).unwrap_or_default()
 }
 
 /// The graceful shutdown.
@@ -287,36 +265,14 @@
     }
 }
 
-/// How much is logged.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    Serialize,
-    strum::Display,
-    strum::EnumString,
-    strum::IntoStaticStr,
-    strum::EnumIter,
-)]
+/// The first admin team; a team's key itself is never kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
-#[strum(serialize_all = "kebab-case")]
-pub enum LogLevel {
-    /// Nothing.
-    Off,
-    /// Only what needs a person.
-    Error,
-    /// And what is out of the ordinary.
-    Warn,
-    /// And what changes.
-    #[default]
-    Info,
-    /// And what each decision was.
-    Debug,
-    /// Everything.
-    Trace,
+pub struct Bootstrap {
+    /// Its name.
+    pub team: TeamName,
+    /// The SHA-256 of its key in hexadecimal.
+    pub key_sha256: KeyHash,
 }
 
 /// The log on stderr; VMs have no disks.
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -41,7 +41,12 @@
             FaultKind::OutOfRange => format!("give {}", key.kind.range()),
             _ => format!("write {}", key.kind.form()),
         });
-        Fault::new(self.kind, format!("`{key}` {}", self.text), mend).at(place, "this value")
+        let f = Fault::new(self.kind, format!("`{key}` {}", self.text), mend);
+        let f = f.at(place, "this value");
+        match key.kind {
+            Kind::Hash => f.hide(),
+            _ => f,
+        }
     }
 }
 
@@ -73,7 +78,7 @@
     v.as_str().map(str::to_owned).ok_or_else(|| wrong_type(v))
 }
 
-/// A name of any of the name types.
+/// A name, or another text that its type checks.
 pub(crate) fn name<T: FromStr<Err = Error>>(v: &DeValue<'_>, key: &Key) -> Result<T, Problem> {
     let s = text(v, key)?;
     s.parse().map_err(|e: Error| {
--- a/crates/settings/tests/settings/accept.rs
+++ b/crates/settings/tests/settings/accept.rs
@@ -62,7 +62,7 @@
                 [min, max].map(|n| n.to_string()).to_vec()
             }
             Kind::Choice(words) => words.iter().map(|w| format!("\"{w}\"")).collect(),
-            Kind::Name | Kind::Address | Kind::Ip | Kind::Path => Vec::new(),
+            Kind::Name | Kind::Address | Kind::Ip | Kind::Path | Kind::Hash => Vec::new(),
         };
         for end in ends {
             let text = format!("{}.{} = {end}\n{LEAST}", key.section, key.name);
@@ -103,3 +103,12 @@
     assert_eq!(s.mesh.secret_file, dir.path().join("secret"));
     assert_eq!(s.record.file, Some(dir.path().join("a.trace")));
 }
+
+#[test]
+fn the_first_admin_team_is_named_with_the_hash_of_its_key() {
+    let hash = "0123456789abcdef".repeat(4);
+    let text = format!("{LEAST}\n[bootstrap]\nteam = \"ops\"\nkey-sha256 = \"{hash}\"\n");
+    let bootstrap = accepted(&text).bootstrap.expect("a team");
+    assert_eq!(bootstrap.team.as_str(), "ops");
+    assert_eq!(bootstrap.key_sha256.as_str(), hash);
+}
--- a/crates/settings/tests/settings/refuse.rs
+++ b/crates/settings/tests/settings/refuse.rs
@@ -59,8 +59,8 @@
     r#"out-of-range | 99999999999999999999 | `tuning.seed` is larger than any range | give 0 to 9223372036854775807"#
 )]
 #[case::not_a_number(
-    "[tuning]\nhedge-budget = nan",
-    r#"out-of-range | nan | `tuning.hedge-budget` is NaN, out of its range | give 0 to 1"#
+    "[tuning]\nextra-budget = nan",
+    r#"out-of-range | nan | `tuning.extra-budget` is NaN, out of its range | give 0 to 1"#
 )]
 #[case::wrong_type(
     "[callers]\nin-flight = \"many\"",
@@ -111,6 +111,14 @@
     "[claims]\nwindow = \"1m\"\nskew = \"1m\"",
     r#"clash | "1m" | `claims.window` is not longer than `claims.skew` | make the window longer than the time in which callers resend"#
 )]
+#[case::a_key_instead_of_its_hash(
+    "[bootstrap]\nteam = \"ops\"\nkey-sha256 = \"s3cret\"",
+    r#"bad-value | "s3cret" | `bootstrap.key-sha256` does not read: it is no SHA-256 in hexadecimal | give 64 digits of 0-9 and a-f: `printf %s KEY | sha256sum`"#
+)]
+#[case::half_a_bootstrap(
+    "[bootstrap]\nteam = \"ops\"",
+    r#"clash | "ops" | `bootstrap.team` stands without `bootstrap.key-sha256` | give both, or neither"#
+)]
 #[case::mixed_families(
     "[source]\nip = \"::1\"",
     r#"clash | "::1" | `source.ip` and `platform.addr` are of different IP versions | give both as IPv4 or both as IPv6"#
@@ -180,6 +188,18 @@
     assert!(!report(&faults, dir.path()).contains("fifteen"));
 }
 
+#[test]
+fn a_key_in_the_place_of_its_hash_is_not_shown() {
+    let text = format!("{LEAST}\n[bootstrap]\nteam = \"ops\"\nkey-sha256 = \"s3cret\"\n");
+    let faults = gs_settings::parse("vm.toml", &text, dir().path()).expect_err("refused");
+    let report = report(&faults, Path::new("-"));
+    assert!(report.contains("key-sha256 = ********"), "{report}");
+    assert!(
+        !format!("{report}{faults:?}").contains("s3cret"),
+        "{report}"
+    );
+}
+
 #[test]
 fn several_faults_are_told_at_once_in_their_order() {
     let text = LEAST.replace("\"hobart-a\"", "7") + "\n[log]\nlevel = \"loud\"\nlvl = 1\n";
@@ -209,7 +229,7 @@
     ·             ──┬─
     ·               ╰── this value
     ╰────
-  help: give 10ms to 10s"#;
+  help: give 50ms to 500ms"#;
     assert_eq!(report(&faults, dir.path()), expected);
 }
 
