--- a/crates/node/src/actor/mod.rs
+++ b/crates/node/src/actor/mod.rs
@@ -1,4 +1,4 @@
-//! Runs a decision as an actor: events queue up in a [`Feed`], a [`Driver`] hands them over.
+//! Runs a decision as an actor: events queue up in a [`Feed`], a driver hands them over.
 
 mod driver;
 mod feed;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`gs_member::Membership`], [`gs_once::Once`]). This crate carries their actions out and feeds
 //! what comes of them back as events; it holds no policy of its own.
 //!
-//! [`serve`] runs a process from its settings to its graceful end.
+//! [`serve()`] runs a process from its settings to its graceful end.
 
 mod actor;
 mod board;
@@ -22,7 +22,6 @@
 mod operators;
 mod poll;
 mod recording;
-mod scratch_admin;
 mod serve;
 mod shutdown;
 mod spread;
--- a/crates/node/src/member_shell.rs
+++ b/crates/node/src/member_shell.rs
@@ -92,8 +92,9 @@
             view.live().count(),
             view.vms.len()
         );
-        let live = view.live().map(|v| v.entry.vm.clone()).collect();
-        self.feeds.once.push(gs_once::Event::Members(live));
+        self.feeds
+            .once
+            .push(gs_once::Event::Members(Arc::clone(&view)));
         self.board.set_view(view);
     }
 
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::AtomicU64;
 use std::time::SystemTime;
 
+use gs_admin::Admin;
+use gs_admin::AdminOptions;
 use gs_clock::Clock;
 use gs_clock::SystemClock;
 use gs_conf::Book;
@@ -75,7 +77,6 @@
     log::info!("event=start vm={vm} incarnation={incarnation} seed={seed}");
 
     let callers = listen(settings.listen.callers, "callers").await?;
-    let operators = listen(settings.listen.admin, "operators").await?;
     let board = Arc::new(Board::default());
     let platform = platform(&settings, seed, &clock);
     let (mesh, received) = mesh(&settings, incarnation)?;
@@ -214,8 +215,13 @@
         metrics,
         clock: Arc::clone(&clock),
     };
-    let (_astop, astopped) = watch::channel(false);
-    tokio::spawn(Server::new(operators, caller_limits(&settings)).run(Arc::new(crate::scratch_admin::Scratch(fleet)), astopped));
+    let admin = Admin::start(
+        AdminOptions::builder()
+            .addr(settings.listen.admin)
+            .fleet(Arc::new(fleet))
+            .build(),
+    )
+    .await?;
 
     let (stop, stopped) = watch::channel(false);
     let body = usize::try_from(settings.callers.body.0).unwrap_or(usize::MAX);
@@ -235,6 +241,7 @@
         serving,
     };
     leaver.leave().await;
+    admin.stop().await;
     recording.finish();
     log::info!("event=exit vm={vm} incarnation={incarnation}");
     Ok(())
