feat(trace): tell when a replay goes another way than the run that recorded

An attempt of which the trace tells and which the replay did not make shows that the decisions differ; before, such a trace was judged on without a word.

--- a/crates/trace/src/promises.rs
+++ b/crates/trace/src/promises.rs
@@ -5,7 +5,8 @@
 //! snapshot, with a coverage that counts just these; `not-run` only if no attempt may have run; an
 //! at-most-once lookup dispatched only with its claim granted and never once an attempt with its key
 //! may have run; no new work on a draining server after [`DRAIN_GRACE`]; no lookup left without its
-//! answer.
+//! answer. Besides, every attempt that the trace tells of must have been made by this machine too, or
+//! the replay is not of the same decisions.
 
 mod drains;
 mod lookups;
--- a/crates/trace/src/promises/lookups.rs
+++ b/crates/trace/src/promises/lookups.rs
@@ -99,7 +99,7 @@
                 }
             }
             Event::Sent(id) => self.sent(id)?,
-            Event::Reply(id, reply) => self.reply(id, reply),
+            Event::Reply(id, reply) => self.reply(id, reply)?,
             Event::Gone(seq) => {
                 if let Some(l) = self.seen.get_mut(seq) {
                     l.gone = true;
@@ -129,11 +129,9 @@
     }
 
     fn sent(&mut self, id: &AttemptId) -> Result<(), String> {
-        let Some(l) = self.seen.get_mut(&id.lookup) else {
-            return Ok(());
-        };
+        let l = known(&mut self.seen, id)?;
         let Some(a) = l.attempts.get_mut(id) else {
-            return Ok(());
+            return Err(not_made(id));
         };
         a.run = Run::Possible;
         if let Some(Outcome::NotRun(_)) = l.outcome {
@@ -153,12 +151,10 @@
         Ok(())
     }
 
-    fn reply(&mut self, id: &AttemptId, reply: &PartReply) {
-        let Some(l) = self.seen.get_mut(&id.lookup) else {
-            return;
-        };
+    fn reply(&mut self, id: &AttemptId, reply: &PartReply) -> Result<(), String> {
+        let l = known(&mut self.seen, id)?;
         let Some(a) = l.attempts.get_mut(id) else {
-            return;
+            return Err(not_made(id));
         };
         match reply {
             PartReply::Shed { .. }
@@ -180,6 +176,7 @@
             }
             _ => a.run = Run::Possible,
         }
+        Ok(())
     }
 
     fn dispatch(&mut self, d: &Dispatch) -> Result<(), String> {
@@ -224,6 +221,19 @@
     }
 }
 
+fn known<'a>(
+    seen: &'a mut BTreeMap<LookupSeq, Seen>,
+    id: &AttemptId,
+) -> Result<&'a mut Seen, String> {
+    seen.get_mut(&id.lookup).ok_or_else(|| not_made(id))
+}
+
+/// The trace tells of an attempt that the machine did not make: the machine that recorded it went
+/// another way, so from here on the trace says nothing about this one.
+fn not_made(id: &AttemptId) -> String {
+    format!("attempt {id} was made by the machine that recorded, and not by this one")
+}
+
 fn check_once(l: &Seen, d: &Dispatch) -> Result<(), String> {
     let id = &d.attempt;
     if !l.granted {
--- a/crates/trace/tests/trace/judge.rs
+++ b/crates/trace/tests/trace/judge.rs
@@ -183,6 +183,17 @@
     );
 }
 
+#[test]
+fn a_machine_that_goes_another_way_than_the_one_that_recorded() {
+    let steps = format!("{ARRIVE}{SENT}");
+    let d = judge("", &steps, vec![]).expect_err("diverges");
+    assert_eq!(
+        d.to_string(),
+        "step 4 at 1ms: attempt hobart-1/1/1/0/0 was made by the machine that recorded, and not by \
+         this one"
+    );
+}
+
 const GRANTED: &str = "[[step]]\nat = \"1ms\"\nclaim = [1, \"granted\"]\n";
 
 #[test]
--- a/crates/trace/tests/trace/recording.rs
+++ b/crates/trace/tests/trace/recording.rs
@@ -16,11 +16,17 @@
 use crate::common::events;
 use crate::common::header;
 
-/// A file in memory, whose first write after the header can be held up.
+/// A file in memory, whose next write can be held up.
 #[derive(Clone)]
 struct File {
     buf: Arc<Mutex<Vec<u8>>>,
-    gate: Arc<Mutex<Option<mpsc::Receiver<()>>>>,
+    gate: Arc<Mutex<Option<Gate>>>,
+}
+
+/// Tells that a write has come, and holds it until it may go on.
+struct Gate {
+    held: mpsc::Sender<()>,
+    go: mpsc::Receiver<()>,
 }
 
 impl File {
@@ -38,9 +44,10 @@
 
 impl Write for File {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if let Some(rx) = self.gate.lock().expect("the gate").take() {
-            // Held up until the test lets go.
-            let _ = rx.recv();
+        let gate = self.gate.lock().expect("the gate").take();
+        if let Some(gate) = gate {
+            gate.held.send(()).expect("told");
+            gate.go.recv().expect("let go");
         }
         self.buf.lock().expect("the file").extend_from_slice(buf);
         Ok(buf.len())
@@ -91,20 +98,23 @@
     let file = File::new();
     let now = Instant::now();
     let mut recorder = Recorder::start(file.clone(), &header(), now).expect("started");
-    let (go, gate) = mpsc::channel();
-    *file.gate.lock().expect("the gate") = Some(gate);
+    let (held, is_held) = mpsc::channel();
+    let (let_go, go) = mpsc::channel();
+    *file.gate.lock().expect("the gate") = Some(Gate { held, go });
+    recorder.record(now, &Event::Tick);
+    is_held.recv().expect("the writer stands still");
     for _ in 0..20_000 {
         recorder.record(now, &Event::Tick);
     }
-    go.send(()).expect("let go");
+    let_go.send(()).expect("let go");
     let done = recorder.finish().expect("written");
-    assert!(done.lost > 0, "{done:?}");
-    assert_eq!(done.events + done.lost, 20_000);
+    // The queue holds 8,192 events.
+    assert_eq!((done.events, done.lost), (1 + 8192, 20_000 - 8192));
     let gaps: Vec<_> = read(&file.bytes())
         .into_iter()
         .filter(|r| matches!(r, Record::Gap { .. }))
         .collect();
-    assert_eq!(gaps, [Record::Gap { lost: done.lost }]);
+    assert_eq!(gaps, [Record::Gap { lost: 11_808 }]);
 }
 
 #[test]
