--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -5,4 +5,5 @@
 mod help;
 mod operators;
 mod replay;
+mod serve;
 mod traces;
