--- /dev/null
+++ b/crates/query/tests/engine/main.rs
@@ -0,0 +1,14 @@
+//! The engine's promises, one behaviour a test.
+
+mod charts;
+mod connections;
+mod coverage;
+mod drain;
+mod fuzz;
+mod hedge;
+mod once;
+mod outcome;
+mod poison;
+mod replies;
+mod snapshot;
+mod world;
--- a/crates/rig/src/platform/mod.rs
+++ b/crates/rig/src/platform/mod.rs
@@ -32,4 +32,5 @@
 pub use counts::Counts;
 pub use server::Platform;
 pub use server::PlatformOptions;
+pub use vms::MeshFrom;
 pub use vms::Vm;
--- a/crates/rig/src/platform/server.rs
+++ b/crates/rig/src/platform/server.rs
@@ -29,6 +29,7 @@
 use super::counts::Kind;
 use super::http;
 use super::objects::Objects;
+use super::vms::MeshFrom;
 use super::vms::Vm;
 use super::vms::VmList;
 
@@ -47,6 +48,10 @@
     /// How late every call is answered.
     #[builder(default)]
     pub delay: Duration,
+    /// Mesh addresses shown in place of the true ones, by the address of the asker: those of links
+    /// that can be cut.
+    #[builder(default)]
+    pub mesh_from: MeshFrom,
 }
 
 /// A running stand-in; it stops, and drops its connections, when this is dropped.
@@ -230,7 +235,8 @@
     fn new(options: &PlatformOptions) -> Self {
         let state = State {
             objects: Objects::default(),
-            vms: VmList::new(options.vms.clone(), options.vm_lag),
+            vms: VmList::new(options.vms.clone(), options.vm_lag)
+                .with_mesh_from(options.mesh_from.clone()),
             counts: Counts::default(),
             down: false,
             silent: false,
