--- a/crates/conf/src/chores.rs
+++ b/crates/conf/src/chores.rs
@@ -1,5 +1,5 @@
 //! What a book does besides its own proposal: readiness, acknowledgements, gossip, withdrawals.
-
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -29,8 +29,6 @@
 const START_WAIT: Duration = Duration::from_secs(1);
 /// How much later each further VM withdraws a patch that its proposer left.
 const RANK_STEP: Duration = Duration::from_millis(300);
-/// The largest content that is sent unasked, in bytes; peers fetch what is larger.
-const INLINE_MAX: usize = 64 << 10;
 
 impl Book {
     pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>) {
@@ -144,17 +142,6 @@
         }
     }
 
-    /// The newest held, whole if it is small.
-    pub(crate) fn newest(&self) -> Message {
-        match &self.held {
-            Some(h) if h.content.len() <= INLINE_MAX => Message::Newest {
-                object: h.object,
-                content: h.content.clone(),
-            },
-            _ => Message::Gossip(self.gossip()),
-        }
-    }
-
     /// Withdraws a prepared patch that its proposer left, so that it blocks no other.
     ///
     /// The proposer may be dead, or paused and about to commit. The condition of the write decides:
@@ -212,7 +199,7 @@
         self.write_chore(cx, 0, record.encode());
     }
 
-    fn write_chore(&mut self, cx: &mut Cx<'_>, if_version: u64, content: std::sync::Arc<str>) {
+    fn write_chore(&mut self, cx: &mut Cx<'_>, if_version: u64, content: Arc<str>) {
         let id = self.next_write();
         self.chore.writing.out = Some(id);
         self.chore.sent = Some(content.clone());
--- a/crates/conf/src/proposal.rs
+++ b/crates/conf/src/proposal.rs
@@ -9,6 +9,7 @@
 
 use crate::action::WriteId;
 use crate::event::Ask;
+use crate::message::Ack;
 use crate::patch::Patch;
 use crate::state::PatchState;
 use crate::verdict::Opponent;
@@ -180,4 +181,15 @@
         let (error, against) = self.refusal.clone()?;
         Some(Verdict::Refused { error, against })
     }
+    /// Notes an acknowledgement; the first word of a VM against it stays.
+    pub(crate) fn note_ack(&mut self, now: Instant, from: &VmId, ack: Ack) {
+        let seen = AckSeen {
+            at: now,
+            against: ack.against,
+        };
+        let old = self.acks.get(from);
+        if old.is_none_or(|a| a.against.is_none()) {
+            self.acks.insert(from.clone(), seen);
+        }
+    }
 }
