--- a/crates/admin/src/reply.rs
+++ b/crates/admin/src/reply.rs
@@ -1,7 +1,6 @@
 //! Answers as JSON, and errors with their status.
 
 use bytes::Bytes;
-use gs_conf::Opponent;
 use gs_conf::Verdict;
 use gs_types::prelude::*;
 use http_body_util::Full;
@@ -24,10 +23,6 @@
     step: Option<&'a str>,
     peer: Option<&'a str>,
     hint: Option<&'a str>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    verdict: Option<&'static str>,
-    #[serde(skip_serializing_if = "<[Opponent]>::is_empty")]
-    against: &'a [Opponent],
 }
 
 impl<'a> ErrorBody<'a> {
@@ -38,8 +33,6 @@
             step: e.step(),
             peer: e.peer(),
             hint: e.hint(),
-            verdict: None,
-            against: &[],
         }
     }
 }
@@ -75,38 +68,25 @@
     json(status, &ErrorBody::new(e))
 }
 
-/// The word on a patch.
+/// The word on a patch, as a verdict with any status.
 ///
 /// A refusal is final and never 5xx, so that no client sends it again in vain. An undecided patch is
 /// 503 where sending it again with the same id helps.
 pub(crate) fn verdict(v: &Verdict) -> Reply {
-    match v {
-        Verdict::Accepted { .. } | Verdict::Checked { .. } => json(StatusCode::OK, v),
-        Verdict::Refused { error, against } => {
-            let body = ErrorBody {
-                verdict: Some("refused"),
-                against,
-                ..ErrorBody::new(error)
-            };
-            let status = match status_of(error.kind()) {
-                s if s.is_server_error() => StatusCode::CONFLICT,
-                s => s,
-            };
-            json(status, &body)
-        }
-        Verdict::Undecided { error } => {
-            let body = ErrorBody {
-                verdict: Some("undecided"),
-                ..ErrorBody::new(error)
-            };
-            let mut reply = json(status_of(error.kind()), &body);
-            if reply.status().is_server_error() {
-                let after = RETRY_AFTER.into();
-                reply.headers_mut().insert(header::RETRY_AFTER, after);
-            }
-            reply
-        }
+    let status = match v {
+        Verdict::Accepted { .. } | Verdict::Checked { .. } => StatusCode::OK,
+        Verdict::Refused { error, .. } => match status_of(error.kind()) {
+            s if s.is_server_error() => StatusCode::CONFLICT,
+            s => s,
+        },
+        Verdict::Undecided { error } => status_of(error.kind()),
+    };
+    let mut reply = json(status, v);
+    if status.is_server_error() {
+        let after = RETRY_AFTER.into();
+        reply.headers_mut().insert(header::RETRY_AFTER, after);
     }
+    reply
 }
 
 fn status_of(kind: ErrorKind) -> StatusCode {
--- a/crates/admin/src/route.rs
+++ b/crates/admin/src/route.rs
@@ -74,6 +74,9 @@
 fn admin_call(method: &Method, rest: &str, query: Option<&str>) -> Result<Call, NoCall> {
     let parts: Vec<_> = rest.splitn(5, '/').collect();
     Ok(match *parts {
+        ["status"] => Call::Status,
+        ["dump"] => Call::Dump,
+        ["dump", "fleet"] => Call::FleetDump,
         ["config"] => Call::Config,
         ["config", v] => Call::Version(part(v)?),
         ["history"] => Call::History,
@@ -112,7 +115,7 @@
 fn no_path() -> NoCall {
     let e = Error::new(ErrorKind::NotFound, "no such path");
     NoCall::Path(e.at("read request").with_hint(
-        "paths: /healthz, /ready, /metrics, /status, /dump, /dump/fleet, and /admin/v1/ with \
-         config[/VERSION], history, fleet, fronts[/FRONT[/lookups/LOOKUP]], patches[/ID]",
+        "paths: /healthz, /ready, /metrics, /status, /dump[/fleet], and /admin/v1/ with \
+         status, dump[/fleet], config[/VERSION], history, fleet, fronts[/FRONT[/lookups/LOOKUP]], patches[/ID]",
     ))
 }
--- a/crates/admin/tests/admin/common/mod.rs
+++ b/crates/admin/tests/admin/common/mod.rs
@@ -28,6 +28,8 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 
 /// The keys of the three teams.
 pub const OPS: &str = "Bearer ops:key-of-ops";
@@ -39,6 +41,7 @@
     pub config: Mutex<Option<Arc<Config>>>,
     pub verdict: Mutex<Verdict>,
     pub proposed: Mutex<Vec<(TeamName, Patch, bool)>>,
+    gate: Arc<Semaphore>,
 }
 
 fn team(name: &str, admin: bool, fronts: &[&str]) -> Team {
@@ -91,8 +94,17 @@
             config: Mutex::new(Some(Arc::new(config))),
             verdict: Mutex::new(accepted()),
             proposed: Mutex::new(Vec::new()),
+            gate: Arc::new(Semaphore::new(1)),
         })
     }
+
+    /// Gives no verdict until what comes back is dropped.
+    pub fn hold(&self) -> OwnedSemaphorePermit {
+        self.gate
+            .clone()
+            .try_acquire_owned()
+            .expect("nobody else holds it")
+    }
 }
 
 #[async_trait]
@@ -102,6 +114,7 @@
             .lock()
             .expect("whole")
             .push((team, patch, dry_run));
+        let _open = self.gate.acquire().await.expect("never closed");
         self.verdict.lock().expect("whole").clone()
     }
 
--- a/crates/admin/tests/admin/interface.rs
+++ b/crates/admin/tests/admin/interface.rs
@@ -44,6 +44,9 @@
 #[case("/dump/fleet")]
 #[case("/admin/v1/config")]
 #[case("/admin/v1/history")]
+#[case("/admin/v1/status")]
+#[case("/admin/v1/dump")]
+#[case("/admin/v1/dump/fleet")]
 #[case("/admin/v1/fleet")]
 #[tokio::test]
 async fn the_rest_needs_a_key(#[case] path: &str) {
@@ -146,7 +149,8 @@
     let (got, body) = post(admin.addr(), "/admin/v1/patches", OPS, PATCH).await;
     assert_eq!(got, status);
     assert_eq!(body["verdict"], "refused");
-    assert_eq!(body["step"], "ask VMs");
+    assert_eq!(body["error"]["step"], "ask VMs");
+    assert_eq!(body["error"]["hint"], "mend it");
     assert_eq!(body["against"], json!([{"vm": "vm-3", "reason": "silent"}]));
 }
 
@@ -167,3 +171,25 @@
     assert!(answer.contains("retry-after: 2\r\n"), "{answer}");
     assert!(answer.contains(r#""verdict":"undecided""#), "{answer}");
 }
+
+/// A VM is shut down while an operator waits for a verdict. The answer must still come, and no new
+/// connection be taken.
+#[tokio::test]
+async fn a_shutdown_finishes_the_request_that_runs() {
+    let process = Process::new();
+    let held = process.hold();
+    let admin = serve(process.clone()).await;
+    let addr = admin.addr();
+    let waits = tokio::spawn(post(addr, "/admin/v1/patches", OPS, PATCH));
+    while process.proposed.lock().expect("whole").is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let stopping = tokio::spawn(admin.stop());
+    while tokio::net::TcpStream::connect(addr).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
+    assert!(!stopping.is_finished(), "it waits for the verdict");
+    drop(held);
+    assert_eq!(waits.await.expect("an answer").0, 200);
+    stopping.await.expect("stopped");
+}
