feat(conf): a dump of the book; a starting VM asks its peers until they answer

The parts of the record now fit its object by their bounds, proved at compile time: 750 KB of configuration, a patch and 128 long settled entries did not.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -10,6 +10,7 @@
 use crate::apply::apply;
 use crate::patch::Patch;
 use crate::record::OBJECT_MAX;
+use crate::record::SETTLED_MAX;
 
 /// The shortest deadline that a lookup may declare: below it no answer crosses a region.
 pub const DEADLINE_MIN: Duration = Duration::from_millis(5);
@@ -26,9 +27,15 @@
 /// The most changes in a patch.
 pub const CHANGES_MAX: usize = 100;
 /// What a configuration may take of its object, in bytes; the rest is for what settles patches.
-pub const CONFIG_MAX: usize = OBJECT_MAX * 3 / 4;
+pub const CONFIG_MAX: usize = 700_000;
 /// What a patch may take of the object, in bytes.
-pub const PATCH_MAX: usize = OBJECT_MAX / 8;
+pub const PATCH_MAX: usize = 125_000;
+/// The longest entry of a settled patch: four names, a reason and what stands around them, in bytes.
+const SETTLED_LEN: usize = 1_200;
+
+// A record that could outgrow its object would make every later patch fail.
+const _: () = assert!(CONFIG_MAX + PATCH_MAX + SETTLED_MAX * SETTLED_LEN < OBJECT_MAX);
+
 /// The length of a SHA-256 in hexadecimal digits.
 const SHA256_HEX: usize = 64;
 
@@ -289,7 +296,7 @@
         report.error(
             "configuration",
             format!("{len} bytes"),
-            "remove fronts or lookups; 750000 bytes at most, so that the object stays under 1 MB",
+            "remove fronts or lookups; 700000 bytes at most, so that the object stays under 1 MB",
         );
     }
 }
--- a/crates/conf/src/chores.rs
+++ b/crates/conf/src/chores.rs
@@ -132,6 +132,11 @@
             return;
         }
         self.next_gossip = Some(cx.now + GOSSIP_EVERY);
+        if !self.start.ready {
+            // The first one may have gone out before any peer was connected.
+            let object = self.gossip().object;
+            cx.out.push(Action::Broadcast(Message::Want { object }));
+        }
         let mut peers: Vec<_> = self.fleet.members().to_vec();
         peers.retain(|vm| *vm != self.options.vm);
         for _ in 0..GOSSIP_TO.min(peers.len()) {
--- a/crates/conf/tests/patches/races.rs
+++ b/crates/conf/tests/patches/races.rs
@@ -277,3 +277,19 @@
         assert_eq!(held.map(|c| c.version), Some(ConfVersion(2)));
     }
 }
+
+/// A patch hangs, and an operator looks at the dump of the VM that it was given to.
+#[test]
+fn the_dump_shows_where_a_patch_stands_and_no_hash_of_a_key() {
+    let mut w = World::start(4, 12);
+    w.pause(3, true);
+    w.propose(0, patch("a", 1)).expect("runs");
+    w.run(200);
+    let book = w.vms[0].book.as_ref().expect("runs");
+    let dump = book.dump(w.now);
+    let proposal = dump.proposal.as_ref().expect("under way");
+    assert_eq!((proposal.id.as_str(), proposal.state), ("a", "asking"));
+    assert_eq!(proposal.acknowledged, [name(1), name(2)]);
+    let shown = serde_json::to_string(&dump).expect("JSON");
+    assert!(!shown.contains(&gs_conf::hash_key("key")), "{shown}");
+}
