--- a/crates/conf/tests/patches/main.rs
+++ b/crates/conf/tests/patches/main.rs
@@ -1,5 +1,6 @@
 //! Patches on several VMs, with a platform and a network that fail.
 
+mod cost;
 mod fuzz;
 mod races;
 mod world;
--- a/crates/conf/tests/patches/world/mod.rs
+++ b/crates/conf/tests/patches/world/mod.rs
@@ -45,6 +45,14 @@
     Members,
 }
 
+/// What was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Cost {
+    pub messages: usize,
+    pub bytes: usize,
+    pub calls: usize,
+}
+
 /// All that there is.
 pub struct World {
     pub now: Instant,
@@ -52,6 +60,8 @@
     pub platform: Platform,
     pub loss: f64,
     pub oracle: Oracle,
+    /// Messages sent and their bytes as the mesh codes them; calls to the platform.
+    pub cost: Cost,
     rng: ChaCha8Rng,
     agenda: BTreeMap<(Instant, u64), (usize, u64, Later)>,
     count: u64,
@@ -71,6 +81,7 @@
             platform: Platform::new(n),
             loss: 0.0,
             oracle: Oracle::default(),
+            cost: Cost::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             agenda: BTreeMap::new(),
             count: 0,
@@ -223,6 +234,7 @@
 
     fn happen(&mut self, vm: usize, incarnation: u64, later: Later) {
         if let Later::Call(call) = later {
+            self.cost.calls += 1;
             return self.call(vm, incarnation, call);
         }
         if self.vms[vm].book.is_none() {
@@ -328,6 +340,8 @@
         let Some(to) = (0..self.vms.len()).find(|vm| name(*vm) == *to) else {
             return;
         };
+        self.cost.messages += 1;
+        self.cost.bytes += postcard::to_stdvec(&m).expect("coded").len();
         let copies = match self.rng.random::<f64>() {
             r if r < self.loss => 0,
             r if r < self.loss * 1.2 => 2,
