--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -64,7 +64,20 @@
                 .with_hint("is the address this VM's, and no other process on the port?")
         };
         let listener = TcpListener::bind(options.addr).await.map_err(io)?;
-        let addr = listener.local_addr().map_err(io)?;
+        Self::on(listener, options)
+    }
+
+    /// Starts on a listener that was bound before; `options.addr` is only for errors.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if the listener has no address.
+    pub fn on(listener: TcpListener, options: AdminOptions) -> Result<Self> {
+        let addr = listener.local_addr().map_err(|e| {
+            Error::new(ErrorKind::Io, e.to_string())
+                .at("listen for operators")
+                .from_peer(options.addr.to_string())
+        })?;
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(accept(listener, options, stopped));
         Ok(Self { addr, stop, task })
