--- /dev/null
+++ b/crates/node/src/actor/driver.rs
@@ -0,0 +1,162 @@
+//! Hands events to a decision and its actions to a shell.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use gs_clock::Clock;
+use xtra::Actor;
+use xtra::Address;
+use xtra::Context;
+use xtra::Handler;
+use xtra::Mailbox;
+
+use crate::actor::feed::Feed;
+use crate::actor::timer::Timer;
+use crate::board::lock;
+
+/// The time of one event.
+#[derive(Clone, Copy)]
+pub(crate) struct Times<'a> {
+    /// The monotonic time.
+    pub(crate) now: Instant,
+    /// Tells the time of day to those that need it.
+    pub(crate) clock: &'a dyn Clock,
+}
+
+/// A decision that its actor and the readers of dumps share.
+///
+/// The actor alone feeds it. Readers hold the lock only to look; so that a dump, and the check for
+/// a configuration in doubt on each lookup, need no turn in the actor's mailbox.
+pub(crate) type Shared<M> = Arc<Mutex<M>>;
+
+/// A decision: a state machine without I/O.
+pub(crate) trait Machine: Send + 'static {
+    /// What it is told.
+    type Event: Send + 'static;
+    /// What it asks for.
+    type Action: Send + 'static;
+
+    /// Takes one event in and appends what has to be done to `out`.
+    fn on(&mut self, at: Times<'_>, ev: Self::Event, out: &mut Vec<Self::Action>);
+
+    /// The event that says that a timer is due.
+    fn tick() -> Self::Event;
+}
+
+/// Carries out a decision's actions.
+pub(crate) trait Shell<M: Machine>: Send + 'static {
+    /// Sees an event just before the decision does.
+    fn before(&mut self, now: Instant, ev: &M::Event) {
+        let _ = (now, ev);
+    }
+
+    /// Carries out one action; gives a duration back if it asks to be woken.
+    fn perform(&mut self, action: M::Action, feed: &Feed<M::Event>) -> Option<Duration>;
+}
+
+/// The actor around one decision.
+pub(crate) struct Driver<M: Machine, S> {
+    machine: Shared<M>,
+    shell: S,
+    clock: Arc<dyn Clock>,
+    feed: Feed<M::Event>,
+    timer: Timer,
+    batch: Vec<M::Event>,
+    actions: Vec<M::Action>,
+}
+
+/// Events are queued.
+struct Ready;
+
+/// The timer is due.
+struct Due;
+
+/// An actor's mailbox, made before the actor, so that actors can feed each other.
+pub(crate) struct Slot<M: Machine, S> {
+    addr: Address<Driver<M, S>>,
+    mailbox: Mailbox<Driver<M, S>>,
+    feed: Feed<M::Event>,
+}
+
+impl<M: Machine, S: Shell<M>> Slot<M, S> {
+    pub(crate) fn new() -> Self {
+        let (addr, mailbox) = Mailbox::unbounded();
+        let to: Address<Driver<M, S>> = addr.clone();
+        let feed = Feed::new(Box::new(move || {
+            drop(to.send(Ready).detach().now_or_never())
+        }));
+        Self {
+            addr,
+            mailbox,
+            feed,
+        }
+    }
+
+    /// The way in; events wait until the actor starts.
+    pub(crate) fn feed(&self) -> Feed<M::Event> {
+        self.feed.clone()
+    }
+
+    /// Starts the actor.
+    pub(crate) fn start(self, machine: Shared<M>, shell: S, clock: Arc<dyn Clock>) {
+        let to = self.addr;
+        let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
+        let driver = Driver {
+            machine,
+            shell,
+            clock,
+            feed: self.feed,
+            timer,
+            batch: Vec::new(),
+            actions: Vec::new(),
+        };
+        tokio::spawn(xtra::run(self.mailbox, driver));
+    }
+}
+
+impl<M: Machine, S: Shell<M>> Driver<M, S> {
+    fn step(&mut self, ev: M::Event) {
+        let at = Times {
+            now: self.clock.now(),
+            clock: self.clock.as_ref(),
+        };
+        self.shell.before(at.now, &ev);
+        lock(&self.machine).on(at, ev, &mut self.actions);
+        for a in self.actions.drain(..) {
+            if let Some(after) = self.shell.perform(a, &self.feed) {
+                self.timer.wake_in(after);
+            }
+        }
+    }
+}
+
+impl<M: Machine, S: Shell<M>> Actor for Driver<M, S> {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl<M: Machine, S: Shell<M>> Handler<Ready> for Driver<M, S> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Ready, _: &mut Context<Self>) {
+        let mut batch = std::mem::take(&mut self.batch);
+        self.feed.take(&mut batch);
+        for ev in batch.drain(..) {
+            self.step(ev);
+        }
+        self.batch = batch;
+    }
+}
+
+impl<M: Machine, S: Shell<M>> Handler<Due> for Driver<M, S> {
+    type Return = ();
+
+    async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
+        self.timer.fired();
+        self.step(M::tick());
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,51 @@
-//! To be written.
+//! The settings of one process: a TOML file, read and checked whole at start.
+//!
+//! [`load()`] gives [`Settings`] or a [`Faults`] report that points at every place at fault, says why
+//! it is one and how to mend it. Keys, units, ranges and defaults stand in one table, [`KEYS`], that
+//! the reader, the docs and the fault reports share.
+//!
+//! ```no_run
+//! let settings = gs_settings::load("vm.toml".as_ref())?;
+//! println!("{} listens on {}", settings.vm.name, settings.listen.callers);
+//! # Ok::<(), gs_settings::Faults>(())
+//! ```
+
+mod checks;
+mod faults;
+mod fraction;
+mod keys;
+mod load;
+mod reader;
+mod secret;
+mod sections;
+mod settings;
+mod values;
+
+pub use faults::Fault;
+pub use faults::FaultKind;
+pub use faults::Faults;
+pub use fraction::Fraction;
+pub use keys::KEYS;
+pub use keys::Key;
+pub use keys::Kind;
+pub use keys::Presence;
+pub use load::MAX_FILE;
+pub use load::load;
+pub use load::parse;
+pub use secret::Secret;
+pub use settings::Callers;
+pub use settings::Claims;
+pub use settings::Listen;
+pub use settings::Log;
+pub use settings::LogLevel;
+pub use settings::Mesh;
+pub use settings::Platform;
+pub use settings::Policy;
+pub use settings::Record;
+pub use settings::Runtime;
+pub use settings::Servers;
+pub use settings::Settings;
+pub use settings::Shutdown;
+pub use settings::Source;
+pub use settings::Tuning;
+pub use settings::Vm;
