test: a poisoned lookup, keyed and scattered

A scattered lookup reaches one server of every shard before its first crash can be seen, so a bound of two crashes in all could hold only with a canary before every new lookup.

--- a/crates/rig/src/deploy/shape.rs
+++ b/crates/rig/src/deploy/shape.rs
@@ -229,6 +229,7 @@
             vms_per_site: 1,
             groups: vec![
                 GroupShape::scatter("bulletin-desk", 4),
+                GroupShape::keyed("subs-office", 3, 100),
                 GroupShape::keyed("mailout", 3, 100),
             ],
             lookups: vec![
@@ -240,6 +241,10 @@
                     deadline: Duration::from_secs(5),
                     ..LookupShape::scatter("placement", "bulletin-desk", Promise::Complete)
                 },
+                LookupShape {
+                    deadline: Duration::from_secs(2),
+                    ..LookupShape::keyed("reader", "subs-office", Promise::Urgent)
+                },
                 LookupShape {
                     deadline: Duration::from_secs(5),
                     ..LookupShape::keyed("renewal", "mailout", Promise::AtMostOnce)
