--- a/tests/cli/serve.rs
+++ b/tests/cli/serve.rs
@@ -5,12 +5,16 @@
 use crate::common::files;
 use crate::common::run_in;
 
-/// Settings on ports that were free just now; nothing answers at the platform's.
-fn settings() -> String {
-    let free: Vec<_> = (0..4)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
-        .collect();
-    let addr = |n: usize| free[n].local_addr().expect("its address").to_string();
+/// A loopback address that only this run of the tests uses, so that no port is taken by others.
+fn own_ip() -> String {
+    let pid = std::process::id();
+    format!("127.200.{}.{}", (pid >> 8) & 255, pid & 255)
+}
+
+/// Settings on four ports from `port` on; nothing answers at the platform's, the last.
+fn settings(port: u16) -> String {
+    let ip = own_ip();
+    let addr = |n: u16| format!("{ip}:{}", port + n);
     format!(
         r#"[vm]
 name = "hobart-1"
@@ -36,13 +40,9 @@
 
 #[test]
 fn an_address_in_use_is_told_with_its_step() {
-    let text = settings();
-    let callers = text
-        .lines()
-        .find_map(|l| l.strip_prefix("callers = "))
-        .expect("an address");
-    let addr = callers.trim_matches('"');
-    let _held = TcpListener::bind(addr).expect("the port");
+    let text = settings(8021);
+    let addr = format!("{}:8021", own_ip());
+    let _held = TcpListener::bind(&addr).expect("the port");
     let dir = files(&[("vm.toml", &text), ("secret", "0123456789abcdef\n")]);
     let r = run_in(dir.path(), &["serve", "--settings", "vm.toml"]);
     assert_eq!(r.code, 2, "{}", r.stderr);
