--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -77,6 +77,7 @@
     log::info!("event=start vm={vm} incarnation={incarnation} seed={seed}");
 
     let callers = listen(settings.listen.callers, "callers").await?;
+    let operators = listen(settings.listen.admin, "operators").await?;
     let board = Arc::new(Board::default());
     let platform = platform(&settings, seed, &clock);
     let (mesh, received) = mesh(&settings, incarnation)?;
@@ -215,13 +216,11 @@
         metrics,
         clock: Arc::clone(&clock),
     };
-    let admin = Admin::start(
-        AdminOptions::builder()
-            .addr(settings.listen.admin)
-            .fleet(Arc::new(fleet))
-            .build(),
-    )
-    .await?;
+    let options = AdminOptions::builder()
+        .addr(settings.listen.admin)
+        .fleet(Arc::new(fleet))
+        .build();
+    let admin = Admin::on(operators, options)?;
 
     let (stop, stopped) = watch::channel(false);
     let body = usize::try_from(settings.callers.body.0).unwrap_or(usize::MAX);
@@ -276,6 +275,8 @@
         .seed(seed)
         .clock(Arc::clone(clock))
         .timeout(s.platform.timeout)
+        .reads(s.platform.reads_per_second)
+        .writes(s.platform.writes_per_second)
         .build();
     Arc::new(HttpPlatform::new(options))
 }
@@ -301,6 +302,7 @@
             Policy::Baseline => PolicyName::Baseline,
         },
         lookups_max: s.callers.in_flight,
+        extra_ratio: s.tuning.extra_budget.value(),
         ..EngineOptions::default()
     }
 }
@@ -335,10 +337,15 @@
 }
 
 fn book(s: &Settings, incarnation: Incarnation, seed: u64) -> Result<Book> {
+    let bootstrap = s.bootstrap.as_ref().map(|b| gs_conf::Bootstrap {
+        team: b.team.clone(),
+        key_sha256: b.key_sha256.to_string(),
+    });
     let options = BookOptions::builder()
         .vm(s.vm.name.clone())
         .incarnation(incarnation)
         .seed(seed)
+        .maybe_bootstrap(bootstrap)
         .build();
     Book::new(options)
 }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -176,8 +176,10 @@
         "The longest that one call may take; a watch's own wait is not counted."),
     key("platform", "watch-wait", Kind::Duration(ms(100), secs(300)), Presence::Default("\"10s\""),
         "How long a watch waits for a change."),
-    key("platform", "calls-per-second", Kind::Rate(0.1, 1000.0), Presence::Default("20"),
-        "The most calls that this process makes; a waiting watch counts as one."),
+    key("platform", "reads-per-second", Kind::Rate(0.1, 10_000.0), Presence::Default("200"),
+        "This process's part of the platform's reads, lists and watches."),
+    key("platform", "writes-per-second", Kind::Rate(0.1, 10_000.0), Presence::Default("30"),
+        "This process's part of the platform's writes and deletes."),
     key("mesh", "secret-file", Kind::Path, Presence::Required,
         "The file with the secret that every VM shares: 16 bytes to 4KB, a last line break not \
          counted."),
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -103,12 +103,14 @@
     let addr = r.take("platform", "addr", values::address);
     let timeout = r.take("platform", "timeout", values::duration);
     let watch_wait = r.take("platform", "watch-wait", values::duration);
-    let calls_per_second = r.take("platform", "calls-per-second", values::rate);
+    let reads = r.take("platform", "reads-per-second", values::rate);
+    let writes = r.take("platform", "writes-per-second", values::rate);
     let platform = Platform::builder()
         .addr(addr?)
         .maybe_timeout(timeout)
         .maybe_watch_wait(watch_wait)
-        .maybe_calls_per_second(calls_per_second)
+        .maybe_reads_per_second(reads)
+        .maybe_writes_per_second(writes)
         .build();
     Some(platform)
 }
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -126,9 +126,12 @@
     #[serde(with = "humantime_serde")]
     #[builder(default = Duration::from_secs(10))]
     pub watch_wait: Duration,
-    /// The most calls a second that this process makes; a waiting watch counts as one.
-    #[builder(default = PerSecond(20.0))]
-    pub calls_per_second: PerSecond,
+    /// This process's part of the platform's reads, lists and watches.
+    #[builder(default = PerSecond(200.0))]
+    pub reads_per_second: PerSecond,
+    /// This process's part of the platform's writes and deletes.
+    #[builder(default = PerSecond(30.0))]
+    pub writes_per_second: PerSecond,
 }
 
 /// The other VMs.
