--- a/crates/trace/src/frame.rs
+++ b/crates/trace/src/frame.rs
@@ -7,7 +7,7 @@
 use gs_types::prelude::*;
 
 /// The largest payload in bytes; what claims to be larger is not a trace.
-pub const MAX_RECORD: u32 = 8 << 20;
+pub const MAX_RECORD: u32 = 4 << 20;
 
 /// Bytes before the payload.
 const HEAD: u64 = 8;
--- a/crates/trace/tests/trace/reading.rs
+++ b/crates/trace/tests/trace/reading.rs
@@ -47,7 +47,7 @@
 )]
 #[case::huge_claim(
     b"GSTRACE\n\x01\x00\xff\xff\xff\xff\0\0\0\0",
-    "record 0 at byte 10: it claims 4294967295 bytes, more than 8388608 (step: read trace)"
+    "record 0 at byte 10: it claims 4294967295 bytes, more than 4194304 (step: read trace)"
 )]
 fn a_file_that_is_no_trace(#[case] buf: &[u8], #[case] expected: &str) {
     assert_eq!(refused(buf).to_string(), expected);
