test(process): what processes recorded under faults replays the same and keeps every promise

Three VMs record while servers drain, die, garble and cross replies; each trace is replayed and judged, and the lookups answered in the replays are as many as the callers counted. What it does not show: that the same server was chosen, as an attempt's id does not name it.

feat(settings): {vm} in record.file stands for the VM's name, so that VMs can share a line and a directory.

--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -223,7 +223,7 @@
         Presence::Default("\"info\""),
         "How much is logged on stderr, one key=value line an event."),
     key("record", "file", Kind::Path, Presence::Unset,
-        "The trace to write; nothing is recorded without it."),
+        "The trace to write, `{vm}` in it being the VM's name; nothing is recorded without it."),
     key("runtime", "workers", Kind::Count(1, 256), Presence::Default("2"),
         "Worker threads."),
 ];
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::io::Read;
 use std::path::Path;
+use std::path::PathBuf;
 
 use toml::de::DeValue;
 
@@ -30,6 +31,8 @@
 use crate::values;
 use crate::values::Problem;
 
+/// What stands for the VM's name in the path of its trace.
+const VM_NAME: &str = "{vm}";
 /// The shortest secret accepted, in bytes.
 const SECRET_MIN: usize = 16;
 /// The longest secret accepted, in bytes.
@@ -50,7 +53,7 @@
     let record = Record {
         file: r
             .take("record", "file", values::text)
-            .map(|p| r.resolve(&p)),
+            .map(|p| trace_path(r, &p, vm.as_ref())),
     };
     let bootstrap = bootstrap(r);
     let callers = callers(r);
@@ -221,6 +224,12 @@
     }
 }
 
+/// The trace's path, so that VMs can share a line of settings and a directory.
+fn trace_path(r: &Reader<'_>, path: &str, vm: Option<&Vm>) -> PathBuf {
+    let name = vm.map_or("", |vm| vm.name.as_str());
+    r.resolve(&path.replace(VM_NAME, name))
+}
+
 fn bootstrap(r: &mut Reader<'_>) -> Option<Bootstrap> {
     let team = r.take("bootstrap", "team", values::name);
     let key_sha256 = r.take("bootstrap", "key-sha256", values::name);
--- a/crates/settings/tests/settings/accept.rs
+++ b/crates/settings/tests/settings/accept.rs
@@ -95,13 +95,17 @@
 }
 
 #[test]
-fn relative_paths_start_at_the_settings_file() {
+fn relative_paths_start_at_the_settings_file_and_a_trace_is_named_by_its_vm() {
     let dir = dir();
     let file = dir.path().join("vm.toml");
-    std::fs::write(&file, format!("{LEAST}\n[record]\nfile = \"a.trace\"\n")).expect("a file");
+    std::fs::write(
+        &file,
+        format!("{LEAST}\n[record]\nfile = \"{{vm}}.trace\"\n"),
+    )
+    .expect("a file");
     let s = gs_settings::load(&file).expect("accepted");
     assert_eq!(s.mesh.secret_file, dir.path().join("secret"));
-    assert_eq!(s.record.file, Some(dir.path().join("a.trace")));
+    assert_eq!(s.record.file, Some(dir.path().join("hobart-1.trace")));
 }
 
 #[test]
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -2,6 +2,7 @@
 
 mod patches;
 mod platform_faults;
+mod recording;
 mod server_faults;
 mod support;
 mod vm_faults;
--- /dev/null
+++ b/tests/process/recording.rs
@@ -0,0 +1,98 @@
+//! What processes recorded under faults, replayed.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::path::Path;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_rig::control::Command;
+use gs_rig::control::Spoilage;
+use gs_rig::deploy::Shape;
+use gs_rig::deployment::Deployment;
+use gs_trace::Checker;
+use gs_trace::Expectations;
+use gs_trace::OutcomeKind;
+use gs_trace::Reader;
+use gs_trace::Replay;
+use gs_types::prelude::*;
+use rstest::rstest;
+use rustix::process::Signal;
+
+use crate::support::load;
+use crate::support::start;
+use crate::support::until;
+
+/// Replays a trace, judged by the promises alone, and gives how many lookups it answered.
+fn replayed(trace: &Path) -> usize {
+    let file = File::open(trace).expect("a trace");
+    let reader = Reader::new(BufReader::new(file)).expect("a header");
+    let engine = gs_trace::engine(reader.header()).expect("an engine");
+    let mut checker = Checker::new(Expectations::default());
+    for step in Replay::new(reader, engine, Instant::now()) {
+        let step = step.expect("a step");
+        checker.on(&step).expect("the promises hold");
+    }
+    checker.end().expect("the promises hold");
+    checker.count(OutcomeKind::Answered)
+}
+
+/// A server drains, one dies and comes back, others garble replies or answer with another's id.
+async fn break_things(d: &Deployment) {
+    let server = |name: &str| name.parse::<ServerName>().expect("a name");
+    let (leaving, dying) = (server("bulletin-desk-0-0"), server("bulletin-desk-1-1"));
+    until("work on the server", async || {
+        d.servers.counts().of(&leaving).runs > 3
+    })
+    .await;
+    let spoil = |how| Command::Spoil {
+        server: None,
+        how,
+        share: 0.05,
+    };
+    let faults = [
+        Command::Drain { server: leaving },
+        Command::Kill {
+            server: dying.clone(),
+        },
+        spoil(Spoilage::Garbled),
+        Command::Restart { server: dying },
+        spoil(Spoilage::Crossed),
+    ];
+    for fault in faults {
+        let runs = || d.servers.counts().summary().total.runs;
+        let before = runs();
+        d.servers.apply(fault).await.expect("applied");
+        until("work under the fault", async || runs() > before + 60).await;
+    }
+}
+
+/// Operators ask what a VM did and why, after a bad quarter of an hour.
+/// Three VMs record while servers drain, die and garble or cross their replies; then they leave. Each
+/// trace must take the same decisions again and keep every promise. The cause of a difference would
+/// be a decision that hangs on something which is not recorded, or recorded in another order.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_processes_recorded_under_faults_replays_the_same() {
+    let settings = "[record]\nfile = \"{vm}.trace\"\n[shutdown]\nlag = \"100ms\"\n";
+    let mut d = start(Shape::tiny(), settings).await;
+    let (tally, ()) = tokio::join!(
+        load(&d, d.targets(false), 40.0, Duration::from_secs(4)),
+        break_things(&d)
+    );
+    assert!(tally.answered > 100, "{tally:?}");
+    for vm in &mut d.vms {
+        vm.signal(Signal::TERM).expect("a running process");
+        let status = vm.until_exit(Duration::from_secs(40)).await;
+        assert!(status.expect("it exits").success());
+    }
+    let answered: usize = d
+        .vms
+        .iter()
+        .map(|vm| {
+            let name = &vm.plan().name;
+            replayed(&d.log_of(name).with_file_name(format!("{name}.trace")))
+        })
+        .sum();
+    assert_eq!(answered as u64, tally.answered);
+}
