--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -27,6 +27,7 @@
 pub use object::VmEntry;
 pub use object::WatchReply;
 pub use platform::Platform;
+pub use watcher::Holds;
 pub use watcher::Update;
 pub use watcher::WatchOptions;
 pub use watcher::Watcher;
--- a/crates/store/src/watcher.rs
+++ b/crates/store/src/watcher.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::backoff::Backoff;
+use crate::object::Changed;
 use crate::object::Object;
 use crate::object::Version;
 use crate::platform::Platform;
@@ -16,8 +17,11 @@
 /// Updates that wait for a slow receiver before the watch itself waits.
 const QUEUE: usize = 64;
 
+/// Whether this process already holds an object at this version or a later one.
+pub type Holds = Arc<dyn Fn(&str, Version) -> bool + Send + Sync>;
+
 /// How a prefix is watched.
-#[derive(Builder, Clone, Debug)]
+#[derive(Builder, Clone)]
 pub struct WatchOptions {
     /// What to watch, such as `groups/`.
     #[builder(into)]
@@ -34,6 +38,13 @@
     /// The longest wait between tries during an outage.
     #[builder(default = Duration::from_secs(2))]
     pub backoff_max: Duration,
+    /// Tells what need not be read, as a peer brought it; it is not delivered either.
+    ///
+    /// The platform counts every call, and each VM would read each change.
+    pub holds: Option<Holds>,
+    /// How long a change that is not held is left to peers before it is read; of use with `holds`.
+    #[builder(default)]
+    pub settle: Duration,
 }
 
 /// An object under a watched prefix, as it is now.
@@ -161,6 +172,9 @@
             reply = watch => reply?,
             () = self.tx.closed() => return Ok(Err(Closed)),
         };
+        if !self.settled(&reply.changed) {
+            tokio::time::sleep(self.options.settle).await;
+        }
         for c in reply.changed {
             let done = match c.deleted {
                 true => self.gone(c.path).await,
@@ -179,6 +193,10 @@
         if self.known.get(&path).is_some_and(|v| *v >= version) {
             return Ok(Ok(()));
         }
+        if self.is_held(&path, version) {
+            self.known.insert(path, version);
+            return Ok(Ok(()));
+        }
         let Some(object) = self.platform.read(&path).await? else {
             return Ok(self.gone(path).await);
         };
@@ -186,6 +204,17 @@
         Ok(self.send(path, Some(object)).await)
     }
 
+    /// Whether there is nothing to leave to peers for a while.
+    fn settled(&self, changed: &[Changed]) -> bool {
+        let open = |c: &Changed| !c.deleted && !self.is_held(&c.path, c.version);
+        self.options.settle.is_zero() || !changed.iter().any(open)
+    }
+
+    fn is_held(&self, path: &str, version: Version) -> bool {
+        let holds = self.options.holds.as_ref();
+        holds.is_some_and(|holds| holds(path, version))
+    }
+
     async fn gone(&mut self, path: String) -> Result<(), Closed> {
         match self.known.remove(&path) {
             Some(_) => self.send(path, None).await,
--- a/crates/store/tests/watch.rs
+++ b/crates/store/tests/watch.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -150,3 +152,30 @@
         tokio::task::yield_now().await;
     }
 }
+
+/// Every VM hears of a change from a peer while the platform's watch brings it too. Reading it again
+/// on each VM would be most of the calls that a change costs.
+#[tokio::test]
+async fn what_a_peer_brought_is_not_read() {
+    let (rig, p) = pair().await;
+    let held = Arc::new(AtomicU64::new(0));
+    let seen = held.clone();
+    let options = WatchOptions::builder()
+        .prefix("config/")
+        .seed(7)
+        .holds(Arc::new(move |_: &str, v| {
+            v.0 <= seen.load(Ordering::SeqCst)
+        }))
+        .settle(Duration::from_millis(5))
+        .build();
+    let (_w, mut rx) = Watcher::start(p.clone(), options);
+    waiting(&rig).await;
+    held.store(1, Ordering::SeqCst);
+    rig.put("config/current", "from a peer");
+    while rig.counts().watches < 2 {
+        tokio::task::yield_now().await;
+    }
+    rig.put("config/current", "new");
+    assert_eq!(next(&mut rx).await, put("config/current", "new"));
+    assert_eq!(rig.counts().reads, 1);
+}
