--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -1,4 +1,4 @@
-//! The chosen policy: can the deadline be met, by urgency, under a bound that follows the load.
+//! The chosen policy: can the deadline be met, by urgency, with a margin that follows the load.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -11,18 +11,24 @@
 use crate::admission::Verdict;
 use crate::dump::AdmissionDump;
 
-/// The part of a lookup's time that its queue may fill; the rest is kept for what cannot be known,
-/// and a longer queue would only add to latency, as the servers are busy with a short one too.
-const FILL: f64 = 0.5;
+/// The most and the least of a lookup's time that its parts may need on the mean, wait included.
+///
+/// The rest is kept for the parts that need longer and for what cannot be known; a longer queue
+/// would only add to latency, as the servers are busy with a short one too.
+const FILL_MAX: f64 = 0.4;
+const FILL_MIN: f64 = 0.15;
+
+/// What a lookup that ends late takes off the fill.
+const FILL_DOWN: f64 = 0.03;
 
-/// The least bound; enough to keep learning.
-const LIMIT_MIN: f64 = 8.0;
+/// What a lookup that ends in time adds to it; the fill then settles where one in 25 is late.
+const FILL_UP: f64 = FILL_DOWN / 25.0;
 
-/// What the bound is multiplied with when a lookup ends late under congestion.
-const DECREASE: f64 = 0.9;
+/// How much more an urgent lookup may fill, as it can answer without its last parts.
+const URGENT: f64 = 1.25;
 
-/// The least time between two decreases, so that one burst counts once.
-const DECREASE_EVERY: Duration = Duration::from_millis(100);
+/// How much more the last part of a lookup may fill which is worth nothing without it.
+const LAST: f64 = 2.0;
 
 /// How long overload is held for true after its last sign.
 const OVERLOAD_HOLD: Duration = Duration::from_millis(500);
@@ -33,54 +39,48 @@
 
 /// Admits what can end by its deadline.
 ///
-/// An urgent lookup must fit by what its parts need on the whole, as it can answer without the last.
+/// An urgent lookup must fit by what its parts need on the mean, as it can answer without the last.
 /// A complete one is worth nothing without its last part, so that must fit too; under pressure
 /// complete lookups are thus refused before urgent ones.
-/// Besides, lookups in flight stay under a bound that grows by one per bound's worth of lookups
-/// that end in time and shrinks by a tenth when one ends late while its parts were kept waiting or
-/// shed.
+///
+/// How much of its time a lookup may fill shrinks with each one that ends late and grows slowly with
+/// those in time. That finds the concurrency that the servers bear, whatever other VMs send them,
+/// from this VM's own outcomes alone. With nothing in flight a lookup is always taken on, or there
+/// would be nobody to learn that the servers are fast again.
 #[derive(Debug)]
 pub struct Adaptive {
-    max: f64,
-    limit: f64,
-    decreased: Option<Instant>,
+    max: usize,
+    fill: f64,
     pressed: Option<Instant>,
 }
 
 impl Adaptive {
-    /// Starts with the bound at its most.
+    /// Starts with the largest fill, and never lets more lookups be in flight than `max`.
     #[must_use]
     pub fn new(max: usize) -> Self {
-        let max = (max as f64).max(LIMIT_MIN);
         Self {
             max,
-            limit: max,
-            decreased: None,
+            fill: FILL_MAX,
             pressed: None,
         }
     }
 
     /// Whether the lookup's parts can be in by its deadline.
-    fn fits(ask: &Ask) -> bool {
+    fn fits(&self, ask: &Ask) -> bool {
+        let part = |fill: f64| ask.budget.mul_f64(fill.min(1.0));
         match ask.promise {
-            Promise::Urgent => ask.typical <= ask.budget.mul_f64(FILL),
-            Promise::Complete | Promise::AtMostOnce => ask.worst <= ask.budget.mul_f64(FILL),
-        }
-    }
-
-    /// The share of the bound that a lookup of this promise may fill.
-    fn share(promise: Promise) -> f64 {
-        match promise {
-            Promise::Urgent | Promise::AtMostOnce => 1.0,
-            Promise::Complete => 0.9,
+            Promise::Urgent => ask.typical <= part(self.fill * URGENT),
+            Promise::Complete | Promise::AtMostOnce => {
+                ask.typical <= part(self.fill) && ask.worst <= part(self.fill * LAST)
+            }
         }
     }
 }
 
 impl AdmissionPolicy for Adaptive {
     fn admit(&mut self, now: Instant, ask: &Ask) -> Verdict {
-        let room = (ask.in_flight as f64) < self.limit * Self::share(ask.promise);
-        if room && Self::fits(ask) {
+        let is_scout = ask.in_flight == 0;
+        if is_scout || (ask.in_flight < self.max && self.fits(ask)) {
             return Verdict::Admit;
         }
         self.pressed = Some(now);
@@ -91,21 +91,8 @@
         if ended.congested {
             self.pressed = Some(now);
         }
-        if ended.in_time {
-            // Growing a bound that is not in use would only make it say nothing.
-            if ended.in_flight as f64 >= self.limit / 2.0 {
-                self.limit = (self.limit + 1.0 / self.limit).min(self.max);
-            }
-            return;
-        }
-        let rested = self
-            .decreased
-            .is_none_or(|at| now.saturating_duration_since(at) >= DECREASE_EVERY);
-        if ended.congested && rested {
-            let used = self.limit.min((ended.in_flight as f64).max(LIMIT_MIN));
-            self.limit = (used * DECREASE).max(LIMIT_MIN);
-            self.decreased = Some(now);
-        }
+        let step = if ended.in_time { FILL_UP } else { -FILL_DOWN };
+        self.fill = (self.fill + step).clamp(FILL_MIN, FILL_MAX);
     }
 
     fn overloaded(&self, now: Instant) -> bool {
@@ -116,7 +103,8 @@
     fn dump(&self, now: Instant) -> AdmissionDump {
         AdmissionDump {
             policy: "adaptive",
-            limit: self.limit,
+            limit: self.max as f64,
+            fill: self.fill,
             overloaded: self.overloaded(now),
         }
     }
--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -35,12 +35,10 @@
 /// How a lookup that was taken on ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
-    /// Whether every part that it needed came in time.
+    /// Whether it ended before its deadline ended it.
     pub in_time: bool,
     /// Whether a part was shed by a server, or still waited for a connection at the end.
     pub congested: bool,
-    /// Lookups in flight, itself included.
-    pub in_flight: usize,
 }
 
 /// Decides which lookups are taken on.
--- a/crates/limit/src/dump.rs
+++ b/crates/limit/src/dump.rs
@@ -7,8 +7,10 @@
 pub struct AdmissionDump {
     /// The policy's name.
     pub policy: &'static str,
-    /// Lookups that it lets be in flight now.
+    /// Lookups that it lets be in flight at most.
     pub limit: f64,
+    /// The part of its time that a lookup's parts may need on the mean; 1 if it does not look.
+    pub fill: f64,
     /// Whether it sees overload.
     pub overloaded: bool,
 }
--- a/crates/limit/src/fixed.rs
+++ b/crates/limit/src/fixed.rs
@@ -45,6 +45,7 @@
         AdmissionDump {
             policy: "fixed",
             limit: self.max as f64,
+            fill: 1.0,
             overloaded: false,
         }
     }
--- a/crates/query/src/arrive.rs
+++ b/crates/query/src/arrive.rs
@@ -213,9 +213,6 @@
     }
 
     /// The time that a part would wait at the shard, and would take then, in microseconds.
-    ///
-    /// Without a queue it is nothing, however slow the servers are: a lookup refused for slowness
-    /// alone would leave nobody to find out that they are fast again.
     fn shard_wait(&self, now: Instant, lk: &LookupRun, at: usize) -> (f64, f64) {
         let mut queued = 0;
         let mut connections = 0;
@@ -229,7 +226,7 @@
             connections += view.share().0;
             latency = latency.min(view.latency().aged_micros(now).unwrap_or(0.0));
         }
-        if queued == 0 || !latency.is_finite() || connections == 0 {
+        if !latency.is_finite() || connections == 0 {
             return (0.0, 0.0);
         }
         let rounds = queued as f64 / f64::from(connections);
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -105,13 +105,11 @@
         outcome: Outcome,
         out: &mut Vec<Action>,
     ) {
-        let in_time = lk.whole as usize == lk.shards.len()
-            || matches!(&outcome, Outcome::Answered(a) if a.ended_early);
         if !lk.is_gone {
             self.counters.ended(&outcome);
             out.push(Action::Answer(lk.seq, outcome));
         }
-        self.let_go(now, lk, in_time, out);
+        self.let_go(now, lk, out);
     }
 
     /// The caller hung up.
@@ -124,18 +122,12 @@
         }
         lk.is_gone = true;
         if !(lk.is_once() && lk.may_have_run > 0) {
-            self.let_go(now, lk, true, out);
+            self.let_go(now, lk, out);
         }
     }
 
     /// Lets go of everything that the lookup held; its last word was given or has no reader.
-    pub(crate) fn let_go(
-        &mut self,
-        now: Instant,
-        lk: &mut LookupRun,
-        in_time: bool,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn let_go(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
         lk.is_done = true;
         let waited = lk.shards.iter().any(|s| s.state == ShardState::Waiting);
         for at in 0..lk.shards.len() {
@@ -148,9 +140,8 @@
         self.admission.ended(
             now,
             &Ended {
-                in_time,
+                in_time: now < lk.answer_by,
                 congested: lk.is_congested || waited,
-                in_flight: self.in_flight,
             },
         );
     }
--- a/crates/query/src/options.rs
+++ b/crates/query/src/options.rs
@@ -71,7 +71,7 @@
             extra_ratio: 0.03,
             extra_burst: 256,
             extra_floor: 10.0,
-            hedge_quantile: 0.98,
+            hedge_quantile: 0.97,
             attempt_timeout: Duration::from_millis(250),
             quarantine: Duration::from_secs(30),
             suspicion: Duration::from_secs(10),
