--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use gs_route::Failure;
-use gs_route::ServerIdx;
 use gs_types::prelude::*;
 
 use crate::action::Action;
@@ -14,22 +12,13 @@
 use crate::attempt::Kind;
 use crate::core::Core;
 use crate::event::PartReply;
+use crate::heard::Heard;
 use crate::life::Lost;
 use crate::lookup::LookupRun;
 use crate::lookup::Phase;
 use crate::lookup::ShardState;
 use crate::suspects::Finding;
 
-/// What a reply means to the view of its server.
-#[derive(Clone, Copy, Debug)]
-struct Heard {
-    server: ServerIdx,
-    /// Whether the reply speaks of the run known now.
-    is_current: bool,
-    /// Whether its attempt was still wanted.
-    was_live: bool,
-}
-
 impl Core {
     /// An attempt of a lookup in flight passes the point of no return.
     pub(crate) fn sent(&mut self, now: Instant, lk: &mut LookupRun, id: &AttemptId) {
@@ -185,52 +174,6 @@
         self.lost(now, lk, at, lost, out);
     }
 
-    /// Takes in what a whole part says about its server.
-    fn answered(
-        &mut self,
-        now: Instant,
-        heard: Heard,
-        load: u32,
-        draining: bool,
-        out: &mut Vec<Action>,
-    ) {
-        if !heard.is_current {
-            return;
-        }
-        self.servers.succeeded(now, heard.server, load);
-        if draining {
-            self.drain_seen(heard.server, out);
-        }
-    }
-
-    /// Takes in what any other reply says about its server.
-    fn judge(&mut self, now: Instant, reply: &PartReply, heard: Heard, out: &mut Vec<Action>) {
-        if !heard.is_current {
-            return;
-        }
-        let server = heard.server;
-        match reply {
-            PartReply::Shed { retry_after } => self.servers.shed(now, server, *retry_after),
-            PartReply::Draining => self.drain_seen(server, out),
-            PartReply::NoSnapshot { holds } => self.holds_seen(now, server, holds),
-            PartReply::NotSent if heard.was_live => {
-                self.servers.failed(now, server, Failure::Unreached);
-            }
-            PartReply::Failed | PartReply::Garbled => {
-                self.servers.failed(now, server, Failure::Error);
-            }
-            PartReply::Broken => self.servers.failed(now, server, Failure::Broken),
-            PartReply::Whole { .. } | PartReply::NotSent | PartReply::Cancelled => {}
-        }
-    }
-
-    /// A server said which snapshots it holds; parts that wait for it may have to move.
-    fn holds_seen(&mut self, now: Instant, server: ServerIdx, holds: &[SnapshotId]) {
-        if self.servers.said_holds(now, server, holds) {
-            self.changed.push(server);
-        }
-    }
-
     /// A connection broke under an attempt.
     fn broke(
         &mut self,
@@ -262,74 +205,6 @@
             }
         }
     }
-
-    /// Takes a crash in, and tells peers of it.
-    fn crash_seen(
-        &mut self,
-        now: Instant,
-        fingerprint: Fingerprint,
-        server: ServerIdx,
-        alone: bool,
-        out: &mut Vec<Action>,
-    ) -> Finding {
-        let name = self.servers.view(server).decl().name.clone();
-        let finding = self.suspects.crashed(now, fingerprint, &name, alone);
-        let crashes = self.suspects.crashes(fingerprint);
-        match finding {
-            Finding::Harmless => {}
-            Finding::Suspected => {
-                self.spread_suspect(fingerprint, crashes, Duration::ZERO, out);
-            }
-            Finding::Quarantined => {
-                self.counters.quarantines += 1;
-                self.spread_suspect(fingerprint, crashes, self.options.quarantine, out);
-            }
-        }
-        finding
-    }
-
-    /// An attempt whose lookup has ended passes the point of no return.
-    pub(crate) fn orphan_sent(&mut self, id: &AttemptId) {
-        if let Some(o) = self.orphans.get_mut(&(id.lookup, id.shard, id.attempt)) {
-            o.is_sent = true;
-        }
-    }
-
-    /// An attempt whose lookup has ended, or began again, ended itself.
-    pub(crate) fn orphan_replied(
-        &mut self,
-        now: Instant,
-        id: &AttemptId,
-        reply: &PartReply,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(o) = self.orphans.remove(&(id.lookup, id.shard, id.attempt)) else {
-            self.counters.stray_replies += 1;
-            return;
-        };
-        let heard = Heard {
-            server: o.server,
-            is_current: self.servers.view(o.server).speaks_of_this_run(o.at),
-            was_live: false,
-        };
-        self.servers.released(o.server);
-        self.freed.push(o.server);
-        match reply {
-            PartReply::Whole { load, draining, .. } => {
-                self.answered(now, heard, *load, *draining, out);
-                if self.suspects.prove(now, o.fingerprint) {
-                    self.spread_suspect(o.fingerprint, 0, Duration::ZERO, out);
-                }
-            }
-            PartReply::Broken => {
-                self.judge(now, reply, heard, out);
-                if o.is_sent && !o.is_proven {
-                    self.crash_seen(now, o.fingerprint, o.server, false, out);
-                }
-            }
-            other => self.judge(now, other, heard, out),
-        }
-    }
 }
 
 /// The place of an attempt: its shard's and its own.
--- a/crates/route/src/dump.rs
+++ b/crates/route/src/dump.rs
@@ -5,6 +5,8 @@
 use gs_types::prelude::*;
 use serde::Serialize;
 
+use crate::server::ServerView;
+
 /// A backend server as this VM sees it.
 #[derive(Clone, Debug, Serialize)]
 pub struct ServerDump {
@@ -34,3 +36,24 @@
     /// Failures in a row.
     pub failures: u32,
 }
+
+impl ServerView {
+    /// What an operator sees of it.
+    #[must_use]
+    pub fn dump(&self) -> ServerDump {
+        ServerDump {
+            server: self.decl.name.clone(),
+            service: self.decl.service.clone(),
+            data_centre: self.decl.data_centre.clone(),
+            state: self.state.to_string(),
+            incarnation: self.incarnation,
+            snapshots: self.snapshots.as_ref().map(|s| s.to_vec()),
+            in_flight: self.in_flight,
+            share: self.share,
+            open: self.open,
+            latency: self.latency.mean(),
+            load: self.load,
+            failures: self.failures,
+        }
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -5,12 +5,14 @@
 //! free. All of it is a plain state machine: time is passed in, and nothing here does I/O.
 
 mod dump;
+mod early;
 mod group;
 mod latency;
 mod observed;
 mod options;
 mod policy;
 mod round_robin;
+mod runs;
 mod server;
 mod servers;
 mod state;
@@ -26,12 +28,12 @@
 pub use policy::Candidate;
 pub use policy::ReplicaPolicy;
 pub use round_robin::RoundRobin;
+pub use runs::Heard;
+pub use runs::Report;
 pub use server::Failure;
 pub use server::Holds;
 pub use server::ServerView;
 pub use server::Standing;
-pub use servers::Heard;
-pub use servers::Report;
 pub use servers::ServerIdx;
 pub use servers::Servers;
 pub use state::ServerEvent;
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -7,7 +7,6 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
-use crate::dump::ServerDump;
 use crate::latency::Latency;
 use crate::options::RouteOptions;
 use crate::policy::Candidate;
@@ -287,23 +286,4 @@
             warmth: self.warmth(now, options),
         }
     }
-
-    /// What an operator sees of it.
-    #[must_use]
-    pub fn dump(&self) -> ServerDump {
-        ServerDump {
-            server: self.decl.name.clone(),
-            service: self.decl.service.clone(),
-            data_centre: self.decl.data_centre.clone(),
-            state: self.state.to_string(),
-            incarnation: self.incarnation,
-            snapshots: self.snapshots.as_ref().map(|s| s.to_vec()),
-            in_flight: self.in_flight,
-            share: self.share,
-            open: self.open,
-            latency: self.latency.mean(),
-            load: self.load,
-            failures: self.failures,
-        }
-    }
 }
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -9,6 +9,7 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
+use crate::early::Early;
 use crate::options::RouteOptions;
 use crate::server::Failure;
 use crate::server::ServerView;
@@ -20,16 +21,6 @@
 /// The longest pause that a server may ask for.
 const SHED_MAX: Duration = Duration::from_secs(5);
 
-/// The most servers of which something is kept that was told before their declaration.
-const EARLY_MAX: usize = 16_384;
-
-/// What was told of a server before its declaration.
-#[derive(Clone, Debug, Default)]
-struct Early {
-    drains: SmallVec<[Option<Incarnation>; 2]>,
-    share: Option<Connections>,
-}
-
 /// The place of a server in [`Servers`]; stays the same for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerIdx(u32);
@@ -42,39 +33,15 @@
     }
 }
 
-/// What a server's health and load endpoint says.
-#[derive(Clone, Copy, Debug)]
-pub struct Report<'a> {
-    /// The run of the server; `None` if it did not answer.
-    pub incarnation: Option<Incarnation>,
-    /// The snapshots that it says are ready.
-    pub snapshots: &'a [SnapshotId],
-    /// The load that it claims.
-    pub load: u32,
-    /// Whether it says it is draining.
-    pub draining: bool,
-}
-
-/// What a report or a sign changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// Nothing that matters to work in flight.
-    Nothing,
-    /// The server has begun to drain.
-    Drained,
-    /// A new run of the server is there, and takes work.
-    NewRun,
-}
-
 /// The views of all backend servers.
 #[derive(Debug)]
 pub struct Servers {
-    list: Vec<ServerView>,
+    pub(crate) list: Vec<ServerView>,
     names: BTreeMap<ServerName, ServerIdx>,
     services: BTreeMap<ServiceName, SmallVec<[ServerIdx; 4]>>,
-    early: BTreeMap<ServerName, Early>,
+    pub(crate) early: BTreeMap<ServerName, Early>,
     /// Counts changes of what can be pinned: snapshots held and drains.
-    changes: u64,
+    pub(crate) changes: u64,
     data_centre: DataCentre,
     chart: Chart<ServerState, ServerEvent>,
     options: RouteOptions,
@@ -134,40 +101,6 @@
         idx
     }
 
-    fn take_early(&mut self, idx: ServerIdx, early: Early) {
-        for run in early.drains {
-            self.drain(idx, run);
-        }
-        if let Some(share) = early.share {
-            self.set_share(idx, share);
-        }
-    }
-
-    /// Keeps a drain of a server that is not declared yet.
-    ///
-    /// Gossip and a group's map reach a starting process in any order; forgotten, the drain would
-    /// come to light only by work for the leaving server.
-    pub fn drain_early(&mut self, name: &ServerName, incarnation: Option<Incarnation>) {
-        if let Some(early) = self.early_of(name)
-            && !early.drains.contains(&incarnation)
-            && early.drains.len() < early.drains.inline_size()
-        {
-            early.drains.push(incarnation);
-        }
-    }
-
-    /// Keeps the share of a server that is not declared yet.
-    pub fn share_early(&mut self, name: &ServerName, share: Connections) {
-        if let Some(early) = self.early_of(name) {
-            early.share = Some(share);
-        }
-    }
-
-    fn early_of(&mut self, name: &ServerName) -> Option<&mut Early> {
-        let has_room = self.early.len() < EARLY_MAX || self.early.contains_key(name);
-        has_room.then(|| self.early.entry(name.clone()).or_default())
-    }
-
     /// The place of a server; `None` if it was never declared.
     #[must_use]
     pub fn find(&self, name: &ServerName) -> Option<ServerIdx> {
@@ -209,94 +142,6 @@
         self.view(idx).standing(now, &self.options)
     }
 
-    /// Takes a health report in, as a hint; one of an earlier run is dropped.
-    pub fn report(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) -> Heard {
-        let view = &mut self.list[idx.index()];
-        view.is_silent = report.incarnation.is_none();
-        let Some(told) = report.incarnation else {
-            return Heard::Nothing;
-        };
-        let known = view.incarnation;
-        if known.is_some_and(|known| told < known) {
-            return Heard::Nothing;
-        }
-        view.incarnation = Some(told);
-        let is_new = known.is_some_and(|known| told > known);
-        if is_new {
-            self.new_run(now, idx);
-        }
-        self.take_hints(now, idx, report);
-        if report.draining && self.drain(idx, Some(told)) {
-            return Heard::Drained;
-        }
-        if is_new {
-            Heard::NewRun
-        } else {
-            Heard::Nothing
-        }
-    }
-
-    fn take_hints(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) {
-        let view = &mut self.list[idx.index()];
-        if view.load_at.is_none() {
-            view.load = report.load;
-        }
-        if view.own_word_until.is_some_and(|until| until > now) {
-            return;
-        }
-        let same = view
-            .snapshots
-            .as_ref()
-            .is_some_and(|held| held.as_slice() == report.snapshots);
-        if !same {
-            view.snapshots = Some(SmallVec::from_slice(report.snapshots));
-            self.changes += 1;
-        }
-    }
-
-    /// A new run holds what it says, is cold, and carries none of the old run's marks.
-    fn new_run(&mut self, now: Instant, idx: ServerIdx) {
-        self.step(idx, ServerEvent::NewRun);
-        let view = &mut self.list[idx.index()];
-        view.run_since = Some(now);
-        view.warming_since = Some(now);
-        view.snapshots = Some(SmallVec::new());
-        view.own_word_until = None;
-        view.latency.clear();
-        view.load = 0;
-        view.load_at = None;
-        view.failures = 0;
-        view.rests = 0;
-        view.rest_until = None;
-        view.shed_until = None;
-        self.changes += 1;
-    }
-
-    /// Marks a run of a server as draining; `true` if it was not marked before.
-    ///
-    /// A sign for an earlier run than the one known is dropped. A sign that names no run counts for
-    /// the run known now, and told again after a restart it is dropped too.
-    pub fn drain(&mut self, idx: ServerIdx, incarnation: Option<Incarnation>) -> bool {
-        let view = &mut self.list[idx.index()];
-        match incarnation {
-            Some(told) if view.incarnation.is_some_and(|known| told < known) => return false,
-            Some(told) => view.incarnation = Some(told),
-            None if view
-                .unnamed_drain
-                .is_some_and(|run| run != view.incarnation) =>
-            {
-                return false;
-            }
-            None => view.unnamed_drain = Some(view.incarnation),
-        }
-        if view.is_draining() {
-            return false;
-        }
-        self.step(idx, ServerEvent::Drain);
-        self.changes += 1;
-        true
-    }
-
     /// Sets how many connections this VM may hold to a server.
     pub fn set_share(&mut self, idx: ServerIdx, share: Connections) {
         self.list[idx.index()].share = share;
@@ -417,7 +262,7 @@
         true
     }
 
-    fn step(&mut self, idx: ServerIdx, event: ServerEvent) {
+    pub(crate) fn step(&mut self, idx: ServerIdx, event: ServerEvent) {
         let view = &mut self.list[idx.index()];
         let Some(next) = self.chart.next(view.state, event) else {
             return;
