test(process): an operator's commands against real processes; a verdict is one with any status

fix(cli): the administration API sends a verdict as a verdict again, with its status, so the client reads it as such. The tests with a canned answer followed the form that had changed twice; the new ones ask real processes: dry run, patch, resend, a late patch, status, dump, fleet dump, a wrong key.

--- a/src/commands/patch.rs
+++ b/src/commands/patch.rs
@@ -82,27 +82,17 @@
     Ok(exit(&verdict))
 }
 
-/// Sends the patch once. A refusal and an open verdict come as errors that say so; an error that
-/// does not is about the call and no word on the patch.
+/// Sends the patch once. A verdict comes with any status; an answer without one is about the call
+/// and no word on the patch.
 fn send(client: &Client, path: &str, body: &str) -> Result<Verdict> {
     let reply = client.post(path, body.to_owned())?;
-    if reply.status.is_success() {
-        return serde_json::from_value(reply.body).map_err(|e| {
+    match serde_json::from_value(reply.body.clone()) {
+        Ok(verdict) => Ok(verdict),
+        Err(e) if reply.status.is_success() => {
             let text = format!("the answer is no verdict: {e}");
-            Error::new(ErrorKind::Unknown, text).at("read verdict")
-        });
-    }
-    let told = |name: &str| reply.body.get(name).cloned().unwrap_or_default();
-    let against = serde_json::from_value(told("against")).unwrap_or_default();
-    match told("verdict").as_str() {
-        Some("refused") => Ok(Verdict::Refused {
-            error: reply.into_error(),
-            against,
-        }),
-        Some("undecided") => Ok(Verdict::Undecided {
-            error: reply.into_error(),
-        }),
-        _ => Err(reply.into_error()),
+            Err(Error::new(ErrorKind::Unknown, text).at("read verdict"))
+        }
+        Err(_) => Err(reply.into_error()),
     }
 }
 
--- /dev/null
+++ b/tests/process/operators.rs
@@ -0,0 +1,121 @@
+//! The commands of an operator against real processes.
+
+use std::process::Command;
+use std::process::Output;
+
+use gs_rig::deploy::TEAM_KEY;
+use gs_rig::operator::page_patch;
+use rstest::rstest;
+use serde_json::Value;
+use tempfile::TempDir;
+
+use crate::support::Running;
+use crate::support::tiny;
+
+/// The rig's team of operators.
+const TEAM: &str = "operators";
+
+/// Runs a command against a VM by its number, with the team's key.
+async fn run(d: &Running, dir: &TempDir, vm: usize, args: &[&str]) -> Output {
+    let admin = d.vms[vm].plan().admin.to_string();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gentiansill"));
+    command
+        .current_dir(dir.path())
+        .args([args, &["--admin", &admin, "--key-file", "team.key"]].concat());
+    let done = tokio::task::spawn_blocking(move || command.output()).await;
+    done.expect("joined").expect("the program runs")
+}
+
+fn code(o: &Output) -> i32 {
+    o.status.code().expect("an exit code")
+}
+
+fn text(buf: &[u8]) -> String {
+    String::from_utf8_lossy(buf).trim().to_owned()
+}
+
+/// A deployment, and a directory with the team's key and a patch against version 1.
+async fn prepared() -> (Running, TempDir) {
+    let d = tiny().await;
+    let dir = tempfile::tempdir().expect("a directory");
+    let patch = page_patch(&d.shape, "page-of-four", 1, "quote", 4).expect("a declared lookup");
+    let files = [
+        ("team.key", format!("{TEAM}:{TEAM_KEY}\n")),
+        ("wrong.key", format!("{TEAM}:{TEAM_KEY}x\n")),
+        ("p.json", patch.to_string()),
+    ];
+    for (name, content) in files {
+        std::fs::write(dir.path().join(name), content).expect("a file");
+    }
+    (d, dir)
+}
+
+/// An operator tries a patch, sends it, and sends it again through another VM as the answer could
+/// have been lost; then a colleague sends one against the version that he saw before.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_patch_from_dry_run_to_resend_and_a_late_one() {
+    let (d, dir) = prepared().await;
+    let dry = run(&d, &dir, 0, &["patch", "p.json", "--dry-run"]).await;
+    assert_eq!(text(&dry.stdout), "would be accepted: version 2", "{dry:?}");
+
+    let first = run(&d, &dir, 0, &["patch", "p.json", "--wait"]).await;
+    assert_eq!(code(&first), 0, "{first:?}");
+    assert!(
+        text(&first.stdout).starts_with("accepted: version 2\nin force on: "),
+        "{first:?}"
+    );
+
+    let again = run(&d, &dir, 1, &["patch", "p.json", "--json"]).await;
+    let verdict: Value = serde_json::from_slice(&again.stdout).expect("JSON");
+    assert_eq!(
+        (code(&again), &verdict["version"]),
+        (0, &Value::from(2)),
+        "{again:?}"
+    );
+
+    let late = page_patch(&d.shape, "page-of-five", 1, "quote", 5).expect("a declared lookup");
+    std::fs::write(dir.path().join("p.json"), late.to_string()).expect("a file");
+    let refused = run(&d, &dir, 2, &["patch", "p.json"]).await;
+    assert_eq!(code(&refused), 1, "{refused:?}");
+    assert!(
+        text(&refused.stdout).starts_with("refused: "),
+        "{refused:?}"
+    );
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_state_of_one_process_and_of_the_fleet() {
+    let (d, dir) = prepared().await;
+    let status = run(&d, &dir, 0, &["status"]).await;
+    let own = format!("vm = {}", d.vms[0].plan().name);
+    assert_eq!(code(&status), 0, "{status:?}");
+    assert!(text(&status.stdout).lines().any(|l| l == own), "{status:?}");
+
+    let dump = run(&d, &dir, 0, &["dump", "--json"]).await;
+    let state: Value = serde_json::from_slice(&dump.stdout).expect("JSON");
+    assert_eq!(code(&dump), 0, "{dump:?}");
+    assert_eq!(state["settings"]["mesh"]["secret"], "(hidden)", "{state:#}");
+
+    let fleet = run(&d, &dir, 1, &["dump", "--fleet", "--json"]).await;
+    assert_eq!(code(&fleet), 0, "{fleet:?}");
+    for vm in &d.vms {
+        let name = vm.plan().name.as_str();
+        assert!(text(&fleet.stdout).contains(name), "no {name} in {fleet:?}");
+    }
+}
+
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wrong_key_is_refused() {
+    let (d, dir) = prepared().await;
+    std::fs::rename(dir.path().join("wrong.key"), dir.path().join("team.key")).expect("renamed");
+    let dump = run(&d, &dir, 0, &["dump"]).await;
+    assert_eq!(code(&dump), 1, "{dump:?}");
+    assert!(
+        text(&dump.stderr).contains("(step: authenticate"),
+        "{dump:?}"
+    );
+    assert!(!text(&dump.stderr).contains(TEAM_KEY), "{dump:?}");
+}
