--- a/crates/trace/src/checker.rs
+++ b/crates/trace/src/checker.rs
@@ -25,6 +25,8 @@
     /// Dispatches that count for each stated server, in the order of the file.
     server_counts: Vec<u32>,
     last: (u64, Duration),
+    exact: bool,
+    compared: u64,
 }
 
 impl Checker {
@@ -38,12 +40,28 @@
         }
     }
 
+    /// Judges besides that each step does just what it did in the run that recorded, where the trace
+    /// tells. For the same build only: decisions that were changed on purpose do other things.
+    #[must_use]
+    pub fn exact(self) -> Self {
+        Self {
+            exact: true,
+            ..self
+        }
+    }
+
     /// How many lookups have ended in each way, by the steps seen.
     #[must_use]
     pub fn count(&self, kind: OutcomeKind) -> usize {
         self.outcomes.values().filter(|k| **k == kind).count()
     }
 
+    /// Steps compared with what the run that recorded did there.
+    #[must_use]
+    pub fn compared(&self) -> u64 {
+        self.compared
+    }
+
     /// Attempts dispatched by the steps seen.
     #[must_use]
     pub fn attempts(&self) -> u64 {
@@ -62,6 +80,13 @@
             at: step.at,
             text,
         };
+        let same = step.is_same().filter(|_| self.exact);
+        self.compared += u64::from(same.is_some());
+        if same == Some(false) {
+            return Err(diverges(
+                "it does not do what the run that recorded did".to_owned(),
+            ));
+        }
         self.promises.on(step).map_err(diverges)?;
         for action in &step.actions {
             match action {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -8,6 +8,7 @@
 //! A trace for a test can be written by hand as a [`Script`], a TOML file with a story.
 
 mod checker;
+mod digest;
 mod divergence;
 mod expect;
 mod frame;
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -80,7 +80,7 @@
             .map_err(|e| self.place.error(&format!("it does not read: {e}")))?;
         match &record {
             Record::Event { .. } => self.events += 1,
-            Record::Gap { .. } => {}
+            Record::Acted { .. } | Record::Gap { .. } => {}
             Record::End { events } => self.check_end(*events)?,
         }
         self.step_over();
--- a/crates/trace/src/record.rs
+++ b/crates/trace/src/record.rs
@@ -16,6 +16,11 @@
         /// What it was told.
         event: Event,
     },
+    /// What the engine did about the event before; without it, nothing.
+    Acted {
+        /// The digest of its actions.
+        digest: u32,
+    },
     /// The recorder fell behind and lost events here, so what follows cannot be replayed.
     Gap {
         /// How many events were lost.
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -11,9 +11,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_query::Action;
 use gs_query::Event;
 use gs_types::prelude::*;
 
+use crate::digest::ActionDigest;
 use crate::frame;
 use crate::header::FORMAT;
 use crate::header::Header;
@@ -45,17 +47,23 @@
 pub struct Recorded {
     /// Events written.
     pub events: u64,
-    /// Events lost.
+    /// Events and actions lost.
     pub lost: u64,
     /// Bytes written.
     pub size: Bytes,
 }
 
 struct Item {
-    /// Events lost just before this one.
+    /// Events and actions lost just before this one.
     lost: u64,
-    /// The event; `None` for a loss at the end.
-    event: Option<(Duration, Event)>,
+    what: What,
+}
+
+enum What {
+    Event(Duration, Event),
+    Action(Action),
+    /// Only a loss, at the end.
+    Nothing,
 }
 
 impl Recorder {
@@ -74,6 +82,7 @@
                 size: Bytes(written),
                 ..Recorded::default()
             },
+            did: None,
         };
         let writer = thread::Builder::new()
             .name("recorder".to_owned())
@@ -89,11 +98,18 @@
 
     /// Records that the engine is told `event` at `now`; call it just before the engine's `on`.
     pub fn record(&mut self, now: Instant, event: &Event) {
-        let item = Item {
-            lost: self.lost,
-            event: Some((now.duration_since(self.start), event.clone())),
-        };
-        match self.tx.try_send(item) {
+        let at = now.duration_since(self.start);
+        self.put(What::Event(at, event.clone()));
+    }
+
+    /// Records that the engine did this about the event recorded last, for an exact replay.
+    pub fn acted(&mut self, action: &Action) {
+        self.put(What::Action(action.clone()));
+    }
+
+    fn put(&mut self, what: What) {
+        let lost = self.lost;
+        match self.tx.try_send(Item { lost, what }) {
             Ok(()) => self.lost = 0,
             Err(_) => self.lost += 1,
         }
@@ -110,7 +126,8 @@
         } = self;
         if lost > 0 {
             // The writer may have ended on an error, which `join` tells.
-            let _ = tx.send(Item { lost, event: None });
+            let what = What::Nothing;
+            let _ = tx.send(Item { lost, what });
         }
         drop(tx);
         match writer.join() {
@@ -136,6 +153,8 @@
 struct Sink<W: Write> {
     out: BufWriter<W>,
     done: Recorded,
+    /// What the engine did about the event written last; `None` for nothing.
+    did: Option<ActionDigest>,
 }
 
 impl<W: Write> Sink<W> {
@@ -143,6 +162,7 @@
         while let Some(item) = self.next(rx)? {
             self.write_item(item)?;
         }
+        self.close_step()?;
         let events = self.done.events;
         self.write(&Record::End { events })?;
         self.out.flush()?;
@@ -163,17 +183,29 @@
         if item.lost > 0 {
             self.gap(item.lost)?;
         }
-        let Some((at, event)) = item.event else {
-            return Ok(());
-        };
-        if self.done.size >= LIMIT {
-            return self.gap(1);
+        match item.what {
+            What::Event(..) if self.done.size >= LIMIT => return self.gap(1),
+            What::Event(at, event) => {
+                self.close_step()?;
+                self.write(&Record::Event { at, event })?;
+                self.done.events += 1;
+            }
+            What::Action(action) => self.did.get_or_insert_default().add(&action),
+            What::Nothing => {}
         }
-        self.write(&Record::Event { at, event })?;
-        self.done.events += 1;
         Ok(())
     }
 
+    /// Writes what the engine did about the last event.
+    fn close_step(&mut self) -> io::Result<()> {
+        match self.did.take() {
+            Some(did) => self.write(&Record::Acted {
+                digest: did.finish(),
+            }),
+            None => Ok(()),
+        }
+    }
+
     fn gap(&mut self, lost: u64) -> io::Result<()> {
         let first = self.done.lost == 0;
         self.done.lost += lost;
--- a/crates/trace/src/replay.rs
+++ b/crates/trace/src/replay.rs
@@ -1,5 +1,6 @@
 //! Runs recorded events through a machine.
 
+use std::iter::Peekable;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -7,6 +8,7 @@
 use gs_query::Event;
 use gs_types::prelude::*;
 
+use crate::digest::ActionDigest;
 use crate::machine::Machine;
 use crate::record::Record;
 
@@ -21,18 +23,31 @@
     pub event: Event,
     /// What it wants done.
     pub actions: Vec<Action>,
+    /// The digest of what the run that recorded did here; `None` if the trace does not tell.
+    pub recorded: Option<u32>,
+}
+
+impl Step {
+    /// Whether the run that recorded did the same here; `None` if the trace does not tell.
+    #[must_use]
+    pub fn is_same(&self) -> Option<bool> {
+        let recorded = self.recorded?;
+        Some(recorded == ActionDigest::of(&self.actions))
+    }
 }
 
 /// Drives a machine with the records of a trace; an iterator of [`Step`]s.
 ///
 /// It ends with an error at a gap: the engine that recorded went on with events that this one
 /// would never see, so that every later step could differ for no fault of the decisions.
-pub struct Replay<I, M> {
-    records: I,
+pub struct Replay<I: Iterator, M> {
+    records: Peekable<I>,
     machine: M,
     start: Instant,
     last: Duration,
     number: u64,
+    /// Whether the trace tells at all what was done.
+    tells: bool,
     done: bool,
 }
 
@@ -44,11 +59,12 @@
     /// Starts at the first record; only differences from `start` reach the machine.
     pub fn new(records: I, machine: M, start: Instant) -> Self {
         Self {
-            records,
+            records: records.peekable(),
             machine,
             start,
             last: Duration::ZERO,
             number: 0,
+            tells: false,
             done: false,
         }
     }
@@ -64,6 +80,7 @@
                 return Err(refuse(format!("the recorder lost {lost} events here"))
                     .with_hint("record again under less load"));
             }
+            Record::Acted { .. } => return Err(refuse("what was done about no event".to_owned())),
             Record::End { .. } => return Err(refuse("records stand after the end".to_owned())),
         };
         let now = self
@@ -80,8 +97,24 @@
             at,
             event,
             actions,
+            recorded: self.recorded(),
         })
     }
+
+    /// Takes the digest that follows an event. Another event there means that nothing was done; at
+    /// the end of a trace that was cut short, that is not known.
+    fn recorded(&mut self) -> Option<u32> {
+        match self.records.peek() {
+            Some(Ok(Record::Acted { digest })) => {
+                let digest = *digest;
+                self.records.next();
+                self.tells = true;
+                Some(digest)
+            }
+            Some(Ok(Record::Event { .. })) if self.tells => Some(ActionDigest::default().finish()),
+            _ => None,
+        }
+    }
 }
 
 impl<I, M> Iterator for Replay<I, M>
--- a/crates/trace/tests/memory.rs
+++ b/crates/trace/tests/memory.rs
@@ -56,7 +56,7 @@
     }
     // For each kind of record and event: lists that claim to be as long as numbers go, in a record
     // that holds only that; its checksum is right.
-    for record in 0..3 {
+    for record in 0..4 {
         for event in 0..16 {
             let mut payload = vec![record, 0, 0, event];
             payload.extend([0xff; 9]);
--- a/crates/trace/tests/trace/fuzz.rs
+++ b/crates/trace/tests/trace/fuzz.rs
@@ -57,7 +57,7 @@
     #[test]
     fn any_record_with_a_true_checksum(
         payload in proptest::collection::vec(any::<u8>(), 0..200),
-        kind in 0..3u8,
+        kind in 0..4u8,
     ) {
         let whole = trace();
         // The end mark is a frame of 8 bytes and its payload of 2.
--- a/crates/trace/tests/trace/recording.rs
+++ b/crates/trace/tests/trace/recording.rs
@@ -8,11 +8,16 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_query::Action;
 use gs_query::Event;
+use gs_trace::Checker;
+use gs_trace::Expectations;
 use gs_trace::Reader;
 use gs_trace::Record;
 use gs_trace::Recorder;
+use gs_trace::Replay;
 
+use crate::common::Told;
 use crate::common::events;
 use crate::common::header;
 
@@ -91,6 +96,40 @@
     assert_eq!(read(&file.bytes()), expected);
 }
 
+/// Records a tick and a wake-up, then replays against a machine that asks for `wakes`.
+fn replayed(wakes: [u64; 2]) -> Result<(), String> {
+    let wake = |ms| Action::Wake(Duration::from_millis(ms));
+    let file = File::new();
+    let now = Instant::now();
+    let mut recorder = Recorder::start(file.clone(), &header(), now).expect("started");
+    for ms in [3, 5] {
+        recorder.record(now, &Event::Tick);
+        recorder.acted(&wake(ms));
+    }
+    recorder.record(now, &Event::Tick);
+    recorder.record(now, &Event::Leave);
+    recorder.finish().expect("written");
+    let machine = Told(wakes.map(|ms| vec![wake(ms)]).into_iter().collect());
+    let bytes = file.bytes();
+    let reader = Reader::new(bytes.as_slice()).expect("a trace");
+    let mut checker = Checker::new(Expectations::default()).exact();
+    for step in Replay::new(reader, machine, now) {
+        checker
+            .on(&step.expect("a step"))
+            .map_err(|d| d.to_string())?;
+    }
+    Ok(())
+}
+
+#[test]
+fn an_exact_replay_does_just_what_the_recorded_run_did() {
+    assert_eq!(replayed([3, 5]), Ok(()));
+    assert_eq!(
+        replayed([3, 6]),
+        Err("step 2 at 0s: it does not do what the run that recorded did".to_owned())
+    );
+}
+
 #[test]
 fn a_slow_disk_loses_events_and_never_holds_the_process_up() {
     // Story: the file stands still for a while, so the queue fills up. The process must not wait;
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -37,6 +37,7 @@
 const EXPECT: &str = "expect";
 const PARTIAL: &str = "partial";
 const STEPS: &str = "steps";
+const EXACT: &str = "exact";
 
 /// Declares the command.
 pub(crate) fn command() -> Command {
@@ -69,6 +70,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Replay the whole records of a trace that is cut short or corrupt further on"),
         )
+        .arg(
+            Arg::new(EXACT)
+                .long("exact")
+                .action(ArgAction::SetTrue)
+                .help("Also compare each step with what it did when recorded; for the same build"),
+        )
         .arg(
             Arg::new(STEPS)
                 .long("steps")
@@ -79,6 +86,7 @@
         .after_help(after_help(
             "  gentiansill replay vm.trace --expect vm.expect.toml\n  \
              gentiansill replay traces/one-snapshot.toml --expect traces/one-snapshot.expect.toml\n  \
+             gentiansill replay vm.trace --exact\n  \
              gentiansill replay vm.trace --steps | less",
         ))
 }
@@ -96,7 +104,18 @@
         false => records,
     };
     let mut checker = Checker::new(stated);
+    if m.get_flag(EXACT) {
+        checker = checker.exact();
+    }
     let judged = judge(&header, records, &mut checker, m.get_flag(STEPS))?;
+    if m.get_flag(EXACT) && checker.compared() == 0 {
+        return Err(
+            Error::new(ErrorKind::BadInput, "the trace does not tell what was done")
+                .at("replay")
+                .with_hint("leave out `--exact`; only a trace of `serve --record` can be compared")
+                .into(),
+        );
+    }
     tell(&checker, &judged, wants_json(m));
     Ok(match judged {
         Ok(_) => Exit::Done,
