--- /dev/null
+++ b/crates/node/src/options.rs
@@ -0,0 +1,183 @@
+//! What each part of the process is told of the settings.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use gs_clock::Clock;
+use gs_conf::Book;
+use gs_conf::BookOptions;
+use gs_http::Limits;
+use gs_http::PoolOptions;
+use gs_member::MemberSettings;
+use gs_mesh::Mesh;
+use gs_mesh::MeshSettings;
+use gs_mesh::NngMesh;
+use gs_once::OnceSettings;
+use gs_query::Engine;
+use gs_query::EngineOptions;
+use gs_query::PolicyName;
+use gs_settings::Policy;
+use gs_settings::Settings;
+use gs_store::HttpPlatform;
+use gs_store::HttpPlatformOptions;
+use gs_store::Platform;
+use gs_trace::Header;
+use gs_types::prelude::*;
+use tokio::sync::mpsc;
+
+use crate::message::Message;
+use crate::recording::Recording;
+
+/// Messages that arrive from other VMs.
+pub(crate) type Inbox = mpsc::Receiver<gs_mesh::Received<Message>>;
+
+/// The settings, and what is drawn once at the start.
+pub(crate) struct Start {
+    pub(crate) settings: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) seed: u64,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+impl Start {
+    /// Draws the incarnation from the time of day, which no earlier run on this VM had.
+    pub(crate) fn new(settings: Settings, clock: Arc<dyn Clock>) -> Self {
+        let since = clock
+            .wall()
+            .duration_since(SystemTime::UNIX_EPOCH)
+            .unwrap_or_default();
+        let incarnation = Incarnation(u64::try_from(since.as_millis()).unwrap_or(u64::MAX));
+        let seed = settings.tuning.seed.unwrap_or(incarnation.0);
+        Self {
+            settings,
+            incarnation,
+            seed,
+            clock,
+        }
+    }
+
+    pub(crate) fn vm(&self) -> VmId {
+        self.settings.vm.name.clone()
+    }
+
+    pub(crate) fn platform(&self) -> Arc<dyn Platform> {
+        let options = HttpPlatformOptions::builder()
+            .addr(self.settings.platform.addr)
+            .maybe_source(self.settings.source.ip)
+            .seed(self.seed)
+            .clock(Arc::clone(&self.clock))
+            .timeout(self.settings.platform.timeout)
+            .reads(self.settings.platform.reads_per_second)
+            .writes(self.settings.platform.writes_per_second)
+            .build();
+        Arc::new(HttpPlatform::new(options))
+    }
+
+    pub(crate) fn mesh(&self) -> Result<(Arc<dyn Mesh<Message>>, Inbox)> {
+        let cfg = MeshSettings::builder()
+            .vm(self.settings.vm.name.clone())
+            .incarnation(self.incarnation)
+            .listen(self.settings.listen.mesh)
+            .maybe_source(self.settings.source.ip)
+            .secret(gs_mesh::Secret::new(self.settings.mesh.secret.expose())?)
+            .build();
+        let (mesh, rx) = NngMesh::start(cfg)?;
+        Ok((Arc::new(mesh), rx))
+    }
+
+    fn engine_options(&self) -> EngineOptions {
+        EngineOptions {
+            policy: match self.settings.tuning.policy {
+                Policy::Chosen => PolicyName::Chosen,
+                Policy::Baseline => PolicyName::Baseline,
+            },
+            lookups_max: self.settings.callers.in_flight,
+            extra_ratio: self.settings.tuning.extra_budget.value(),
+            ..EngineOptions::default()
+        }
+    }
+
+    pub(crate) fn engine(&self) -> Result<Engine> {
+        Engine::builder()
+            .vm(self.settings.vm.name.clone())
+            .incarnation(self.incarnation)
+            .data_centre(self.settings.vm.data_centre.clone())
+            .seed(self.seed)
+            .options(self.engine_options())
+            .build()
+    }
+
+    pub(crate) fn recording(&self) -> Result<Recording> {
+        let Some(file) = &self.settings.record.file else {
+            return Ok(Recording::default());
+        };
+        let header = Header::builder()
+            .vm(self.settings.vm.name.clone())
+            .incarnation(self.incarnation)
+            .data_centre(self.settings.vm.data_centre.clone())
+            .seed(self.seed)
+            .options(self.engine_options())
+            .build();
+        Recording::start(file, &header, self.clock.now())
+    }
+
+    pub(crate) fn book(&self) -> Result<Book> {
+        let bootstrap = self
+            .settings
+            .bootstrap
+            .as_ref()
+            .map(|b| gs_conf::Bootstrap {
+                team: b.team.clone(),
+                key_sha256: b.key_sha256.to_string(),
+            });
+        let options = BookOptions::builder()
+            .vm(self.settings.vm.name.clone())
+            .incarnation(self.incarnation)
+            .seed(self.seed)
+            .maybe_bootstrap(bootstrap)
+            .build();
+        Book::new(options)
+    }
+
+    pub(crate) fn member(&self) -> MemberSettings {
+        let me = gs_member::VmEntry {
+            vm: self.settings.vm.name.clone(),
+            data_centre: self.settings.vm.data_centre.clone(),
+            region: self.settings.vm.region.clone(),
+            mesh: self.settings.listen.mesh,
+            callers: self.settings.listen.callers,
+            admin: self.settings.listen.admin,
+            leaving: false,
+        };
+        MemberSettings::builder()
+            .me(me)
+            .incarnation(self.incarnation)
+            .seed(self.seed)
+            .period(self.settings.mesh.heartbeat)
+            .build()
+    }
+
+    pub(crate) fn once(&self) -> OnceSettings {
+        OnceSettings::builder()
+            .vm(self.settings.vm.name.clone())
+            .incarnation(self.incarnation)
+            .window(self.settings.claims.window)
+            .skew(self.settings.claims.skew)
+            .build()
+    }
+
+    pub(crate) fn caller_limits(&self) -> Limits {
+        Limits {
+            headers: usize::try_from(self.settings.callers.headers.0).unwrap_or(usize::MAX),
+            header_timeout: self.settings.callers.header_timeout,
+            connections: self.settings.callers.connections.0 as usize,
+        }
+    }
+
+    pub(crate) fn pool(&self) -> PoolOptions {
+        PoolOptions::builder()
+            .maybe_source(self.settings.source.ip)
+            .connect_timeout(self.settings.servers.connect_timeout)
+            .build()
+    }
+}
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -9,6 +9,7 @@
 use gs_query::Engine;
 use gs_settings::Shutdown;
 use gs_types::prelude::*;
+use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::sync::watch;
@@ -38,21 +39,37 @@
     pub(crate) serving: JoinHandle<()>,
 }
 
-/// Waits for the signal to leave: SIGTERM or SIGINT.
+/// The signals that tell a process to leave: SIGTERM and SIGINT.
 ///
-/// # Errors
-///
-/// [`ErrorKind::Io`] if signals cannot be received.
-pub(crate) async fn told() -> Result<()> {
-    let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("await signal");
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// They are installed before the process listens. A signal that comes earlier would otherwise end it
+/// at once, and one that comes again while it leaves must change nothing: only the deadline cuts.
+pub(crate) struct Signals {
+    term: Signal,
+    int: Signal,
+}
+
+impl Signals {
+    /// Begins to receive them.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if signals cannot be received.
+    pub(crate) fn install() -> Result<Self> {
+        let failed =
+            |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("await signals");
+        Ok(Self {
+            term: signal(SignalKind::terminate()).map_err(failed)?,
+            int: signal(SignalKind::interrupt()).map_err(failed)?,
+        })
+    }
+
+    /// Waits for the first.
+    pub(crate) async fn first(mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
     }
-    // The handlers stay installed, so that a second signal changes nothing: only the deadline cuts.
-    Ok(())
 }
 
 impl Leaver {
