--- a/tests/cli/serve.rs
+++ b/tests/cli/serve.rs
@@ -1,6 +1,15 @@
-//! `serve` where it cannot start.
+//! `serve` from its start to its graceful end.
 
+use std::io::BufRead;
+use std::io::BufReader;
 use std::net::TcpListener;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
 
 use crate::common::files;
 use crate::common::run_in;
@@ -38,6 +47,59 @@
     )
 }
 
+fn serve(dir: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_gentiansill"))
+        .current_dir(dir)
+        .args(["serve", "--settings", "vm.toml", "--record", "vm.trace"])
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program runs")
+}
+
+/// The value of a key in a log line.
+fn value<'a>(line: &'a str, key: &str) -> Option<&'a str> {
+    line.split(' ')
+        .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('='))
+}
+
+#[test]
+fn a_process_logs_events_leaves_at_sigterm_and_ends_its_trace() {
+    // Story: an operator stops a VM. Its process says on the way what it does, one event a line,
+    // exits with 0, and the trace it was recording is whole.
+    let dir = files(&[
+        ("vm.toml", &settings(8011)),
+        ("secret", "0123456789abcdef\n"),
+    ]);
+    let mut child = serve(dir.path());
+    let stderr = child.stderr.take().expect("its log");
+    let mut lines = Vec::new();
+    for line in BufReader::new(stderr).lines() {
+        let line = line.expect("a line");
+        if value(&line, "event") == Some("view")
+            && !lines.iter().any(|l: &String| l.contains("event=view"))
+        {
+            let pid = Pid::from_child(&child);
+            rustix::process::kill_process(pid, Signal::TERM).expect("told to leave");
+        }
+        lines.push(line);
+    }
+    let code = child.wait().expect("ended").code();
+    assert_eq!(code, Some(0), "{lines:#?}");
+
+    for line in &lines {
+        for key in ["time", "level", "event"] {
+            assert!(value(line, key).is_some(), "no {key} in {line}");
+        }
+    }
+    let events: Vec<_> = lines.iter().filter_map(|l| value(l, "event")).collect();
+    assert_eq!(events.first(), Some(&"start"), "{events:?}");
+    assert_eq!(events.last(), Some(&"exit"), "{events:?}");
+
+    let r = run_in(dir.path(), &["replay", "vm.trace"]);
+    assert_eq!(r.code, 0, "{}", r.stderr);
+    assert!(r.stdout.starts_with("as stated: "), "{}", r.stdout);
+}
+
 #[test]
 fn an_address_in_use_is_told_with_its_step() {
     let text = settings(8021);
