fix(query): servers lost together raise suspicion before a peer's word

The caller's resend reached the second VM before the first VM's word, and its whole fan-out crashed the replicas. Ruled out: a lost message (the word came, about 1 ms late). The crash closes the other VMs' idle connections as soon as the first VM learns of it, so the pool now tells of connections that a server closed (Event::Lost), and two servers lost within 50 ms raise suspicion for 1 s: unproven lookups show one server first. Cost: when many servers are lost at once for another reason, unproven lookups wait for one part more during that second.

--- a/crates/http/src/backend/lane.rs
+++ b/crates/http/src/backend/lane.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use gs_query::Event;
@@ -23,7 +25,7 @@
 }
 
 struct State {
-    idle: Vec<Sender>,
+    idle: Vec<Lent>,
     /// Connections whose socket may still be open, idle or not.
     open: u32,
     /// The most that may be open.
@@ -33,6 +35,14 @@
 /// A connection lent out; given back by [`Lane::put_back`], closed when dropped.
 pub(crate) struct Lent {
     pub(crate) tx: Sender,
+    /// Whether this process would keep it; tells a server's close from our own.
+    kept: Arc<AtomicBool>,
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        self.kept.store(false, Ordering::Relaxed);
+    }
 }
 
 impl Lane {
@@ -92,8 +102,8 @@
                 let slot = Slot {
                     lane: Arc::clone(&lane),
                 };
-                if let Ok(tx) = lane.open_in(slot, lane.common.opts.connect_timeout).await {
-                    lane.put_back(Lent { tx });
+                if let Ok(lent) = lane.open_in(slot, lane.common.opts.connect_timeout).await {
+                    lane.put_back(lent);
                 }
             });
         }
@@ -119,9 +129,9 @@
     /// Takes an idle connection if there is one.
     pub(crate) fn take_idle(&self) -> Option<Lent> {
         let mut s = self.state();
-        while let Some(tx) = s.idle.pop() {
-            if tx.is_ready() {
-                return Some(Lent { tx });
+        while let Some(lent) = s.idle.pop() {
+            if lent.tx.is_ready() {
+                return Some(lent);
             }
         }
         None
@@ -131,7 +141,7 @@
     pub(crate) fn put_back(&self, lent: Lent) {
         let mut s = self.state();
         if s.open <= s.share && !lent.tx.is_closed() {
-            s.idle.push(lent.tx);
+            s.idle.push(lent);
         }
         drop(s);
         self.freed.notify_one();
@@ -144,8 +154,7 @@
                 return Ok(lent);
             }
             if let Some(slot) = self.reserve() {
-                let tx = self.open_in(slot, self.common.opts.connect_timeout).await?;
-                return Ok(Lent { tx });
+                return self.open_in(slot, self.common.opts.connect_timeout).await;
             }
             freed.await;
         }
@@ -163,10 +172,12 @@
     }
 
     /// Opens a connection in a reserved slot; the slot is freed when the socket is closed.
-    async fn open_in(self: &Arc<Self>, slot: Slot, limit: Duration) -> Result<Sender> {
+    async fn open_in(self: &Arc<Self>, slot: Slot, limit: Duration) -> Result<Lent> {
         let (tx, driver) = connect(self.decl.addr, self.common.opts.source, limit).await?;
         let sink = Arc::clone(&self.common.sink);
         let name = self.decl.name.clone();
+        let kept = Arc::new(AtomicBool::new(true));
+        let seen = Arc::clone(&kept);
         self.common.opened();
         sink.event(Event::Connection(name.clone(), true));
         tokio::spawn(async move {
@@ -174,9 +185,12 @@
                 log::debug!("event=backend-connection-ended server={name} error=\"{e}\"");
             }
             drop(slot);
+            if seen.load(Ordering::Relaxed) {
+                sink.event(Event::Lost(name.clone()));
+            }
             sink.event(Event::Connection(name, false));
         });
-        Ok(tx)
+        Ok(Lent { tx, kept })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/query/src/core.rs
+++ b/crates/query/src/core.rs
@@ -26,6 +26,7 @@
 use crate::attempt::attempt_chart;
 use crate::counters::Counters;
 use crate::lookup::LookupRun;
+use crate::losses::Losses;
 use crate::options::EngineOptions;
 use crate::policies;
 use crate::suspects::Suspects;
@@ -86,6 +87,7 @@
     pub(crate) orphans: BTreeMap<AttemptKey, Orphan>,
     pub(crate) timers: BTreeSet<(Instant, Timer)>,
     pub(crate) suspects: Suspects,
+    pub(crate) losses: Losses,
     pub(crate) is_leaving: bool,
     /// Lookups in flight.
     pub(crate) in_flight: usize,
@@ -130,6 +132,7 @@
             orphans: BTreeMap::new(),
             timers: BTreeSet::new(),
             suspects: Suspects::new(options.quarantine, options.suspicion),
+            losses: Losses::default(),
             is_leaving: false,
             in_flight: 0,
             counters: Counters::default(),
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bon::bon;
@@ -60,6 +61,9 @@
     }
 }
 
+/// How long suspicion stays up after servers were lost together: time enough for a peer's word.
+const SUSPICION_AFTER_LOSSES: Duration = Duration::from_secs(1);
+
 impl Engine {
     /// Takes one event in and appends what has to be done to `out`.
     pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
@@ -77,6 +81,7 @@
             Event::Reply(id, reply) => self.reply(now, &id, reply, out),
             Event::Gone(seq) => self.with(seq, |core, lk| core.gone(now, lk, out)),
             Event::Connection(server, opened) => self.connection(&server, opened),
+            Event::Lost(server) => self.lost(now, server),
             Event::Tick => self.tick(now, out),
             Event::Leave => self.core.is_leaving = true,
         }
@@ -229,6 +234,12 @@
         }
     }
 
+    fn lost(&mut self, now: Instant, server: ServerName) {
+        if self.core.losses.note(now, server) {
+            self.core.suspects.raise(now, SUSPICION_AFTER_LOSSES);
+        }
+    }
+
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.woken_at = None;
         while let Some((at, timer)) = self.core.timers.first().copied() {
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -37,6 +37,8 @@
     Gone(LookupSeq),
     /// A connection to a server opened (`true`) or closed (`false`).
     Connection(ServerName, bool),
+    /// A server closed a connection that this process would have kept, or stopped answering on it.
+    Lost(ServerName),
     /// A timer asked for by [`crate::Action::Wake`] is due.
     Tick,
     /// This process is leaving: refuse new lookups, finish the ones in flight.
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -17,6 +17,7 @@
 mod keyed;
 mod life;
 mod lookup;
+mod losses;
 mod merge;
 mod options;
 mod orphan;
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Raises suspicion against every lookup that is not proven.
+    pub(crate) fn raise(&mut self, now: Instant, length: Duration) {
+        self.raised_until = self.raised_until.max(Some(now + length));
+    }
+
     /// What to do with a lookup that arrives.
     pub(crate) fn standing(&self, now: Instant, fp: Fingerprint) -> Standing {
         let Some(s) = self.suspects.get(&fp).filter(|s| s.forget_at > now) else {
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -234,3 +234,30 @@
 fn name_near() -> DataCentre {
     crate::world::name("near")
 }
+
+/// A poisoned lookup is fanned out through another VM and crashes a server of every shard. Its caller
+/// sends it again at once, through this VM, before the other's word is here: it would crash the
+/// replicas too. But the crash also closed this VM's connections, at that same moment.
+#[test]
+fn servers_lost_together_raise_suspicion_before_a_peers_word() {
+    let mut w = World::new(6, 2);
+    w.on(Event::Lost(server(0, 0)));
+    w.on(Event::Lost(server(1, 0)));
+    w.arrive("urgent");
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    w.pass(Duration::from_secs(2));
+    let before = w.open.len();
+    w.arrive_with(World::request("urgent", "larch"));
+    assert_eq!(w.open.len(), before + 6, "no suspicion is left");
+}
+
+#[test]
+fn one_server_lost_raises_no_suspicion() {
+    let mut w = World::new(6, 2);
+    w.on(Event::Lost(server(0, 0)));
+    w.on(Event::Lost(server(0, 0)));
+    w.pass(Duration::from_millis(200));
+    w.on(Event::Lost(server(1, 0)));
+    w.arrive("urgent");
+    assert_eq!(w.open.len(), 6);
+}
