--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -254,6 +254,7 @@
             spread: self.spread.clone(),
             seed: self.start.seed,
             wait: self.start.settings.platform.watch_wait,
+            book: Arc::clone(&self.machines.book),
         }
     }
 
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gs_conf::Book;
 use gs_conf::CURRENT;
 use gs_member::SeatTable;
+use gs_store::Holds;
 use gs_store::Object;
 use gs_store::Platform;
 use gs_store::Update;
@@ -13,7 +15,9 @@
 use gs_store::Watcher;
 use gs_types::prelude::*;
 
+use crate::actor::Shared;
 use crate::board::Board;
+use crate::board::lock;
 use crate::book_shell::found;
 use crate::feeds::Feeds;
 use crate::message::Message;
@@ -28,6 +32,10 @@
 /// Time between two tries to learn the shard maps at the start.
 const GROUPS_EVERY: Duration = Duration::from_millis(300);
 
+/// How long a change of the configuration is left to peers before it is read from the platform, which
+/// counts every call.
+const PEERS_FIRST: Duration = Duration::from_millis(50);
+
 /// What following the platform needs.
 #[derive(Clone)]
 pub(crate) struct Follower {
@@ -38,16 +46,20 @@
     pub(crate) seed: u64,
     /// How long a watch waits for a change.
     pub(crate) wait: Duration,
+    /// Tells which configuration is held already.
+    pub(crate) book: Shared<Book>,
 }
 
 impl Follower {
     /// Starts every task that follows the platform.
     pub(crate) fn start(self) {
-        self.watch(CURRENT, |f, u| {
+        let book = Arc::clone(&self.book);
+        let held: Holds = Arc::new(move |_, version| lock(&book).gossip().object >= version.0);
+        self.watch(CURRENT, Some(held), |f, u| {
             f.feeds.book.push(gs_conf::Event::Read(found(Ok(u.object))));
         });
-        self.watch(GROUPS, |f, u| f.group_changed(&u));
-        self.watch(SeatTable::PATH, |f, u| {
+        self.watch(GROUPS, None, |f, u| f.group_changed(&u));
+        self.watch(SeatTable::PATH, None, |f, u| {
             let table = u.object.map(stored);
             f.feeds.member.push(gs_member::Event::TableRead(Ok(table)));
         });
@@ -55,12 +67,24 @@
         tokio::spawn(self.load_groups());
     }
 
-    fn watch(&self, prefix: &'static str, on: impl Fn(&Self, Update) + Send + 'static) {
+    /// Watches a prefix; what `holds` says is held already is neither read nor handed over.
+    fn watch(
+        &self,
+        prefix: &'static str,
+        holds: Option<Holds>,
+        on: impl Fn(&Self, Update) + Send + 'static,
+    ) {
         let this = self.clone();
         let options = WatchOptions::builder()
             .prefix(prefix)
             .seed(self.seed)
             .wait(self.wait)
+            .settle(if holds.is_some() {
+                PEERS_FIRST
+            } else {
+                Duration::ZERO
+            })
+            .maybe_holds(holds)
             .build();
         tokio::spawn(async move {
             let (_watcher, mut rx) = Watcher::start(Arc::clone(&this.platform), options);
