--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -24,6 +24,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::JSON;
 use super::after_help;
 use super::json_arg;
 use super::steps;
@@ -79,6 +80,7 @@
         .arg(
             Arg::new(STEPS)
                 .long("steps")
+                .conflicts_with(JSON)
                 .action(ArgAction::SetTrue)
                 .help("Show each step: its number, time, event and actions"),
         )
@@ -109,12 +111,7 @@
     }
     let judged = judge(&header, records, &mut checker, m.get_flag(STEPS))?;
     if m.get_flag(EXACT) && checker.compared() == 0 {
-        return Err(
-            Error::new(ErrorKind::BadInput, "the trace does not tell what was done")
-                .at("replay")
-                .with_hint("leave out `--exact`; only a trace of `serve --record` can be compared")
-                .into(),
-        );
+        return Err(nothing_to_compare().into());
     }
     tell(&checker, &judged, wants_json(m));
     Ok(match judged {
@@ -123,6 +120,12 @@
     })
 }
 
+fn nothing_to_compare() -> Error {
+    Error::new(ErrorKind::BadInput, "the trace does not tell what was done")
+        .at("replay")
+        .with_hint("leave out `--exact`; only a trace of `serve --record` can be compared")
+}
+
 type Records = Box<dyn Iterator<Item = Result<Record>>>;
 
 /// Opens a trace or a script.
--- a/tests/cli/check.rs
+++ b/tests/cli/check.rs
@@ -32,9 +32,20 @@
 }
 
 #[test]
-fn the_example_is_good() {
-    let r = run(&["check", "--settings", "examples/vm.toml"]);
-    assert_eq!((r.code, r.stdout.as_str()), (0, "the settings are good"));
+fn the_examples_are_good() {
+    let files = [
+        "--settings",
+        "examples/vm.toml",
+        "--patch",
+        "examples/first-front.json",
+    ];
+    let r = run(&[&["check"], files.as_slice()].concat());
+    assert_eq!(
+        (r.code, r.stdout.as_str()),
+        (0, "the settings are good\nthe patch is good"),
+        "{}",
+        r.stderr
+    );
 }
 
 #[test]
