fix(route): pause before a server that could not be reached is asked again

A server that could not be reached, or broke its connection, is now left alone for 20 ms, doubled up to 320 ms; tries that never left count against a wider bound only. The new test failed before (the lookup was over after 4 tries at once).

--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -163,7 +163,7 @@
             self.give_up(lk, at, miss);
             return;
         }
-        if lk.shards[at].attempts.len() >= usize::from(self.options.tries_max) {
+        if lk.shards[at].is_used_up(self.options.tries_max) {
             let miss = lk.shards[at].miss;
             self.give_up(lk, at, miss);
             return;
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -11,6 +11,9 @@
 use crate::attempt::Attempt;
 use crate::attempt::Kind;
 
+/// The most attempts at one shard, those that never left included.
+const ATTEMPTS_MAX: usize = 32;
+
 /// What a lookup is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -73,6 +76,12 @@
         self.attempts.iter().any(Attempt::is_live)
     }
 
+    /// Whether it had all its tries; those that never left count only against the upper bound.
+    pub(crate) fn is_used_up(&self, tries_max: u16) -> bool {
+        let tries = self.attempts.iter().filter(|a| a.sent.is_some()).count();
+        tries >= usize::from(tries_max) || self.attempts.len() >= ATTEMPTS_MAX
+    }
+
     /// Whether neither a part nor a miss is final.
     pub(crate) fn is_open(&self) -> bool {
         !matches!(self.state, ShardState::Whole | ShardState::Missing)
--- a/crates/query/tests/engine/connections.rs
+++ b/crates/query/tests/engine/connections.rs
@@ -130,3 +130,26 @@
     w.arrive("urgent");
     assert_eq!(w.open.len(), 1);
 }
+
+/// A poisoned lookup takes both replicas of a shard down; they are back within the deadline of the
+/// auditor's lookup that is under way. Until then each try is refused in no time, and the lookup
+/// must not use up its tries on that. Found with the rig's crashing servers.
+#[test]
+fn a_part_waits_for_replicas_that_are_down_for_a_moment() {
+    let mut w = World::new(1, 2);
+    let seq = w.arrive("complete");
+    for _ in 0..12 {
+        while let Some(d) = w.open.pop() {
+            w.reply(&d, PartReply::NotSent);
+        }
+        w.pass(Duration::from_millis(10));
+    }
+    assert!(!w.is_over(seq));
+    let tries = w.engine.counters().attempts;
+    assert!(tries < 12, "{tries} tries at servers that are down");
+    for _ in 0..4 {
+        w.pass(Duration::from_millis(10));
+        w.serve_all();
+    }
+    assert!(w.answer(seq).coverage.is_full());
+}
--- a/crates/route/src/runs.rs
+++ b/crates/route/src/runs.rs
@@ -91,9 +91,10 @@
         view.load = 0;
         view.load_at = None;
         view.failures = 0;
+        view.losses = 0;
         view.rests = 0;
         view.rest_until = None;
-        view.shed_until = None;
+        view.pause_until = None;
         self.changes += 1;
     }
 
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -61,7 +61,7 @@
     Free,
     /// All of this VM's share of its connections is in use.
     Busy,
-    /// It refused for load and asked for a pause until then.
+    /// It refused for load and asked for a pause until then, or could not be reached just now.
     Paused(Instant),
     /// It failed too often and rests until then.
     Resting(Instant),
@@ -90,9 +90,11 @@
     pub(crate) load: u32,
     pub(crate) load_at: Option<Instant>,
     pub(crate) failures: u32,
+    /// Times in a row that it could not be reached, or broke its connection.
+    pub(crate) losses: u32,
     pub(crate) rests: u32,
     pub(crate) rest_until: Option<Instant>,
-    pub(crate) shed_until: Option<Instant>,
+    pub(crate) pause_until: Option<Instant>,
     /// Whether its health endpoint did not answer when it was last asked.
     pub(crate) is_silent: bool,
     pub(crate) warming_since: Option<Instant>,
@@ -116,9 +118,10 @@
             load: 0,
             load_at: None,
             failures: 0,
+            losses: 0,
             rests: 0,
             rest_until: None,
-            shed_until: None,
+            pause_until: None,
             is_silent: false,
             warming_since: None,
         }
@@ -216,7 +219,7 @@
         if self.is_draining() {
             return Standing::Out;
         }
-        if let Some(until) = self.shed_until.filter(|until| *until > now) {
+        if let Some(until) = self.pause_until.filter(|until| *until > now) {
             return Standing::Paused(until);
         }
         if let Some(until) = self.rest(now, options) {
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -21,6 +21,12 @@
 /// The longest pause that a server may ask for.
 const SHED_MAX: Duration = Duration::from_secs(5);
 
+/// The pause after a server could not be reached; doubled with each time in a row.
+const LOSS_PAUSE: Duration = Duration::from_millis(20);
+
+/// The most doublings of that pause.
+const LOSS_DOUBLINGS: u32 = 4;
+
 /// The place of a server in [`Servers`]; stays the same for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerIdx(u32);
@@ -179,6 +185,7 @@
     pub fn succeeded(&mut self, now: Instant, idx: ServerIdx, load: u32) {
         let view = &mut self.list[idx.index()];
         view.failures = 0;
+        view.losses = 0;
         view.rests = 0;
         view.load = load;
         view.load_at = Some(now);
@@ -194,9 +201,17 @@
     }
 
     /// An attempt at a server failed.
+    ///
+    /// One that cannot be reached refuses within a millisecond. Without a pause, a part whose
+    /// replicas all restart at the same time would use up its tries long before they are back.
     pub fn failed(&mut self, now: Instant, idx: ServerIdx, failure: Failure) {
         let view = &mut self.list[idx.index()];
         view.failures = view.failures.saturating_add(failure.weight());
+        if failure != Failure::Error {
+            let pause = LOSS_PAUSE.saturating_mul(1 << view.losses.min(LOSS_DOUBLINGS));
+            view.losses = view.losses.saturating_add(1);
+            view.pause_until = view.pause_until.max(Some(now + pause));
+        }
         let failing = view.failures >= self.options.failures_max;
         match self.view(idx).state {
             ServerState::Probing => self.set_aside(now, idx, ServerEvent::ProbeFailed),
@@ -242,7 +257,8 @@
     /// A server refused for load and asks for a pause.
     pub fn shed(&mut self, now: Instant, idx: ServerIdx, retry_after: Duration) {
         let view = &mut self.list[idx.index()];
-        view.shed_until = Some(now + retry_after.min(SHED_MAX));
+        let until = now + retry_after.min(SHED_MAX);
+        view.pause_until = view.pause_until.max(Some(until));
     }
 
     /// A server said itself which snapshots it holds, with a refusal; `true` if that is new.
