--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -176,8 +176,10 @@
         "The longest that one call may take; a watch's own wait is not counted."),
     key("platform", "watch-wait", Kind::Duration(ms(100), secs(300)), Presence::Default("\"10s\""),
         "How long a watch waits for a change."),
-    key("platform", "calls-per-second", Kind::Rate(0.1, 1000.0), Presence::Default("20"),
-        "The most calls that this process makes; a waiting watch counts as one."),
+    key("platform", "reads-per-second", Kind::Rate(0.1, 10_000.0), Presence::Default("200"),
+        "This process's part of the platform's reads, lists and watches."),
+    key("platform", "writes-per-second", Kind::Rate(0.1, 10_000.0), Presence::Default("30"),
+        "This process's part of the platform's writes and deletes."),
     key("mesh", "secret-file", Kind::Path, Presence::Required,
         "The file with the secret that every VM shares: 16 bytes to 4KB, a last line break not \
          counted."),
@@ -221,7 +223,7 @@
         Presence::Default("\"info\""),
         "How much is logged on stderr, one key=value line an event."),
     key("record", "file", Kind::Path, Presence::Unset,
-        "The trace to write; nothing is recorded without it."),
+        "The trace to write, `{vm}` in it being the VM's name; nothing is recorded without it."),
     key("runtime", "workers", Kind::Count(1, 256), Presence::Default("2"),
         "Worker threads."),
 ];
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,7 +1,9 @@
 //! Process tests: the real binary in a small deployment, with faults from outside.
 
+mod operators;
 mod patches;
 mod platform_faults;
+mod recording;
 mod server_faults;
 mod support;
 mod vm_faults;
