--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -182,7 +182,9 @@
         shard.miss = reason;
         lk.missing += 1;
         lk.is_congested |= reason == MissReason::Shed;
-        lk.wants_restart |= reason == MissReason::SnapshotGone;
+        // A repartition that also empties the old servers leaves no replica where it did not drop
+        // the snapshot; another snapshot may be whole all the same.
+        lk.wants_restart |= matches!(reason, MissReason::SnapshotGone | MissReason::NoReplica);
     }
 
     /// Looks at what an event led to: a canary to send, or the end of the lookup.
