--- a/crates/node/src/engine_shell.rs
+++ b/crates/node/src/engine_shell.rs
@@ -58,6 +58,7 @@
     }
 
     fn perform(&mut self, action: Action, _: &Feed<Event>) -> Option<Duration> {
+        self.recording.acted(&action);
         match action {
             Action::Dispatch(d) => self.pool.dispatch(d),
             Action::Cancel(id) => self.pool.cancel(&id),
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::time::Instant;
 
+use gs_query::Action;
 use gs_query::Event;
 use gs_trace::Header;
 use gs_trace::Recorder;
@@ -38,6 +39,13 @@
         }
     }
 
+    /// Records what the engine did about it.
+    pub(crate) fn acted(&self, action: &Action) {
+        if let Some(recorder) = lock(&self.0).as_mut() {
+            recorder.acted(action);
+        }
+    }
+
     /// Ends the recording and waits until all is written.
     pub(crate) fn finish(&self) {
         let Some(recorder) = lock(&self.0).take() else {
