--- a/crates/limit/src/admission.rs
+++ b/crates/limit/src/admission.rs
@@ -15,9 +15,9 @@
     pub promise: Promise,
     /// The time left to answer it.
     pub budget: Duration,
-    /// How long its parts would wait for a connection, as a mean over its shards.
-    pub wait_mean: Duration,
-    /// How long the part that waits longest would wait for a connection and then take.
+    /// How long its parts would wait for a connection and then take, as a mean over its shards.
+    pub typical: Duration,
+    /// The same for the part that would come last.
     pub worst: Duration,
     /// Lookups in flight.
     pub in_flight: usize,
@@ -35,12 +35,10 @@
 /// How a lookup that was taken on ended.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
-    /// Whether every part that it needed came in time.
+    /// Whether it ended before its deadline ended it.
     pub in_time: bool,
     /// Whether a part was shed by a server, or still waited for a connection at the end.
     pub congested: bool,
-    /// Lookups in flight, itself included.
-    pub in_flight: usize,
 }
 
 /// Decides which lookups are taken on.
--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_limit::Distance;
 use gs_route::Readiness;
 use gs_types::prelude::*;
 
@@ -162,7 +163,7 @@
             self.give_up(lk, at, miss);
             return;
         }
-        if lk.shards[at].attempts.len() >= usize::from(self.options.tries_max) {
+        if lk.shards[at].is_used_up(self.options.tries_max) {
             let miss = lk.shards[at].miss;
             self.give_up(lk, at, miss);
             return;
@@ -181,7 +182,9 @@
         shard.miss = reason;
         lk.missing += 1;
         lk.is_congested |= reason == MissReason::Shed;
-        lk.wants_restart |= reason == MissReason::SnapshotGone;
+        // A repartition that also empties the old servers leaves no replica where it did not drop
+        // the snapshot; another snapshot may be whole all the same.
+        lk.wants_restart |= matches!(reason, MissReason::SnapshotGone | MissReason::NoReplica);
     }
 
     /// Looks at what an event led to: a canary to send, or the end of the lookup.
@@ -218,7 +221,7 @@
             return false;
         };
         let left = lk.answer_by.saturating_duration_since(now);
-        if left <= group.hedge.delay().unwrap_or(Duration::ZERO) {
+        if left <= group.hedge.delay(Distance::Far).unwrap_or(Duration::ZERO) {
             return false;
         }
         if !self.budget.take_retries(now, lk.whole) {
@@ -265,7 +268,12 @@
             let mean = self.servers.view(a.server).latency().mean();
             if mean.is_none_or(|mean| waited > mean) {
                 self.servers.took(now, a.server, waited);
-                self.groups[group].hedge.observe(waited);
+                let from = if self.servers.view(a.server).is_local() {
+                    Distance::Near
+                } else {
+                    Distance::Far
+                };
+                self.groups[group].hedge.observe(from, waited);
             }
         }
     }
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -7,7 +7,6 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
-use crate::dump::ServerDump;
 use crate::latency::Latency;
 use crate::options::RouteOptions;
 use crate::policy::Candidate;
@@ -62,7 +61,7 @@
     Free,
     /// All of this VM's share of its connections is in use.
     Busy,
-    /// It refused for load and asked for a pause until then.
+    /// It refused for load and asked for a pause until then, or could not be reached just now.
     Paused(Instant),
     /// It failed too often and rests until then.
     Resting(Instant),
@@ -91,9 +90,13 @@
     pub(crate) load: u32,
     pub(crate) load_at: Option<Instant>,
     pub(crate) failures: u32,
+    /// Times in a row that it could not be reached, or broke its connection.
+    pub(crate) losses: u32,
     pub(crate) rests: u32,
     pub(crate) rest_until: Option<Instant>,
-    pub(crate) shed_until: Option<Instant>,
+    pub(crate) pause_until: Option<Instant>,
+    /// Whether its health endpoint did not answer when it was last asked.
+    pub(crate) is_silent: bool,
     pub(crate) warming_since: Option<Instant>,
 }
 
@@ -115,9 +118,11 @@
             load: 0,
             load_at: None,
             failures: 0,
+            losses: 0,
             rests: 0,
             rest_until: None,
-            shed_until: None,
+            pause_until: None,
+            is_silent: false,
             warming_since: None,
         }
     }
@@ -128,6 +133,12 @@
         &self.decl
     }
 
+    /// Whether it stands in this VM's data centre.
+    #[must_use]
+    pub fn is_local(&self) -> bool {
+        self.local
+    }
+
     /// Its state by the chart.
     #[must_use]
     pub fn state(&self) -> ServerState {
@@ -208,10 +219,10 @@
         if self.is_draining() {
             return Standing::Out;
         }
-        if let Some(until) = self.shed_until.filter(|until| *until > now) {
+        if let Some(until) = self.pause_until.filter(|until| *until > now) {
             return Standing::Paused(until);
         }
-        if let Some(until) = self.rest(now) {
+        if let Some(until) = self.rest(now, options) {
             return Standing::Resting(until);
         }
         if self.in_flight < self.bound(now, options) {
@@ -227,10 +238,17 @@
         !self.is_draining() && self.in_flight < self.share.0
     }
 
-    fn rest(&self, now: Instant) -> Option<Instant> {
-        (self.state == ServerState::SetAside)
-            .then_some(self.rest_until)
-            .flatten()
+    fn rest(&self, now: Instant, options: &RouteOptions) -> Option<Instant> {
+        if self.state != ServerState::SetAside {
+            return None;
+        }
+        let longer = if self.is_silent {
+            options.rest_silent
+        } else {
+            Duration::ZERO
+        };
+        self.rest_until
+            .map(|until| until + longer)
             .filter(|until| *until > now)
     }
 
@@ -271,23 +289,4 @@
             warmth: self.warmth(now, options),
         }
     }
-
-    /// What an operator sees of it.
-    #[must_use]
-    pub fn dump(&self) -> ServerDump {
-        ServerDump {
-            server: self.decl.name.clone(),
-            service: self.decl.service.clone(),
-            data_centre: self.decl.data_centre.clone(),
-            state: self.state.to_string(),
-            incarnation: self.incarnation,
-            snapshots: self.snapshots.as_ref().map(|s| s.to_vec()),
-            in_flight: self.in_flight,
-            share: self.share,
-            open: self.open,
-            latency: self.latency.mean(),
-            load: self.load,
-            failures: self.failures,
-        }
-    }
 }
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -9,6 +9,7 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
+use crate::early::Early;
 use crate::options::RouteOptions;
 use crate::server::Failure;
 use crate::server::ServerView;
@@ -20,15 +21,11 @@
 /// The longest pause that a server may ask for.
 const SHED_MAX: Duration = Duration::from_secs(5);
 
-/// The most servers of which something is kept that was told before their declaration.
-const EARLY_MAX: usize = 16_384;
+/// The pause after a server could not be reached; doubled with each time in a row.
+const LOSS_PAUSE: Duration = Duration::from_millis(20);
 
-/// What was told of a server before its declaration.
-#[derive(Clone, Debug, Default)]
-struct Early {
-    drains: SmallVec<[Option<Incarnation>; 2]>,
-    share: Option<Connections>,
-}
+/// The most doublings of that pause.
+const LOSS_DOUBLINGS: u32 = 4;
 
 /// The place of a server in [`Servers`]; stays the same for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -42,39 +39,15 @@
     }
 }
 
-/// What a server's health and load endpoint says.
-#[derive(Clone, Copy, Debug)]
-pub struct Report<'a> {
-    /// The run of the server; `None` if it did not answer.
-    pub incarnation: Option<Incarnation>,
-    /// The snapshots that it says are ready.
-    pub snapshots: &'a [SnapshotId],
-    /// The load that it claims.
-    pub load: u32,
-    /// Whether it says it is draining.
-    pub draining: bool,
-}
-
-/// What a report or a sign changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// Nothing that matters to work in flight.
-    Nothing,
-    /// The server has begun to drain.
-    Drained,
-    /// A new run of the server is there, and takes work.
-    NewRun,
-}
-
 /// The views of all backend servers.
 #[derive(Debug)]
 pub struct Servers {
-    list: Vec<ServerView>,
+    pub(crate) list: Vec<ServerView>,
     names: BTreeMap<ServerName, ServerIdx>,
     services: BTreeMap<ServiceName, SmallVec<[ServerIdx; 4]>>,
-    early: BTreeMap<ServerName, Early>,
+    pub(crate) early: BTreeMap<ServerName, Early>,
     /// Counts changes of what can be pinned: snapshots held and drains.
-    changes: u64,
+    pub(crate) changes: u64,
     data_centre: DataCentre,
     chart: Chart<ServerState, ServerEvent>,
     options: RouteOptions,
@@ -134,40 +107,6 @@
         idx
     }
 
-    fn take_early(&mut self, idx: ServerIdx, early: Early) {
-        for run in early.drains {
-            self.drain(idx, run);
-        }
-        if let Some(share) = early.share {
-            self.set_share(idx, share);
-        }
-    }
-
-    /// Keeps a drain of a server that is not declared yet.
-    ///
-    /// Gossip and a group's map reach a starting process in any order; forgotten, the drain would
-    /// come to light only by work for the leaving server.
-    pub fn drain_early(&mut self, name: &ServerName, incarnation: Option<Incarnation>) {
-        if let Some(early) = self.early_of(name)
-            && !early.drains.contains(&incarnation)
-            && early.drains.len() < early.drains.inline_size()
-        {
-            early.drains.push(incarnation);
-        }
-    }
-
-    /// Keeps the share of a server that is not declared yet.
-    pub fn share_early(&mut self, name: &ServerName, share: Connections) {
-        if let Some(early) = self.early_of(name) {
-            early.share = Some(share);
-        }
-    }
-
-    fn early_of(&mut self, name: &ServerName) -> Option<&mut Early> {
-        let has_room = self.early.len() < EARLY_MAX || self.early.contains_key(name);
-        has_room.then(|| self.early.entry(name.clone()).or_default())
-    }
-
     /// The place of a server; `None` if it was never declared.
     #[must_use]
     pub fn find(&self, name: &ServerName) -> Option<ServerIdx> {
@@ -209,93 +148,6 @@
         self.view(idx).standing(now, &self.options)
     }
 
-    /// Takes a health report in, as a hint; one of an earlier run is dropped.
-    pub fn report(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) -> Heard {
-        let Some(told) = report.incarnation else {
-            return Heard::Nothing;
-        };
-        let view = &mut self.list[idx.index()];
-        let known = view.incarnation;
-        if known.is_some_and(|known| told < known) {
-            return Heard::Nothing;
-        }
-        view.incarnation = Some(told);
-        let is_new = known.is_some_and(|known| told > known);
-        if is_new {
-            self.new_run(now, idx);
-        }
-        self.take_hints(now, idx, report);
-        if report.draining && self.drain(idx, Some(told)) {
-            return Heard::Drained;
-        }
-        if is_new {
-            Heard::NewRun
-        } else {
-            Heard::Nothing
-        }
-    }
-
-    fn take_hints(&mut self, now: Instant, idx: ServerIdx, report: Report<'_>) {
-        let view = &mut self.list[idx.index()];
-        if view.load_at.is_none() {
-            view.load = report.load;
-        }
-        if view.own_word_until.is_some_and(|until| until > now) {
-            return;
-        }
-        let same = view
-            .snapshots
-            .as_ref()
-            .is_some_and(|held| held.as_slice() == report.snapshots);
-        if !same {
-            view.snapshots = Some(SmallVec::from_slice(report.snapshots));
-            self.changes += 1;
-        }
-    }
-
-    /// A new run holds what it says, is cold, and carries none of the old run's marks.
-    fn new_run(&mut self, now: Instant, idx: ServerIdx) {
-        self.step(idx, ServerEvent::NewRun);
-        let view = &mut self.list[idx.index()];
-        view.run_since = Some(now);
-        view.warming_since = Some(now);
-        view.snapshots = Some(SmallVec::new());
-        view.own_word_until = None;
-        view.latency.clear();
-        view.load = 0;
-        view.load_at = None;
-        view.failures = 0;
-        view.rests = 0;
-        view.rest_until = None;
-        view.shed_until = None;
-        self.changes += 1;
-    }
-
-    /// Marks a run of a server as draining; `true` if it was not marked before.
-    ///
-    /// A sign for an earlier run than the one known is dropped. A sign that names no run counts for
-    /// the run known now, and told again after a restart it is dropped too.
-    pub fn drain(&mut self, idx: ServerIdx, incarnation: Option<Incarnation>) -> bool {
-        let view = &mut self.list[idx.index()];
-        match incarnation {
-            Some(told) if view.incarnation.is_some_and(|known| told < known) => return false,
-            Some(told) => view.incarnation = Some(told),
-            None if view
-                .unnamed_drain
-                .is_some_and(|run| run != view.incarnation) =>
-            {
-                return false;
-            }
-            None => view.unnamed_drain = Some(view.incarnation),
-        }
-        if view.is_draining() {
-            return false;
-        }
-        self.step(idx, ServerEvent::Drain);
-        self.changes += 1;
-        true
-    }
-
     /// Sets how many connections this VM may hold to a server.
     pub fn set_share(&mut self, idx: ServerIdx, share: Connections) {
         self.list[idx.index()].share = share;
@@ -333,6 +185,7 @@
     pub fn succeeded(&mut self, now: Instant, idx: ServerIdx, load: u32) {
         let view = &mut self.list[idx.index()];
         view.failures = 0;
+        view.losses = 0;
         view.rests = 0;
         view.load = load;
         view.load_at = Some(now);
@@ -348,9 +201,17 @@
     }
 
     /// An attempt at a server failed.
+    ///
+    /// One that cannot be reached refuses within a millisecond. Without a pause, a part whose
+    /// replicas all restart at the same time would use up its tries long before they are back.
     pub fn failed(&mut self, now: Instant, idx: ServerIdx, failure: Failure) {
         let view = &mut self.list[idx.index()];
         view.failures = view.failures.saturating_add(failure.weight());
+        if failure != Failure::Error {
+            let pause = LOSS_PAUSE.saturating_mul(1 << view.losses.min(LOSS_DOUBLINGS));
+            view.losses = view.losses.saturating_add(1);
+            view.pause_until = view.pause_until.max(Some(now + pause));
+        }
         let failing = view.failures >= self.options.failures_max;
         match self.view(idx).state {
             ServerState::Probing => self.set_aside(now, idx, ServerEvent::ProbeFailed),
@@ -396,7 +257,8 @@
     /// A server refused for load and asks for a pause.
     pub fn shed(&mut self, now: Instant, idx: ServerIdx, retry_after: Duration) {
         let view = &mut self.list[idx.index()];
-        view.shed_until = Some(now + retry_after.min(SHED_MAX));
+        let until = now + retry_after.min(SHED_MAX);
+        view.pause_until = view.pause_until.max(Some(until));
     }
 
     /// A server said itself which snapshots it holds, with a refusal; `true` if that is new.
@@ -416,7 +278,7 @@
         true
     }
 
-    fn step(&mut self, idx: ServerIdx, event: ServerEvent) {
+    pub(crate) fn step(&mut self, idx: ServerIdx, event: ServerEvent) {
         let view = &mut self.list[idx.index()];
         let Some(next) = self.chart.next(view.state, event) else {
             return;
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::io::Read;
 use std::path::Path;
+use std::path::PathBuf;
 
 use toml::de::DeValue;
 
@@ -12,6 +13,7 @@
 use crate::keys::Key;
 use crate::reader::Reader;
 use crate::secret::Secret;
+use crate::settings::Bootstrap;
 use crate::settings::Callers;
 use crate::settings::Claims;
 use crate::settings::Listen;
@@ -29,6 +31,8 @@
 use crate::values;
 use crate::values::Problem;
 
+/// What stands for the VM's name in the path of its trace.
+const VM_NAME: &str = "{vm}";
 /// The shortest secret accepted, in bytes.
 const SECRET_MIN: usize = 16;
 /// The longest secret accepted, in bytes.
@@ -49,8 +53,9 @@
     let record = Record {
         file: r
             .take("record", "file", values::text)
-            .map(|p| r.resolve(&p)),
+            .map(|p| trace_path(r, &p, vm.as_ref())),
     };
+    let bootstrap = bootstrap(r);
     let callers = callers(r);
     let tuning = tuning(r);
     let shutdown = shutdown(r);
@@ -68,6 +73,7 @@
         shutdown,
         servers,
         claims,
+        bootstrap,
         log,
         record,
         runtime,
@@ -100,12 +106,14 @@
     let addr = r.take("platform", "addr", values::address);
     let timeout = r.take("platform", "timeout", values::duration);
     let watch_wait = r.take("platform", "watch-wait", values::duration);
-    let calls_per_second = r.take("platform", "calls-per-second", values::rate);
+    let reads = r.take("platform", "reads-per-second", values::rate);
+    let writes = r.take("platform", "writes-per-second", values::rate);
     let platform = Platform::builder()
         .addr(addr?)
         .maybe_timeout(timeout)
         .maybe_watch_wait(watch_wait)
-        .maybe_calls_per_second(calls_per_second)
+        .maybe_reads_per_second(reads)
+        .maybe_writes_per_second(writes)
         .build();
     Some(platform)
 }
@@ -175,8 +183,7 @@
 fn tuning(r: &mut Reader<'_>) -> Tuning {
     Tuning::builder()
         .maybe_policy(r.take("tuning", "policy", values::choice))
-        .maybe_hedge_budget(r.take("tuning", "hedge-budget", values::fraction))
-        .maybe_retry_budget(r.take("tuning", "retry-budget", values::fraction))
+        .maybe_extra_budget(r.take("tuning", "extra-budget", values::fraction))
         .maybe_seed(r.take("tuning", "seed", values::count))
         .build()
 }
@@ -217,6 +224,21 @@
     }
 }
 
+/// The trace's path, so that VMs can share a line of settings and a directory.
+fn trace_path(r: &Reader<'_>, path: &str, vm: Option<&Vm>) -> PathBuf {
+    let name = vm.map_or("", |vm| vm.name.as_str());
+    r.resolve(&path.replace(VM_NAME, name))
+}
+
+fn bootstrap(r: &mut Reader<'_>) -> Option<Bootstrap> {
+    let team = r.take("bootstrap", "team", values::name);
+    let key_sha256 = r.take("bootstrap", "key-sha256", values::name);
+    Some(Bootstrap {
+        team: team?,
+        key_sha256: key_sha256?,
+    })
+}
+
 fn runtime(r: &mut Reader<'_>) -> Runtime {
     let default = Runtime::default();
     Runtime {
--- a/crates/trace/tests/trace/recording.rs
+++ b/crates/trace/tests/trace/recording.rs
@@ -8,19 +8,30 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_query::Action;
 use gs_query::Event;
+use gs_trace::Checker;
+use gs_trace::Expectations;
 use gs_trace::Reader;
 use gs_trace::Record;
 use gs_trace::Recorder;
+use gs_trace::Replay;
 
+use crate::common::Told;
 use crate::common::events;
 use crate::common::header;
 
-/// A file in memory, whose first write after the header can be held up.
+/// A file in memory, whose next write can be held up.
 #[derive(Clone)]
 struct File {
     buf: Arc<Mutex<Vec<u8>>>,
-    gate: Arc<Mutex<Option<mpsc::Receiver<()>>>>,
+    gate: Arc<Mutex<Option<Gate>>>,
+}
+
+/// Tells that a write has come, and holds it until it may go on.
+struct Gate {
+    held: mpsc::Sender<()>,
+    go: mpsc::Receiver<()>,
 }
 
 impl File {
@@ -38,9 +49,10 @@
 
 impl Write for File {
     fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
-        if let Some(rx) = self.gate.lock().expect("the gate").take() {
-            // Held up until the test lets go.
-            let _ = rx.recv();
+        let gate = self.gate.lock().expect("the gate").take();
+        if let Some(gate) = gate {
+            gate.held.send(()).expect("told");
+            gate.go.recv().expect("let go");
         }
         self.buf.lock().expect("the file").extend_from_slice(buf);
         Ok(buf.len())
@@ -84,6 +96,40 @@
     assert_eq!(read(&file.bytes()), expected);
 }
 
+/// Records a tick and a wake-up, then replays against a machine that asks for `wakes`.
+fn replayed(wakes: [u64; 2]) -> Result<(), String> {
+    let wake = |ms| Action::Wake(Duration::from_millis(ms));
+    let file = File::new();
+    let now = Instant::now();
+    let mut recorder = Recorder::start(file.clone(), &header(), now).expect("started");
+    for ms in [3, 5] {
+        recorder.record(now, &Event::Tick);
+        recorder.acted(&wake(ms));
+    }
+    recorder.record(now, &Event::Tick);
+    recorder.record(now, &Event::Leave);
+    recorder.finish().expect("written");
+    let machine = Told(wakes.map(|ms| vec![wake(ms)]).into_iter().collect());
+    let bytes = file.bytes();
+    let reader = Reader::new(bytes.as_slice()).expect("a trace");
+    let mut checker = Checker::new(Expectations::default()).exact();
+    for step in Replay::new(reader, machine, now) {
+        checker
+            .on(&step.expect("a step"))
+            .map_err(|d| d.to_string())?;
+    }
+    Ok(())
+}
+
+#[test]
+fn an_exact_replay_does_just_what_the_recorded_run_did() {
+    assert_eq!(replayed([3, 5]), Ok(()));
+    assert_eq!(
+        replayed([3, 6]),
+        Err("step 2 at 0s: it does not do what the run that recorded did".to_owned())
+    );
+}
+
 #[test]
 fn a_slow_disk_loses_events_and_never_holds_the_process_up() {
     // Story: the file stands still for a while, so the queue fills up. The process must not wait;
@@ -91,20 +137,23 @@
     let file = File::new();
     let now = Instant::now();
     let mut recorder = Recorder::start(file.clone(), &header(), now).expect("started");
-    let (go, gate) = mpsc::channel();
-    *file.gate.lock().expect("the gate") = Some(gate);
+    let (held, is_held) = mpsc::channel();
+    let (let_go, go) = mpsc::channel();
+    *file.gate.lock().expect("the gate") = Some(Gate { held, go });
+    recorder.record(now, &Event::Tick);
+    is_held.recv().expect("the writer stands still");
     for _ in 0..20_000 {
         recorder.record(now, &Event::Tick);
     }
-    go.send(()).expect("let go");
+    let_go.send(()).expect("let go");
     let done = recorder.finish().expect("written");
-    assert!(done.lost > 0, "{done:?}");
-    assert_eq!(done.events + done.lost, 20_000);
+    // The queue holds 8,192 events.
+    assert_eq!((done.events, done.lost), (1 + 8192, 20_000 - 8192));
     let gaps: Vec<_> = read(&file.bytes())
         .into_iter()
         .filter(|r| matches!(r, Record::Gap { .. }))
         .collect();
-    assert_eq!(gaps, [Record::Gap { lost: done.lost }]);
+    assert_eq!(gaps, [Record::Gap { lost: 11_808 }]);
 }
 
 #[test]
--- a/src/commands/patch.rs
+++ b/src/commands/patch.rs
@@ -82,7 +82,8 @@
     Ok(exit(&verdict))
 }
 
-/// Sends the patch once. A verdict comes with any status; an answer without one is an error.
+/// Sends the patch once. A verdict comes with any status; an answer without one is about the call
+/// and no word on the patch.
 fn send(client: &Client, path: &str, body: &str) -> Result<Verdict> {
     let reply = client.post(path, body.to_owned())?;
     match serde_json::from_value(reply.body.clone()) {
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -24,6 +24,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::JSON;
 use super::after_help;
 use super::json_arg;
 use super::steps;
@@ -37,6 +38,7 @@
 const EXPECT: &str = "expect";
 const PARTIAL: &str = "partial";
 const STEPS: &str = "steps";
+const EXACT: &str = "exact";
 
 /// Declares the command.
 pub(crate) fn command() -> Command {
@@ -69,9 +71,16 @@
                 .action(ArgAction::SetTrue)
                 .help("Replay the whole records of a trace that is cut short or corrupt further on"),
         )
+        .arg(
+            Arg::new(EXACT)
+                .long("exact")
+                .action(ArgAction::SetTrue)
+                .help("Also compare each step with what it did when recorded; for the same build"),
+        )
         .arg(
             Arg::new(STEPS)
                 .long("steps")
+                .conflicts_with(JSON)
                 .action(ArgAction::SetTrue)
                 .help("Show each step: its number, time, event and actions"),
         )
@@ -79,6 +88,7 @@
         .after_help(after_help(
             "  gentiansill replay vm.trace --expect vm.expect.toml\n  \
              gentiansill replay traces/one-snapshot.toml --expect traces/one-snapshot.expect.toml\n  \
+             gentiansill replay vm.trace --exact\n  \
              gentiansill replay vm.trace --steps | less",
         ))
 }
@@ -96,7 +106,13 @@
         false => records,
     };
     let mut checker = Checker::new(stated);
+    if m.get_flag(EXACT) {
+        checker = checker.exact();
+    }
     let judged = judge(&header, records, &mut checker, m.get_flag(STEPS))?;
+    if m.get_flag(EXACT) && checker.compared() == 0 {
+        return Err(nothing_to_compare().into());
+    }
     tell(&checker, &judged, wants_json(m));
     Ok(match judged {
         Ok(_) => Exit::Done,
@@ -104,6 +120,12 @@
     })
 }
 
+fn nothing_to_compare() -> Error {
+    Error::new(ErrorKind::BadInput, "the trace does not tell what was done")
+        .at("replay")
+        .with_hint("leave out `--exact`; only a trace of `serve --record` can be compared")
+}
+
 type Records = Box<dyn Iterator<Item = Result<Record>>>;
 
 /// Opens a trace or a script.
--- a/tests/cli/operators.rs
+++ b/tests/cli/operators.rs
@@ -32,7 +32,7 @@
     assert_eq!((r.code, r.stdout.as_str()), (0, expected), "{}", r.stderr);
     let requests = served.join().expect("served");
     assert!(
-        requests[0].starts_with("GET /admin/v1/status HTTP/1.1\r\n"),
+        requests[0].starts_with("GET /status HTTP/1.1\r\n"),
         "{requests:?}"
     );
     let key = "authorization: Bearer desk:s3cret-of-the-desk\r\n";
@@ -40,8 +40,8 @@
 }
 
 #[rstest]
-#[case::own(&[], "GET /admin/v1/dump HTTP/1.1\r\n")]
-#[case::fleet(&["--fleet"], "GET /admin/v1/dump/fleet HTTP/1.1\r\n")]
+#[case::own(&[], "GET /dump HTTP/1.1\r\n")]
+#[case::fleet(&["--fleet"], "GET /dump/fleet HTTP/1.1\r\n")]
 fn a_dump(#[case] flags: &[&str], #[case] expected: &str) {
     let (addr, served) = api(&[&answer("200 OK", "{}")]);
     let addr = addr.to_string();
@@ -66,7 +66,7 @@
 
 #[test]
 fn a_wrong_key() {
-    let body = r#"{"kind":"forbidden","error":"the key is not the team's","step":"authenticate"}"#;
+    let body = r#"{"kind":"forbidden","error":"the key is not the team's (step: authenticate)","step":"authenticate","hint":"send `authorization: Bearer TEAM:KEY`"}"#;
     let (addr, _) = api(&[&answer("401 Unauthorized", body)]);
     let dir = files(&[]);
     let r = run_in(dir.path(), &["status", "--admin", &addr.to_string()]);
@@ -103,8 +103,8 @@
     "refused: version 8 is in force (step: apply patch)\nagainst it: a: newer\nhint: read it"
 )]
 #[case::undecided(
-    "202 Accepted",
-    r#"{"verdict":"undecided","error":{"kind":"unknown","text":"the platform is away","step":null,"peer":null,"hint":null}}"#,
+    "503 Service Unavailable",
+    r#"{"verdict":"undecided","error":{"kind":"unavailable","text":"the platform is away","step":null,"peer":null,"hint":null}}"#,
     4,
     "undecided: the platform is away\nsend the same file again to learn its verdict; `--wait` does so"
 )]
@@ -157,7 +157,7 @@
     let done =
         r#"{"verdict":"accepted","version":8,"in_force":["a","c"],"awaiting":[],"warnings":[]}"#;
     let answers = [
-        answer("202 Accepted", open),
+        answer("503 Service Unavailable", open),
         answer("200 OK", await_c),
         answer("200 OK", done),
     ];
