--- a/crates/member/examples/cost.rs
+++ b/crates/member/examples/cost.rs
@@ -137,14 +137,13 @@
                 self.bytes += buf.len() as u64;
                 let from = self.members[i].entry.vm.clone();
                 let incarnation = Incarnation(1_800_000_000_000 + i as u64);
-                let j = self.members.iter().position(|m| m.entry.vm == to);
-                self.members[j.expect("a member")]
-                    .inbox
-                    .push_back(Event::Heard {
-                        from,
-                        incarnation,
-                        beat,
-                    });
+                let (_, j) = to.as_str().split_once('-').expect("a numbered name");
+                let j: usize = j.parse().expect("a number");
+                self.members[j].inbox.push_back(Event::Heard {
+                    from,
+                    incarnation,
+                    beat,
+                });
                 return;
             }
             Action::Shares { epoch, .. } => Event::Lowered(epoch),
