--- a/crates/once/examples/claims.rs
+++ b/crates/once/examples/claims.rs
@@ -233,7 +233,7 @@
         "forwards",
         "B written",
         "CPU us",
-        "granted"
+        "entry B"
     );
     for rate in std::env::args().skip(1).filter_map(|s| s.parse().ok()) {
         let mut w = World::new();
@@ -254,9 +254,10 @@
         let ms = |d: Duration| d.as_secs_f64() * 1e3;
         let at = |q: f64| ms(w.took[((n - 1) as f64 * q) as usize]);
         let counts: Vec<_> = w.vms.iter().map(Once::counts).collect();
+        let stored: usize = w.objects.values().map(|s| s.content.len()).sum();
         let each = |total: u64| total as f64 / n as f64;
         println!(
-            "{rate:>8} {:>8.1} {:>8.1} {:>8.1} {:>9.2} {:>9.2} {:>9.2} {:>8.2} {:>10.0} {:>8.1} {:>8}",
+            "{rate:>8} {:>8.1} {:>8.1} {:>8.1} {:>9.2} {:>9.2} {:>9.2} {:>8.2} {:>10.0} {:>8.1} {:>8.1}",
             at(0.5),
             at(0.99),
             at(1.0),
@@ -266,7 +267,7 @@
             each(counts.iter().map(|c| c.forwarded).sum()),
             each(w.bytes),
             w.spent.as_secs_f64() * 1e6 / n as f64,
-            w.granted,
+            stored as f64 / w.granted as f64,
         );
     }
 }
