fix(query): servers that break together do not convict a lookup

Cause (found by the trace of a lost data centre): a second break under the same fan-out counted as a second crash, so texts in flight when a data centre went were refused for 30 s. Breaking together is no evidence beyond the first break. Now only a server that saw the lookup alone can convict it; the bound of one further server stays.

--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -159,7 +159,7 @@
             s.crashed.push(server.clone());
         }
         let crashes = s.crashes();
-        if crashes >= CRASHES_MAX && (alone || !proven) {
+        if crashes >= CRASHES_MAX && alone {
             self.rest(now, fp, self.quarantine);
             return Finding::Quarantined;
         }
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -115,6 +115,25 @@
     assert!(w.engine.dump(w.now).suspects.is_empty());
 }
 
+/// A data centre is lost, and with it two servers under a fan-out of a text never seen before. That is
+/// no proof against the text: breaking together is what a cut looks like too. A server elsewhere sees it
+/// alone, lives, and the page is whole; nobody is refused for half a minute.
+#[test]
+fn servers_that_break_together_do_not_convict_a_lookup() {
+    let mut w = World::new(4, 2);
+    let seq = w.arrive("complete");
+    let (first, second) = (w.take(0), w.take(1));
+    w.sent(&second);
+    crash(&mut w, &first);
+    w.reply(&second, PartReply::Broken);
+    for d in std::mem::take(&mut w.open) {
+        w.reply(&d, PartReply::NotSent);
+    }
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
 /// A server dies under a lookup that another shard has answered already. A poisoned lookup crashes
 /// each server that runs it, so this one is harmless: no canary, only a retry of the lost part.
 #[test]
