--- a/crates/query/src/action.rs
+++ b/crates/query/src/action.rs
@@ -78,7 +78,7 @@
         /// The run that is draining; `None` if not known.
         incarnation: Option<Incarnation>,
     },
-    /// This lookup is suspected of crashing servers, or known to.
+    /// This lookup is suspected of crashing servers, or known to; with 0 crashes it is cleared.
     Quarantine {
         /// The lookup's fingerprint.
         fingerprint: Fingerprint,
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -10,6 +10,7 @@
 use gs_types::prelude::*;
 
 use crate::world::World;
+use crate::world::name;
 use crate::world::report;
 use crate::world::server;
 use crate::world::whole;
@@ -232,7 +233,7 @@
 }
 
 fn name_near() -> DataCentre {
-    crate::world::name("near")
+    name("near")
 }
 
 /// A poisoned lookup is fanned out through another VM and crashes a server of every shard. Its caller
@@ -261,3 +262,109 @@
     w.arrive("urgent");
     assert_eq!(w.open.len(), 6);
 }
+
+/// A server dies by itself under a popular lookup, and the VM that saw it tells its suspicion. The
+/// lookup ran well here a moment ago, so it must not be refused by the whole fleet for that.
+#[test]
+fn a_peers_suspicion_does_not_stop_a_lookup_that_just_ran_well_here() {
+    let mut w = World::new(3, 1);
+    w.arrive("urgent");
+    w.serve_all();
+    quarantine(&mut w, 1, Duration::ZERO);
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 3);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 1, "a canary after a peer's quarantine");
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+/// VMs that hear each other's signs at once, and servers that crash on every attempt they get.
+struct Fleet {
+    vms: Vec<World>,
+    crashed: Vec<ServerName>,
+}
+
+impl Fleet {
+    fn new(vms: usize, shards: u32) -> Self {
+        Self {
+            vms: (0..vms).map(|_| World::new(shards, 3)).collect(),
+            crashed: Vec::new(),
+        }
+    }
+
+    /// Tells every sign to every other VM.
+    fn gossip(&mut self) {
+        for n in 0..self.vms.len() {
+            for sign in std::mem::take(&mut self.vms[n].spread) {
+                for (other, w) in self.vms.iter_mut().enumerate() {
+                    if other != n {
+                        w.on(Event::Sign(sign.clone(), SignSource::Peer));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Every attempt under way that was not cancelled reaches its server, which crashes.
+    fn crash_all(&mut self) {
+        for n in 0..self.vms.len() {
+            let w = &mut self.vms[n];
+            while let Some(d) = w.open.pop() {
+                if w.cancelled.contains(&d.attempt) {
+                    w.reply(&d, PartReply::NotSent);
+                    continue;
+                }
+                crash(w, &d);
+                self.crashed.push(d.server.name.clone());
+            }
+        }
+        self.gossip();
+    }
+
+    fn pass(&mut self, by: Duration) {
+        for w in &mut self.vms {
+            w.pass(by);
+        }
+        self.gossip();
+    }
+}
+
+/// A caller sends a poisoned lookup again and again, each time to another VM. Two servers crash,
+/// one under the first run and one under the canary; every later resend is refused at once.
+#[test]
+fn a_poisoned_lookup_resent_through_every_vm_crashes_two_servers() {
+    let mut f = Fleet::new(3, 1);
+    for n in 0..60 {
+        f.vms[n % 3].arrive("book");
+        f.crash_all();
+        f.pass(Duration::from_millis(100));
+    }
+    f.crashed.sort();
+    f.crashed.dedup();
+    assert_eq!(f.crashed.len(), 2, "{:?}", f.crashed);
+}
+
+/// A poisoned lookup over many shards has crashed servers, and suspicion is up in the fleet. The
+/// next poisoned text, seen for the first time, is shown to two servers one after the other and to
+/// no more, at whichever VMs it is resent.
+#[test]
+fn under_suspicion_a_new_poisoned_fan_out_crashes_at_most_two_servers() {
+    let mut f = Fleet::new(3, 8);
+    f.vms[0].arrive("urgent");
+    f.crash_all();
+    f.crash_all();
+    f.pass(Duration::from_secs(1));
+    f.crashed.clear();
+    for n in 0..60 {
+        f.vms[n % 3].arrive_with(World::request("urgent", "another"));
+        f.crash_all();
+        f.pass(Duration::from_millis(100));
+    }
+    f.crashed.sort();
+    f.crashed.dedup();
+    assert!((1..=2).contains(&f.crashed.len()), "{:?}", f.crashed);
+}
