fix(query): servers that break here and elsewhere at once convict a lookup

With only a canary to convict, a scattered poison that had crashed one replica of each shard went on to take a shard's last replica down.

--- a/crates/query/src/heard.rs
+++ b/crates/query/src/heard.rs
@@ -10,6 +10,7 @@
 use crate::action::Action;
 use crate::core::Core;
 use crate::event::PartReply;
+use crate::suspects::Crash;
 use crate::suspects::Finding;
 
 /// What a reply means to the view of its server.
@@ -84,8 +85,13 @@
         alone: bool,
         out: &mut Vec<Action>,
     ) -> Finding {
-        let name = self.servers.view(server).decl().name.clone();
-        let finding = self.suspects.crashed(now, fingerprint, &name, alone);
+        let view = self.servers.view(server);
+        let crash = Crash {
+            server: &view.decl().name,
+            is_local: view.is_local(),
+            is_alone: alone,
+        };
+        let finding = self.suspects.crashed(now, fingerprint, crash);
         let crashes = self.suspects.crashes(fingerprint);
         match finding {
             Finding::Harmless => {}
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -51,9 +51,22 @@
     Quarantined,
 }
 
+/// A server whose connection broke under a lookup.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crash<'a> {
+    pub(crate) server: &'a ServerName,
+    /// Whether it stands in this VM's data centre.
+    pub(crate) is_local: bool,
+    /// Whether no other server saw the lookup at that time.
+    pub(crate) is_alone: bool,
+}
+
 #[derive(Debug)]
 struct Suspect {
     crashed: SmallVec<[ServerName; 2]>,
+    /// Whether a server broke in this VM's data centre, and in another one.
+    near: bool,
+    far: bool,
     told: u32,
     /// Refused until then.
     rest_until: Option<Instant>,
@@ -141,25 +154,24 @@
 
     /// A server's connection broke under a lookup of which no part was whole.
     ///
-    /// `alone` says that no other server saw it at that time. A proven lookup is suspected only
-    /// when it broke two servers, and refused only when it broke one that saw it alone: when a data
-    /// centre goes, its servers all break under lookups that did nothing to them.
-    pub(crate) fn crashed(
-        &mut self,
-        now: Instant,
-        fp: Fingerprint,
-        server: &ServerName,
-        alone: bool,
-    ) -> Finding {
+    /// When a data centre goes or is cut off, its servers all break under lookups that did nothing to
+    /// them. So breaks in one place convict only with a server that saw the lookup alone. Breaks here
+    /// and elsewhere at the same time are no such cut; without a proof they convict at once, as a
+    /// canary could then take the last replica of a shard. A proven lookup is suspected only when it
+    /// broke two servers.
+    pub(crate) fn crashed(&mut self, now: Instant, fp: Fingerprint, crash: Crash<'_>) -> Finding {
         let proven = self.is_proven(now, fp);
         let forget_at = now + self.window;
         let s = self.entry(now, fp);
         s.forget_at = s.forget_at.max(forget_at);
-        if !s.crashed.contains(server) {
-            s.crashed.push(server.clone());
+        if !s.crashed.contains(crash.server) {
+            s.crashed.push(crash.server.clone());
         }
+        s.near |= crash.is_local;
+        s.far |= !crash.is_local;
         let crashes = s.crashes();
-        if crashes >= CRASHES_MAX && alone {
+        let everywhere = s.near && s.far && !proven;
+        if crashes >= CRASHES_MAX && (crash.is_alone || everywhere) {
             self.rest(now, fp, self.quarantine);
             return Finding::Quarantined;
         }
@@ -260,6 +272,8 @@
         }
         self.suspects.entry(fp).or_insert_with(|| Suspect {
             crashed: SmallVec::new(),
+            near: false,
+            far: false,
             told: 0,
             rest_until: None,
             tester: None,
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -135,6 +135,33 @@
     assert!(w.answer(seq).coverage.is_full());
 }
 
+/// A poisoned text never seen before crashes servers here and in another data centre at once. No cut
+/// looks like that, so it is refused without a canary, which could take a shard's last replica down.
+#[test]
+fn servers_that_break_here_and_elsewhere_convict_a_lookup() {
+    let mut w = World::new(4, 2);
+    // Without its near replica, shard 1 is asked in the other data centre.
+    w.on(Event::Sign(
+        Sign::Drain {
+            server: server(1, 0),
+            incarnation: None,
+        },
+        SignSource::Peer,
+    ));
+    let seq = w.arrive("complete");
+    let (near, far) = (w.take(0), w.take(1));
+    assert_ne!(near.server.data_centre, far.server.data_centre);
+    w.sent(&far);
+    crash(&mut w, &near);
+    w.reply(&far, PartReply::Broken);
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    w.open.retain(|d| !w.cancelled.contains(&d.attempt));
+    assert!(w.open.is_empty());
+}
+
 /// A server dies under a lookup that another shard has answered already. A poisoned lookup crashes
 /// each server that runs it, so this one is harmless: no canary, only a retry of the lost part.
 #[test]
