--- a/crates/store/tests/common/mod.rs
+++ b/crates/store/tests/store/common/mod.rs
@@ -16,7 +16,7 @@
     let rig = Rig::start(PlatformOptions::builder().build())
         .await
         .expect("the stand-in starts");
-    let client = client(&rig, PerSecond(1_000.0), Arc::new(SystemClock));
+    let client = client(&rig, PerSecond(1_000.0), clock());
     (rig, client)
 }
 
@@ -34,3 +34,8 @@
         .build();
     Arc::new(HttpPlatform::new(options))
 }
+
+/// The machine's clock.
+pub fn clock() -> Arc<dyn Clock> {
+    Arc::new(SystemClock)
+}
--- /dev/null
+++ b/crates/store/tests/store/garbage.rs
@@ -0,0 +1,103 @@
+//! Answers that are not the platform's.
+
+use bytes::Bytes;
+use gs_store::HttpPlatform;
+use gs_store::HttpPlatformOptions;
+use gs_store::Platform;
+use gs_store::Version;
+use gs_types::prelude::*;
+use rstest::rstest;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// A server that answers every connection with these bytes and closes it.
+async fn answering(bytes: &'static [u8]) -> HttpPlatform {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 1_024];
+            let _ = stream.read(&mut buf).await;
+            let _ = stream.write_all(bytes).await;
+        }
+    });
+    let options = HttpPlatformOptions::builder()
+        .addr(addr)
+        .seed(1)
+        .clock(crate::common::clock())
+        .tries(1)
+        .build();
+    HttpPlatform::new(options)
+}
+
+#[rstest]
+#[case::nothing(b"", ErrorKind::Unavailable)]
+#[case::no_http(b"\x00\xff\x13 garbage\r\n\r\n", ErrorKind::Unavailable)]
+#[case::cut_short(
+    b"HTTP/1.1 200 OK\r\nx-version: 3\r\ncontent-length: 9\r\n\r\nab",
+    ErrorKind::Unavailable
+)]
+#[case::no_version(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", ErrorKind::BadInput)]
+#[case::bad_version(
+    b"HTTP/1.1 200 OK\r\nx-version: -1\r\ncontent-length: 0\r\n\r\n",
+    ErrorKind::BadInput
+)]
+#[case::other_status(
+    b"HTTP/1.1 302 Found\r\ncontent-length: 0\r\n\r\n",
+    ErrorKind::BadInput
+)]
+#[case::server_error(
+    b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n",
+    ErrorKind::Unavailable
+)]
+#[tokio::test]
+async fn a_read_fails_with_its_kind(#[case] answer: &'static [u8], #[case] kind: ErrorKind) {
+    let p = answering(answer).await;
+    let e = p.read("config/current").await.expect_err("garbage");
+    assert_eq!((e.kind(), e.step()), (kind, Some("read object")), "{e}");
+}
+
+/// Whatever comes back, a write that left may have taken effect.
+#[rstest]
+#[case::nothing(b"")]
+#[case::no_http(b"\x00\xff\x13 garbage\r\n\r\n")]
+#[case::cut_short(b"HTTP/1.1 200 OK\r\nx-version: 3\r\ncontent-length: 9\r\n\r\nab")]
+#[case::no_version(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")]
+#[case::server_error(b"HTTP/1.1 500 No\r\ncontent-length: 0\r\n\r\n")]
+#[tokio::test]
+async fn a_write_without_a_clear_answer_is_unknown(#[case] answer: &'static [u8]) {
+    let p = answering(answer).await;
+    let write = p.write("claims/a", Version::ABSENT, Bytes::from("x"));
+    let e = write.await.expect_err("garbage");
+    assert_eq!(e.kind(), ErrorKind::Unknown, "{e}");
+}
+
+#[rstest]
+#[case::no_json(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n{\"rev")]
+#[case::other_json(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n[]")]
+#[tokio::test]
+async fn a_list_that_is_none_is_refused(#[case] answer: &'static [u8]) {
+    let p = answering(answer).await;
+    let e = p.list("groups/").await.expect_err("garbage");
+    assert_eq!(e.kind(), ErrorKind::BadInput, "{e}");
+}
+
+/// Nobody listens: nothing can have taken effect, so the write is not in doubt.
+#[tokio::test]
+async fn a_write_without_a_connection_was_not_made() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    drop(listener);
+    let options = HttpPlatformOptions::builder()
+        .addr(addr)
+        .seed(1)
+        .clock(crate::common::clock())
+        .build();
+    let p = HttpPlatform::new(options);
+    let write = p.write("claims/a", Version::ABSENT, Bytes::from("x"));
+    assert_eq!(
+        write.await.map_err(|e| e.kind()),
+        Err(ErrorKind::Unavailable)
+    );
+}
--- a/crates/store/tests/lost_answer.rs
+++ b/crates/store/tests/store/lost_answer.rs
@@ -1,7 +1,5 @@
 //! Writes whose answer was lost.
 
-mod common;
-
 use bytes::Bytes;
 use gs_rig::platform::Control;
 use gs_rig::platform::Lose;
@@ -10,7 +8,7 @@
 use gs_store::write_identified;
 use gs_types::prelude::*;
 
-use common::pair;
+use crate::common::pair;
 
 fn lose(count: u32) -> Control {
     Control {
--- a/crates/store/tests/objects.rs
+++ b/crates/store/tests/store/objects.rs
@@ -1,7 +1,5 @@
 //! Objects with versions, through the client and the stand-in.
 
-mod common;
-
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
@@ -14,8 +12,8 @@
 use gs_store::Version;
 use gs_types::prelude::*;
 
-use common::client;
-use common::pair;
+use crate::common::client;
+use crate::common::pair;
 
 #[tokio::test]
 async fn a_write_is_read_back_with_its_version() {
--- a/crates/store/tests/watch.rs
+++ b/crates/store/tests/store/watch.rs
@@ -1,7 +1,5 @@
 //! Prefixes kept mirrored.
 
-mod common;
-
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -16,7 +14,7 @@
 use gs_store::Watcher;
 use tokio::sync::mpsc::Receiver;
 
-use common::pair;
+use crate::common::pair;
 
 fn watch(p: Arc<dyn Platform>) -> (Watcher, Receiver<Update>) {
     let options = WatchOptions::builder()
