feat(conf): dry runs are answered at once; a waiting patch is judged once a version

A dry run waited behind a patch that an outage had stopped, and a patch that waited for another was checked in full at every event. The digest of what is held is computed once.

--- a/crates/conf/src/held.rs
+++ b/crates/conf/src/held.rs
@@ -17,6 +17,7 @@
     pub(crate) record: Arc<Record>,
     pub(crate) config: Arc<Config>,
     pub(crate) learned: Instant,
+    digest: u64,
 }
 
 impl Held {
@@ -25,6 +26,7 @@
         let record = Record::parse(&content)?;
         Ok(Self {
             object,
+            digest: Fingerprint::of(&[&content]).0,
             content,
             config: Arc::new(record.config()),
             record: Arc::new(record),
@@ -56,7 +58,7 @@
         Gossip {
             object: self.object,
             version: self.record.version,
-            digest: Fingerprint::of(&[&self.content]).0,
+            digest: self.digest,
         }
     }
 }
--- a/crates/conf/src/inputs.rs
+++ b/crates/conf/src/inputs.rs
@@ -33,6 +33,11 @@
     }
 
     pub(crate) fn on_propose(&mut self, cx: &mut Cx<'_>, asked: Asked) {
+        if asked.dry_run {
+            // At once, as it waits for no other patch and asks nobody.
+            let verdict = self.dry_run(&asked.team, &asked.patch);
+            return cx.out.push(Action::Verdict(asked.ask, verdict));
+        }
         let until = cx.now + self.options.verdict_after;
         let digest = asked.patch.digest();
         let running = self.current.iter_mut().chain(self.queue.iter_mut());
@@ -43,7 +48,7 @@
                 let verdict = Verdict::Undecided { error };
                 return cx.out.push(Action::Verdict(asked.ask, verdict));
             }
-            Some(p) if p.dry_run == asked.dry_run && p.team == asked.team => {
+            Some(p) if p.team == asked.team => {
                 // A refusal that was told before its withdrawal is written is told again.
                 match p.refused() {
                     Some(verdict) => cx.out.push(Action::Verdict(asked.ask, verdict)),
--- a/crates/conf/src/judge.rs
+++ b/crates/conf/src/judge.rs
@@ -5,6 +5,7 @@
 use gs_types::prelude::*;
 
 use crate::check::check_patch;
+use crate::held::Held;
 use crate::patch::Patch;
 use crate::record::Record;
 use crate::team::check_scope;
@@ -24,13 +25,14 @@
     Fits(Box<Config>, Vec<String>),
 }
 
-/// Judges a patch by a record.
+/// Judges a patch by a record and the configuration in it.
 pub(crate) fn judge(
-    record: &Record,
+    held: &Held,
     team: &TeamName,
     patch: &Patch,
     groups: Option<&BTreeSet<GroupName>>,
 ) -> Judgement {
+    let record = &held.record;
     if let Some(settled) = record.find_settled(&patch.id) {
         if settled.digest != patch.digest() {
             return Judgement::Undecided(id_reused(&patch.id));
@@ -47,8 +49,8 @@
     if patch.against > record.version {
         return Judgement::Ahead;
     }
-    let cfg = record.config();
-    let checked = check_scope(&cfg, team, patch).and_then(|()| check_patch(&cfg, patch, groups));
+    let cfg = &held.config;
+    let checked = check_scope(cfg, team, patch).and_then(|()| check_patch(cfg, patch, groups));
     let (next, warnings) = match checked {
         Ok(checked) => checked,
         Err(e) => return Judgement::Refused(e),
--- a/crates/conf/src/prepare.rs
+++ b/crates/conf/src/prepare.rs
@@ -10,6 +10,7 @@
 use crate::held::Held;
 use crate::judge::Judgement;
 use crate::judge::judge;
+use crate::patch::Patch;
 use crate::proposal::Proposal;
 use crate::record::CURRENT;
 use crate::record::Pending;
@@ -23,7 +24,10 @@
             self.reading.wanted = true;
             return late;
         };
-        match judge(&held.record, &p.team, &p.patch, self.groups.as_ref()) {
+        if p.fits == Some(held.object) && !self.may_prepare(&held) {
+            return late;
+        }
+        match judge(&held, &p.team, &p.patch, self.groups.as_ref()) {
             Judgement::Accepted(version) => {
                 p.made = Some(version);
                 Some(PatchEvent::Committed)
@@ -37,18 +41,47 @@
                 Some(PatchEvent::Settled)
             }
             Judgement::Ahead => self.read_ahead(cx, p, &held).or(late),
-            Judgement::Fits(next, warnings) if p.dry_run => {
-                let version = next.version;
-                self.tell(cx, p, Verdict::Checked { version, warnings });
-                Some(PatchEvent::Settled)
-            }
             Judgement::Fits(next, warnings) if self.may_prepare(&held) => {
                 p.next = Some(Arc::new(*next));
                 p.warnings = warnings;
                 p.base = held.object;
                 Some(PatchEvent::Fits)
             }
-            Judgement::Fits(..) => late,
+            Judgement::Fits(..) => {
+                p.fits = Some(held.object);
+                late
+            }
+        }
+    }
+
+    /// The verdict of a dry run, by what is held now.
+    pub(crate) fn dry_run(&self, team: &TeamName, patch: &Patch) -> Verdict {
+        let Some(held) = &self.held else {
+            let error = Error::new(ErrorKind::Unavailable, "this VM holds no configuration yet")
+                .at("dry run")
+                .with_hint("ask another VM, or again in a few seconds");
+            return Verdict::Undecided { error };
+        };
+        match judge(held, team, patch, self.groups.as_ref()) {
+            Judgement::Fits(next, warnings) => Verdict::Checked {
+                version: next.version,
+                warnings,
+            },
+            Judgement::Accepted(version) => Verdict::Undecided {
+                error: Error::new(
+                    ErrorKind::Conflict,
+                    format!("the patch was accepted and made version {version}"),
+                )
+                .at("dry run"),
+            },
+            Judgement::Refused(error) => Verdict::Refused {
+                error,
+                against: Vec::new(),
+            },
+            Judgement::Undecided(error) => Verdict::Undecided { error },
+            Judgement::Ahead => Verdict::Undecided {
+                error: ahead(patch, held),
+            },
         }
     }
 
@@ -63,13 +96,7 @@
             self.reading.wanted = true;
             return None;
         }
-        let text = format!(
-            "the patch is against version {}, and {} is the newest",
-            p.patch.against, held.record.version
-        );
-        let error = Error::new(ErrorKind::BadInput, text)
-            .at("check version")
-            .with_hint("read the newest version and send the patch against it");
+        let error = ahead(&p.patch, held);
         self.tell(cx, p, Verdict::Undecided { error });
         Some(PatchEvent::Settled)
     }
@@ -139,3 +166,13 @@
         Some(PatchEvent::Settled)
     }
 }
+
+fn ahead(patch: &Patch, held: &Held) -> Error {
+    let text = format!(
+        "the patch is against version {}, and {} is the newest",
+        patch.against, held.record.version
+    );
+    Error::new(ErrorKind::BadInput, text)
+        .at("check version")
+        .with_hint("read the newest version and send the patch against it")
+}
--- a/crates/conf/src/proposal.rs
+++ b/crates/conf/src/proposal.rs
@@ -26,7 +26,6 @@
     pub(crate) patch: Patch,
     pub(crate) digest: u64,
     pub(crate) team: TeamName,
-    pub(crate) dry_run: bool,
     pub(crate) nonce: u64,
     pub(crate) state: PatchState,
     /// When the state was entered.
@@ -35,6 +34,8 @@
     pub(crate) asks: Vec<(Ask, Instant)>,
     /// The object's version that the patch was judged by and whose content is replaced.
     pub(crate) base: u64,
+    /// The object's version by which it may be prepared, once nothing else is in the way.
+    pub(crate) fits: Option<u64>,
     /// The object's version that shows it as prepared.
     pub(crate) prepared: u64,
     /// The new configuration, once it is judged.
@@ -108,12 +109,12 @@
             digest: asked.patch.digest(),
             patch: asked.patch,
             team: asked.team,
-            dry_run: asked.dry_run,
             nonce,
             state,
             since: now,
             asks: vec![(asked.ask, now + verdict_after)],
             base: 0,
+            fits: None,
             prepared: 0,
             next: None,
             warnings: Vec::new(),
--- a/crates/conf/tests/patches/races.rs
+++ b/crates/conf/tests/patches/races.rs
@@ -316,3 +316,28 @@
         assert_eq!(held.map(|c| c.version), Some(ConfVersion(2)), "seed {seed}");
     }
 }
+
+/// The platform is away and a patch hangs in the middle. An operator's dry run asks nobody and
+/// writes nothing, so it is answered at once.
+#[test]
+fn a_dry_run_waits_for_nothing_and_changes_nothing() {
+    let mut w = World::start(4, 13);
+    w.platform.down = true;
+    w.propose(0, patch("a", 1)).expect("runs");
+    w.run(100);
+    w.cost = crate::world::Cost::default();
+    let verdict = w.dry_run(0, patch("b", 1));
+    assert!(
+        matches!(
+            verdict,
+            Verdict::Checked {
+                version: ConfVersion(2),
+                ..
+            }
+        ),
+        "{verdict:?}"
+    );
+    let stale = w.dry_run(0, patch("b", 0));
+    assert!(!matches!(stale, Verdict::Checked { .. }), "{stale:?}");
+    assert_eq!(w.cost.messages, 0);
+}
--- a/crates/conf/tests/patches/world/mod.rs
+++ b/crates/conf/tests/patches/world/mod.rs
@@ -116,6 +116,26 @@
         Some(ask)
     }
 
+    /// The verdict of a dry run on a VM; it must come at once.
+    pub fn dry_run(&mut self, vm: usize, patch: Patch) -> Verdict {
+        let book = self.vms[vm].book.as_mut().expect("the VM runs");
+        let event = Event::Propose {
+            ask: Ask(u64::MAX),
+            team: "ops".parse().expect("a name"),
+            patch,
+            dry_run: true,
+        };
+        let mut out = Vec::new();
+        book.on(self.now, event, &mut out);
+        let verdicts = out.into_iter().filter_map(|a| match a {
+            Action::Verdict(_, verdict) => Some(verdict),
+            _ => None,
+        });
+        let verdicts: Vec<_> = verdicts.collect();
+        assert_eq!(verdicts.len(), 1);
+        verdicts[0].clone()
+    }
+
     /// Kills the process on a VM.
     pub fn kill(&mut self, vm: usize) {
         self.vms[vm].book = None;
