--- a/crates/conf/tests/patches/world/mod.rs
+++ b/crates/conf/tests/patches/world/mod.rs
@@ -11,6 +11,7 @@
 use gs_conf::Ask;
 use gs_conf::Book;
 use gs_conf::BookOptions;
+use gs_conf::Bootstrap;
 use gs_conf::Event;
 use gs_conf::Message;
 use gs_conf::Patch;
@@ -60,6 +61,8 @@
     pub platform: Platform,
     pub loss: f64,
     pub oracle: Oracle,
+    /// What the VMs create where there is no configuration.
+    pub bootstrap: Option<Bootstrap>,
     /// Messages sent and their bytes as the mesh codes them; calls to the platform.
     pub cost: Cost,
     rng: ChaCha8Rng,
@@ -75,18 +78,26 @@
 impl World {
     /// Starts `n` VMs on a platform that holds version 1, and lets them become ready.
     pub fn start(n: usize, seed: u64) -> Self {
+        let mut w = Self::new(n, seed, Platform::new(n));
+        w.start_all();
+        w
+    }
+
+    /// Makes `n` VMs that do not run yet.
+    pub fn new(n: usize, seed: u64, platform: Platform) -> Self {
         let mut w = Self {
             now: Instant::now(),
             vms: Vec::new(),
-            platform: Platform::new(n),
+            platform,
             loss: 0.0,
             oracle: Oracle::default(),
+            bootstrap: None,
             cost: Cost::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             agenda: BTreeMap::new(),
             count: 0,
         };
-        for vm in 0..n {
+        for _ in 0..n {
             w.vms.push(Vm {
                 book: None,
                 incarnation: 0,
@@ -96,12 +107,18 @@
                 waiting: Vec::new(),
                 wake: 0,
             });
-            w.restart(vm);
         }
-        w.run(500);
         w
     }
 
+    /// Starts every VM and lets it become ready.
+    pub fn start_all(&mut self) {
+        for vm in 0..self.vms.len() {
+            self.restart(vm);
+        }
+        self.run(500);
+    }
+
     /// Proposes a patch on a VM; returns the call.
     pub fn propose(&mut self, vm: usize, patch: Patch) -> Option<Ask> {
         self.vms[vm].book.as_ref()?;
@@ -152,6 +169,7 @@
             .vm(name(vm))
             .incarnation(Incarnation(v.incarnation))
             .seed(v.incarnation * 100 + vm as u64)
+            .maybe_bootstrap(self.bootstrap.clone())
             .build();
         v.book = Some(Book::new(options).expect("the chart fits"));
         self.feed(vm, Event::Start);
--- a/crates/conf/tests/patches/world/platform.rs
+++ b/crates/conf/tests/patches/world/platform.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// Holds nothing.
+    pub fn empty(vms: usize) -> Self {
+        let mut platform = Self::new(vms);
+        platform.objects.clear();
+        platform
+    }
+
     pub fn heal(&mut self) {
         self.down = false;
         self.lose = 0;
