--- a/crates/admin/src/answer.rs
+++ b/crates/admin/src/answer.rs
@@ -126,6 +126,11 @@
     let ok = StatusCode::OK;
     Ok(match call {
         Call::Status => reply::json(ok, &fleet.status()),
+        Call::Dump | Call::FleetDump if !team.admin => {
+            let text = format!("team `{}` may not see the whole state", team.name);
+            let e = Error::new(ErrorKind::Forbidden, text).at("dump");
+            return Err(e.with_hint("ask an admin team; `status` is for every team"));
+        }
         Call::Dump => reply::json(ok, &fleet.dump()),
         Call::FleetDump => reply::json(ok, &fleet.fleet_dump().await),
         Call::Config => reply::json(ok, &view::config(&cfg, team)),
--- a/crates/admin/tests/admin/interface.rs
+++ b/crates/admin/tests/admin/interface.rs
@@ -39,23 +39,25 @@
 }
 
 #[rstest]
-#[case("/status")]
-#[case("/dump")]
-#[case("/dump/fleet")]
-#[case("/admin/v1/config")]
-#[case("/admin/v1/history")]
-#[case("/admin/v1/status")]
-#[case("/admin/v1/dump")]
-#[case("/admin/v1/dump/fleet")]
-#[case("/admin/v1/fleet")]
+#[case("/status", 200)]
+#[case("/dump", 403)]
+#[case("/dump/fleet", 403)]
+#[case("/admin/v1/config", 200)]
+#[case("/admin/v1/history", 200)]
+#[case("/admin/v1/status", 200)]
+#[case("/admin/v1/dump", 403)]
+#[case("/admin/v1/dump/fleet", 403)]
+#[case("/admin/v1/fleet", 200)]
 #[tokio::test]
-async fn the_rest_needs_a_key(#[case] path: &str) {
+async fn the_rest_needs_a_key_and_a_dump_an_admins(#[case] path: &str, #[case] team: u16) {
     let admin = serve(Process::new()).await;
     let (without, body) = get(admin.addr(), path, None).await;
     let (wrong, _) = get(admin.addr(), path, Some("Bearer ops:wrong")).await;
     let (unknown, _) = get(admin.addr(), path, Some("Bearer nobody:key-of-ops")).await;
     let (right, _) = get(admin.addr(), path, Some(QUILL)).await;
-    assert_eq!([without, wrong, unknown, right], [401, 401, 401, 200]);
+    let (admins, _) = get(admin.addr(), path, Some(OPS)).await;
+    assert_eq!([without, wrong, unknown], [401; 3]);
+    assert_eq!([right, admins], [team, 200]);
     assert_eq!(body["kind"], "forbidden");
     assert_eq!(body["hint"], "send `authorization: Bearer TEAM:KEY`");
 }
