--- a/crates/rig/src/experiment.rs
+++ b/crates/rig/src/experiment.rs
@@ -134,8 +134,10 @@
 
 fn print_line(line: &Line) {
     eprintln!(
-        "table: {} p50={:.1} p99={:.1} p99.9={:.1} coverage={:.4} extra={:.2}% opened={} crashes={} wrong={} not-run={:?} unknown={:?} faults={:?}",
+        "table: {} asked={} whole={} p50={:.1} p99={:.1} p99.9={:.1} coverage={:.4} extra={:.2}% opened={} crashes={} wrong={} not-run={:?} unknown={:?} missing={:?} faults={:?}",
         line.row.name,
+        line.row.asked,
+        line.row.whole,
         line.row.p50,
         line.row.p99,
         line.row.p999,
@@ -146,6 +148,7 @@
         line.row.wrong,
         line.tally.not_run,
         line.tally.unknown,
+        line.tally.missing,
         line.tally.faults,
     );
 }
@@ -157,11 +160,13 @@
         args.common.deployment, args.common.length, args.common.seed
     );
     println!("{}", load::table(&rows));
-    println!("| what | connections opened | crashes | refusals |\n|---|---:|---:|---|");
+    println!(
+        "| what | connections opened | crashes | refusals | shards missing |\n|---|---:|---:|---|---|"
+    );
     for l in lines {
         println!(
-            "| {} | {} | {} | not-run {:?}, unknown {:?} |",
-            l.row.name, l.opened, l.crashes, l.tally.not_run, l.tally.unknown
+            "| {} | {} | {} | not-run {:?}, unknown {:?} | {:?} |",
+            l.row.name, l.opened, l.crashes, l.tally.not_run, l.tally.unknown, l.tally.missing
         );
     }
 }
--- a/crates/rig/src/load/table.rs
+++ b/crates/rig/src/load/table.rs
@@ -3,14 +3,14 @@
 use super::tally::Row;
 
 /// The columns, in order.
-const HEAD: &str = "| what | asked | answered | p50 ms | p99 ms | p99.9 ms | coverage | extra % | \
+const HEAD: &str = "| what | asked | answered | whole | p50 ms | p99 ms | p99.9 ms | coverage | extra % | \
                     not run | unknown | wrong |";
 
 /// Draws the rows as a table.
 #[must_use]
 pub fn table(rows: &[Row]) -> String {
     let mut out = String::from(HEAD);
-    out.push_str("\n|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n");
+    out.push_str("\n|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n");
     for r in rows {
         out.push_str(&line(r));
     }
@@ -19,10 +19,11 @@
 
 fn line(r: &Row) -> String {
     format!(
-        "| {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.3}% | {:.2} | {} | {} | {} |\n",
+        "| {} | {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.3}% | {:.2} | {} | {} | {} |\n",
         r.name,
         r.asked,
         r.answered,
+        r.whole,
         r.p50,
         r.p99,
         r.p999,
--- a/crates/rig/src/load/tally.rs
+++ b/crates/rig/src/load/tally.rs
@@ -43,6 +43,8 @@
     pub not_run: BTreeMap<String, u64>,
     /// Outcomes unknown, by reason.
     pub unknown: BTreeMap<String, u64>,
+    /// Shards missing from pages and named in refusals, by reason.
+    pub missing: BTreeMap<String, u64>,
     /// Requests that could not be sent.
     pub unreachable: u64,
     /// Answers that are wrong, by fault.
@@ -58,6 +60,8 @@
     pub asked: u64,
     /// Pages that came.
     pub answered: u64,
+    /// Pages that cover every shard or ended early with hits enough.
+    pub whole: u64,
     /// Median latency, in milliseconds.
     pub p50: f64,
     /// 99th percentile, in milliseconds.
@@ -93,6 +97,7 @@
             extra: 0,
             not_run: BTreeMap::new(),
             unknown: BTreeMap::new(),
+            missing: BTreeMap::new(),
             unreachable: 0,
             faults: BTreeMap::new(),
         }
@@ -106,6 +111,14 @@
         if let Some(f) = fault {
             *self.faults.entry(f).or_default() += 1;
         }
+        let missing = match reply.outcome() {
+            Some(Outcome::Answered(page)) => &page.coverage.missing[..],
+            Some(Outcome::NotRun(r) | Outcome::Unknown(r)) => &r.missing[..],
+            None => &[],
+        };
+        for m in missing {
+            *self.missing.entry(m.reason.to_string()).or_default() += 1;
+        }
         match reply.outcome() {
             Some(Outcome::Answered(page)) => self.count_page(page, took),
             Some(Outcome::NotRun(r)) => {
@@ -149,6 +162,7 @@
         self.unreachable += t.unreachable;
         add_all(&mut self.not_run, &t.not_run);
         add_all(&mut self.unknown, &t.unknown);
+        add_all(&mut self.missing, &t.missing);
         add_all(&mut self.faults, &t.faults);
     }
 
@@ -160,6 +174,7 @@
             name: name.to_owned(),
             asked: self.asked,
             answered: self.answered,
+            whole: self.full + self.early,
             p50: ms(0.5),
             p99: ms(0.99),
             p999: ms(0.999),
