--- a/crates/rig/src/operator.rs
+++ b/crates/rig/src/operator.rs
@@ -25,6 +25,9 @@
 /// Where a process tells its state in short.
 const STATUS: &str = "/admin/v1/status";
 
+/// Where a process tells its whole state.
+const DUMP: &str = "/admin/v1/dump";
+
 /// How long an operator waits for an answer.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -68,6 +71,15 @@
         self.call(Method::GET, admin, STATUS, String::new()).await
     }
 
+    /// The whole state of a VM's process.
+    ///
+    /// # Errors
+    ///
+    /// If no answer comes, or none that is JSON.
+    pub async fn dump(&self, admin: SocketAddr) -> Result<Value> {
+        self.call(Method::GET, admin, DUMP, String::new()).await
+    }
+
     /// The configuration version in force at a VM; 0 if it does not tell one.
     pub async fn version(&self, admin: SocketAddr) -> u64 {
         let status = self.status(admin).await;
