--- a/crates/member/src/holding.rs
+++ b/crates/member/src/holding.rs
@@ -136,20 +136,27 @@
             .fold(self.lowered, Epoch::min)
     }
 
-    /// How many connections this VM may hold to a server now.
-    pub(crate) fn share(&self, limit: &ServerLimit) -> Connections {
+    /// How many connections this VM may hold to each server now.
+    pub(crate) fn shares(&self, servers: &[ServerLimit]) -> Vec<(ServerName, Connections)> {
         let (Some(seat), Some(table)) = (self.my_seat(), &self.table) else {
-            return Connections(0);
+            let none = |s: &ServerLimit| (s.server.clone(), Connections(0));
+            return servers.iter().map(none).collect();
         };
-        self.shapes_in_use(table)
-            .map(|shape| seat_share(limit, &shape.seats, seat))
-            .min()
-            .unwrap_or_default()
+        let shapes: Vec<&Shape> = self.shapes_in_use(table).collect();
+        let share = |s: &ServerLimit| {
+            let in_each = shapes.iter().map(|shape| seat_share(s, &shape.seats, seat));
+            (s.server.clone(), in_each.min().unwrap_or_default())
+        };
+        servers.iter().map(share).collect()
     }
 
     /// The lists of seats that some VM may still hold to.
     fn shapes_in_use<'a>(&self, table: &'a SeatTable) -> impl Iterator<Item = &'a Shape> {
-        let lo = self.oldest();
+        // With one list of seats, as nearly always, nobody can be at another.
+        let lo = match table.shapes.len() {
+            1 => Epoch::default(),
+            _ => self.oldest(),
+        };
         let until = |i: usize| table.shapes.get(i + 1).map(|next| next.since);
         let shapes = table.shapes.iter().enumerate();
         shapes
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -308,8 +308,7 @@
 
     fn publish_shares(&mut self, out: &mut Vec<Action>) {
         let epoch = self.holding.claimed().read;
-        let share = |s: &ServerLimit| (s.server.clone(), self.holding.share(s));
-        let shares: Vec<_> = self.servers.iter().map(share).collect();
+        let shares = self.holding.shares(&self.servers);
         let told = Some((epoch, shares.clone()));
         if told != self.shares {
             self.shares = told;
