--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -1,12 +1,10 @@
 //! Whom to ask, what to tell, and what to make of what others tell.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Instant;
 
 use gs_types::prelude::*;
 use rand::RngExt;
-use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 
 use crate::beat::Rumour;
@@ -15,33 +13,29 @@
 use crate::settings::MemberSettings;
 use crate::view::View;
 use crate::view::ViewVm;
-use crate::view::rank;
 use crate::vm::VmChart;
 use crate::vm::VmEntry;
 use crate::vm::VmEvent;
 use crate::vm::VmState;
 
-/// VMs told of in each heartbeat in turn, news or not, so that lost news is mended.
-const DIGEST: usize = 4;
-
 /// The other VMs.
 #[derive(Debug)]
 pub(crate) struct Gossip {
-    cfg: MemberSettings,
-    chart: VmChart,
-    rng: ChaCha8Rng,
-    peers: BTreeMap<VmId, Peer>,
-    news: News,
+    pub(crate) cfg: MemberSettings,
+    pub(crate) chart: VmChart,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) peers: BTreeMap<VmId, Peer>,
+    pub(crate) news: News,
     /// The VMs that this one holds connections to and asks: all of a small fleet, and of a large
     /// one those that hash highest with this VM, so that a VM's cost does not grow with the fleet.
-    near: Vec<VmId>,
+    pub(crate) near: Vec<VmId>,
     /// VMs to ask, last first.
-    turn: Vec<VmId>,
+    pub(crate) turn: Vec<VmId>,
     /// The last VM told of as part of the digest.
-    cursor: Option<VmId>,
-    refutes: u32,
-    leaving: bool,
-    changed: bool,
+    pub(crate) cursor: Option<VmId>,
+    pub(crate) refutes: u32,
+    pub(crate) leaving: bool,
+    pub(crate) changed: bool,
 }
 
 impl Gossip {
@@ -227,113 +221,7 @@
         }
     }
 
-    /// Chooses whom to ask in this period: those that owe an answer, then others in turn.
-    pub(crate) fn asked(&mut self, now: Instant) -> Vec<VmId> {
-        let near = self.near.clone();
-        let owes = |vm: &&VmId| {
-            let state = self.peers.get(*vm).map(|p| (p.asked.is_some(), p.state));
-            state.is_some_and(|(asked, s)| asked && s != VmState::Unreachable)
-        };
-        let mut chosen: Vec<VmId> = near.iter().filter(owes).cloned().collect();
-        chosen.shuffle(&mut self.rng);
-        chosen.truncate(self.cfg.fan_out);
-        for _ in 0..self.cfg.fan_out.min(near.len()) {
-            if self.turn.is_empty() {
-                self.turn = near.clone();
-                self.turn.shuffle(&mut self.rng);
-            }
-            match self.turn.pop() {
-                Some(vm) if !chosen.contains(&vm) => chosen.push(vm),
-                _ => {}
-            }
-        }
-        chosen.retain(|vm| self.peers.contains_key(vm));
-        for vm in &chosen {
-            if let Some(p) = self.peers.get_mut(vm) {
-                p.asked.get_or_insert(now);
-            }
-        }
-        chosen
-    }
-
-    /// Chooses the neighbours again after a VM came or went.
-    fn choose_near(&mut self) {
-        let mut all: Vec<VmId> = self.peers.keys().cloned().collect();
-        if all.len() > self.cfg.neighbours {
-            let me = self.cfg.me.vm.as_str();
-            all.sort_by_cached_key(|vm| std::cmp::Reverse(rank(me, vm).0));
-            all.truncate(self.cfg.neighbours);
-        }
-        self.near = all;
-    }
-
-    /// The peers to connect to.
-    pub(crate) fn addresses(&self) -> Vec<(VmId, SocketAddr)> {
-        let near = self.near.iter();
-        near.filter_map(|vm| self.peers.get(vm).map(|p| (vm.clone(), p.entry.mesh)))
-            .collect()
-    }
-
-    /// The VMs to tell at once of something that cannot wait, at most `max`.
-    pub(crate) fn some_live(&mut self, max: usize) -> Vec<VmId> {
-        let mut live: Vec<VmId> = self.near.clone();
-        live.retain(|vm| {
-            self.peers
-                .get(vm)
-                .is_some_and(|p| p.state == VmState::Alive)
-        });
-        live.shuffle(&mut self.rng);
-        live.truncate(max);
-        live
-    }
-
-    /// What to tell in the next heartbeat: news first, then a few VMs in turn.
-    pub(crate) fn rumours(&mut self, lowered_of: impl Fn(&VmId) -> crate::Epoch) -> Vec<Rumour> {
-        let mut vms = self.news.take(self.cfg.rumours, self.peers.len() + 1);
-        for _ in 0..DIGEST.min(self.peers.len()) {
-            let next = self.next_in_turn();
-            match next {
-                Some(vm) if vms.len() < self.cfg.rumours && !vms.contains(&vm) => vms.push(vm),
-                _ => {}
-            }
-        }
-        vms.iter()
-            .filter_map(|vm| self.rumour_of(vm, lowered_of(vm)))
-            .collect()
-    }
-
-    fn next_in_turn(&mut self) -> Option<VmId> {
-        let after = self.cursor.take().and_then(|c| {
-            let mut rest = self
-                .peers
-                .range((std::ops::Bound::Excluded(c), std::ops::Bound::Unbounded));
-            rest.next().map(|(vm, _)| vm.clone())
-        });
-        self.cursor = after.or_else(|| self.peers.keys().next().cloned());
-        self.cursor.clone()
-    }
-
-    fn rumour_of(&self, vm: &VmId, lowered: crate::Epoch) -> Option<Rumour> {
-        if *vm == self.cfg.me.vm {
-            return Some(Rumour {
-                vm: vm.clone(),
-                incarnation: self.cfg.incarnation,
-                refutes: self.refutes,
-                state: self.my_state(),
-                lowered,
-            });
-        }
-        let p = self.peers.get(vm)?;
-        Some(Rumour {
-            vm: vm.clone(),
-            incarnation: p.incarnation?,
-            refutes: p.refutes,
-            state: p.state,
-            lowered,
-        })
-    }
-
-    fn my_state(&self) -> VmState {
+    pub(crate) fn my_state(&self) -> VmState {
         match self.leaving {
             true => VmState::Leaving,
             false => VmState::Alive,
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -21,6 +21,7 @@
 mod seats;
 mod settings;
 mod share;
+mod tell;
 mod view;
 mod vm;
 
