--- a/crates/conf/src/follow.rs
+++ b/crates/conf/src/follow.rs
@@ -64,8 +64,14 @@
         let one = |vm: &VmId| VmStatus {
             vm: vm.clone(),
             version: self.version(vm),
-            heard: self.heard.get(vm).map(|(_, at)| now.duration_since(*at)),
+            heard: self.heard.get(vm).map(|(_, at)| whole_ms(now, *at)),
         };
         self.members.iter().map(one).collect()
     }
 }
+
+/// The time since then without the fractions that nobody reads.
+fn whole_ms(now: Instant, then: Instant) -> Duration {
+    let ms = now.saturating_duration_since(then).as_millis();
+    Duration::from_millis(u64::try_from(ms).unwrap_or(u64::MAX))
+}
