--- a/crates/rig/src/experiment.rs
+++ b/crates/rig/src/experiment.rs
@@ -14,6 +14,7 @@
 use gs_rig::load::Row;
 use gs_rig::load::Series;
 use gs_rig::load::Tally;
+use gs_rig::operator::Operator;
 use gs_types::prelude::*;
 use strum::IntoEnumIterator;
 
@@ -34,6 +35,18 @@
     tally: Tally,
     opened: u64,
     crashes: u64,
+    engines: Engines,
+}
+
+/// Sums over the engines of every VM, for the whole run with its warm-up.
+#[derive(Clone, Copy, Debug, Default)]
+struct Engines {
+    attempts: u64,
+    hedges: u64,
+    hedges_won: u64,
+    retries: u64,
+    resends: u64,
+    extra_refused: u64,
 }
 
 /// Runs the comparison and prints it as Markdown.
@@ -98,6 +111,7 @@
         tally,
         opened: after.opened - before.opened,
         crashes: after.crashes - before.crashes,
+        engines: engines(&d).await,
     })
 }
 
@@ -132,9 +146,26 @@
     all
 }
 
+/// Asks every VM for its counters; one that does not answer is left out.
+async fn engines(d: &Deployment) -> Engines {
+    let operator = Operator::new();
+    let mut sum = Engines::default();
+    for vm in &d.vms {
+        let dump = operator.dump(vm.plan().admin).await.unwrap_or_default();
+        let count = |name: &str| dump["engine"]["counters"][name].as_u64().unwrap_or(0);
+        sum.attempts += count("attempts");
+        sum.hedges += count("hedges");
+        sum.hedges_won += count("hedges_won");
+        sum.retries += count("retries");
+        sum.resends += count("resends");
+        sum.extra_refused += count("extra_refused");
+    }
+    sum
+}
+
 fn print_line(line: &Line) {
     eprintln!(
-        "table: {} asked={} whole={} p50={:.1} p99={:.1} p99.9={:.1} coverage={:.4} extra={:.2}% opened={} crashes={} wrong={} not-run={:?} unknown={:?} missing={:?} faults={:?}",
+        "table: {} asked={} whole={} p50={:.1} p99={:.1} p99.9={:.1} coverage={:.4} extra={:.2}% opened={} crashes={} wrong={} not-run={:?} unknown={:?} missing={:?} faults={:?} {:?}",
         line.row.name,
         line.row.asked,
         line.row.whole,
@@ -150,6 +181,7 @@
         line.tally.unknown,
         line.tally.missing,
         line.tally.faults,
+        line.engines,
     );
 }
 
