fix(query): a canary goes where a replica can be spared

Every canary went to the first shard, and the second one there too: a poisoned text under suspicion could take both replicas of shard 0 down, and every lookup missed it for a second. Canaries now go to shards with more than one replica up first, to a shard struck already last, and by the lookup's number among equals.

--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -6,6 +6,7 @@
 mod action;
 mod arrive;
 mod attempt;
+mod canary;
 mod claim;
 mod core;
 mod counters;
--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -9,7 +9,6 @@
 
 use crate::action::Action;
 use crate::attempt::AttemptEvent;
-use crate::attempt::AttemptState;
 use crate::attempt::Kind;
 use crate::core::Core;
 use crate::lookup::LookupRun;
@@ -17,9 +16,6 @@
 use crate::lookup::ShardState;
 use crate::place::Place;
 
-/// How long attempts under way may take to end before a suspect's canary goes out.
-const SETTLE_MAX: Duration = Duration::from_millis(50);
-
 /// Restarts on another snapshot that one lookup may make.
 const RESTARTS_MAX: u8 = 3;
 
@@ -61,60 +57,6 @@
         self.check_end(now, lk, out);
     }
 
-    /// Shows the lookup to one server alone.
-    pub(crate) fn begin_canary(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
-        self.suspects.test(now, lk.fingerprint, lk.seq);
-        for at in 0..lk.shards.len() {
-            if lk.shards[at].state != ShardState::Held {
-                continue;
-            }
-            let kind = if lk.shards[at].attempts.is_empty() {
-                Kind::First
-            } else {
-                Kind::Retry
-            };
-            lk.phase = Phase::Canary(at);
-            self.try_shard(now, lk, at, kind, out);
-            if lk.shards[at].is_open() {
-                self.counters.canaries += 1;
-                return;
-            }
-            if lk.is_hopeless() {
-                break;
-            }
-        }
-        self.check_end(now, lk, out);
-    }
-
-    /// Stops everything under way for a suspect, until it has ended or a short time has passed.
-    pub(crate) fn settle(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
-        self.suspects.test(now, lk.fingerprint, lk.seq);
-        lk.phase = Phase::Settling(now + SETTLE_MAX);
-        for at in 0..lk.shards.len() {
-            self.unqueue(lk, at);
-            self.stop_attempts(now, lk, at, out);
-            if lk.shards[at].is_open() {
-                lk.shards[at].state = ShardState::Held;
-            }
-        }
-        self.arm(lk, now + SETTLE_MAX);
-    }
-
-    /// Sends the canary once nothing of a suspect is under way any more.
-    fn check_settled(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
-        let Phase::Settling(until) = lk.phase else {
-            return;
-        };
-        let quiet = !lk
-            .shards
-            .iter()
-            .flat_map(|s| &s.attempts)
-            .any(|a| a.state == AttemptState::Stopping);
-        if quiet || now >= until {
-            self.begin_canary(now, lk, out);
-        }
-    }
-
     /// Makes an attempt at a shard, or queues it, or gives the shard up.
     pub(crate) fn try_shard(
         &mut self,
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -328,6 +328,30 @@
     assert!(w.answer(seq).coverage.is_full());
 }
 
+/// Suspicion is up, and every shard but one has lost a replica already. A canary that crashed its
+/// server would leave any of those shards without one for everybody; so it goes to the one that has
+/// a replica to spare, and the next canary not to the shard whose server it just crashed.
+#[test]
+fn a_canary_goes_where_a_replica_can_be_spared() {
+    let mut w = World::new(6, 2);
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    for s in (0..6).filter(|s| *s != 4) {
+        w.on(Event::Sign(
+            Sign::Drain {
+                server: server(s, 0),
+                incarnation: None,
+            },
+            SignSource::Peer,
+        ));
+    }
+    w.arrive_with(World::request("urgent", "variant"));
+    let canary = w.open.remove(0);
+    assert_eq!(canary.attempt.shard, ShardId(4));
+    crash(&mut w, &canary);
+    let second = w.open.remove(0);
+    assert_ne!(second.attempt.shard, ShardId(4));
+}
+
 /// VMs that hear each other's signs at once, and servers that crash on every attempt they get.
 struct Fleet {
     vms: Vec<World>,
--- a/crates/query/tests/engine/snapshot.rs
+++ b/crates/query/tests/engine/snapshot.rs
@@ -186,9 +186,9 @@
     };
     w.on(Event::Sign(sign, gs_query::SignSource::Peer));
     let seq = w.arrive("urgent");
-    let canary = w.take(0);
+    let canary = w.open.remove(0);
     assert_eq!((canary.snapshot, w.open.len()), (SnapshotId(2), 0));
-    for s in 1..5 {
+    for s in (0..5).filter(|s| ShardId(*s) != canary.attempt.shard) {
         tell(&mut w, s, &[1]);
     }
     w.sent(&canary);
