fix(node): a VM on its way out stops no patch; dumps show patches, doubts and the platform's absence

Cause: the VMs asked to acknowledge were all that the platform lists, leaving ones too; one that is gone while the list lags refused every patch by its silence (found in a trial with three processes). Test a_vm_that_left_and_is_still_listed_stops_no_patch failed first.

--- a/crates/node/src/dumps.rs
+++ b/crates/node/src/dumps.rs
@@ -60,14 +60,13 @@
     /// The whole state of this process.
     pub(crate) fn own(&self) -> Value {
         let now = self.clock.now();
-        let config = lock(&self.book).config().cloned();
         json!({
             "settings": self.settings,
             "incarnation": self.incarnation,
             "ready": self.ready(),
             "leaving": self.board.leaving(),
-            "config": config.map(|c| c.version),
-            "in_force": lock(&self.book).fleet(now),
+            "platform_away_for": self.away_for(),
+            "patches": lock(&self.book).dump(now),
             "engine": lock(&self.engine).dump(now),
             "members": self.members(),
             "claims": lock(&self.once).counts(),
@@ -78,6 +77,12 @@
         })
     }
 
+    /// How long the platform has not answered, as text; `null` while it answers.
+    fn away_for(&self) -> Option<String> {
+        let away = self.platform.away_for()?;
+        Some(humantime::format_duration(away).to_string())
+    }
+
     fn members(&self) -> Value {
         let member = lock(&self.member);
         json!({ "view": member.view(), "seats": member.table(), "claimed": member.claimed() })
@@ -106,6 +111,8 @@
             "leaving": self.board.leaving(),
             "config": config,
             "in_force": lock(&self.book).fleet(now),
+            "in_doubt": lock(&self.book).doubts(now),
+            "platform_away_for": self.away_for(),
             "vms": vms,
             "lookups_in_flight": lock(&self.engine).in_flight(),
         })
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -156,7 +156,10 @@
         loop {
             match self.platform.vms().await {
                 Ok(list) => {
-                    let names = list.iter().map(|v| v.vm.clone()).collect();
+                    // A VM on its way out learns of a patch like every other, but may be gone before it can
+                    // acknowledge one, while the lagging list still shows it.
+                    let staying = list.iter().filter(|v| !v.leaving);
+                    let names = staying.map(|v| v.vm.clone()).collect();
                     self.feeds.book.push(gs_conf::Event::Members(names));
                     let list = list.into_iter().map(entry).collect();
                     self.feeds.member.push(gs_member::Event::List(list));
--- a/tests/process/patches.rs
+++ b/tests/process/patches.rs
@@ -189,3 +189,28 @@
     })
     .await;
 }
+
+/// A VM is taken away: the platform lists it as leaving, it is gone, and the list lags on.
+/// An operator patches in that time and is told that the VM did not acknowledge, again and again. The
+/// cause: VMs on their way out were asked like those that stay.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_left_and_is_still_listed_stops_no_patch() {
+    let mut d = tiny().await;
+    let gone = d.vms[2].plan().name.clone();
+    d.platform.control(Control {
+        vm_leaving: Some(gone.clone()),
+        ..Control::default()
+    });
+    let leaving = async |d: &Running| {
+        let status = Operator::new().status(d.vms[0].plan().admin).await;
+        let vms = status.map_or(Value::Null, |s| s["vms"].clone());
+        let vms = vms.as_array().cloned().unwrap_or_default();
+        vms.iter()
+            .any(|v| v["vm"] == gone.as_str() && v["state"] == "leaving")
+    };
+    until("the VM seen as leaving", async || leaving(&d).await).await;
+    d.vms[2].kill();
+    let verdict = settle(&d, 0, &patch(&d, "while-one-leaves", 1, 4)).await;
+    assert_eq!(verdict["verdict"], "accepted", "{verdict}");
+}
