fix(query): a part lost by a proven lookup waits for the other parts before its retry

A text that ran well a minute ago and crashes servers now (rig: poison switched on after its warm-up) was retried at the shard's other replica before the other shards' breaks were heard, and so took both replicas down. It now waits until another part is in, or 10 ms. A peer's quarantine is heeded even by a VM where the text ran well before; and a fan-out that breaks 30 servers tells peers twice, not 30 times.

--- a/crates/query/src/arrive.rs
+++ b/crates/query/src/arrive.rs
@@ -97,6 +97,7 @@
             phase,
             snapshot: Arc::clone(&pin.snapshot),
             shards: Vec::new(),
+            held_until: None,
             canary_first,
             first_number: 0,
             whole: 0,
--- a/crates/query/src/canary.rs
+++ b/crates/query/src/canary.rs
@@ -4,11 +4,13 @@
 use std::time::Instant;
 
 use gs_route::Standing;
+use gs_types::prelude::*;
 
 use crate::action::Action;
 use crate::attempt::AttemptState;
 use crate::attempt::Kind;
 use crate::core::Core;
+use crate::life::Lost;
 use crate::lookup::LookupRun;
 use crate::lookup::Phase;
 use crate::lookup::ShardState;
@@ -16,6 +18,9 @@
 /// How long attempts under way may take to end before a suspect's canary goes out.
 const SETTLE_MAX: Duration = Duration::from_millis(50);
 
+/// How long a lost part of a proven lookup waits for what the other parts say.
+const HOLD_MAX: Duration = Duration::from_millis(10);
+
 /// What a canary at a shard could cost, the least first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Risk {
@@ -84,6 +89,41 @@
         }
     }
 
+    /// Holds a part that a proven lookup lost, until another part is in or a moment has passed.
+    ///
+    /// What ran well a minute ago may crash servers now, if their index or program changed. Then the
+    /// other parts break in the same moment, and a retry would take the shard's next replica down.
+    pub(crate) fn hold_lost(
+        &mut self,
+        now: Instant,
+        lk: &mut LookupRun,
+        at: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let others = lk.shards.iter().filter(|s| s.has_live()).count();
+        let is_plain = lk.is_once() || others == 0 || lk.shards[at].state != ShardState::Running;
+        if is_plain || lk.shards[at].has_live() {
+            self.lost(now, lk, at, Lost::Failed, out);
+            return;
+        }
+        lk.shards[at].state = ShardState::Held;
+        lk.shards[at].miss = MissReason::Failed;
+        let until = *lk.held_until.get_or_insert(now + HOLD_MAX);
+        self.arm(lk, until);
+    }
+
+    /// Asks again for the parts that were held.
+    pub(crate) fn retry_held(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
+        if lk.held_until.take().is_none() || lk.phase != Phase::Running {
+            return;
+        }
+        for at in 0..lk.shards.len() {
+            if lk.shards[at].state == ShardState::Held {
+                self.try_shard(now, lk, at, Kind::Retry, out);
+            }
+        }
+    }
+
     /// The shards that are held, in the order in which they are tried.
     ///
     /// A canary that crashes its server must not leave a shard without a replica while others have
--- a/crates/query/src/heard.rs
+++ b/crates/query/src/heard.rs
@@ -13,6 +13,9 @@
 use crate::suspects::Crash;
 use crate::suspects::Finding;
 
+/// Crashes under suspicion of which peers are told one by one.
+const CRASHES_TOLD: u32 = 2;
+
 /// What a reply means to the view of its server.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Heard {
@@ -95,9 +98,11 @@
         let crashes = self.suspects.crashes(fingerprint);
         match finding {
             Finding::Harmless => {}
-            Finding::Suspected => {
+            // The first word is enough; a fan-out may break a server of each shard.
+            Finding::Suspected if crashes <= CRASHES_TOLD => {
                 self.spread_suspect(fingerprint, crashes, Duration::ZERO, out);
             }
+            Finding::Suspected => {}
             Finding::Quarantined => {
                 self.counters.quarantines += 1;
                 self.spread_suspect(fingerprint, crashes, self.options.quarantine, out);
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -106,6 +106,8 @@
     pub(crate) phase: Phase,
     pub(crate) snapshot: Arc<Snapshot>,
     pub(crate) shards: Vec<ShardRun>,
+    /// When parts lost before any was whole are asked for again at the latest.
+    pub(crate) held_until: Option<Instant>,
     /// Whether it must show one server alone before it is fanned out.
     pub(crate) canary_first: bool,
     /// The number of the first attempt at each shard; grows with every restart, so that an attempt
@@ -176,6 +178,7 @@
         self.missing = 0;
         self.hits = 0;
         self.wants_restart = false;
+        self.held_until = None;
     }
 
     fn shards_of(&self, snapshot: &Snapshot) -> Vec<ShardRun> {
--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -145,9 +145,13 @@
 
     /// Goes on with everything that was held back under suspicion.
     fn resume(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
-        if matches!(lk.phase, Phase::Settling(_) | Phase::Canary(_)) && !lk.is_done {
+        if lk.is_done {
+            return;
+        }
+        if matches!(lk.phase, Phase::Settling(_) | Phase::Canary(_)) {
             self.fan_out(now, lk, out);
         }
+        self.retry_held(now, lk, out);
     }
 
     /// An attempt ended without a part, and without breaking its connection.
@@ -197,7 +201,7 @@
                 let refusal = Refusal::new(RefusalReason::Quarantined, Some(rest));
                 self.refuse(now, lk, refusal, out);
             }
-            Finding::Harmless => self.lost(now, lk, at, Lost::Failed, out),
+            Finding::Harmless => self.hold_lost(now, lk, at, out),
             Finding::Suspected if lk.is_once() => self.lost(now, lk, at, Lost::Failed, out),
             Finding::Suspected => {
                 lk.shards[at].miss = MissReason::Failed;
--- a/crates/query/src/signs.rs
+++ b/crates/query/src/signs.rs
@@ -65,7 +65,7 @@
         out: &mut Vec<Action>,
     ) {
         self.core.suspects.told(now, fingerprint, crashes, rest);
-        if rest == Duration::ZERO || self.core.suspects.is_proven(now, fingerprint) {
+        if rest == Duration::ZERO {
             return;
         }
         let running: Vec<LookupSeq> = self
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -198,8 +198,8 @@
 
     /// A peer's word: `crashes` of 0 clears; a `rest` of 0 means that the peer tries it now.
     ///
-    /// Of a lookup that ran well here not long ago the peer's word only asks for a canary: a server
-    /// that dies by itself under a popular lookup would else have it refused by the whole fleet.
+    /// Of a lookup that ran well here not long ago mere suspicion is not heeded: a server that dies by
+    /// itself under a popular lookup would else have it refused by the whole fleet. A quarantine is.
     pub(crate) fn told(&mut self, now: Instant, fp: Fingerprint, crashes: u32, rest: Duration) {
         if crashes == 0 {
             let testing = self.suspects.get(&fp).is_some_and(|s| s.tester.is_some());
@@ -208,8 +208,7 @@
             }
             return;
         }
-        if self.is_proven(now, fp) {
-            self.doubt(now, fp, crashes, rest);
+        if rest == Duration::ZERO && self.is_proven(now, fp) {
             return;
         }
         let rest = rest.min(self.quarantine.saturating_mul(2));
@@ -225,18 +224,6 @@
         }
     }
 
-    /// Has a proven lookup show one server first, if a peer put it into quarantine.
-    fn doubt(&mut self, now: Instant, fp: Fingerprint, crashes: u32, rest: Duration) {
-        if rest == Duration::ZERO {
-            return;
-        }
-        self.raised_until = self.raised_until.max(Some(now + self.window));
-        let forget_at = now + self.window;
-        let s = self.entry(now, fp);
-        s.told = s.told.max(crashes);
-        s.forget_at = s.forget_at.max(forget_at);
-    }
-
     /// How many servers it crashed, as far as is known.
     pub(crate) fn crashes(&self, fp: Fingerprint) -> u32 {
         self.suspects.get(&fp).map_or(0, Suspect::crashes)
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -49,6 +49,9 @@
             self.time_up(now, lk, out);
             return;
         }
+        if lk.held_until.is_some_and(|until| until <= now) {
+            self.retry_held(now, lk, out);
+        }
         if lk.phase == Phase::Running {
             self.look_at_attempts(now, lk, out);
         }
@@ -58,7 +61,7 @@
         }
         let next = match lk.phase {
             Phase::Settling(until) => until,
-            _ => lk.answer_by,
+            _ => lk.held_until.unwrap_or(lk.answer_by),
         };
         self.arm(lk, next);
     }
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -8,6 +8,7 @@
 use gs_query::Sign;
 use gs_query::SignSource;
 use gs_types::prelude::*;
+use rstest::rstest;
 
 use crate::world::World;
 use crate::world::name;
@@ -323,7 +324,56 @@
     assert!(w.answer(seq).coverage.is_full());
     quarantine(&mut w, 2, Duration::from_secs(30));
     let seq = w.arrive("urgent");
-    assert_eq!(w.open.len(), 1, "a canary after a peer's quarantine");
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// A text that ran well until now begins to crash servers, as their index or program changed. Its
+/// fan-out breaks a server of each shard. A retry of the first one at once would take that shard's
+/// last replica down too; it waits a moment for what the other shards say.
+#[test]
+fn a_lost_part_of_a_proven_lookup_waits_for_the_other_parts_before_its_retry() {
+    let mut w = World::new(3, 2);
+    w.arrive("urgent");
+    w.serve_all();
+    let seq = w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    assert_eq!(w.open.len(), 2, "retried before the others were heard");
+    for d in std::mem::take(&mut w.open) {
+        crash(&mut w, &d);
+    }
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    let canary = w.open.remove(0);
+    crash(&mut w, &canary);
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// The other side of it: one server dies by itself under a proven lookup. Its part is asked for
+/// again as soon as another part is in, or after a few milliseconds.
+#[rstest]
+#[case::after_another_part(true)]
+#[case::after_a_moment(false)]
+fn a_lost_part_of_a_proven_lookup_is_retried_soon(#[case] another_comes: bool) {
+    let mut w = World::new(3, 2);
+    w.arrive("urgent");
+    w.serve_all();
+    let seq = w.arrive("urgent");
+    let lost = w.take(0);
+    crash(&mut w, &lost);
+    if another_comes {
+        let d = w.take(1);
+        w.sent(&d);
+        w.reply(&d, whole(&d));
+    } else {
+        w.pass(Duration::from_millis(10));
+    }
+    assert!(w.open.iter().any(|d| d.attempt.shard == ShardId(0)));
     w.serve_all();
     assert!(w.answer(seq).coverage.is_full());
 }
