--- a/crates/member/tests/member/table.rs
+++ b/crates/member/tests/member/table.rs
@@ -1,9 +1,14 @@
 //! The seat table's object.
 
+use std::time::Duration;
+
+use gs_member::Beat;
 use gs_member::SeatTable;
 use gs_types::prelude::*;
 use proptest::prelude::*;
 
+use crate::world::World;
+
 fn dcs() -> Vec<DataCentre> {
     ["a", "b"].map(|d| d.parse().expect("a name")).to_vec()
 }
@@ -39,3 +44,26 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(crate::fuzz::config(256))]
+
+    #[test]
+    fn any_bytes_are_a_heartbeat_or_an_error(bytes: Vec<u8>) {
+        let _ = postcard::from_bytes::<Beat>(&bytes);
+    }
+
+    /// A peer of ours may be wrong, as after a bad build: no heartbeat that decodes may stop a VM.
+    #[test]
+    fn no_heartbeat_stops_a_vm(all: Vec<(Vec<u8>, u8)>) {
+        let mut w = World::new(&[25]);
+        (0..3).for_each(|i| w.start(i));
+        w.run(Duration::from_secs(1));
+        for (bytes, from) in all {
+            if let Ok(beat) = postcard::from_bytes::<Beat>(&bytes) {
+                w.hear(0, from % 4, beat);
+            }
+        }
+        w.run(Duration::from_secs(1));
+    }
+}
--- a/crates/member/tests/member/world.rs
+++ b/crates/member/tests/member/world.rs
@@ -187,6 +187,16 @@
         }
     }
 
+    /// Hands a VM a heartbeat that another never sent.
+    pub fn hear(&mut self, i: u8, from: u8, beat: Beat) {
+        let p = self.processes.get_mut(&i).expect("running");
+        p.push(Event::Heard {
+            from: vm(from),
+            incarnation: Incarnation(u64::MAX),
+            beat,
+        });
+    }
+
     /// The oracle: no server ever sees more connections than its limit.
     pub fn check(&self) {
         for s in &self.servers {
--- a/crates/once/tests/once/part.rs
+++ b/crates/once/tests/once/part.rs
@@ -73,3 +73,12 @@
         let _ = Part::decode(&bytes);
     }
 }
+
+proptest! {
+    #![proptest_config(crate::fuzz::config(256))]
+
+    #[test]
+    fn any_bytes_are_a_message_or_an_error(bytes: Vec<u8>) {
+        let _ = postcard::from_bytes::<gs_once::Message>(&bytes);
+    }
+}
