--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -35,6 +35,9 @@
     /// This process is leaving.
     Leave,
     /// This process holds no connection any more and will open none: the last word before exit.
+    ///
+    /// Its seat may be another's at once. So from the moment the shell begins to close, it must
+    /// not open connections again for an [`crate::Action::Shares`] that is told meanwhile.
     Released,
     /// A timer asked for by [`crate::Action::Wake`] is due.
     Tick,
