refactor(admin): serve by the server of the http crate

The administration API had a second accept loop with hyper's header bound, which closes kept connections that idle. Both interfaces now share one server; its idle bound is a setting of each, and a connection whose body was refused unread is closed (a_large_body_is_refused hung without).

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -1,26 +1,25 @@
 //! Taking connections.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bon::Builder;
+use gs_http::Handler;
+use gs_http::Limits;
+use gs_http::Server;
 use gs_types::prelude::*;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use hyper::Request;
+use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::task::JoinSet;
 
 use crate::answer::Bounds;
 use crate::answer::answer;
 use crate::fleet::Fleet;
+use crate::reply::Reply;
 
 /// How the interface is served.
 #[derive(Builder, Clone)]
@@ -35,7 +34,7 @@
     /// The largest head of a request, in bytes.
     #[builder(default = 16 << 10)]
     pub head_max: usize,
-    /// How long a head, and then a body, may take to arrive.
+    /// How long a connection may be idle, and a head, and then a body, may take to arrive.
     #[builder(default = Duration::from_secs(5))]
     pub read_timeout: Duration,
     /// Connections at a time; more wait to be accepted.
@@ -79,7 +78,7 @@
                 .from_peer(options.addr.to_string())
         })?;
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, options, stopped));
+        let task = serve(listener, options, stopped);
         Ok(Self { addr, stop, task })
     }
 
@@ -102,83 +101,40 @@
     }
 }
 
-async fn accept(listener: TcpListener, options: AdminOptions, mut stopped: watch::Receiver<bool>) {
-    let permits = Arc::new(Semaphore::new(options.connections));
-    let mut connections = JoinSet::new();
-    loop {
-        let next = tokio::select! {
-            next = next_connection(&listener, &permits) => next,
-            () = asked(&mut stopped) => break,
-        };
-        let Some((stream, peer, permit)) = next else {
-            continue;
-        };
-        connections.spawn(connection(
-            stream,
-            peer,
-            permit,
-            options.clone(),
-            stopped.clone(),
-        ));
-        while connections.try_join_next().is_some() {}
-    }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
+/// Answers operators' calls on every connection.
+struct Interface {
+    fleet: Arc<dyn Fleet>,
+    bounds: Bounds,
 }
 
-/// Waits until the interface is asked to stop, or dropped.
-async fn asked(stopped: &mut watch::Receiver<bool>) {
-    let _ = stopped.wait_for(|s| *s).await;
-}
-
-/// The next connection, once there is room for one.
-async fn next_connection(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
-    match listener.accept().await {
-        Ok((stream, peer)) => Some((stream, peer, permit)),
-        Err(e) => {
-            // Out of file descriptors, say: without a rest this would spin until some are closed.
-            log::warn!("event=admin-accept-failed error=\"{e}\"");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-            None
-        }
+impl Handler for Interface {
+    fn handle(
+        self: Arc<Self>,
+        peer: SocketAddr,
+        req: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Reply> + Send>> {
+        Box::pin(async move { answer(&*self.fleet, self.bounds, peer, req).await })
     }
 }
 
-async fn connection(
-    stream: TcpStream,
-    peer: SocketAddr,
-    _permit: OwnedSemaphorePermit,
+fn serve(
+    listener: TcpListener,
     options: AdminOptions,
-    mut stopped: watch::Receiver<bool>,
-) {
+    stopped: watch::Receiver<bool>,
+) -> JoinHandle<()> {
+    let limits = Limits {
+        headers: options.head_max,
+        header_timeout: options.read_timeout,
+        idle_timeout: options.read_timeout,
+        connections: options.connections,
+    };
     let bounds = Bounds {
         body: options.body_max,
         body_time: options.read_timeout,
     };
-    let fleet = options.fleet.clone();
-    let service = service_fn(move |req| {
-        let fleet = fleet.clone();
-        async move { Ok::<_, std::convert::Infallible>(answer(&*fleet, bounds, peer, req).await) }
-    });
-    let serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // A caller that sends its head a byte at a time would hold its connection for ever.
-        .header_read_timeout(options.read_timeout)
-        .max_buf_size(options.head_max)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(serving);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        () = asked(&mut stopped) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
+    let interface = Interface {
+        fleet: options.fleet,
+        bounds,
     };
-    if let Err(e) = ended {
-        log::debug!("event=admin-connection-failed peer={peer} error=\"{e}\"");
-    }
+    tokio::spawn(Server::new(listener, limits).run(Arc::new(interface), stopped))
 }
--- a/crates/http/src/callers/handler.rs
+++ b/crates/http/src/callers/handler.rs
@@ -1,5 +1,6 @@
 //! Takes a caller's request apart, has it answered and puts the answer together.
 
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -82,6 +83,7 @@
 impl Handler for Callers {
     fn handle(
         self: Arc<Self>,
+        _: SocketAddr,
         req: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = Response<Full<Bytes>>> + Send>> {
         Box::pin(async move {
--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -18,9 +18,6 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// How long a connection may be idle between requests.
-const IDLE_MAX: Duration = Duration::from_secs(60);
-
 /// The low bits that hold the phase beside the time.
 const PHASE_BITS: u64 = 2;
 
@@ -37,14 +34,16 @@
     start: Instant,
     word: Arc<AtomicU64>,
     head_max: Duration,
+    idle_max: Duration,
 }
 
 impl PhaseClock {
-    pub(crate) fn new(head_max: Duration) -> Self {
+    pub(crate) fn new(head_max: Duration, idle_max: Duration) -> Self {
         Self {
             start: Instant::now(),
             word: Arc::default(),
             head_max,
+            idle_max,
         }
     }
 
@@ -72,7 +71,7 @@
     fn until(&self) -> Instant {
         let (phase, since) = self.read();
         match phase {
-            Phase::Idle => since + IDLE_MAX,
+            Phase::Idle => since + self.idle_max,
             Phase::Head => since + self.head_max,
             Phase::Busy => Instant::now() + self.head_max,
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -35,9 +36,10 @@
 
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
-    /// Answers one request; never fails, as every fault has a response.
+    /// Answers one request of `peer`; never fails, as every fault has a response.
     fn handle(
         self: Arc<Self>,
+        peer: SocketAddr,
         req: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = Response<Full<Bytes>>> + Send>>;
 }
@@ -49,6 +51,8 @@
     pub headers: usize,
     /// The longest that a request's headers may take to arrive.
     pub header_timeout: Duration,
+    /// The longest that a connection may be idle before and between requests.
+    pub idle_timeout: Duration,
     /// The most connections open at the same time; more wait in the listen queue.
     pub connections: usize,
 }
@@ -167,17 +171,17 @@
         let open = Open::new(&self.state);
         let state = Arc::clone(&self.state);
         let handler = Arc::clone(handler);
-        let clock = PhaseClock::new(self.limits.header_timeout);
+        let clock = PhaseClock::new(self.limits.header_timeout, self.limits.idle_timeout);
         let phase = clock.clone();
         let service = service_fn(move |req| {
             phase.busy();
             let phase = phase.clone();
-            let answer = Arc::clone(&handler).handle(req);
+            let answer = Arc::clone(&handler).handle(peer, req);
             let state = Arc::clone(&state);
             async move {
                 let mut res = answer.await;
                 phase.idle();
-                if state.closing.load(Ordering::Relaxed) {
+                if state.closing.load(Ordering::Relaxed) || is_unread(&res) {
                     res.headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -200,6 +204,14 @@
     }
 }
 
+/// Whether the rest of a request's body was left unread, so that no next request can follow it.
+///
+/// Guards against a sender that announces a large body, is refused, and then sends nothing: kept open,
+/// its connection would count as idle.
+fn is_unread<B>(res: &Response<B>) -> bool {
+    res.status() == StatusCode::PAYLOAD_TOO_LARGE
+}
+
 /// Waits until `stop` is true or its sender is gone.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/http/tests/callers.rs
+++ b/crates/http/tests/callers.rs
@@ -64,6 +64,7 @@
     let limits = Limits {
         headers: 8192,
         header_timeout: Duration::from_millis(300),
+        idle_timeout: Duration::from_secs(60),
         connections: 16,
     };
     let callers = Arc::new(Callers::new(
--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -1,6 +1,7 @@
 //! What each part of the process is told of the settings.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::SystemTime;
 
 use gs_clock::Clock;
@@ -28,6 +29,9 @@
 use crate::message::Message;
 use crate::recording::Recording;
 
+/// The longest that a caller's kept connection may be idle.
+const CALLER_IDLE: Duration = Duration::from_secs(60);
+
 /// Messages that arrive from other VMs.
 pub(crate) type Inbox = mpsc::Receiver<gs_mesh::Received<Message>>;
 
@@ -170,6 +174,7 @@
         Limits {
             headers: usize::try_from(self.settings.callers.headers.0).unwrap_or(usize::MAX),
             header_timeout: self.settings.callers.header_timeout,
+            idle_timeout: CALLER_IDLE,
             connections: self.settings.callers.connections.0 as usize,
         }
     }
