--- a/crates/rig/src/experiment.rs
+++ b/crates/rig/src/experiment.rs
@@ -135,7 +135,9 @@
         .build();
     let mut mix = d.mix(args.common.seed);
     if scenario.one_lookup() {
-        mix = mix.only(&[d.shape.lookups[0].name]);
+        // An early end spares most of the work, so it says nothing about capacity.
+        let whole = d.shape.lookups.iter().find(|l| l.enough_at.is_none());
+        mix = mix.only(&[whole.map_or("", |l| l.name)]);
     }
     if let Some(word) = scenario.poison() {
         mix = mix.poisoned(word, POISON_EVERY);
@@ -153,6 +155,12 @@
     for vm in &d.vms {
         let dump = operator.dump(vm.plan().admin).await.unwrap_or_default();
         let count = |name: &str| dump["engine"]["counters"][name].as_u64().unwrap_or(0);
+        log::info!(
+            "event=engine vm={} groups={} extra-left={}",
+            vm.plan().name,
+            dump["engine"]["groups"],
+            dump["engine"]["extra_left"]
+        );
         sum.attempts += count("attempts");
         sum.hedges += count("hedges");
         sum.hedges_won += count("hedges_won");
--- a/crates/rig/src/load/tally.rs
+++ b/crates/rig/src/load/tally.rs
@@ -33,8 +33,10 @@
     pub full: u64,
     /// Pages that ended early, with hits enough.
     pub early: u64,
-    /// Shards asked for by the pages that came.
+    /// Shards asked for by the pages that did not end early.
     pub shards: u64,
+    /// Shards of every page that came.
+    pub all_shards: u64,
     /// Shards that those pages cover.
     pub whole: u64,
     /// Attempts beyond one a shard.
@@ -93,6 +95,7 @@
             full: 0,
             early: 0,
             shards: 0,
+            all_shards: 0,
             whole: 0,
             extra: 0,
             not_run: BTreeMap::new(),
@@ -157,6 +160,7 @@
         self.full += t.full;
         self.early += t.early;
         self.shards += t.shards;
+        self.all_shards += t.all_shards;
         self.whole += t.whole;
         self.extra += t.extra;
         self.unreachable += t.unreachable;
@@ -179,7 +183,7 @@
             p99: ms(0.99),
             p999: ms(0.999),
             coverage: share(self.whole, self.shards),
-            extra: 100.0 * self.extra as f64 / self.shards.max(1) as f64,
+            extra: 100.0 * self.extra as f64 / self.all_shards.max(1) as f64,
             not_run: self.not_run.values().sum(),
             unknown: self.unknown.values().sum(),
             wrong: self.wrong(),
@@ -191,6 +195,7 @@
         self.latency.saturating_record(micros.max(1));
         self.answered += 1;
         self.extra += u64::from(page.extra_attempts);
+        self.all_shards += u64::from(page.coverage.shards);
         if page.ended_early {
             self.early += 1;
             return;
