fix(query): breaks found after the deadline convict nobody; a short rest where no canary was

After a pause of the process its connections are found broken here and elsewhere before its lookups' deadlines are seen; that convicted them in the whole fleet, and made new attempts for lookups that were over.

--- a/crates/query/src/core.rs
+++ b/crates/query/src/core.rs
@@ -53,6 +53,8 @@
     pub(crate) is_sent: bool,
     /// Whether a server ran its lookup and lived.
     pub(crate) is_proven: bool,
+    /// When its lookup was to be answered at the latest.
+    pub(crate) answer_by: Instant,
     pub(crate) expires: Instant,
 }
 
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -165,6 +165,7 @@
                     fingerprint: lk.fingerprint,
                     is_sent: a.sent.is_some(),
                     is_proven: lk.is_proven,
+                    answer_by: lk.answer_by,
                     expires,
                 };
                 self.orphans.insert((lk.seq, s.id, a.number), orphan);
--- a/crates/query/src/heard.rs
+++ b/crates/query/src/heard.rs
@@ -103,9 +103,9 @@
                 self.spread_suspect(fingerprint, crashes, Duration::ZERO, out);
             }
             Finding::Suspected => {}
-            Finding::Quarantined => {
+            Finding::Quarantined(rest) => {
                 self.counters.quarantines += 1;
-                self.spread_suspect(fingerprint, crashes, self.options.quarantine, out);
+                self.spread_suspect(fingerprint, crashes, rest, out);
             }
         }
         finding
--- a/crates/query/src/life.rs
+++ b/crates/query/src/life.rs
@@ -66,6 +66,11 @@
         kind: Kind,
         out: &mut Vec<Action>,
     ) {
+        if now >= lk.answer_by {
+            // The event came before the timer's; an attempt could only be late.
+            self.give_up(lk, at, MissReason::Late);
+            return;
+        }
         let place = self.place(now, lk, at);
         if let Place::Nowhere(reason) = place {
             self.give_up(lk, at, reason);
--- a/crates/query/src/orphan.rs
+++ b/crates/query/src/orphan.rs
@@ -46,7 +46,7 @@
             }
             PartReply::Broken => {
                 self.judge(now, reply, heard, out);
-                if o.is_sent && !o.is_proven {
+                if o.is_sent && !o.is_proven && now < o.answer_by {
                     self.crash_seen(now, o.fingerprint, o.server, false, out);
                 }
             }
--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -190,14 +190,15 @@
     ) {
         lk.shards[at].attempts[n].broken = true;
         self.judge(now, &PartReply::Broken, heard, out);
-        if lk.is_proven {
+        // After a pause of this process every connection may be found broken at once, here and
+        // elsewhere; its lookups are overdue then, and it says nothing about them.
+        if lk.is_proven || now >= lk.answer_by {
             self.lost(now, lk, at, Lost::Failed, out);
             return;
         }
         let alone = heard.was_live && (lk.phase == Phase::Canary(at) || lk.shards.len() == 1);
         match self.crash_seen(now, lk.fingerprint, heard.server, alone, out) {
-            Finding::Quarantined => {
-                let rest = self.options.quarantine;
+            Finding::Quarantined(rest) => {
                 let refusal = Refusal::new(RefusalReason::Quarantined, Some(rest));
                 self.refuse(now, lk, refusal, out);
             }
--- a/crates/query/src/suspects.rs
+++ b/crates/query/src/suspects.rs
@@ -17,6 +17,13 @@
 /// Servers that a fingerprint may crash before it is refused.
 const CRASHES_MAX: u32 = 2;
 
+/// Servers that a proven lookup breaks here and elsewhere before that counts against its proof.
+const CRASHES_OF_PROVEN: u32 = 4;
+
+/// How long a lookup is refused that broke servers everywhere but was not tried alone: until they are
+/// back, so that its canary does not take a shard's last replica down.
+const REST_UNTRIED: Duration = Duration::from_secs(5);
+
 /// The most suspects remembered; the one that would be forgotten first gives way.
 const SUSPECTS_MAX: usize = 1024;
 
@@ -47,8 +54,8 @@
     Harmless,
     /// It is suspected.
     Suspected,
-    /// It is in quarantine from now on.
-    Quarantined,
+    /// It is in quarantine from now on, for so long.
+    Quarantined(Duration),
 }
 
 /// A server whose connection broke under a lookup.
@@ -156,9 +163,9 @@
     ///
     /// When a data centre goes or is cut off, its servers all break under lookups that did nothing to
     /// them. So breaks in one place convict only with a server that saw the lookup alone. Breaks here
-    /// and elsewhere at the same time are no such cut; without a proof they convict at once, as a
-    /// canary could then take the last replica of a shard. A proven lookup is suspected only when it
-    /// broke two servers.
+    /// and elsewhere at the same time are no such cut, and a canary could then take the last replica
+    /// of a shard; the lookup rests for a short time, and its next run is the canary. A proven lookup
+    /// is suspected only when it broke two servers.
     pub(crate) fn crashed(&mut self, now: Instant, fp: Fingerprint, crash: Crash<'_>) -> Finding {
         let proven = self.is_proven(now, fp);
         let forget_at = now + self.window;
@@ -170,10 +177,20 @@
         s.near |= crash.is_local;
         s.far |= !crash.is_local;
         let crashes = s.crashes();
-        let everywhere = s.near && s.far && !proven;
-        if crashes >= CRASHES_MAX && (crash.is_alone || everywhere) {
-            self.rest(now, fp, self.quarantine);
-            return Finding::Quarantined;
+        let enough = if proven {
+            CRASHES_OF_PROVEN
+        } else {
+            CRASHES_MAX
+        };
+        let everywhere = s.near && s.far && crashes >= enough;
+        let rest = match crash.is_alone && crashes >= CRASHES_MAX {
+            true => Some(self.quarantine),
+            false if everywhere => Some(self.quarantine.min(REST_UNTRIED)),
+            false => None,
+        };
+        if let Some(rest) = rest {
+            self.rest(now, fp, rest);
+            return Finding::Quarantined(rest);
         }
         if proven && crashes < CRASHES_MAX {
             return Finding::Harmless;
--- a/crates/query/tests/engine/poison.rs
+++ b/crates/query/tests/engine/poison.rs
@@ -161,6 +161,38 @@
     assert_eq!(r.reason, RefusalReason::Quarantined);
     w.open.retain(|d| !w.cancelled.contains(&d.attempt));
     assert!(w.open.is_empty());
+    // It was not tried alone, so its rest is short, and its next run shows one server first.
+    w.pass(Duration::from_secs(5));
+    w.arrive("complete");
+    assert_eq!(w.open.len(), 1);
+}
+
+/// This process is paused for a while, and the servers drop its connections. When it goes on, it
+/// finds attempts broken everywhere before it finds their deadline passed. The lookups are over; they
+/// must not be put into quarantine in the whole fleet for that.
+#[test]
+fn breaks_found_after_the_deadline_convict_nobody() {
+    let mut w = World::new(4, 2);
+    w.on(Event::Sign(
+        Sign::Drain {
+            server: server(1, 0),
+            incarnation: None,
+        },
+        SignSource::Peer,
+    ));
+    let seq = w.arrive("complete");
+    let open = std::mem::take(&mut w.open);
+    for d in &open {
+        w.sent(d);
+    }
+    w.now += Duration::from_secs(9);
+    for d in &open {
+        w.reply(d, PartReply::Broken);
+    }
+    w.pass(Duration::ZERO);
+    assert!(w.is_over(seq));
+    assert_eq!(w.spread, []);
+    assert!(w.engine.dump(w.now).suspects.is_empty());
 }
 
 /// A server dies under a lookup that another shard has answered already. A poisoned lookup crashes
