--- a/crates/query/tests/engine/outcome.rs
+++ b/crates/query/tests/engine/outcome.rs
@@ -124,3 +124,17 @@
         format!("`{named}` is out of range (step: check engine options)")
     );
 }
+
+/// A failed attempt is heard of after the deadline, but before the timer that ends the lookup: the
+/// process was paused. Another attempt would be work for an answer that nobody waits for.
+#[test]
+fn no_attempt_is_made_after_the_deadline() {
+    let mut w = World::new(1, 2);
+    let seq = w.arrive("complete");
+    let d = w.take(0);
+    w.sent(&d);
+    w.now += Duration::from_millis(300);
+    w.reply(&d, PartReply::Failed);
+    assert!(w.open.is_empty());
+    assert_eq!(word(&w, seq), "unknown");
+}
