test: faults in pairs and the same fault twice, with real processes

Each test sends checked load, and at its end no key has run twice, no connection limit was passed and no late work was offered (the stand-ins' counts).

- platform away while a data centre is cut, then both heal
- a drain during a repartition, to fewer and to more shards
- a VM killed twice: with its claim on the platform, then while a server runs the lookup
- a VM stopped with a claim in flight across an outage, the write taken or stalled
- a VM that starts while the platform is away: takes the configuration from its peers, waits unready, serves when the platform is back
- SIGTERM, SIGTERM and SIGINT to a VM under load

--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,6 +1,7 @@
 //! Process tests: the real binary in a small deployment, with faults from outside.
 
 mod operators;
+mod pairs;
 mod patches;
 mod platform_faults;
 mod recording;
--- a/tests/process/support.rs
+++ b/tests/process/support.rs
@@ -97,6 +97,22 @@
     sum(&tallies)
 }
 
+/// The same over every lookup, not bound to the deployment, so that its VMs can be restarted.
+pub fn load_apart(
+    d: &Deployment,
+    targets: Arc<Targets>,
+    rate: f64,
+    length: Duration,
+) -> impl Future<Output = Tally> + use<> {
+    let (mix, checker) = (d.mix(SEED), d.checker());
+    let spec = LoadSpec::builder()
+        .rate(rate)
+        .length(length)
+        .seed(SEED)
+        .build();
+    async move { sum(&load::run(spec, mix, targets, Some(checker)).await) }
+}
+
 /// The sum over all lookups.
 fn sum(tallies: &BTreeMap<&'static str, Tally>) -> Tally {
     let mut all = Tally::default();
