--- a/tests/process/server_faults.rs
+++ b/tests/process/server_faults.rs
@@ -58,6 +58,35 @@
     .await;
 }
 
+/// Readers get empty pages because another caller's lookup crashed servers.
+/// A poisoned lookup crashes one server of every shard, and its canary the other server of one; they
+/// stay down, and three shards of four have a server that is well. Readers ask other things through
+/// every VM. The cause is a suspicion that falls on whoever asks next: its canary goes to the shard
+/// whose servers are down, and the other shards are held back for it.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn innocent_lookups_reach_every_live_shard_after_a_poisoned_one() {
+    let d = tiny().await;
+    let poison = Command::Poison {
+        word: Some("crashingword".to_owned()),
+        down_ms: 600_000,
+    };
+    d.servers.apply(poison).await.expect("applied");
+    let lookup = LookupAsk {
+        query: "larch crashingword".into(),
+        ..ask(&d, "placement", 3)
+    };
+    let reply = ask_vm(&d, 0, &lookup).await;
+    assert!(reply.page().is_none(), "{reply:?}");
+    let crashes = d.servers.counts().summary().total.crashes;
+    assert!(crashes <= 5, "{crashes} crashes");
+    for vm in 0..d.vms.len() {
+        let reply = ask_vm(&d, vm, &ask(&d, "quote", 100)).await;
+        let whole = reply.page().map_or(0, |p| p.coverage.whole);
+        assert!(whole >= 3, "VM {vm}: {reply:?}");
+    }
+}
+
 /// A backend server is taken out of service for an upgrade.
 /// It begins to drain under load, while its health endpoint is asked only now and then; load goes
 /// on for longer than three seconds. The cause of late work would be a VM that did not hear of the
