--- a/crates/http/src/backend/pool.rs
+++ b/crates/http/src/backend/pool.rs
@@ -63,7 +63,8 @@
     lanes: Mutex<HashMap<ServerName, Arc<Lane>>>,
     /// Lanes given up whose connections may not all be closed yet.
     closing: Mutex<Vec<Arc<Lane>>>,
-    shares: Mutex<HashMap<ServerName, Connections>>,
+    /// `None` once the pool is closed.
+    shares: Mutex<Option<HashMap<ServerName, Connections>>>,
     running: Arc<Running>,
 }
 
@@ -104,7 +105,7 @@
             }),
             lanes: Mutex::default(),
             closing: Mutex::default(),
-            shares: Mutex::default(),
+            shares: Mutex::new(Some(HashMap::new())),
             running: Arc::default(),
         }
     }
@@ -135,6 +136,9 @@
     pub fn set_shares(&self, shares: &[(ServerName, Connections)]) {
         let lanes = lock(&self.lanes);
         let mut known = lock(&self.shares);
+        let Some(known) = known.as_mut() else {
+            return;
+        };
         *known = shares.iter().cloned().collect();
         for (name, lane) in lanes.iter() {
             lane.set_share(known.get(name).copied().unwrap_or_default());
@@ -153,9 +157,11 @@
     }
 
     /// Closes idle connections at once and busy ones as they end, and opens no more.
+    ///
+    /// Shares told later change nothing: another VM may hold the connections by then.
     pub fn close(&self) {
         let lanes = lock(&self.lanes);
-        lock(&self.shares).clear();
+        *lock(&self.shares) = None;
         for lane in lanes.values() {
             lane.set_share(Connections(0));
         }
@@ -209,9 +215,11 @@
             return Arc::clone(lane);
         }
         let lane = Lane::new(Arc::clone(decl), Arc::clone(&self.common));
-        if let Some(n) = lock(&self.shares).get(&decl.name) {
+        let shares = lock(&self.shares);
+        if let Some(n) = shares.as_ref().and_then(|s| s.get(&decl.name)) {
             lane.set_share(*n);
         }
+        drop(shares);
         if let Some(old) = lanes.insert(decl.name.clone(), Arc::clone(&lane)) {
             self.give_up(old);
         }
--- a/crates/http/tests/pool.rs
+++ b/crates/http/tests/pool.rs
@@ -316,3 +316,19 @@
     b.pool.cancel(&second);
     b.reply().await;
 }
+
+/// A leaving process has closed its connections, and another VM may hold them by now. Shares told to
+/// the pool after that must not open them again: the server would see more than its limit.
+#[tokio::test]
+async fn a_closed_pool_opens_nothing_by_later_shares() {
+    let mut b = Bench::start(Script::Whole, 2).await;
+    b.pool.close();
+    b.pool
+        .set_shares(&[(b.fake.decl().name.clone(), Connections(2))]);
+    b.pool.warm(&b.fake.decl(), Connections(2));
+    let id = b.dispatch(0);
+    tokio::task::yield_now().await;
+    b.pool.cancel(&id);
+    assert_eq!(b.reply().await, (id, PartReply::NotSent, false));
+    assert_eq!(b.pool.state().opened, 0);
+}
