--- a/crates/member/examples/cost.rs
+++ b/crates/member/examples/cost.rs
@@ -17,7 +17,6 @@
 use gs_member::MemberSettings;
 use gs_member::Membership;
 use gs_member::ServerLimit;
-use gs_member::Stored;
 use gs_member::VmEntry;
 use gs_types::prelude::*;
 
@@ -164,10 +163,10 @@
         self.members[i].inbox.push_back(event);
     }
 
-    fn write(&mut self, if_version: u64, content: Vec<u8>) -> Result<u64, gs_member::StoreError> {
+    fn write(&mut self, if_version: u64, content: Vec<u8>) -> Result<u64, StoreError> {
         let current = self.table.as_ref().map_or(0, |s| s.version);
         if current != if_version {
-            return Err(gs_member::StoreError::Conflict);
+            return Err(StoreError::Conflict);
         }
         self.writes += 1;
         let version = current + 1;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -30,8 +30,6 @@
 pub use beat::Claimed;
 pub use beat::Rumour;
 pub use event::Event;
-pub use event::StoreError;
-pub use event::Stored;
 pub use member::Membership;
 pub use seats::Epoch;
 pub use seats::Held;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -11,8 +11,6 @@
 use crate::action::Action;
 use crate::beat::Beat;
 use crate::event::Event;
-use crate::event::StoreError;
-use crate::event::Stored;
 use crate::gossip::Gossip;
 use crate::holding::Holding;
 use crate::keeper::Call;
--- a/crates/member/tests/member/world.rs
+++ b/crates/member/tests/member/world.rs
@@ -12,8 +12,6 @@
 use gs_member::MemberSettings;
 use gs_member::Membership;
 use gs_member::ServerLimit;
-use gs_member::StoreError;
-use gs_member::Stored;
 use gs_member::VmEntry;
 use gs_types::prelude::*;
 
--- a/crates/mesh/examples/cost.rs
+++ b/crates/mesh/examples/cost.rs
@@ -19,8 +19,6 @@
 use gs_member::Event;
 use gs_member::MemberSettings;
 use gs_member::Membership;
-use gs_member::StoreError;
-use gs_member::Stored;
 use gs_member::VmEntry;
 use gs_mesh::Counts;
 use gs_mesh::Mesh;
--- a/crates/node/src/calls.rs
+++ b/crates/node/src/calls.rs
@@ -8,6 +8,23 @@
 use gs_store::Version;
 use gs_types::prelude::*;
 
+/// Why a call gave nothing, as decisions take it.
+pub(crate) fn failure(e: &Error) -> StoreError {
+    match e.kind() {
+        ErrorKind::Conflict => StoreError::Conflict,
+        ErrorKind::Unknown => StoreError::Lost,
+        _ => StoreError::NotDone,
+    }
+}
+
+/// An object, as decisions take it.
+pub(crate) fn stored(o: Object) -> Stored {
+    Stored {
+        version: o.version.0,
+        content: o.content.to_vec(),
+    }
+}
+
 /// Makes calls to the platform and hands each result to a function.
 #[derive(Clone)]
 pub(crate) struct Calls(pub(crate) Arc<dyn Platform>);
--- a/crates/node/src/member_shell.rs
+++ b/crates/node/src/member_shell.rs
@@ -8,8 +8,6 @@
 use gs_member::Event;
 use gs_member::Membership;
 use gs_member::SeatTable;
-use gs_member::StoreError;
-use gs_member::Stored;
 use gs_member::View;
 use gs_mesh::Mesh;
 use gs_types::prelude::*;
@@ -20,6 +18,8 @@
 use crate::actor::Times;
 use crate::board::Board;
 use crate::calls::Calls;
+use crate::calls::failure;
+use crate::calls::stored;
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
@@ -60,12 +60,7 @@
             Action::ReadTable => {
                 let feed = feed.clone();
                 self.calls.read(SeatTable::PATH.to_owned(), move |r| {
-                    let r = r.map_err(|e| failure(&e)).map(|o| {
-                        o.map(|o| Stored {
-                            version: o.version.0,
-                            content: o.content.to_vec(),
-                        })
-                    });
+                    let r = r.map(|o| o.map(stored)).map_err(|e| failure(&e));
                     feed.push(Event::TableRead(r));
                 });
             }
@@ -119,11 +114,3 @@
         });
     }
 }
-
-fn failure(e: &Error) -> StoreError {
-    match e.kind() {
-        ErrorKind::Conflict => StoreError::Conflict,
-        ErrorKind::Unknown => StoreError::Lost,
-        _ => StoreError::NotDone,
-    }
-}
--- a/crates/node/src/once_shell.rs
+++ b/crates/node/src/once_shell.rs
@@ -6,15 +6,14 @@
 use gs_once::Action;
 use gs_once::Event;
 use gs_once::Once;
-use gs_once::StoreError;
-use gs_once::Stored;
-use gs_types::prelude::*;
 
 use crate::actor::Feed;
 use crate::actor::Machine;
 use crate::actor::Shell;
 use crate::actor::Times;
 use crate::calls::Calls;
+use crate::calls::failure;
+use crate::calls::stored;
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
@@ -44,12 +43,7 @@
         let feed = feed.clone();
         match action {
             Action::Read { path } => self.calls.read(path.clone(), move |r| {
-                let result = r.map_err(|e| failure(&e)).map(|o| {
-                    o.map(|o| Stored {
-                        version: o.version.0,
-                        content: o.content.to_vec(),
-                    })
-                });
+                let result = r.map(|o| o.map(stored)).map_err(|e| failure(&e));
                 feed.push(Event::Read { path, result });
             }),
             Action::Write {
@@ -78,11 +72,3 @@
         None
     }
 }
-
-fn failure(e: &Error) -> StoreError {
-    match e.kind() {
-        ErrorKind::Conflict => StoreError::Conflict,
-        ErrorKind::Unknown => StoreError::Lost,
-        _ => StoreError::NotDone,
-    }
-}
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -8,7 +8,6 @@
 use gs_conf::CURRENT;
 use gs_member::SeatTable;
 use gs_store::Holds;
-use gs_store::Object;
 use gs_store::Platform;
 use gs_store::Update;
 use gs_store::WatchOptions;
@@ -19,6 +18,7 @@
 use crate::board::Board;
 use crate::board::lock;
 use crate::book_shell::found;
+use crate::calls::stored;
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
@@ -171,13 +171,6 @@
     }
 }
 
-fn stored(o: Object) -> gs_member::Stored {
-    gs_member::Stored {
-        version: o.version.0,
-        content: o.content.to_vec(),
-    }
-}
-
 fn entry(v: gs_store::VmEntry) -> gs_member::VmEntry {
     gs_member::VmEntry {
         vm: v.vm,
--- a/crates/once/examples/claims.rs
+++ b/crates/once/examples/claims.rs
@@ -24,8 +24,6 @@
 use gs_once::Event;
 use gs_once::Once;
 use gs_once::OnceSettings;
-use gs_once::StoreError;
-use gs_once::Stored;
 use gs_query::ClaimAsk;
 use gs_query::ClaimVerdict;
 use gs_types::prelude::*;
--- a/crates/once/src/keep.rs
+++ b/crates/once/src/keep.rs
@@ -5,8 +5,6 @@
 use gs_types::prelude::*;
 
 use crate::action::Action;
-use crate::event::StoreError;
-use crate::event::Stored;
 use crate::floor::FLOOR_PATH;
 use crate::floor::Floor;
 use crate::once::Cx;
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -27,8 +27,6 @@
 pub use claim::ClaimState;
 pub use claim::KeyHash;
 pub use event::Event;
-pub use event::StoreError;
-pub use event::Stored;
 pub use floor::FLOOR_PATH;
 pub use message::Message;
 pub use message::Settled;
--- a/crates/once/src/pump.rs
+++ b/crates/once/src/pump.rs
@@ -7,8 +7,6 @@
 use crate::claim::ClaimEvent;
 use crate::claim::ClaimState;
 use crate::claim::KeyHash;
-use crate::event::StoreError;
-use crate::event::Stored;
 use crate::once::Cx;
 use crate::once::Once;
 use crate::part::Part;
--- a/crates/once/tests/once/asks.rs
+++ b/crates/once/tests/once/asks.rs
@@ -5,13 +5,13 @@
 use gs_once::Event;
 use gs_once::Message;
 use gs_once::Settled;
-use gs_once::StoreError;
 use gs_query::ClaimVerdict;
 use gs_query::ClaimVerdict::Expired;
 use gs_query::ClaimVerdict::Granted;
 use gs_query::ClaimVerdict::Refused;
 use gs_query::ClaimVerdict::Taken;
 use gs_query::ClaimVerdict::Unknown;
+use gs_types::prelude::StoreError;
 
 use crate::world::Mood;
 use crate::world::Net;
--- a/crates/once/tests/once/world.rs
+++ b/crates/once/tests/once/world.rs
@@ -21,8 +21,6 @@
 use gs_once::OnceSettings;
 use gs_once::Part;
 use gs_once::PartPath;
-use gs_once::StoreError;
-use gs_once::Stored;
 use gs_once::Window;
 use gs_query::ClaimAsk;
 use gs_query::ClaimVerdict;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod model;
 pub mod prelude;
 pub mod size;
+pub mod stored;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -46,3 +46,5 @@
 pub use crate::size::Connections;
 pub use crate::size::PerSecond;
 pub use crate::size::Slots;
+pub use crate::stored::StoreError;
+pub use crate::stored::Stored;
