--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs a process from its settings to its graceful end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_clock::SystemClock;
 use gs_settings::Settings;
@@ -11,6 +12,9 @@
 use crate::process::Process;
 use crate::shutdown;
 
+/// The longest that the operators' interface may take to finish its calls.
+const ADMIN_STOP_MAX: Duration = Duration::from_secs(1);
+
 /// Runs a process until it is told to leave by SIGTERM or SIGINT and has finished its work.
 ///
 /// # Errors
@@ -30,7 +34,8 @@
     let (admin, leaver) = process.open(listeners, inbox)?;
     told.first().await;
     leaver.leave().await;
-    admin.stop().await;
+    // An operator's client that never reads its answer must not keep the process.
+    let _ = tokio::time::timeout(ADMIN_STOP_MAX, admin.stop()).await;
     process.finish();
     log::info!("event=exit vm={vm} incarnation={incarnation}");
     Ok(())
