--- a/crates/rig/src/load/ask.rs
+++ b/crates/rig/src/load/ask.rs
@@ -36,6 +36,8 @@
     pub idempotency_key: Option<String>,
     /// The time the caller gives; the declared deadline if absent.
     pub deadline: Option<Duration>,
+    /// The newest snapshot that the caller has seen.
+    pub floor: Option<SnapshotId>,
 }
 
 /// Draws lookups by their weights, over words and books that the text holds.
@@ -108,6 +110,7 @@
             key: keyed.then_some(book),
             idempotency_key: once.then(|| self.draw_key()),
             deadline: None,
+            floor: None,
         }
     }
 
--- a/crates/rig/src/load/caller.rs
+++ b/crates/rig/src/load/caller.rs
@@ -178,6 +178,9 @@
     if let Some(d) = ask.deadline {
         body["deadline"] = json!(humantime::format_duration(d).to_string());
     }
+    if let Some(floor) = ask.floor {
+        body["floor"] = json!(floor);
+    }
     let path = format!("/v1/fronts/{}/lookups/{}", ask.front, ask.lookup.name);
     let mut req =
         Request::post(format!("http://{vm}{path}")).header("content-type", "application/json");
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Process tests: the real binary in a small deployment, with faults from outside.
 
+mod floors;
 mod operators;
 mod pairs;
 mod patches;
