--- a/crates/query/src/core.rs
+++ b/crates/query/src/core.rs
@@ -178,11 +178,9 @@
 
     /// A server said itself that it drains: its queue moves, and every peer is told.
     pub(crate) fn drain_seen(&mut self, server: ServerIdx, out: &mut Vec<Action>) {
-        let incarnation = self.servers.view(server).incarnation();
-        if !self.servers.drain(server, incarnation) {
-            return;
+        if self.servers.drain_own(server) {
+            self.drained(server, "own", true, out);
         }
-        self.drained(server, "own", true, out);
     }
 
     /// Tells every peer what is held against a fingerprint.
--- a/crates/query/tests/engine/drain.rs
+++ b/crates/query/tests/engine/drain.rs
@@ -172,3 +172,33 @@
         w.serve_all();
     }
 }
+
+/// A server says itself that it drains before its run is known here. It restarts, and a peer tells
+/// of the drain of the next run without naming it. That is the first such sign, and no echo of the
+/// server's own word. Found by the fuzzer in a longer run.
+#[test]
+fn a_servers_own_word_does_not_make_a_later_sign_an_echo() {
+    let mut w = World::with(EngineOptions::default(), &group(1, 2, &[(1, 1)]));
+    w.arrive("urgent");
+    let d = w.take(0);
+    w.sent(&d);
+    w.reply(&d, PartReply::Draining);
+    w.serve_all();
+    let drained = d.server.name.clone();
+    w.on(Event::Report(report(drained.clone(), 1, &[1])));
+    w.on(Event::Report(report(drained.clone(), 2, &[1])));
+    let sign = Sign::Drain {
+        server: drained.clone(),
+        incarnation: None,
+    };
+    w.on(Event::Sign(sign, SignSource::Peer));
+    // The other replica goes too, so that nothing else can keep work away from this one.
+    let other = (0..2).map(|r| server(0, r)).find(|s| *s != drained);
+    let sign = Sign::Drain {
+        server: other.expect("another replica"),
+        incarnation: Some(Incarnation(1)),
+    };
+    w.on(Event::Sign(sign, SignSource::Peer));
+    w.arrive("urgent");
+    assert!(w.open.is_empty());
+}
--- a/crates/route/src/runs.rs
+++ b/crates/route/src/runs.rs
@@ -115,7 +115,15 @@
             }
             None => view.unnamed_drain = Some(view.incarnation),
         }
-        if view.is_draining() {
+        self.drain_own(idx)
+    }
+
+    /// Marks the run known now as draining, by the server's own word; `true` if it was not before.
+    ///
+    /// Unlike a sign that names no run it is never an echo, so it does not make such a sign about
+    /// the next run look like one.
+    pub fn drain_own(&mut self, idx: ServerIdx) -> bool {
+        if self.view(idx).is_draining() {
             return false;
         }
         self.step(idx, ServerEvent::Drain);
