--- a/tests/process/floors.rs
+++ b/tests/process/floors.rs
@@ -53,7 +53,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_session_with_a_floor_never_goes_back() {
     let d = tiny().await;
-    let behind = d.vms[2].plan().data_centre.clone();
+    let behind: DataCentre = d.vms[2].plan().data_centre.parse().expect("a name");
     d.platform.control(Control {
         cut_data_centres: Some(vec![behind]),
         ..Control::default()
