--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -60,15 +60,23 @@
         Ok(Self {
             registry,
             latency: latency(&meter),
-            outcomes: counter(&meter, "lookups", "Lookups by outcome and reason."),
+            outcomes: counter(
+                &meter,
+                "gentiansill_lookups",
+                "Lookups by outcome and reason.",
+            ),
             shards: counter(
                 &meter,
-                "lookup_shards",
+                "gentiansill_lookup_shards",
                 "Shards of answered lookups, by state.",
             ),
-            totals: counter(&meter, "events", "What the process counted, by kind."),
+            totals: counter(
+                &meter,
+                "gentiansill_events",
+                "What the process counted, by kind.",
+            ),
             states: meter
-                .f64_gauge("state")
+                .f64_gauge("gentiansill_state")
                 .with_description("What the process holds now.")
                 .build(),
             seen: Mutex::default(),
@@ -193,7 +201,7 @@
 
 fn latency(meter: &Meter) -> Histogram<f64> {
     meter
-        .f64_histogram("lookup_latency")
+        .f64_histogram("gentiansill_lookup_latency")
         .with_unit("s")
         .with_description("Time from a lookup's arrival to its outcome.")
         .with_boundaries(LATENCY.to_vec())
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -8,8 +8,13 @@
 use rstest::rstest;
 use serde_json::Value;
 use tempfile::TempDir;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::support::Running;
+use crate::support::ask;
+use crate::support::ask_vm;
 use crate::support::tiny;
 
 /// The rig's team of operators.
@@ -119,3 +124,41 @@
     );
     assert!(!text(&dump.stderr).contains(TEAM_KEY), "{dump:?}");
 }
+
+/// What a scraper reads from a VM.
+async fn scrape(d: &Running, vm: usize) -> String {
+    let mut tcp = TcpStream::connect(d.vms[vm].plan().admin)
+        .await
+        .expect("listening");
+    let req = b"GET /metrics HTTP/1.1\r\nhost: vm\r\nconnection: close\r\n\r\n";
+    tcp.write_all(req).await.expect("sent");
+    let mut out = String::new();
+    tcp.read_to_string(&mut out).await.expect("answered");
+    out
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_scrape_tells_what_a_vm_did() {
+    let d = tiny().await;
+    for seed in 0..3 {
+        let reply = ask_vm(&d, 0, &ask(&d, "placement", seed)).await;
+        assert!(reply.page().is_some(), "{reply:?}");
+    }
+    let out = scrape(&d, 0).await;
+    let out = out.replace(",otel_scope_name=\"gentiansill\"", "");
+    let lookup = "newsletter-archive/placement";
+    for line in [
+        format!(
+            "gentiansill_lookups_total{{lookup=\"{lookup}\",outcome=\"answered\",reason=\"\"}} 3"
+        ),
+        format!("gentiansill_lookup_shards_total{{lookup=\"{lookup}\",state=\"whole\"}} 12"),
+        format!(
+            "gentiansill_lookup_latency_seconds_count{{lookup=\"{lookup}\",outcome=\"answered\"}} 3"
+        ),
+        "gentiansill_state{of=\"config-version\"} 1".to_owned(),
+        "gentiansill_state{of=\"members-live\"} 3".to_owned(),
+        "gentiansill_state{of=\"ready\"} 1".to_owned(),
+    ] {
+        assert!(out.contains(&line), "{line}\n{out}");
+    }
+}
