--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -20,8 +20,9 @@
 use crate::backend::lane::Lent;
 use crate::backend::pool::Common;
 
-/// How long a cancelled attempt may take to confirm before its connection is closed.
-const CANCEL_WAIT: Duration = Duration::from_millis(20);
+/// How long a cancelled attempt may take to confirm before its connection is closed: a little more than
+/// the way to another region and back, twice 12 ms, which the cancel and its answer take together.
+const CANCEL_WAIT: Duration = Duration::from_millis(35);
 
 /// Runs an attempt to its only reply.
 pub(crate) async fn run(
