fix(http): the bound on a head holds also for a head that begins on an idle connection

Found by byte fuzzing of the callers' server. Cause: the task that ends slow connections worked out its time once and slept until then. If the connection was idle at that moment, that was the bound on idleness, 60 s; the first byte of a head did not wake it. A caller with half a head held one of the connections for a minute in place of callers.header-timeout. The tests so far sent the half head together with the connection, so the head had mostly begun before the clock was first looked at.

Ruled out: hyper (it waits for the rest, as it should), the half-close (fails without one).

--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// How long a connection may be idle between requests.
@@ -36,6 +37,8 @@
 pub(crate) struct PhaseClock {
     start: Instant,
     word: Arc<AtomicU64>,
+    /// Told when a head begins, as its bound ends before that of the idle time that is waited for.
+    begun: Arc<Notify>,
     head_max: Duration,
 }
 
@@ -44,6 +47,7 @@
         Self {
             start: Instant::now(),
             word: Arc::default(),
+            begun: Arc::default(),
             head_max,
         }
     }
@@ -65,7 +69,10 @@
             if until <= Instant::now() {
                 return;
             }
-            tokio::time::sleep_until(until).await;
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => {}
+                () = self.begun.notified() => {}
+            }
         }
     }
 
@@ -81,6 +88,7 @@
     fn arrived(&self) {
         if self.read().0 == Phase::Idle {
             self.set(Phase::Head);
+            self.begun.notify_one();
         }
     }
 
--- a/crates/http/tests/callers.rs
+++ b/crates/http/tests/callers.rs
@@ -247,3 +247,21 @@
         );
     }
 }
+
+/// A caller keeps a connection, and later sends half a head on it and no more.
+/// The bound on a head ran only if its first byte came with the connection: once the connection had
+/// been seen idle, the bound on idleness was waited for, a minute, and no other caller had its place.
+#[tokio::test]
+async fn half_a_head_on_a_kept_connection_is_ended() {
+    let s = start().await;
+    let mut tcp = TcpStream::connect(s.addr).await.expect("listening");
+    let req = post(PATH, "", r#"{"query":"trout"}"#).replace("connection: close\r\n", "");
+    tcp.write_all(req.as_bytes()).await.expect("sent");
+    let mut buf = [0; 2048];
+    let n = tcp.read(&mut buf).await.expect("answered");
+    assert!(buf[..n].starts_with(b"HTTP/1.1 200 OK\r\n"), "{n} bytes");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    tcp.write_all(b"POST /v1/fro").await.expect("sent");
+    let ended = tokio::time::timeout(Duration::from_secs(10), tcp.read(&mut buf)).await;
+    assert!(ended.is_ok(), "the connection is still open");
+}
