test(http): byte fuzzing of callers' requests and of backend servers' replies

- callers: batches of random and spoilt requests at one server; each connection ends, statuses are the interface's, no lookup passes that the interface forbids, afterwards a good request is answered and no connection is open; no task panics (panic hook).
- backend servers, by bytes: each dispatch gets one reply, a whole one only if id, status and part stood in the bytes; afterwards a good reply is taken.

--- /dev/null
+++ b/crates/http/tests/fuzz/backend.rs
@@ -0,0 +1,425 @@
+//! The connections to backend servers, against a server that replies anything.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use gs_http::Pool;
+use gs_http::PoolOptions;
+use gs_http::Sink;
+use gs_query::Dispatch;
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_types::prelude::*;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest::test_runner::TestRunner;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::bytes::Spoil;
+use crate::bytes::spoil;
+use crate::config;
+use crate::panics;
+use crate::runtime;
+
+const PART: &str = r#"{"hits":[{"doc":"d1","score":9,"text":"trout"}],"matched":1}"#;
+
+/// The most bytes that the pool takes of a body.
+const PART_MAX: usize = 2048;
+
+/// The connections that the pool may have open.
+const SHARE: u32 = 8;
+
+/// No reply comes near this unless it is lost.
+const HANGS: Duration = Duration::from_secs(20);
+
+/// What the server sends in answer to each attempt, by its id.
+type Scripts = Arc<Mutex<HashMap<String, Script>>>;
+
+/// The bytes of an answer, and whether the server closes the connection behind them.
+#[derive(Clone, Debug)]
+struct Script {
+    bytes: Vec<u8>,
+    close: bool,
+}
+
+async fn serve(scripts: Scripts) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        while let Ok((tcp, _)) = listener.accept().await {
+            tokio::spawn(connection(tcp, Arc::clone(&scripts)));
+        }
+    });
+    addr
+}
+
+/// Answers request after request by the scripts, as the pool has only one under way at a time.
+async fn connection(mut tcp: TcpStream, scripts: Scripts) {
+    let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
+    while let Ok(n @ 1..) = tcp.read(&mut buf).await {
+        seen.extend_from_slice(&buf[..n]);
+        let text = String::from_utf8_lossy(&seen).into_owned();
+        // The query is the body, and the last that comes.
+        let (Some(id), true) = (attempt_of(&text), text.ends_with("\r\n\r\ntrout")) else {
+            continue;
+        };
+        seen.clear();
+        let script = scripts.lock().expect("not poisoned").get(id).cloned();
+        let script = script.expect("a script for each attempt");
+        if tcp.write_all(&script.bytes).await.is_err() || script.close {
+            return;
+        }
+    }
+}
+
+fn attempt_of(head: &str) -> Option<&str> {
+    head.lines().find_map(|l| l.strip_prefix("x-attempt: "))
+}
+
+struct Tell(mpsc::UnboundedSender<Event>);
+
+impl Sink for Tell {
+    fn event(&self, ev: Event) {
+        let _ = self.0.send(ev);
+    }
+}
+
+struct Bench {
+    server: Arc<ServerDecl>,
+    scripts: Scripts,
+    pool: Pool,
+    rx: mpsc::UnboundedReceiver<Event>,
+    next: u64,
+}
+
+impl Bench {
+    async fn start() -> Self {
+        let scripts = Scripts::default();
+        let server = Arc::new(ServerDecl {
+            name: "desk-01-a".parse().expect("a name"),
+            service: "desk-01".parse().expect("a name"),
+            addr: serve(Arc::clone(&scripts)).await,
+            data_centre: "hobart-a".parse().expect("a name"),
+            slots: Slots(2),
+            connections: Connections(25),
+        });
+        let (tx, rx) = mpsc::unbounded_channel();
+        let options = PoolOptions::builder()
+            .connect_timeout(HANGS)
+            .part_max(PART_MAX)
+            .build();
+        let pool = Pool::new(options, Arc::new(Tell(tx)));
+        pool.set_shares(&[(server.name.clone(), Connections(SHARE))]);
+        Self {
+            server,
+            scripts,
+            pool,
+            rx,
+            next: 0,
+        }
+    }
+
+    /// Hands out an attempt that the server answers by the script for its id.
+    fn dispatch(&mut self, budget: Duration, script: impl FnOnce(&str) -> Script) -> AttemptId {
+        self.next += 1;
+        let attempt = AttemptId {
+            vm: "vm-1".parse().expect("a name"),
+            incarnation: Incarnation(1),
+            lookup: LookupSeq(self.next),
+            shard: ShardId(0),
+            attempt: 0,
+        };
+        let id = attempt.to_string();
+        let script = script(&id);
+        self.scripts
+            .lock()
+            .expect("not poisoned")
+            .insert(id, script);
+        self.pool.dispatch(Dispatch {
+            attempt: attempt.clone(),
+            server: Arc::clone(&self.server),
+            snapshot: SnapshotId(3),
+            query: "trout".into(),
+            key: None,
+            page: 10,
+            budget,
+            once: false,
+            idempotency_key: None,
+        });
+        attempt
+    }
+
+    /// The replies until `n` have come.
+    async fn replies(&mut self, n: usize) -> Vec<(AttemptId, PartReply)> {
+        let mut out = Vec::new();
+        while out.len() < n {
+            let ev = tokio::time::timeout(HANGS, self.rx.recv()).await;
+            let ev = ev.expect("a reply for each attempt");
+            if let Event::Reply(id, reply) = ev.expect("the pool lives") {
+                out.push((id, reply));
+            }
+        }
+        out
+    }
+
+    /// Good replies are taken again once the connections that were spoilt are used up; no reply is
+    /// left over from before.
+    async fn assert_serves_on(&mut self) {
+        let mut last = None;
+        for _ in 0..=SHARE {
+            let id = self.dispatch(HANGS, |id| Script {
+                bytes: Answer200::good().bytes(id),
+                close: false,
+            });
+            let (of, reply) = self.replies(1).await.remove(0);
+            assert_eq!(of, id, "a second reply: {reply:?}");
+            if reply == whole() {
+                return;
+            }
+            last = Some(reply);
+        }
+        panic!("no good reply is taken any more: {last:?}");
+    }
+}
+
+fn whole() -> PartReply {
+    PartReply::Whole {
+        snapshot: SnapshotId(3),
+        part: Arc::new(serde_json::from_str(PART).expect("a part")),
+        load: 2,
+        draining: false,
+    }
+}
+
+/// How an answer's body is sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Framing {
+    Length,
+    Chunked,
+    UntilClose,
+    /// Shorter than its length says.
+    Short,
+    /// Longer than the pool takes.
+    Long,
+}
+
+/// An answer in its parts, right or wrong.
+#[derive(Clone, Debug)]
+struct Answer200 {
+    status: u16,
+    /// The id echoed: the attempt's own for `Some(true)`, another's for `Some(false)`.
+    id: Option<bool>,
+    digest: Option<bool>,
+    snapshot: Option<&'static str>,
+    body: &'static str,
+    not_run: Option<&'static str>,
+    reason: Option<&'static str>,
+    framing: Framing,
+}
+
+impl Answer200 {
+    const fn good() -> Self {
+        Self {
+            status: 200,
+            id: Some(true),
+            digest: Some(true),
+            snapshot: Some("3"),
+            body: PART,
+            not_run: None,
+            reason: None,
+            framing: Framing::Length,
+        }
+    }
+
+    fn bytes(&self, id: &str) -> Vec<u8> {
+        let mut body = self.body.to_owned();
+        if self.framing == Framing::Long {
+            body.push_str(&" ".repeat(PART_MAX));
+        }
+        let other = format!("{id}1");
+        let digest = xxh3_64(body.as_bytes());
+        let id = self.id.map(|own| if own { id } else { &*other });
+        let digest = self.digest.map(|right| digest ^ u64::from(!right));
+        let digest = digest.map(|d| format!("{d:016x}"));
+        let mut head = format!("HTTP/1.1 {} X\r\nx-load: 2\r\n", self.status);
+        let headers = [
+            ("x-attempt", id),
+            ("x-digest", digest.as_deref()),
+            ("x-snapshot", self.snapshot),
+            ("x-not-run", self.not_run),
+            ("x-reason", self.reason),
+        ];
+        for (name, value) in headers {
+            if let Some(v) = value {
+                head.push_str(&format!("{name}: {v}\r\n"));
+            }
+        }
+        let n = body.len();
+        let rest = match self.framing {
+            Framing::Length | Framing::Long => format!("content-length: {n}\r\n\r\n{body}"),
+            Framing::Short => format!("content-length: {}\r\n\r\n{body}", n + 1),
+            Framing::UntilClose => format!("\r\n{body}"),
+            Framing::Chunked => {
+                let (a, b) = body.split_at(n / 2);
+                let (x, y) = (a.len(), b.len());
+                format!(
+                    "transfer-encoding: chunked\r\n\r\n{x:x}\r\n{a}\r\n{y:x}\r\n{b}\r\n0\r\n\r\n"
+                )
+            }
+        };
+        (head + &rest).into_bytes()
+    }
+
+    fn script(&self, id: &str) -> Script {
+        Script {
+            bytes: self.bytes(id),
+            close: matches!(self.framing, Framing::Short | Framing::UntilClose),
+        }
+    }
+
+    /// What it means by docs/PROTOCOLS.md.
+    fn meaning(&self) -> PartReply {
+        match self.framing {
+            Framing::Short => return PartReply::Broken,
+            Framing::Long => return PartReply::Garbled,
+            _ => {}
+        }
+        let own = self.id == Some(true);
+        let right = self.digest == Some(true) && self.snapshot == Some("3") && self.body == PART;
+        match (own, self.status, self.not_run, self.reason) {
+            (true, 200, ..) if right => whole(),
+            (false, ..) | (true, 200, ..) => PartReply::Garbled,
+            (true, _, Some("1"), Some("draining")) => PartReply::Draining,
+            (true, _, Some("1"), _) => PartReply::NotSent,
+            _ => PartReply::Failed,
+        }
+    }
+}
+
+fn answer() -> impl Strategy<Value = Answer200> {
+    let mostly_right =
+        || prop_oneof![4 => Just(Some(true)), 1 => Just(Some(false)), 1 => Just(None)];
+    let framing = prop_oneof![
+        3 => Just(Framing::Length),
+        2 => Just(Framing::Chunked),
+        1 => Just(Framing::UntilClose),
+        1 => Just(Framing::Short),
+        1 => Just(Framing::Long),
+    ];
+    (
+        select(vec![200, 200, 200, 500, 503, 499]),
+        mostly_right(),
+        mostly_right(),
+        select(vec![Some("3"), Some("3"), Some("3"), None, Some("x")]),
+        select(vec![PART, PART, PART, "{", "[]"]),
+        option::of(select(vec!["1", "1", "0", "yes"])),
+        option::of(select(vec!["draining", "elsewhere"])),
+        framing,
+    )
+        .prop_map(
+            |(status, id, digest, snapshot, body, not_run, reason, framing)| Answer200 {
+                status,
+                id,
+                digest,
+                snapshot,
+                body,
+                not_run,
+                reason,
+                framing,
+            },
+        )
+}
+
+#[test]
+fn an_answer_means_what_the_protocol_says() {
+    let rt = runtime();
+    let _in = rt.enter();
+    let mut b = rt.block_on(Bench::start());
+    let b = std::cell::RefCell::new(&mut b);
+    let mut runner = TestRunner::new(config());
+    let run = runner.run(&vec(answer(), 16), |answers| {
+        let mut b = b.borrow_mut();
+        for a in answers {
+            let id = b.dispatch(HANGS, |id| a.script(id));
+            let got = rt.block_on(b.replies(1)).remove(0);
+            prop_assert_eq!(got, (id, a.meaning()), "{:?}", a);
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|e| panic!("{e}\n{runner}"));
+    rt.block_on(b.into_inner().assert_serves_on());
+    assert_eq!(panics(), 0);
+}
+
+/// Spoilt answers, with whether the server closes behind them.
+fn batch() -> impl Strategy<Value = Vec<(bool, bool, Spoil)>> {
+    vec((any::<bool>(), any::<bool>(), spoil()), 16)
+}
+
+/// Whether a reply that was taken for whole was there in the bytes.
+fn is_honest(reply: &PartReply, id: &AttemptId, sent: &[u8]) -> bool {
+    let PartReply::Whole { part, .. } = reply else {
+        return true;
+    };
+    let text = String::from_utf8_lossy(sent);
+    let good: Part = serde_json::from_str(PART).expect("a part");
+    **part == good && text.contains(" 200") && text.contains(&id.to_string())
+}
+
+#[test]
+fn any_bytes_from_a_server_end_each_attempt_once() {
+    let rt = runtime();
+    let _in = rt.enter();
+    let mut b = rt.block_on(Bench::start());
+    let b = std::cell::RefCell::new(&mut b);
+    let mut runner = TestRunner::new(config());
+    let run = runner.run(&batch(), |batch| {
+        let mut b = b.borrow_mut();
+        let mut sent = HashMap::new();
+        for (chunked, close, spoil) in batch {
+            let framing = if chunked {
+                Framing::Chunked
+            } else {
+                Framing::Length
+            };
+            let good = Answer200 {
+                framing,
+                ..Answer200::good()
+            };
+            let mut bytes = Vec::new();
+            let id = b.dispatch(Duration::from_millis(150), |id| {
+                bytes = spoil.of(&good.bytes(id));
+                Script {
+                    bytes: bytes.clone(),
+                    close,
+                }
+            });
+            sent.insert(id, bytes);
+        }
+        for (id, reply) in rt.block_on(b.replies(sent.len())) {
+            let bytes = sent.remove(&id);
+            prop_assert!(bytes.is_some(), "a second reply for {}: {:?}", id, reply);
+            let bytes = bytes.unwrap_or_default();
+            prop_assert!(
+                is_honest(&reply, &id, &bytes),
+                "{:?} from {}",
+                reply,
+                bytes.escape_ascii()
+            );
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|e| panic!("{e}\n{runner}"));
+    rt.block_on(b.into_inner().assert_serves_on());
+    assert_eq!(panics(), 0);
+}
--- /dev/null
+++ b/crates/http/tests/fuzz/callers.rs
@@ -0,0 +1,234 @@
+//! The callers' server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use futures_util::future::join_all;
+use gs_http::Callers;
+use gs_http::Desk;
+use gs_http::Limits;
+use gs_http::LookupReply;
+use gs_http::Server;
+use gs_http::ServerState;
+use gs_types::prelude::*;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use crate::bytes::Spoil;
+use crate::bytes::spoil;
+use crate::config;
+use crate::panics;
+use crate::runtime;
+
+/// A bound that the server holds its callers to.
+const PHASE_MAX: Duration = Duration::from_millis(60);
+
+/// No exchange comes near this unless it hangs.
+const HANGS: Duration = Duration::from_secs(4);
+
+/// More than all answers of one connection may take.
+const ANSWERS_MAX: usize = 256 * 1024;
+
+/// The longest query or key, and the longest deadline, by docs/INTERFACE.md.
+const TEXT_MAX: usize = 4096;
+const DEADLINE_MAX: Duration = Duration::from_secs(600);
+
+/// What the interface and HTTP may answer when no lookup was refused.
+const STATUSES: &[&str] = &["100", "200", "400", "404", "413", "414", "431"];
+
+const GOOD: &str = "POST /v1/fronts/archive/lookups/quotes HTTP/1.1\r\nhost: x\r\n\
+    content-type: application/json\r\nidempotency-key: 1796256000-3f9a7c21\r\n\
+    content-length: 74\r\n\r\n\
+    {\"query\": \"brook trout\", \"key\": \"book-7\", \"deadline\": \"80ms\", \"floor\": 41}";
+
+/// A chunked request, and a second one behind it.
+const CHUNKED: &str = "POST /v1/fronts/archive/lookups/quotes HTTP/1.1\r\nhost: x\r\n\
+    transfer-encoding: chunked\r\n\r\n11\r\n{\"query\":\"trout\"}\r\n0\r\n\r\n\
+    POST /v1/fronts/archive/lookups/quotes HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+    content-length: 17\r\n\r\n{\"query\":\"trout\"}";
+
+/// Answers every lookup, and keeps those that the interface should not have let through.
+#[derive(Default)]
+struct Strict {
+    bad: Mutex<Vec<LookupRequest>>,
+}
+
+impl Strict {
+    fn bad(&self) -> Vec<LookupRequest> {
+        self.bad.lock().expect("not poisoned").clone()
+    }
+}
+
+fn is_text(s: &str) -> bool {
+    (1..=TEXT_MAX).contains(&s.len()) && !s.chars().any(char::is_control)
+}
+
+fn is_allowed(req: &LookupRequest) -> bool {
+    let in_time = |d: Duration| !d.is_zero() && d <= DEADLINE_MAX;
+    is_text(&req.query)
+        && req.key.as_deref().is_none_or(is_text)
+        && req.deadline.is_none_or(in_time)
+}
+
+#[async_trait]
+impl Desk for Strict {
+    async fn lookup(&self, req: LookupRequest) -> LookupReply {
+        if !is_allowed(&req) {
+            self.bad.lock().expect("not poisoned").push(req);
+        }
+        LookupReply {
+            request: RequestId {
+                vm: "vm-1".parse().expect("a name"),
+                incarnation: Incarnation(7),
+                seq: LookupSeq(1),
+            },
+            outcome: Outcome::Answered(Answer {
+                snapshot: SnapshotId(3),
+                hits: Vec::new(),
+                matched: 0,
+                coverage: Coverage {
+                    shards: 2,
+                    whole: 2,
+                    missing: Vec::new(),
+                },
+                ended_early: false,
+                extra_attempts: 0,
+            }),
+        }
+    }
+}
+
+struct Running {
+    addr: SocketAddr,
+    state: Arc<ServerState>,
+    desk: Arc<Strict>,
+    _stop: watch::Sender<bool>,
+}
+
+async fn start() -> Running {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let limits = Limits {
+        headers: 8192,
+        header_timeout: PHASE_MAX,
+        connections: 32,
+    };
+    let desk = Arc::new(Strict::default());
+    let server = Server::new(listener, limits);
+    let state = server.state();
+    let (stop, stopped) = watch::channel(false);
+    let callers = Callers::new(Arc::clone(&desk) as Arc<dyn Desk>, 8192, PHASE_MAX);
+    tokio::spawn(server.run(Arc::new(callers), stopped));
+    Running {
+        addr,
+        state,
+        desk,
+        _stop: stop,
+    }
+}
+
+/// Sends bytes in two writes, and reads until the server closes or, if told so, ends its own half.
+async fn exchange(addr: SocketAddr, bytes: &[u8], half_close: bool) -> Vec<u8> {
+    let mut tcp = TcpStream::connect(addr).await.expect("listening");
+    let (first, second) = bytes.split_at(bytes.len() / 2);
+    // The server may close before it has read all.
+    let _ = tcp.write_all(first).await;
+    let _ = tcp.write_all(second).await;
+    if half_close {
+        let _ = tcp.shutdown().await;
+    }
+    let mut buf = Vec::new();
+    let mut chunk = [0; 4096];
+    let read = async {
+        while let Ok(n @ 1..) = tcp.read(&mut chunk).await {
+            buf.extend_from_slice(&chunk[..n]);
+            // A kept connection is idle for a minute; nothing more comes of it.
+            if n < chunk.len() && !half_close && ends_idle(&mut tcp).await {
+                return;
+            }
+        }
+    };
+    let ended = tokio::time::timeout(HANGS, read).await;
+    assert!(ended.is_ok(), "hangs: {}", bytes.escape_ascii());
+    buf
+}
+
+/// Whether nothing comes for longer than a request may take.
+async fn ends_idle(tcp: &mut TcpStream) -> bool {
+    let more = tokio::time::timeout(4 * PHASE_MAX, tcp.readable());
+    more.await.is_err()
+}
+
+/// The statuses of the answers on one connection.
+fn statuses(answers: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(answers);
+    let heads = text.split("HTTP/1.").skip(1);
+    heads
+        .filter_map(|h| h.get(2..5).map(str::to_owned))
+        .collect()
+}
+
+async fn assert_serves_on(s: &Running) {
+    let good = GOOD.replace("host: x\r\n", "host: x\r\nconnection: close\r\n");
+    let res = exchange(s.addr, good.as_bytes(), false).await;
+    assert!(
+        res.starts_with(b"HTTP/1.1 200 OK\r\n"),
+        "{}",
+        res.escape_ascii()
+    );
+    let closed = async {
+        while s.state.open() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let closed = tokio::time::timeout(HANGS, closed).await;
+    assert!(closed.is_ok(), "{} connections open", s.state.open());
+}
+
+/// A batch of spoilt requests, sent at the same time.
+fn batch() -> impl Strategy<Value = Vec<(bool, bool, Spoil)>> {
+    vec((any::<bool>(), any::<bool>(), spoil()), 24)
+}
+
+#[test]
+fn any_bytes_from_callers_leave_the_server_serving() {
+    let rt = runtime();
+    let s = rt.block_on(start());
+    let mut runner = TestRunner::new(config());
+    let run = runner.run(&batch(), |batch| {
+        let sent: Vec<(Vec<u8>, bool)> = batch
+            .iter()
+            .map(|(chunked, half, spoil)| {
+                let good = if *chunked { CHUNKED } else { GOOD };
+                (spoil.of(good.as_bytes()), *half)
+            })
+            .collect();
+        let exchanges = sent.iter().map(|(b, half)| exchange(s.addr, b, *half));
+        let answers = rt.block_on(join_all(exchanges));
+        for (answer, (bytes, _)) in answers.iter().zip(&sent) {
+            let (asked, got) = (bytes.escape_ascii(), answer.escape_ascii());
+            prop_assert!(answer.len() <= ANSWERS_MAX, "{} bytes", answer.len());
+            prop_assert!(
+                answer.is_empty() || answer.starts_with(b"HTTP/1."),
+                "{asked}\n{got}"
+            );
+            for status in statuses(answer) {
+                prop_assert!(STATUSES.contains(&&*status), "{status} to {asked}");
+            }
+        }
+        prop_assert_eq!(s.desk.bad(), Vec::new());
+        prop_assert_eq!(panics(), 0);
+        Ok(())
+    });
+    rt.block_on(assert_serves_on(&s));
+    run.unwrap_or_else(|e| panic!("{e}\n{runner}"));
+}
