--- a/crates/once/src/pump.rs
+++ b/crates/once/src/claim_calls.rs
@@ -7,14 +7,14 @@
 use crate::claim::ClaimEvent;
 use crate::claim::ClaimState;
 use crate::claim::KeyHash;
+use crate::claim_log::Call;
+use crate::claim_log::ClaimLog;
+use crate::claim_log::Existing;
 use crate::once::Cx;
 use crate::once::Once;
 use crate::part::Part;
 use crate::part::PartPath;
 use crate::part::Window;
-use crate::shelf::Call;
-use crate::shelf::Met;
-use crate::shelf::Shelf;
 
 /// Entries that are kept in memory; buckets and windows that nobody asks for go beyond that.
 const ENTRIES_MAX: usize = 200_000;
@@ -23,54 +23,55 @@
 
 impl Once {
     /// Starts every call that is due.
-    pub(crate) fn pump(&mut self, cx: &mut Cx<'_>) {
+    pub(crate) fn start_calls(&mut self, cx: &mut Cx<'_>) {
         if !self.is_away(cx.now) {
-            let keys: Vec<Key> = self.shelves.keys().copied().collect();
+            let keys: Vec<Key> = self.claim_logs.keys().copied().collect();
             for key in keys {
-                self.pump_shelf(cx, key);
+                self.start_call(cx, key);
             }
             self.start_floor_read(cx);
         }
         self.forget();
     }
 
-    fn pump_shelf(&mut self, cx: &mut Cx<'_>, key: Key) {
-        let Some(shelf) = self.shelves.get_mut(&key) else {
+    fn start_call(&mut self, cx: &mut Cx<'_>, key: Key) {
+        let Some(claim_log) = self.claim_logs.get_mut(&key) else {
             return;
         };
         let asks = &self.asks;
-        shelf.queue.retain(|id| asks.find(id).is_some());
-        shelf.standing.retain(|id| asks.find(id).is_some());
-        if !shelf.standing.is_empty() && shelf.proof.is_none() {
-            shelf.proof = Some(self.floor.want());
+        claim_log.queue.retain(|id| asks.find(id).is_some());
+        claim_log.unproven.retain(|id| asks.find(id).is_some());
+        if !claim_log.unproven.is_empty() && claim_log.proof.is_none() {
+            claim_log.proof = Some(self.floor.want());
         }
-        if shelf.call != Call::None || shelf.queue.is_empty() {
+        if claim_log.call != Call::None || claim_log.queue.is_empty() {
             return;
         }
-        if !shelf.is_loaded() {
-            shelf.call = Call::Read;
+        if !claim_log.is_loaded() {
+            claim_log.call = Call::Read;
             self.counts.reads += 1;
-            let path = shelf.path().to_string();
+            let path = claim_log.path().to_string();
             cx.out.push(Action::Read { path });
-        } else if shelf.next_write.is_none_or(|t| cx.now >= t) {
+        } else if claim_log.next_write.is_none_or(|t| cx.now >= t) {
             self.write(cx, key);
         }
     }
 
     /// Writes all queued asks of a bucket and window at once.
     fn write(&mut self, cx: &mut Cx<'_>, key: Key) {
-        let Some(shelf) = self.shelves.get_mut(&key) else {
+        let Some(claim_log) = self.claim_logs.get_mut(&key) else {
             return;
         };
         let asks = &self.asks;
-        let (met, part) = shelf.gather(self.cfg.part_claims, |id| asks.find(id).map(|p| &p.ask));
-        let batch = match &shelf.call {
+        let (existing, part) =
+            claim_log.gather(self.cfg.part_claims, |id| asks.find(id).map(|p| &p.ask));
+        let batch = match &claim_log.call {
             Call::Write { batch, .. } => batch.clone(),
             _ => Vec::new(),
         };
-        let (path, if_version) = (shelf.path().to_string(), shelf.version());
+        let (path, if_version) = (claim_log.path().to_string(), claim_log.version());
         if let Some(content) = part.and_then(|p| p.encode().ok()) {
-            shelf.next_write = Some(cx.now + self.cfg.gather);
+            claim_log.next_write = Some(cx.now + self.cfg.gather);
             self.counts.writes += 1;
             cx.out.push(Action::Write {
                 path,
@@ -81,10 +82,10 @@
         for id in batch {
             self.end(cx, &id, ClaimEvent::Write);
         }
-        for m in met {
+        for m in existing {
             match m {
-                Met::Own(id) => self.stand(cx, key, &id),
-                Met::Other(id) => self.end(cx, &id, ClaimEvent::Clash),
+                Existing::Own(id) => self.entry_found(cx, key, &id),
+                Existing::Other(id) => self.end(cx, &id, ClaimEvent::Clash),
             }
         }
     }
@@ -99,10 +100,10 @@
             self.sweep_read(cx, result);
             return;
         }
-        let Some((key, shelf)) = self.called(path, |c| *c == Call::Read) else {
+        let Some((key, claim_log)) = self.called(path, |c| *c == Call::Read) else {
             return;
         };
-        shelf.call = Call::None;
+        claim_log.call = Call::None;
         let read = match result {
             Ok(None) => Some((0, Part::default())),
             Ok(Some(s)) => decoded(path, &s).map(|part| (s.version, part)),
@@ -113,52 +114,52 @@
             return;
         };
         let full = self.cfg.part_claims;
-        if let Some(shelf) = self.shelves.get_mut(&key) {
-            shelf.read(version, part, full);
+        if let Some(claim_log) = self.claim_logs.get_mut(&key) {
+            claim_log.read(version, part, full);
         }
         self.settle(cx, key);
     }
 
     pub(crate) fn wrote(&mut self, cx: &mut Cx<'_>, path: &str, result: Result<u64, StoreError>) {
         let full = self.cfg.part_claims;
-        let Some((key, shelf)) = self.called(path, |c| matches!(c, Call::Write { .. })) else {
+        let Some((key, claim_log)) = self.called(path, |c| matches!(c, Call::Write { .. })) else {
             return;
         };
-        let Call::Write { batch, part } = std::mem::replace(&mut shelf.call, Call::None) else {
+        let Call::Write { batch, part } = std::mem::replace(&mut claim_log.call, Call::None) else {
             return;
         };
         match result {
             Ok(version) => {
-                shelf.wrote(version, part, full);
+                claim_log.wrote(version, part, full);
                 for id in &batch {
-                    self.stand(cx, key, id);
+                    self.entry_found(cx, key, id);
                 }
                 self.settle(cx, key);
             }
             Err(StoreError::Lost) => {
-                shelf.doubt(batch.clone());
-                self.again(cx, &batch, ClaimEvent::Lose);
+                claim_log.doubt(batch.clone());
+                self.requeue(cx, &batch, ClaimEvent::Lose);
             }
             Err(StoreError::Conflict) => {
-                shelf.reread();
-                self.again(cx, &batch, ClaimEvent::Miss);
+                claim_log.reread();
+                self.requeue(cx, &batch, ClaimEvent::Miss);
             }
             Err(StoreError::NotDone) => {
-                self.again(cx, &batch, ClaimEvent::Miss);
+                self.requeue(cx, &batch, ClaimEvent::Miss);
                 self.go_away(cx);
             }
         }
     }
 
     /// Puts the asks of a write that did not succeed back.
-    fn again(&mut self, cx: &mut Cx<'_>, batch: &[AskId], event: ClaimEvent) {
+    fn requeue(&mut self, cx: &mut Cx<'_>, batch: &[AskId], event: ClaimEvent) {
         for id in batch {
             let state = self.asks.find(id).map(|p| p.state);
             if matches!(state, Some(ClaimState::Writing | ClaimState::Rewriting)) {
                 self.end(cx, id, event);
             }
             if event == ClaimEvent::Miss {
-                self.absolve(cx, id);
+                self.rule_out(cx, id);
             }
             self.enqueue(cx, id);
         }
@@ -166,42 +167,42 @@
 
     /// Works out what became of lost writes, now that the last part's version is known.
     fn settle(&mut self, cx: &mut Cx<'_>, key: Key) {
-        let Some(shelf) = self.shelves.get_mut(&key) else {
+        let Some(claim_log) = self.claim_logs.get_mut(&key) else {
             return;
         };
-        for id in shelf.settle_doubts() {
+        for id in claim_log.settle_doubts() {
             let claimed = self.asks.find(&id).map(|p| p.ask.key);
             let holder = claimed.and_then(|k| self.holder(key, k));
             if holder == Some(&id) {
-                self.stand(cx, key, &id);
+                self.entry_found(cx, key, &id);
             } else {
-                self.absolve(cx, &id);
+                self.rule_out(cx, &id);
             }
         }
     }
 
     /// Notes that nothing can make an ask an entry any more, unless something still can.
-    pub(crate) fn absolve(&mut self, cx: &mut Cx<'_>, id: &AskId) {
+    pub(crate) fn rule_out(&mut self, cx: &mut Cx<'_>, id: &AskId) {
         let Some(p) = self.asks.find(id) else {
             return;
         };
         let key = (p.ask.window, self.bucket(p.ask.key));
-        let shelf = self.shelves.get(&key);
-        let doubted = shelf.is_some_and(|s| s.is_doubted(id));
+        let claim_log = self.claim_logs.get(&key);
+        let doubted = claim_log.is_some_and(|s| s.is_doubted(id));
         if !doubted && !p.forward_open {
             self.end(cx, id, ClaimEvent::Miss);
         }
     }
 
     /// An ask's entry is there; it is granted once the floor was seen below it.
-    fn stand(&mut self, cx: &mut Cx<'_>, key: Key, id: &AskId) {
-        let Some(shelf) = self.shelves.get_mut(&key) else {
+    fn entry_found(&mut self, cx: &mut Cx<'_>, key: Key, id: &AskId) {
+        let Some(claim_log) = self.claim_logs.get_mut(&key) else {
             return;
         };
-        if shelf.proven {
+        if claim_log.proven {
             self.grant(cx, id);
         } else if self.asks.find(id).is_some() {
-            shelf.standing.insert(id.clone());
+            claim_log.unproven.insert(id.clone());
         }
     }
 
@@ -221,12 +222,12 @@
 
     /// The floor was read in this round.
     pub(crate) fn prove(&mut self, cx: &mut Cx<'_>, round: u64) {
-        let due = |s: &&mut Shelf| s.proof.is_some_and(|r| r <= round);
+        let due = |s: &&mut ClaimLog| s.proof.is_some_and(|r| r <= round);
         let mut proven = Vec::new();
-        for shelf in self.shelves.values_mut().filter(due) {
-            shelf.proof = None;
-            shelf.proven = true;
-            proven.extend(std::mem::take(&mut shelf.standing));
+        for claim_log in self.claim_logs.values_mut().filter(due) {
+            claim_log.proof = None;
+            claim_log.proven = true;
+            proven.extend(std::mem::take(&mut claim_log.unproven));
         }
         for id in proven {
             self.grant(cx, &id);
@@ -244,32 +245,32 @@
         for id in ids {
             self.end(cx, &id, ClaimEvent::Close);
         }
-        self.shelves.retain(|(window, _), _| *window > closed);
+        self.claim_logs.retain(|(window, _), _| *window > closed);
     }
 
     /// Lets go of buckets and windows that nobody asks for, oldest first, if there are too many.
     fn forget(&mut self) {
-        let mut entries: usize = self.shelves.values().map(Shelf::entries).sum();
+        let mut entries: usize = self.claim_logs.values().map(ClaimLog::entries).sum();
         while entries > ENTRIES_MAX {
-            let idle = self.shelves.iter().find(|(_, s)| s.is_idle());
+            let idle = self.claim_logs.iter().find(|(_, s)| s.is_idle());
             let Some((key, n)) = idle.map(|(k, s)| (*k, s.entries())) else {
                 return;
             };
-            self.shelves.remove(&key);
+            self.claim_logs.remove(&key);
             entries -= n;
         }
     }
 
     fn holder(&self, key: Key, claimed: KeyHash) -> Option<&AskId> {
-        self.shelves.get(&key)?.holder(claimed)
+        self.claim_logs.get(&key)?.holder(claimed)
     }
 
-    /// The shelf whose call to this object is under way.
-    fn called(&mut self, path: &str, of: impl Fn(&Call) -> bool) -> Option<(Key, &mut Shelf)> {
+    /// The claim log whose call about this object is under way.
+    fn called(&mut self, path: &str, of: impl Fn(&Call) -> bool) -> Option<(Key, &mut ClaimLog)> {
         let path: PartPath = path.parse().ok()?;
         let key = (path.window, path.bucket);
-        let shelf = self.shelves.get_mut(&key)?;
-        (shelf.path() == path && of(&shelf.call)).then_some((key, shelf))
+        let claim_log = self.claim_logs.get_mut(&key)?;
+        (claim_log.path() == path && of(&claim_log.call)).then_some((key, claim_log))
     }
 }
 
--- a/crates/once/src/shelf.rs
+++ b/crates/once/src/claim_log.rs
@@ -37,7 +37,7 @@
 
 /// The claims of one bucket and window.
 #[derive(Debug)]
-pub(crate) struct Shelf {
+pub(crate) struct ClaimLog {
     window: Window,
     bucket: u16,
     /// Every entry of every part, as far as read.
@@ -58,20 +58,20 @@
     /// Asks to put into the next write.
     pub(crate) queue: VecDeque<AskId>,
     /// Asks whose entry stands, waiting for the proof.
-    pub(crate) standing: BTreeSet<AskId>,
+    pub(crate) unproven: BTreeSet<AskId>,
     /// Not to write before.
     pub(crate) next_write: Option<Instant>,
 }
 
 /// What a queued ask meets when the next write is put together.
-pub(crate) enum Met {
+pub(crate) enum Existing {
     /// Its own entry stands already.
     Own(AskId),
     /// Another entry stands for its key.
     Other(AskId),
 }
 
-impl Shelf {
+impl ClaimLog {
     pub(crate) fn new(window: Window, bucket: u16) -> Self {
         Self {
             window,
@@ -87,7 +87,7 @@
             call: Call::None,
             doubts: Vec::new(),
             queue: VecDeque::new(),
-            standing: BTreeSet::new(),
+            unproven: BTreeSet::new(),
             next_write: None,
         }
     }
@@ -114,7 +114,7 @@
 
     /// Whether anything here waits for the platform.
     pub(crate) fn is_idle(&self) -> bool {
-        self.call == Call::None && self.queue.is_empty() && self.standing.is_empty()
+        self.call == Call::None && self.queue.is_empty() && self.unproven.is_empty()
     }
 
     /// Whose entry stands for a key, as far as known.
@@ -124,13 +124,13 @@
 
     /// Takes the last part as read; tells whether the next part has to be read too.
     pub(crate) fn read(&mut self, version: u64, part: Part, full_at: usize) -> bool {
-        let page = self.tail;
+        let before = self.tail;
         self.version = version;
         self.proven = false;
         self.proof = None;
         self.note(part);
-        self.turn_page(full_at);
-        self.loaded = self.tail == page;
+        self.next_part(full_at);
+        self.loaded = self.tail == before;
         !self.loaded
     }
 
@@ -143,7 +143,7 @@
         }
         self.version = version;
         self.note(part);
-        self.turn_page(full_at);
+        self.next_part(full_at);
     }
 
     /// What was known of the last part is out of date.
@@ -180,16 +180,16 @@
         &mut self,
         max: usize,
         find: impl Fn(&AskId) -> Option<&'a Ask>,
-    ) -> (Vec<Met>, Option<Part>) {
-        let mut met = Vec::new();
+    ) -> (Vec<Existing>, Option<Part>) {
+        let mut existing = Vec::new();
         let mut batch = Vec::new();
         let mut claims = self.tail_claims.clone();
         let mut later = VecDeque::new();
         while let Some(id) = self.queue.pop_front() {
             let Some(ask) = find(&id) else { continue };
             match self.known.get(&ask.key) {
-                Some(own) if *own == id => met.push(Met::Own(id)),
-                Some(_) => met.push(Met::Other(id)),
+                Some(own) if *own == id => existing.push(Existing::Own(id)),
+                Some(_) => existing.push(Existing::Other(id)),
                 None if batch.len() >= max || claims.iter().any(|c| c.key == ask.key) => {
                     later.push_back(id);
                 }
@@ -205,14 +205,14 @@
         }
         self.queue = later;
         if batch.is_empty() {
-            return (met, None);
+            return (existing, None);
         }
         let part = Part { claims };
         self.call = Call::Write {
             batch,
             part: part.clone(),
         };
-        (met, Some(part))
+        (existing, Some(part))
     }
 
     fn note(&mut self, part: Part) {
@@ -223,7 +223,7 @@
     }
 
     /// Goes on to the next part if the last one is full.
-    fn turn_page(&mut self, full_at: usize) {
+    fn next_part(&mut self, full_at: usize) {
         if self.tail_claims.len() >= full_at {
             self.tail += 1;
             self.version = 0;
--- a/crates/once/src/floor.rs
+++ b/crates/once/src/floor.rs
@@ -41,7 +41,7 @@
     pub(crate) writing: Option<Floor>,
     /// The object to remove next.
     pub(crate) sweep: Option<PartPath>,
-    /// When the duty's holder last looked.
+    /// When the VM whose task it is last looked.
     pub(crate) looked: Option<Instant>,
 }
 
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -8,16 +8,16 @@
 mod action;
 mod asks;
 mod claim;
+mod claim_calls;
+mod claim_log;
 mod event;
 mod floor;
-mod keep;
 mod message;
 mod once;
 mod part;
 mod peers;
-mod pump;
+mod retention;
 mod settings;
-mod shelf;
 
 pub use action::Action;
 pub use claim::Ask;
--- a/crates/once/src/once.rs
+++ b/crates/once/src/once.rs
@@ -21,6 +21,7 @@
 use crate::claim::ClaimEvent;
 use crate::claim::ClaimState;
 use crate::claim::KeyHash;
+use crate::claim_log::ClaimLog;
 use crate::event::Event;
 use crate::floor::FLOOR_PATH;
 use crate::floor::FloorWatch;
@@ -28,7 +29,6 @@
 use crate::message::Settled;
 use crate::part::Window;
 use crate::settings::OnceSettings;
-use crate::shelf::Shelf;
 
 /// Time after which a tick is asked for at the latest.
 const IDLE: Duration = Duration::from_secs(5);
@@ -62,14 +62,14 @@
     pub(crate) out: &'a mut Vec<Action>,
 }
 
-/// Decides claims; see the crate's page.
+/// Decides claims; see the crate's documentation.
 #[derive(Debug)]
 pub struct Once {
     pub(crate) cfg: OnceSettings,
     pub(crate) counts: Counts,
     pub(crate) view: Option<Arc<View>>,
     pub(crate) asks: Asks,
-    pub(crate) shelves: BTreeMap<(Window, u16), Shelf>,
+    pub(crate) claim_logs: BTreeMap<(Window, u16), ClaimLog>,
     pub(crate) floor: FloorWatch,
     pub(crate) away_until: Option<Instant>,
     /// Forwards sent.
@@ -93,7 +93,7 @@
             counts: Counts::default(),
             view: None,
             asks: Asks::new(claim::chart()?),
-            shelves: BTreeMap::new(),
+            claim_logs: BTreeMap::new(),
             floor: FloorWatch::default(),
             away_until: None,
             sent: 0,
@@ -117,8 +117,8 @@
             Event::Tick => {}
         }
         self.run_timers(cx);
-        self.keep_floor(cx);
-        self.pump(cx);
+        self.check_floor(cx);
+        self.start_calls(cx);
         self.wake(cx);
     }
 
@@ -154,7 +154,10 @@
         let bucket = self.bucket(ask.key);
         self.asks
             .add(ask.clone(), minted, None, cx.now + wanted.budget);
-        let writer = self.view.as_ref().and_then(|v| v.holder(&duty(bucket)));
+        let writer = self
+            .view
+            .as_ref()
+            .and_then(|v| v.holder(&writer_role(bucket)));
         match writer.cloned() {
             Some(writer) if writer != self.cfg.vm => self.forward(cx, writer, ask, wanted.budget),
             _ => self.enqueue(cx, &id),
@@ -172,8 +175,8 @@
             self.floor.want();
             return Some(ClaimVerdict::Refused);
         }
-        let shelf = self.shelves.get(&(ask.window, self.bucket(ask.key)));
-        if shelf.is_some_and(|s| s.holder(ask.key).is_some()) {
+        let claim_log = self.claim_logs.get(&(ask.window, self.bucket(ask.key)));
+        if claim_log.is_some_and(|s| s.holder(ask.key).is_some()) {
             return Some(ClaimVerdict::Taken);
         }
         (self.asks.len() >= self.cfg.asks_max).then_some(ClaimVerdict::Refused)
@@ -199,12 +202,12 @@
             self.end(cx, id, ClaimEvent::GiveUp);
             return;
         }
-        let shelf = self
-            .shelves
+        let claim_log = self
+            .claim_logs
             .entry(key)
-            .or_insert_with(|| Shelf::new(key.0, key.1));
-        if !shelf.queue.contains(id) {
-            shelf.queue.push_back(id.clone());
+            .or_insert_with(|| ClaimLog::new(key.0, key.1));
+        if !claim_log.queue.contains(id) {
+            claim_log.queue.push_back(id.clone());
         }
     }
 
@@ -268,7 +271,7 @@
     }
 
     fn wake(&mut self, cx: &mut Cx<'_>) {
-        let busy = self.shelves.values().filter(|s| !s.is_idle());
+        let busy = self.claim_logs.values().filter(|s| !s.is_idle());
         let writes = busy.filter_map(|s| s.next_write);
         let soonest = writes
             .chain(self.away_until)
@@ -280,8 +283,8 @@
     }
 }
 
-/// The duty of writing a bucket's claims.
-fn duty(bucket: u16) -> String {
+/// The task of writing a bucket's claims, by which its VM is chosen.
+fn writer_role(bucket: u16) -> String {
     format!("claims/{bucket}")
 }
 
--- a/crates/once/src/peers.rs
+++ b/crates/once/src/peers.rs
@@ -99,7 +99,7 @@
             Settled::Dropped => {
                 self.asks.close_forward(id);
                 if matches!(state, ClaimState::Forwarded | ClaimState::Exposed) {
-                    self.absolve(cx, id);
+                    self.rule_out(cx, id);
                     self.enqueue(cx, id);
                 }
             }
--- a/crates/once/src/keep.rs
+++ b/crates/once/src/retention.rs
@@ -1,4 +1,4 @@
-//! The floor: reading it, and the duty of raising it and of removing what is below it.
+//! The floor: reading it, and the task of raising it and of removing what is below it.
 
 use std::time::Duration;
 
@@ -13,12 +13,12 @@
 use crate::part::PartPath;
 use crate::part::Window;
 
-/// Time between two looks at the floor by the VM whose duty it is.
+/// Time between two looks at the floor by the VM whose task it is.
 const LOOK_EVERY: Duration = Duration::from_secs(30);
 
 impl Once {
-    /// Looks at the floor if that is this VM's duty and the time has come.
-    pub(crate) fn keep_floor(&mut self, cx: &mut Cx<'_>) {
+    /// Looks at the floor if that is this VM's task and the time has come.
+    pub(crate) fn check_floor(&mut self, cx: &mut Cx<'_>) {
         let holds = self.view.as_ref().is_some_and(|v| v.holds(FLOOR_PATH));
         let looked = |t| cx.now.saturating_duration_since(t) < LOOK_EVERY;
         if holds && !self.floor.looked.is_some_and(looked) {
@@ -47,8 +47,8 @@
             Err(_) => None,
         };
         let Some((version, floor)) = read else {
-            for shelf in self.shelves.values_mut() {
-                shelf.proof = None;
+            for claim_log in self.claim_logs.values_mut() {
+                claim_log.proof = None;
             }
             self.go_away(cx);
             return;
