--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -1,6 +1,7 @@
 //! What the parts of a process share besides events.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,6 +16,8 @@
 #[derive(Default)]
 pub(crate) struct Board {
     groups: Mutex<BTreeMap<GroupName, Arc<GroupMap>>>,
+    /// Paths of shard maps whose object was read, as many as the platform listed.
+    groups_read: Mutex<BTreeSet<String>>,
     servers: Mutex<BTreeMap<ServerName, Arc<ServerDecl>>>,
     view: Mutex<Option<Arc<View>>>,
     groups_loaded: AtomicBool,
@@ -22,22 +25,53 @@
     leaving: AtomicBool,
 }
 
+/// Everything that the shard maps held declare.
+pub(crate) struct Declared<'a> {
+    pub(crate) groups: &'a BTreeMap<GroupName, Arc<GroupMap>>,
+    pub(crate) servers: &'a BTreeMap<ServerName, Arc<ServerDecl>>,
+}
+
 impl Board {
-    /// Takes a shard map unless a newer one is held; says whether it was taken.
-    pub(crate) fn set_group(&self, map: &Arc<GroupMap>) -> bool {
+    /// Takes a shard map unless this one or a newer one is held, and calls `tell` if it was taken.
+    ///
+    /// Guards against news overtaken by older news: maps come from the platform and from peers in
+    /// tasks of their own, and one that told of fewer servers after the other had told of all would
+    /// leave this VM without connections to the rest. `tell` is called before another map can be
+    /// taken, so what is told last is the newest; it must not call this board.
+    pub(crate) fn take_group(&self, map: &Arc<GroupMap>, tell: impl FnOnce(Declared<'_>)) {
         let mut groups = lock(&self.groups);
         let newer = groups
             .get(&map.group)
             .is_none_or(|old| old.revision < map.revision);
-        if newer {
-            groups.insert(map.group.clone(), Arc::clone(map));
-            *lock(&self.servers) = groups
-                .values()
-                .flat_map(|g| &g.servers)
-                .map(|s| (s.name.clone(), Arc::clone(s)))
-                .collect();
+        if !newer {
+            return;
         }
-        newer
+        groups.insert(map.group.clone(), Arc::clone(map));
+        let mut servers = lock(&self.servers);
+        *servers = groups
+            .values()
+            .flat_map(|g| &g.servers)
+            .map(|s| (s.name.clone(), Arc::clone(s)))
+            .collect();
+        tell(Declared {
+            groups: &groups,
+            servers: &servers,
+        });
+    }
+
+    /// The object of a shard map has been read, whether or not it held one.
+    pub(crate) fn set_group_read(&self, path: &str) {
+        lock(&self.groups_read).insert(path.to_owned());
+    }
+
+    /// Whether [`Self::set_group_read`] was called for this path.
+    pub(crate) fn is_group_read(&self, path: &str) -> bool {
+        lock(&self.groups_read).contains(path)
+    }
+
+    /// Whether a shard map is held.
+    pub(crate) fn holds_group(&self, name: &str) -> bool {
+        lock(&self.groups).keys().any(|g| g.as_str() == name)
     }
 
     /// Every shard map held.
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -44,7 +44,7 @@
                 .push(gs_query::Event::Sign(sign, SignSource::Peer));
         }
         Message::WantGroups => send_groups(f, &from),
-        Message::Group(map) => f.take_group(map),
+        Message::Group(map) => f.take_group(&map),
         Message::WantDump(id) => f.spread.send(&from, &Message::Dump(id, dumps.own_text())),
         Message::Dump(id, text) => dumps.arrived(id, from, &text),
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod dumps;
 mod engine_shell;
 mod feeds;
+mod first_groups;
 mod inbox;
 mod member_shell;
 mod message;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,6 +1,5 @@
 //! Follows the platform: configuration, shard maps, the seat table and the list of VMs.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,18 +19,15 @@
 use crate::book_shell::found;
 use crate::calls::stored;
 use crate::feeds::Feeds;
-use crate::message::Message;
+use crate::first_groups;
 use crate::spread::Spread;
 
 /// Where shard maps are kept.
-const GROUPS: &str = "groups/";
+pub(crate) const GROUPS: &str = "groups/";
 
 /// Time between two reads of the list of VMs.
 const VMS_EVERY: Duration = Duration::from_secs(1);
 
-/// Time between two tries to learn the shard maps at the start.
-const GROUPS_EVERY: Duration = Duration::from_millis(300);
-
 /// How long a change of the configuration is left to peers before it is read from the platform, which
 /// counts every call.
 const PEERS_FIRST: Duration = Duration::from_millis(50);
@@ -64,7 +60,7 @@
             f.feeds.member.push(gs_member::Event::TableRead(Ok(table)));
         });
         tokio::spawn(self.clone().follow_vms());
-        tokio::spawn(self.load_groups());
+        tokio::spawn(first_groups::load(self));
     }
 
     /// Watches a prefix; what `holds` says is held already is neither read nor handed over.
@@ -95,61 +91,29 @@
     }
 
     fn group_changed(&self, u: &Update) {
+        self.board.set_group_read(&u.path);
         let Some(o) = &u.object else {
             log::warn!("event=group-removed path={}", u.path);
             return;
         };
         match serde_json::from_slice::<GroupMap>(&o.content) {
-            Ok(map) => self.take_group(Arc::new(map)),
+            Ok(map) => self.take_group(&Arc::new(map)),
             Err(e) => log::error!("event=group-refused path={} error=\"{e}\"", u.path),
         }
     }
 
     /// Takes a shard map from the platform or a peer; an older one is ignored.
-    pub(crate) fn take_group(&self, map: Arc<GroupMap>) {
-        if !self.board.set_group(&map) {
-            return;
-        }
-        log::info!("event=group group={} revision={}", map.group, map.revision);
-        self.feeds.engine.push(gs_query::Event::Group(map));
-        let groups = self.board.groups();
-        let names = groups.iter().map(|g| g.group.clone()).collect();
-        self.feeds.book.push(gs_conf::Event::Groups(names));
-        let servers = self.board.servers();
-        let limits = servers.iter().map(|s| gs_member::ServerLimit {
-            server: s.name.clone(),
-            data_centre: s.data_centre.clone(),
-            connections: s.connections,
+    pub(crate) fn take_group(&self, map: &Arc<GroupMap>) {
+        self.board.take_group(map, |declared| {
+            log::info!("event=group group={} revision={}", map.group, map.revision);
+            self.feeds
+                .engine
+                .push(gs_query::Event::Group(Arc::clone(map)));
+            let names = declared.groups.keys().cloned().collect();
+            self.feeds.book.push(gs_conf::Event::Groups(names));
+            let limits = declared.servers.values().map(|s| limit_of(s)).collect();
+            self.feeds.member.push(gs_member::Event::Servers(limits));
         });
-        self.feeds
-            .member
-            .push(gs_member::Event::Servers(limits.collect()));
-    }
-
-    /// Waits until every shard map that the platform lists is held; asks peers if it is away.
-    async fn load_groups(self) {
-        let mut wanted: Option<BTreeSet<String>> = None;
-        loop {
-            if wanted.is_none() {
-                match self.platform.list(GROUPS).await {
-                    Ok(l) => wanted = Some(l.objects.into_iter().map(|o| o.path).collect()),
-                    Err(_) => self.spread.broadcast(&Message::WantGroups),
-                }
-            }
-            let held = self.board.groups();
-            let all = match &wanted {
-                Some(paths) => paths.iter().all(|p| {
-                    held.iter()
-                        .any(|g| p.as_str() == format!("{GROUPS}{}", g.group))
-                }),
-                None => !held.is_empty(),
-            };
-            if all {
-                self.board.set_groups_loaded();
-                return;
-            }
-            tokio::time::sleep(GROUPS_EVERY).await;
-        }
     }
 
     async fn follow_vms(self) {
@@ -171,6 +135,14 @@
     }
 }
 
+fn limit_of(s: &ServerDecl) -> gs_member::ServerLimit {
+    gs_member::ServerLimit {
+        server: s.name.clone(),
+        data_centre: s.data_centre.clone(),
+        connections: s.connections,
+    }
+}
+
 fn entry(v: gs_store::VmEntry) -> gs_member::VmEntry {
     gs_member::VmEntry {
         vm: v.vm,
--- a/tests/process/vm_faults.rs
+++ b/tests/process/vm_faults.rs
@@ -187,3 +187,27 @@
     .await;
     assert_eq!(d.servers.counts().summary().total.over_limit, 0);
 }
+
+/// A VM that is replaced never takes lookups, and all others wait for the same fate.
+/// A publisher writes something that is no shard map, over a map in use or beside them; the running
+/// VMs go on by what they hold; then one is replaced. The cause was a start that waited for every
+/// listed map to be held, which one that cannot be read never is, though the peers hold its last.
+#[rstest]
+#[case::over_a_map_in_use(None)]
+#[case::beside_the_others(Some("groups/unreadable"))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shard_map_that_cannot_be_read_keeps_no_new_vm_from_serving(#[case] path: Option<&str>) {
+    let mut d = tiny().await;
+    let in_use = d.platform.paths("groups/");
+    let path = path.unwrap_or(in_use.first().expect("a shard map"));
+    d.platform.put(path, "no shard map");
+    d.restart(0).await.expect("it becomes ready");
+    for lookup in ["quote", "placement"] {
+        let lookup = ask(&d, lookup, 12);
+        until("a full page", async || {
+            let reply = ask_vm(&d, 0, &lookup).await;
+            reply.page().is_some_and(|p| p.coverage.is_full())
+        })
+        .await;
+    }
+}
