--- a/crates/types/src/answer.rs
+++ b/crates/types/src/answer.rs
@@ -15,9 +15,9 @@
 pub enum Outcome {
     /// A page, with its coverage.
     Answered(Answer),
-    /// Nothing was handed to a backend server, for this submission.
+    /// No backend server ran it; with an idempotency key, neither this nor any other submission.
     NotRun(Refusal),
-    /// Something was handed over, or a claim cannot be read; it may have run.
+    /// It may have run: something was sent, or another submission under its key may have run.
     Unknown(Refusal),
 }
 
