--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -9,32 +9,42 @@
 
 /// Gathers a fault for each pair of keys that contradict each other.
 pub(crate) fn check(s: &Settings, r: &mut Reader<'_>) {
-    if s.shutdown.deadline <= s.shutdown.lag {
-        let (key, name) = either(r, "shutdown", "deadline", "lag");
-        let f = Fault::new(
-            FaultKind::Clash,
-            "`shutdown.deadline` is not longer than `shutdown.lag`",
-            "make the deadline longer than the lag and the longest lookup together",
-        );
-        clash(r, f, key, name);
-    }
-    if s.claims.window <= s.claims.skew {
-        let (key, name) = either(r, "claims", "skew", "window");
-        let f = Fault::new(
-            FaultKind::Clash,
-            "`claims.window` is not longer than `claims.skew`",
-            "make the window longer than the time in which callers resend",
-        );
-        clash(r, f, key, name);
-    }
+    check_shutdown(s, r);
+    check_claims(s, r);
     let l = &s.listen;
     check_ports(r, ("callers", l.callers), ("admin", l.admin));
     check_ports(r, ("callers", l.callers), ("mesh", l.mesh));
     check_ports(r, ("admin", l.admin), ("mesh", l.mesh));
-    check_family(s, r);
+    check_ip_versions(s, r);
     check_bootstrap(r);
 }
 
+fn check_shutdown(s: &Settings, r: &mut Reader<'_>) {
+    if s.shutdown.deadline > s.shutdown.lag {
+        return;
+    }
+    let name = either(r, "shutdown", "deadline", "lag");
+    let f = Fault::new(
+        FaultKind::Clash,
+        "`shutdown.deadline` is not longer than `shutdown.lag`",
+        "make the deadline longer than the lag and the longest lookup together",
+    );
+    clash(r, f, "shutdown", name);
+}
+
+fn check_claims(s: &Settings, r: &mut Reader<'_>) {
+    if s.claims.window > s.claims.skew {
+        return;
+    }
+    let name = either(r, "claims", "skew", "window");
+    let f = Fault::new(
+        FaultKind::Clash,
+        "`claims.window` is not longer than `claims.skew`",
+        "make the window longer than the time in which callers resend",
+    );
+    clash(r, f, "claims", name);
+}
+
 fn check_bootstrap(r: &mut Reader<'_>) {
     let there = |name| r.place("bootstrap", name).is_some();
     let (lone, other) = match (there("team"), there("key-sha256")) {
@@ -51,15 +61,10 @@
 }
 
 /// The key of the two that stands in the file; a default is never pointed at.
-fn either(
-    r: &Reader<'_>,
-    section: &'static str,
-    a: &'static str,
-    b: &'static str,
-) -> (&'static str, &'static str) {
+fn either<'a>(r: &Reader<'_>, section: &str, a: &'a str, b: &'a str) -> &'a str {
     match r.place(section, a) {
-        Some(_) => (section, a),
-        None => (section, b),
+        Some(_) => a,
+        None => b,
     }
 }
 
@@ -80,7 +85,7 @@
     }
 }
 
-fn check_family(s: &Settings, r: &mut Reader<'_>) {
+fn check_ip_versions(s: &Settings, r: &mut Reader<'_>) {
     let Some(ip) = s.source.ip else { return };
     if ip.is_ipv4() != s.platform.addr.is_ipv4() {
         let f = Fault::new(
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -16,8 +16,11 @@
 use crate::keys::Presence;
 use crate::values::Problem;
 
-/// A section or key this alike is offered as what was meant.
-const ALIKE: f64 = 0.75;
+/// The Jaro-Winkler similarity from which on a section or key is offered as what was meant.
+const SIMILARITY_MIN: f64 = 0.75;
+
+/// The most characters of an unknown name that are compared; no key is longer.
+const COMPARED_MAX: usize = 64;
 
 /// Reads values by section and name.
 pub(crate) struct Reader<'i> {
@@ -70,7 +73,7 @@
     ) -> Option<T> {
         let key = keys::find(section, name)?;
         let Some(value) = self.value(section, name) else {
-            self.miss(key);
+            self.report_missing(key);
             return None;
         };
         match parse(value.get_ref(), key) {
@@ -85,14 +88,14 @@
 
     /// Gathers the fault of a key that has no default and is not there; a missing section is one
     /// fault, whatever it should have held.
-    fn miss(&mut self, key: &Key) {
+    fn report_missing(&mut self, key: &Key) {
         if key.presence != Presence::Required {
             return;
         }
         let Some(section) = self.table.get(key.section) else {
             if !self.absent.contains(&key.section) {
                 self.absent.push(key.section);
-                self.fault(no_such_section(key.section));
+                self.fault(missing_section(key.section));
             }
             return;
         };
@@ -112,7 +115,7 @@
                 continue;
             }
             let Some(table) = value.get_ref().as_table() else {
-                found.push(no_section(section, value.span()));
+                found.push(value_for_section(section, value.span()));
                 continue;
             };
             for key in table.keys() {
@@ -134,7 +137,7 @@
     )
 }
 
-fn no_such_section(section: &str) -> Fault {
+fn missing_section(section: &str) -> Fault {
     let wanted = KEYS
         .iter()
         .filter(|k| k.section == section && k.presence == Presence::Required);
@@ -146,7 +149,7 @@
     )
 }
 
-fn no_section(section: &str, place: Range<usize>) -> Fault {
+fn value_for_section(section: &str, place: Range<usize>) -> Fault {
     Fault::new(
         FaultKind::WrongType,
         format!("`{section}` is a section, not a value"),
@@ -188,10 +191,10 @@
 }
 
 fn nearest(name: &str, known: impl Iterator<Item = &'static str>) -> Option<&'static str> {
-    let name: String = name.chars().take(64).collect();
+    let name: String = name.chars().take(COMPARED_MAX).collect();
     known
         .map(|k| (k, strsim::jaro_winkler(&name, k)))
-        .filter(|(_, alike)| *alike >= ALIKE)
+        .filter(|(_, similarity)| *similarity >= SIMILARITY_MIN)
         .max_by(|a, b| a.1.total_cmp(&b.1))
         .map(|(k, _)| k)
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use gs_types::prelude::*;
 use toml::de::DeValue;
 
 use crate::faults::FaultKind;
@@ -81,9 +82,9 @@
 }
 
 fn vm(r: &mut Reader<'_>) -> Option<Vm> {
-    let name = r.take("vm", "name", values::name);
-    let data_centre = r.take("vm", "data-centre", values::name);
-    let region = r.take("vm", "region", values::name);
+    let name = r.take("vm", "name", values::parsed);
+    let data_centre = r.take("vm", "data-centre", values::parsed);
+    let region = r.take("vm", "region", values::parsed);
     Some(Vm {
         name: name?,
         data_centre: data_centre?,
@@ -176,8 +177,8 @@
         .build()
 }
 
-fn connections(v: &DeValue<'_>, key: &Key) -> Result<gs_types::prelude::Connections, Problem> {
-    values::count32(v, key).map(gs_types::prelude::Connections)
+fn connections(v: &DeValue<'_>, key: &Key) -> Result<Connections, Problem> {
+    values::count32(v, key).map(Connections)
 }
 
 fn tuning(r: &mut Reader<'_>) -> Tuning {
@@ -231,8 +232,8 @@
 }
 
 fn bootstrap(r: &mut Reader<'_>) -> Option<Bootstrap> {
-    let team = r.take("bootstrap", "team", values::name);
-    let key_sha256 = r.take("bootstrap", "key-sha256", values::name);
+    let team = r.take("bootstrap", "team", values::parsed);
+    let key_sha256 = r.take("bootstrap", "key-sha256", values::parsed);
     Some(Bootstrap {
         team: team?,
         key_sha256: key_sha256?,
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -78,8 +78,8 @@
     v.as_str().map(str::to_owned).ok_or_else(|| wrong_type(v))
 }
 
-/// A name, or another text that its type checks.
-pub(crate) fn name<T: FromStr<Err = Error>>(v: &DeValue<'_>, key: &Key) -> Result<T, Problem> {
+/// A name, or another text that its type parses and checks.
+pub(crate) fn parsed<T: FromStr<Err = Error>>(v: &DeValue<'_>, key: &Key) -> Result<T, Problem> {
     let s = text(v, key)?;
     s.parse().map_err(|e: Error| {
         let p = bad_value(&e);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod answer;
 pub mod attempt;
 pub mod error;
+pub mod idempotency_key;
 pub mod ids;
 pub mod lookup;
 pub mod model;
--- a/crates/types/src/lookup.rs
+++ b/crates/types/src/lookup.rs
@@ -6,9 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::idempotency_key::IdempotencyKey;
 use crate::ids::Fingerprint;
 use crate::ids::FrontName;
-use crate::ids::IdempotencyKey;
 use crate::ids::LookupName;
 use crate::ids::SnapshotId;
 
