--- a/crates/trace/src/frame.rs
+++ b/crates/trace/src/frame.rs
@@ -10,7 +10,7 @@
 pub const MAX_RECORD: u32 = 4 << 20;
 
 /// Bytes before the payload.
-const HEAD: u64 = 8;
+pub(crate) const HEAD: u64 = 8;
 
 /// Writes one frame and tells its length in bytes.
 pub(crate) fn write(out: &mut dyn Write, payload: &[u8]) -> io::Result<u64> {
--- a/crates/trace/src/header.rs
+++ b/crates/trace/src/header.rs
@@ -1,16 +1,24 @@
 //! The head of a trace: all that an engine needs besides its events.
 
+use std::io;
+use std::io::Write;
+
 use gs_query::EngineOptions;
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::frame;
+
 /// The version of the format; a reader refuses every other.
 pub const FORMAT: u16 = 1;
 
 /// The first bytes of every trace.
 pub(crate) const MAGIC: [u8; 8] = *b"GSTRACE\n";
 
+/// Bytes before the header's frame: the magic and the format's version.
+pub(crate) const START: u64 = (MAGIC.len() + size_of::<u16>()) as u64;
+
 /// What a fresh engine is built from.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, bon::Builder)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
@@ -28,3 +36,13 @@
     #[builder(default)]
     pub options: EngineOptions,
 }
+
+impl Header {
+    /// Writes the beginning of a trace, up to the first record, and tells its length in bytes.
+    pub(crate) fn write(&self, out: &mut dyn Write) -> io::Result<u64> {
+        out.write_all(&MAGIC)?;
+        out.write_all(&FORMAT.to_le_bytes())?;
+        let len = frame::write(out, &serde_json::to_vec(self)?)?;
+        Ok(START + len)
+    }
+}
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -11,6 +11,7 @@
 mod digest;
 mod divergence;
 mod expect;
+mod found;
 mod frame;
 mod header;
 mod machine;
--- a/crates/trace/src/promises.rs
+++ b/crates/trace/src/promises.rs
@@ -10,6 +10,7 @@
 
 mod drains;
 mod lookups;
+mod seen;
 
 use std::time::Duration;
 
--- a/crates/trace/src/promises/lookups.rs
+++ b/crates/trace/src/promises/lookups.rs
@@ -1,7 +1,6 @@
 //! What must hold for each lookup.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,40 +13,11 @@
 use gs_types::prelude::*;
 
 use super::ANSWER_GRACE;
+use super::seen::Attempt;
+use super::seen::Run;
+use super::seen::Seen;
 use crate::replay::Step;
 
-/// How far an attempt has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Run {
-    /// Dispatched, and not told to be sent.
-    Waiting,
-    /// It may run, or have run.
-    Possible,
-    /// It did not run and cannot any more.
-    Never,
-}
-
-#[derive(Debug)]
-struct Attempt {
-    shard: ShardId,
-    snapshot: SnapshotId,
-    run: Run,
-}
-
-/// One lookup as its events show it.
-#[derive(Debug)]
-struct Seen {
-    arrival: Arrival,
-    due: Duration,
-    promise: Option<Promise>,
-    granted: bool,
-    attempts: BTreeMap<AttemptId, Attempt>,
-    /// The documents of each shard's whole parts, by snapshot.
-    parts: BTreeMap<(SnapshotId, ShardId), BTreeSet<Arc<str>>>,
-    outcome: Option<Outcome>,
-    gone: bool,
-}
-
 /// All lookups of a trace.
 #[derive(Debug, Default)]
 pub(crate) struct Lookups {
@@ -190,7 +160,7 @@
             ));
         }
         if l.promise == Some(Promise::AtMostOnce) {
-            check_once(l, d)?;
+            l.check_once(d)?;
         }
         let attempt = Attempt {
             shard: id.shard,
@@ -211,8 +181,8 @@
             return Err(format!("lookup {seq} is answered twice"));
         }
         match outcome {
-            Outcome::Answered(a) => check_page(l, a),
-            Outcome::NotRun(_) => check_not_run(l),
+            Outcome::Answered(a) => l.check_page(a),
+            Outcome::NotRun(_) => l.check_not_run(),
             Outcome::Unknown(_) => Ok(()),
         }
         .map_err(|text| format!("lookup {seq}: {text}"))?;
@@ -233,71 +203,3 @@
 fn not_made(id: &AttemptId) -> String {
     format!("attempt {id} was made by the machine that recorded, and not by this one")
 }
-
-fn check_once(l: &Seen, d: &Dispatch) -> Result<(), String> {
-    let id = &d.attempt;
-    if !l.granted {
-        return Err(format!(
-            "attempt {id} must run at most once and has no claim"
-        ));
-    }
-    if !d.once {
-        return Err(format!(
-            "attempt {id} must run at most once and is not marked so"
-        ));
-    }
-    match l.attempts.iter().find(|(_, a)| a.run != Run::Never) {
-        Some((other, _)) => Err(format!(
-            "attempt {id} must run at most once and {other} may have run"
-        )),
-        None => Ok(()),
-    }
-}
-
-fn check_not_run(l: &Seen) -> Result<(), String> {
-    if l.arrival.req.idempotency_key.is_some() && !l.granted {
-        return Err("told `not-run`, and another submission under its key may have run".to_owned());
-    }
-    match l.attempts.iter().find(|(_, a)| a.run == Run::Possible) {
-        Some((id, _)) => Err(format!("told `not-run`, and attempt {id} may have run")),
-        None => Ok(()),
-    }
-}
-
-/// A page is of its snapshot, its own attempts and its true coverage.
-fn check_page(l: &Seen, a: &Answer) -> Result<(), String> {
-    let Coverage {
-        shards,
-        whole,
-        missing,
-    } = &a.coverage;
-    let lost: BTreeSet<_> = missing.iter().map(|m| m.shard).collect();
-    let told = whole.saturating_add(u32::try_from(lost.len()).unwrap_or(u32::MAX));
-    if told != *shards || lost.len() != missing.len() {
-        return Err(format!("its coverage does not add up: {:?}", a.coverage));
-    }
-    let of_snapshot = || l.parts.iter().filter(|((s, _), _)| *s == a.snapshot);
-    let present = of_snapshot()
-        .filter(|((_, shard), _)| !lost.contains(shard))
-        .count();
-    if present < *whole as usize {
-        return Err(format!(
-            "it counts {whole} whole shards of snapshot {}, and {present} came",
-            a.snapshot
-        ));
-    }
-    if l.promise == Some(Promise::Complete) && !a.coverage.is_full() {
-        return Err("it must be complete and lacks shards".to_owned());
-    }
-    let strange = a
-        .hits
-        .iter()
-        .find(|h| !of_snapshot().any(|(_, docs)| docs.contains(&h.doc)));
-    match strange {
-        Some(h) => Err(format!(
-            "document `{}` is in no part of its snapshot that came for it",
-            h.doc
-        )),
-        None => Ok(()),
-    }
-}
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -9,6 +9,7 @@
 use crate::header::FORMAT;
 use crate::header::Header;
 use crate::header::MAGIC;
+use crate::header::START;
 use crate::record::Record;
 
 /// Reads a trace of any length in bounded memory.
@@ -35,7 +36,7 @@
         read_magic(&mut input)?;
         let place = Place {
             record: 0,
-            byte: MAGIC.len() as u64 + 2,
+            byte: START,
         };
         let mut buf = Vec::new();
         if !frame::read(&mut input, &mut buf, place)? {
@@ -66,7 +67,7 @@
 
     fn step_over(&mut self) {
         self.place.record += 1;
-        self.place.byte += 8 + self.buf.len() as u64;
+        self.place.byte += frame::HEAD + self.buf.len() as u64;
     }
 
     fn read(&mut self) -> Result<Option<Record>> {
@@ -122,7 +123,7 @@
 fn read_magic(input: &mut impl Read) -> Result<()> {
     let mut start = Vec::new();
     input
-        .take(MAGIC.len() as u64 + 2)
+        .take(START)
         .read_to_end(&mut start)
         .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("read trace"))?;
     let version = start.strip_prefix(&MAGIC).ok_or_else(|| {
--- a/crates/trace/src/recorder.rs
+++ b/crates/trace/src/recorder.rs
@@ -17,9 +17,7 @@
 
 use crate::digest::ActionDigest;
 use crate::frame;
-use crate::header::FORMAT;
 use crate::header::Header;
-use crate::header::MAGIC;
 use crate::record::Record;
 
 /// Events that may wait for the writer; more are lost and counted.
@@ -74,7 +72,8 @@
     /// [`ErrorKind::Io`] if the header cannot be written or the thread not started.
     pub fn start(out: impl Write + Send + 'static, header: &Header, now: Instant) -> Result<Self> {
         let mut out = BufWriter::new(out);
-        let written = write_header(&mut out, header).map_err(|e| io_error(&e))?;
+        let written = header.write(&mut out).map_err(|e| io_error(&e))?;
+        out.flush().map_err(|e| io_error(&e))?;
         let (tx, rx) = mpsc::sync_channel(QUEUE);
         let sink = Sink {
             out,
@@ -141,14 +140,6 @@
     Error::new(ErrorKind::Io, e.to_string()).at("record")
 }
 
-fn write_header(out: &mut dyn Write, header: &Header) -> io::Result<u64> {
-    out.write_all(&MAGIC)?;
-    out.write_all(&FORMAT.to_le_bytes())?;
-    let n = frame::write(out, &serde_json::to_vec(header)?)?;
-    out.flush()?;
-    Ok(MAGIC.len() as u64 + 2 + n)
-}
-
 /// The writer's side.
 struct Sink<W: Write> {
     out: BufWriter<W>,
--- a/crates/trace/src/script.rs
+++ b/crates/trace/src/script.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod reply;
+mod specs;
 mod step;
 
 use std::io::Write;
@@ -14,9 +15,7 @@
 use serde::Deserialize;
 
 use crate::frame;
-use crate::header::FORMAT;
 use crate::header::Header;
-use crate::header::MAGIC;
 use crate::record::Record;
 use step::ScriptStep;
 
@@ -113,10 +112,7 @@
         let end = Record::End {
             events: events.len() as u64,
         };
-        let header = serde_json::to_vec(&self.header()).map_err(|e| io(e.into()))?;
-        out.write_all(&MAGIC).map_err(io)?;
-        out.write_all(&FORMAT.to_le_bytes()).map_err(io)?;
-        frame::write(out, &header).map_err(io)?;
+        self.header().write(out).map_err(io)?;
         let records = events
             .into_iter()
             .map(|(at, event)| Record::Event { at, event });
