refactor(route, limit, cli): standard names, named constants, shorter functions

`own_word`, `is_scout`, `pressed`, `TOLD_*` read as riddles; a server's report, a probe and overload are the usual words. The client's exchange, its error and the runs of `check` and `replay` did several steps each.

--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -11,7 +11,8 @@
 use crate::admission::Verdict;
 use crate::dump::AdmissionDump;
 
-/// The most and the least of a lookup's time that its parts may need on the mean, wait included.
+/// The most and the least of a lookup's time that its parts may need on the mean, wait included: its
+/// *fill*.
 ///
 /// The rest is kept for the parts that need longer and for what cannot be known; a longer queue
 /// would only add to latency, as the servers are busy with a short one too.
@@ -25,10 +26,10 @@
 const FILL_UP: f64 = FILL_DOWN / 25.0;
 
 /// How much more an urgent lookup may fill, as it can answer without its last parts.
-const URGENT: f64 = 1.25;
+const URGENT_FACTOR: f64 = 1.25;
 
-/// How much more the last part of a lookup may fill which is worth nothing without it.
-const LAST: f64 = 2.0;
+/// How much more the last part may fill, of a lookup that is worth nothing without it.
+const LAST_PART_FACTOR: f64 = 2.0;
 
 /// How long overload is held for true after its last sign.
 const OVERLOAD_HOLD: Duration = Duration::from_millis(500);
@@ -45,13 +46,13 @@
 ///
 /// How much of its time a lookup may fill shrinks with each one that ends late and grows slowly with
 /// those in time. That finds the concurrency that the servers bear, whatever other VMs send them,
-/// from this VM's own outcomes alone. With nothing in flight a lookup is always taken on, or there
-/// would be nobody to learn that the servers are fast again.
+/// from this VM's own outcomes alone.
 #[derive(Debug)]
 pub struct Adaptive {
     max: usize,
     fill: f64,
-    pressed: Option<Instant>,
+    /// When overload last showed.
+    overloaded_at: Option<Instant>,
 }
 
 impl Adaptive {
@@ -61,7 +62,7 @@
         Self {
             max,
             fill: FILL_MAX,
-            pressed: None,
+            overloaded_at: None,
         }
     }
 
@@ -69,9 +70,9 @@
     fn fits(&self, ask: &Ask) -> bool {
         let part = |fill: f64| ask.budget.mul_f64(fill.min(1.0));
         match ask.promise {
-            Promise::Urgent => ask.typical <= part(self.fill * URGENT),
+            Promise::Urgent => ask.typical <= part(self.fill * URGENT_FACTOR),
             Promise::Complete | Promise::AtMostOnce => {
-                ask.typical <= part(self.fill) && ask.worst <= part(self.fill * LAST)
+                ask.typical <= part(self.fill) && ask.worst <= part(self.fill * LAST_PART_FACTOR)
             }
         }
     }
@@ -79,24 +80,25 @@
 
 impl AdmissionPolicy for Adaptive {
     fn admit(&mut self, now: Instant, ask: &Ask) -> Verdict {
-        let is_scout = ask.in_flight == 0;
-        if is_scout || (ask.in_flight < self.max && self.fits(ask)) {
+        // With nothing in flight, nobody would learn that the servers are fast again.
+        let is_probe = ask.in_flight == 0;
+        if is_probe || (ask.in_flight < self.max && self.fits(ask)) {
             return Verdict::Admit;
         }
-        self.pressed = Some(now);
+        self.overloaded_at = Some(now);
         Verdict::Refuse(ask.worst.clamp(RETRY_MIN, RETRY_MAX))
     }
 
     fn ended(&mut self, now: Instant, ended: &Ended) {
         if ended.congested {
-            self.pressed = Some(now);
+            self.overloaded_at = Some(now);
         }
         let step = if ended.in_time { FILL_UP } else { -FILL_DOWN };
         self.fill = (self.fill + step).clamp(FILL_MIN, FILL_MAX);
     }
 
     fn overloaded(&self, now: Instant) -> bool {
-        self.pressed
+        self.overloaded_at
             .is_some_and(|at| now.saturating_duration_since(at) < OVERLOAD_HOLD)
     }
 
--- a/crates/limit/src/digest.rs
+++ b/crates/limit/src/digest.rs
@@ -52,7 +52,7 @@
         }
         self.until_refresh -= 1;
         if self.until_refresh == 0 {
-            // Soon again while each sample still weighs much.
+            // Early on each sample moves the quantile much, so it is computed again soon.
             self.until_refresh = self.weight.clamp(FIRST_AFTER, REFRESH_EVERY);
             self.shown = Some(self.find());
         }
--- a/crates/route/src/observed.rs
+++ b/crates/route/src/observed.rs
@@ -6,20 +6,23 @@
 use crate::policy::Candidate;
 use crate::policy::ReplicaPolicy;
 
-/// How much better a replica of another data centre must look before work spills to it.
-const SPILL: f64 = 1.25;
+/// How many times the cost of a remote replica a local one may have before work spills there.
+const SPILL_RATIO: f64 = 1.25;
 
 /// What a local replica without samples is taken to need, in microseconds; low, to learn it soon.
-const UNKNOWN_LOCAL: f64 = 500.0;
+const LOCAL_DEFAULT: f64 = 500.0;
 
 /// The same for a replica of another data centre; a link there takes milliseconds.
-const UNKNOWN_REMOTE: f64 = 6_000.0;
+const REMOTE_DEFAULT: f64 = 6_000.0;
 
-/// The weight of the load that a server tells, against attempts seen in flight by ourselves.
-const TOLD_WEIGHT: f64 = 0.25;
+/// The weight of the load that a server reports, against attempts seen in flight by ourselves.
+const REPORTED_WEIGHT: f64 = 0.25;
 
-/// The most that a told load may count for, in slots, as it may mislead.
-const TOLD_MAX: f64 = 2.0;
+/// The most slots that a reported load may count for, as it may mislead.
+const REPORTED_MAX: f64 = 2.0;
+
+/// The least warmth counted, so that a cold server's cost stays finite.
+const WARMTH_MIN: f64 = 0.05;
 
 /// Chooses by expected time: the smoothed latency, times what is queued there.
 ///
@@ -31,15 +34,16 @@
 impl Observed {
     /// The expected time of an attempt at this replica, in microseconds.
     fn cost(c: &Candidate) -> f64 {
-        let unknown = if c.local {
-            UNKNOWN_LOCAL
+        let default = if c.local {
+            LOCAL_DEFAULT
         } else {
-            UNKNOWN_REMOTE
+            REMOTE_DEFAULT
         };
+        let latency = c.latency.unwrap_or(default).max(1.0);
         let slots = f64::from(c.slots.max(1));
-        let told = (f64::from(c.load) / slots).min(TOLD_MAX) * TOLD_WEIGHT;
-        let queue = f64::from(c.in_flight) / slots + told;
-        c.latency.unwrap_or(unknown).max(1.0) * (1.0 + queue) / c.warmth.clamp(0.05, 1.0)
+        let reported = (f64::from(c.load) / slots).min(REPORTED_MAX) * REPORTED_WEIGHT;
+        let queue = f64::from(c.in_flight) / slots + reported;
+        latency * (1.0 + queue) / c.warmth.clamp(WARMTH_MIN, 1.0)
     }
 
     /// The better of two candidates drawn from those that `take` admits; `None` if it admits none.
@@ -77,7 +81,7 @@
         let near = Self::draw(candidates, |c| c.local, rng);
         let far = Self::draw(candidates, |c| !c.local, rng);
         match (near, far) {
-            (Some((n, near)), Some((_, far))) if near <= far * SPILL => n,
+            (Some((n, near)), Some((_, far))) if near <= far * SPILL_RATIO => n,
             (_, Some((f, _))) => f,
             (Some((n, _)), None) => n,
             (None, None) => 0,
--- a/crates/route/src/options.rs
+++ b/crates/route/src/options.rs
@@ -17,8 +17,8 @@
     /// The weight of failures in a row at which a server is set aside; see
     /// [`Failure::weight`](crate::Failure::weight).
     pub failures_max: u32,
-    /// How long a server's own word on its snapshots outweighs its health endpoint's.
-    pub own_word: Duration,
+    /// How long what a server says of its snapshots in a reply outweighs its health endpoint.
+    pub self_report: Duration,
 }
 
 impl Default for RouteOptions {
@@ -29,7 +29,7 @@
             rest_max: Duration::from_secs(5),
             rest_silent: Duration::from_secs(20),
             failures_max: 4,
-            own_word: Duration::from_secs(3),
+            self_report: Duration::from_secs(3),
         }
     }
 }
--- a/crates/route/src/runs.rs
+++ b/crates/route/src/runs.rs
@@ -66,7 +66,7 @@
         if view.load_at.is_none() {
             view.load = report.load;
         }
-        if view.own_word_until.is_some_and(|until| until > now) {
+        if view.self_report_until.is_some_and(|until| until > now) {
             return;
         }
         let same = view
@@ -86,7 +86,7 @@
         view.run_since = Some(now);
         view.warming_since = Some(now);
         view.snapshots = Some(SmallVec::new());
-        view.own_word_until = None;
+        view.self_report_until = None;
         view.latency.clear();
         view.load = 0;
         view.load_at = None;
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -82,16 +82,19 @@
     /// must not drain the new run.
     pub(crate) unnamed_drain: Option<Option<Incarnation>>,
     pub(crate) snapshots: Option<SmallVec<[SnapshotId; 4]>>,
-    pub(crate) own_word_until: Option<Instant>,
+    /// Until when what it said of its snapshots outweighs its health endpoint.
+    pub(crate) self_report_until: Option<Instant>,
     pub(crate) share: Connections,
     pub(crate) open: u32,
     pub(crate) in_flight: u32,
     pub(crate) latency: Latency,
     pub(crate) load: u32,
     pub(crate) load_at: Option<Instant>,
+    /// The weight of failures in a row.
     pub(crate) failures: u32,
     /// Times in a row that it could not be reached, or broke its connection.
     pub(crate) losses: u32,
+    /// Times in a row that it was set aside.
     pub(crate) rests: u32,
     pub(crate) rest_until: Option<Instant>,
     pub(crate) pause_until: Option<Instant>,
@@ -110,7 +113,7 @@
             run_since: None,
             unnamed_drain: None,
             snapshots: None,
-            own_word_until: None,
+            self_report_until: None,
             share: Connections(1),
             open: 0,
             in_flight: 0,
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -27,6 +27,9 @@
 /// The most doublings of that pause.
 const LOSS_DOUBLINGS: u32 = 4;
 
+/// The most doublings of a rest, so that the shift stays within its type; the options bound the rest.
+const REST_DOUBLINGS: u32 = 16;
+
 /// The place of a server in [`Servers`]; stays the same for the life of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerIdx(u32);
@@ -230,16 +233,13 @@
         let Some(members) = self.services.get(&self.view(idx).decl.service) else {
             return false;
         };
-        let resting = members
-            .iter()
-            .filter(|i| {
-                matches!(
-                    self.view(**i).state,
-                    ServerState::SetAside | ServerState::Probing | ServerState::Draining
-                )
-            })
-            .count();
-        resting < members.len() / 2
+        let is_out = |i: &&ServerIdx| {
+            matches!(
+                self.view(**i).state,
+                ServerState::SetAside | ServerState::Probing | ServerState::Draining
+            )
+        };
+        members.iter().filter(is_out).count() < members.len() / 2
     }
 
     fn set_aside(&mut self, now: Instant, idx: ServerIdx, event: ServerEvent) {
@@ -247,7 +247,7 @@
         let view = &mut self.list[idx.index()];
         let rest = options
             .rest_min
-            .saturating_mul(1 << view.rests.min(16))
+            .saturating_mul(1 << view.rests.min(REST_DOUBLINGS))
             .min(options.rest_max);
         view.rests = view.rests.saturating_add(1);
         view.rest_until = Some(now + rest);
@@ -263,9 +263,9 @@
 
     /// A server said itself which snapshots it holds, with a refusal; `true` if that is new.
     pub fn said_holds(&mut self, now: Instant, idx: ServerIdx, holds: &[SnapshotId]) -> bool {
-        let until = now + self.options.own_word;
+        let until = now + self.options.self_report;
         let view = &mut self.list[idx.index()];
-        view.own_word_until = Some(until);
+        view.self_report_until = Some(until);
         if view
             .snapshots
             .as_ref()
--- a/src/client.rs
+++ b/src/client.rs
@@ -13,6 +13,7 @@
 use hyper::StatusCode;
 use hyper::body::Bytes as Buf;
 use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
 use hyper::header;
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -79,32 +80,25 @@
             .await
             .map_err(|e| unavailable(e.to_string()))?;
         let conn = tokio::spawn(conn);
-        let idempotent = method == Method::GET;
+        let changes_nothing = method == Method::GET;
         let req = self.request(method, path, body)?;
-        let reply = time::timeout(self.timeout, async {
-            let res = tx.send_request(req).await.map_err(|e| e.to_string())?;
-            let status = res.status();
-            let body = Limited::new(res.into_body(), ANSWER_MAX);
-            let buf = body.collect().await.map_err(|e| e.to_string())?.to_bytes();
-            Ok::<_, String>((status, buf))
-        })
-        .await;
+        let reply = time::timeout(self.timeout, send(&mut tx, req)).await;
         conn.abort();
-        let lost = |text: String| match idempotent {
+        let reply = match reply {
+            Ok(Ok((status, buf))) => self.reply(status, &buf),
+            Ok(Err(text)) => Err(text),
+            Err(_) => Err(format!("no answer within {:?}", self.timeout)),
+        };
+        reply.map_err(|text| match changes_nothing {
             true => unavailable(text),
             // The request is on its way, so it may take effect although no answer is seen.
             false => Error::new(ErrorKind::Unknown, text).at("await answer"),
-        };
-        let (status, buf) = match reply {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(text)) => return Err(lost(text)),
-            Err(_) => return Err(lost(format!("no answer within {:?}", self.timeout))),
-        };
-        let body = serde_json::from_slice(&buf).map_err(|e| {
-            lost(format!(
-                "the answer, of status {status}, does not read: {e}"
-            ))
-        })?;
+        })
+    }
+
+    fn reply(&self, status: StatusCode, buf: &[u8]) -> Result<Reply, String> {
+        let body = serde_json::from_slice(buf)
+            .map_err(|e| format!("the answer, of status {status}, does not read: {e}"))?;
         Ok(Reply {
             status,
             body,
@@ -134,6 +128,18 @@
     }
 }
 
+/// Sends a request and reads its whole answer; an error says in words why there is none.
+async fn send(
+    tx: &mut SendRequest<Full<Buf>>,
+    req: Request<Full<Buf>>,
+) -> Result<(StatusCode, Buf), String> {
+    let res = tx.send_request(req).await.map_err(|e| e.to_string())?;
+    let status = res.status();
+    let body = Limited::new(res.into_body(), ANSWER_MAX);
+    let body = body.collect().await.map_err(|e| e.to_string())?;
+    Ok((status, body.to_bytes()))
+}
+
 fn unavailable(text: String) -> Error {
     Error::new(ErrorKind::Unavailable, text)
         .at("ask the process")
@@ -165,29 +171,35 @@
 
     /// The error that the answer tells, or one made of its status.
     pub(crate) fn into_error(self) -> Error {
-        let text = |name: &str| self.body.get(name).and_then(Value::as_str);
-        let kind = text("kind").and_then(|k| k.parse().ok());
-        let kind = kind.unwrap_or_else(|| kind_of(self.status));
-        let place = |what: &str| {
-            let mut e = Error::new(kind, what);
-            if let Some(step) = text("step") {
-                e = e.at(step);
-            }
-            match text("peer") {
-                Some(peer) => e.from_peer(peer),
-                None => e,
-            }
-        };
-        let what = text("error").map_or_else(|| format!("status {}", self.status), str::to_owned);
-        // The text tells its step and peer already.
-        let what = what.strip_suffix(&place("").to_string()).unwrap_or(&what);
-        let e = place(what).from_peer(self.peer.to_string());
-        match (text("hint"), self.status) {
+        let status = || format!("status {}", self.status);
+        let text = self.text("error").map_or_else(status, str::to_owned);
+        // The text ends with its step and peer, which the error made here shows by itself.
+        let place = self.error("").to_string();
+        let text = text.strip_suffix(&place).unwrap_or(&text);
+        let e = self.error(text).from_peer(self.peer.to_string());
+        match (self.text("hint"), self.status) {
             (_, StatusCode::UNAUTHORIZED) => e.with_hint("give the team's key by `--key-file`"),
             (Some(hint), _) => e.with_hint(hint),
             (None, _) => e,
         }
     }
+
+    /// An error of the kind, the step and the peer that the answer names.
+    fn error(&self, text: &str) -> Error {
+        let kind = self.text("kind").and_then(|k| k.parse().ok());
+        let mut e = Error::new(kind.unwrap_or_else(|| kind_of(self.status)), text);
+        if let Some(step) = self.text("step") {
+            e = e.at(step);
+        }
+        if let Some(peer) = self.text("peer") {
+            e = e.from_peer(peer);
+        }
+        e
+    }
+
+    fn text(&self, name: &str) -> Option<&str> {
+        self.body.get(name).and_then(Value::as_str)
+    }
 }
 
 fn kind_of(status: StatusCode) -> ErrorKind {
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -75,23 +75,31 @@
 pub(crate) fn run(m: &ArgMatches) -> Result<Exit, Failure> {
     let json = wants_json(m);
     if m.contains_id(SETTINGS) {
-        let settings = load(m)?;
-        match json {
-            true => output::json(&json!({ "settings": settings })),
-            false => output::line("the settings are good"),
-        }
+        tell_settings(&load(m)?, json);
     }
     if let Some(path) = m.get_one::<PathBuf>(PATCH) {
-        let warnings = patch_file::check(path, m.get_one::<PathBuf>(CONFIG))?;
-        match json {
-            true => output::json(&json!({ "warnings": warnings })),
-            false => {
-                for w in warnings {
-                    output::line(&format!("warning: {w}"));
-                }
-                output::line("the patch is good");
-            }
-        }
+        tell_patch(
+            &patch_file::check(path, m.get_one::<PathBuf>(CONFIG))?,
+            json,
+        );
     }
     Ok(Exit::Done)
 }
+
+fn tell_settings(settings: &Settings, json: bool) {
+    match json {
+        true => output::json(&json!({ "settings": settings })),
+        false => output::line("the settings are good"),
+    }
+}
+
+fn tell_patch(warnings: &[String], json: bool) {
+    if json {
+        output::json(&json!({ "warnings": warnings }));
+        return;
+    }
+    for w in warnings {
+        output::line(&format!("warning: {w}"));
+    }
+    output::line("the patch is good");
+}
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -40,6 +40,9 @@
 const STEPS: &str = "steps";
 const EXACT: &str = "exact";
 
+/// The records of a trace or a script, in order.
+type Records = Box<dyn Iterator<Item = Result<Record>>>;
+
 /// Declares the command.
 pub(crate) fn command() -> Command {
     Command::new("replay")
@@ -96,19 +99,12 @@
 /// Runs the command.
 pub(crate) fn run(m: &ArgMatches) -> Result<Exit, Failure> {
     let path = m.get_one::<PathBuf>(TRACE).cloned().unwrap_or_default();
-    let stated = match m.get_one::<PathBuf>(EXPECT) {
-        Some(path) => Expectations::parse(&input::text(path, "read outcomes")?)?,
-        None => Expectations::default(),
-    };
+    let mut checker = checker(m)?;
     let (header, records) = open(&path)?;
     let records: Records = match m.get_flag(PARTIAL) {
         true => Box::new(records.map_while(whole)),
         false => records,
     };
-    let mut checker = Checker::new(stated);
-    if m.get_flag(EXACT) {
-        checker = checker.exact();
-    }
     let judged = judge(&header, records, &mut checker, m.get_flag(STEPS))?;
     if m.get_flag(EXACT) && checker.compared() == 0 {
         return Err(nothing_to_compare().into());
@@ -120,14 +116,25 @@
     })
 }
 
+/// The checker for the outcomes stated and the flags given.
+fn checker(m: &ArgMatches) -> Result<Checker> {
+    let stated = match m.get_one::<PathBuf>(EXPECT) {
+        Some(path) => Expectations::parse(&input::text(path, "read outcomes")?)?,
+        None => Expectations::default(),
+    };
+    let checker = Checker::new(stated);
+    Ok(match m.get_flag(EXACT) {
+        true => checker.exact(),
+        false => checker,
+    })
+}
+
 fn nothing_to_compare() -> Error {
     Error::new(ErrorKind::BadInput, "the trace does not tell what was done")
         .at("replay")
         .with_hint("leave out `--exact`; only a trace of `serve --record` can be compared")
 }
 
-type Records = Box<dyn Iterator<Item = Result<Record>>>;
-
 /// Opens a trace or a script.
 fn open(path: &Path) -> Result<(Header, Records)> {
     if path.extension().is_some_and(|e| e == "toml") {
--- a/tests/cli/check.rs
+++ b/tests/cli/check.rs
@@ -33,13 +33,13 @@
 
 #[test]
 fn the_examples_are_good() {
-    let files = [
+    let r = run(&[
+        "check",
         "--settings",
         "examples/vm.toml",
         "--patch",
         "examples/first-front.json",
-    ];
-    let r = run(&[&["check"], files.as_slice()].concat());
+    ]);
     assert_eq!(
         (r.code, r.stdout.as_str()),
         (0, "the settings are good\nthe patch is good"),
