refactor(types): a VM as the platform lists it is one type

`gs_store` and `gs_member` each declared `VmEntry`, field by field the same, and `gs_node` copied one into the other.

--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -5,7 +5,6 @@
 use serde::Serialize;
 
 use crate::seats::Epoch;
-use crate::vm::VmEntry;
 use crate::vm::VmState;
 
 /// A heartbeat: what the sender says of itself, and some of what it lately learned of others.
--- a/crates/member/src/event.rs
+++ b/crates/member/src/event.rs
@@ -7,7 +7,6 @@
 use crate::beat::Beat;
 use crate::seats::Epoch;
 use crate::share::ServerLimit;
-use crate::vm::VmEntry;
 
 /// One input of [`crate::Membership`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/member/src/gossip.rs
+++ b/crates/member/src/gossip.rs
@@ -14,7 +14,6 @@
 use crate::view::View;
 use crate::view::ViewVm;
 use crate::vm::VmChart;
-use crate::vm::VmEntry;
 use crate::vm::VmEvent;
 use crate::vm::VmState;
 
--- a/crates/member/src/keeper.rs
+++ b/crates/member/src/keeper.rs
@@ -12,7 +12,6 @@
 use crate::seats::SeatId;
 use crate::seats::SeatTable;
 use crate::settings::MemberSettings;
-use crate::vm::VmEntry;
 
 /// The call to the platform that is under way.
 #[derive(Debug)]
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -25,6 +25,8 @@
 mod view;
 mod vm;
 
+pub use gs_types::vm::VmEntry;
+
 pub use action::Action;
 pub use beat::Beat;
 pub use beat::Claimed;
@@ -43,6 +45,5 @@
 pub use view::View;
 pub use view::ViewVm;
 pub use vm::VmChart;
-pub use vm::VmEntry;
 pub use vm::VmEvent;
 pub use vm::VmState;
--- a/crates/member/src/member.rs
+++ b/crates/member/src/member.rs
@@ -118,7 +118,7 @@
         self.holding.claimed()
     }
 
-    fn list(&mut self, now: Instant, list: &[vm::VmEntry]) {
+    fn list(&mut self, now: Instant, list: &[VmEntry]) {
         let me = &self.cfg.me.vm;
         if list.iter().any(|e| e.vm == *me && e.leaving) && !self.gossip.is_leaving() {
             self.gossip.leave();
--- a/crates/member/src/peer.rs
+++ b/crates/member/src/peer.rs
@@ -6,7 +6,6 @@
 use gs_types::prelude::*;
 
 use crate::vm::VmChart;
-use crate::vm::VmEntry;
 use crate::vm::VmEvent;
 use crate::vm::VmState;
 
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -4,8 +4,6 @@
 
 use gs_types::prelude::*;
 
-use crate::vm::VmEntry;
-
 /// What the membership is told at its start; every VM of a fleet should have the same times.
 #[derive(Clone, Debug, bon::Builder)]
 pub struct MemberSettings {
--- a/crates/member/src/view.rs
+++ b/crates/member/src/view.rs
@@ -5,7 +5,6 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::vm::VmEntry;
 use crate::vm::VmState;
 
 /// The VMs as one VM sees them; another's view may differ at any time.
--- a/crates/member/src/vm.rs
+++ b/crates/member/src/vm.rs
@@ -1,32 +1,10 @@
-//! One VM as the platform lists it, and its state as this VM sees it.
-
-use std::net::SocketAddr;
+//! The state of one VM as this VM sees it.
 
 use gs_chart::Chart;
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
 
-/// A VM as the platform's list shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmEntry {
-    /// Its name.
-    pub vm: VmId,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// The region of that data centre.
-    pub region: Region,
-    /// Where it takes messages from other VMs.
-    pub mesh: SocketAddr,
-    /// Where it takes callers' lookups.
-    pub callers: SocketAddr,
-    /// Where it takes operators' calls.
-    pub admin: SocketAddr,
-    /// Whether the platform says that it is leaving.
-    #[serde(default)]
-    pub leaving: bool,
-}
-
 /// What a VM is to this one.
 #[derive(
     Clone,
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -32,7 +32,6 @@
 use crate::object::OBJECT_MAX;
 use crate::object::Object;
 use crate::object::Version;
-use crate::object::VmEntry;
 use crate::object::WatchReply;
 use crate::platform::Platform;
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -24,7 +24,6 @@
 pub use object::OBJECT_MAX;
 pub use object::Object;
 pub use object::Version;
-pub use object::VmEntry;
 pub use object::WatchReply;
 pub use platform::Platform;
 pub use watcher::Holds;
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -1,10 +1,8 @@
 //! What the platform's object service answers.
 
 use std::fmt;
-use std::net::SocketAddr;
 
 use bytes::Bytes;
-use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -76,23 +74,3 @@
     /// What changed; empty if the wait was over first.
     pub changed: Vec<Changed>,
 }
-
-/// A VM as the platform's lagging list shows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct VmEntry {
-    /// Its name.
-    pub vm: VmId,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// The region of that data centre.
-    pub region: Region,
-    /// Where its mesh socket listens.
-    pub mesh: SocketAddr,
-    /// Where it takes lookups.
-    pub callers: SocketAddr,
-    /// Where it takes operators' calls.
-    pub admin: SocketAddr,
-    /// Whether the platform is taking it away.
-    #[serde(default)]
-    pub leaving: bool,
-}
--- a/crates/store/src/platform.rs
+++ b/crates/store/src/platform.rs
@@ -10,7 +10,6 @@
 use crate::object::Listing;
 use crate::object::Object;
 use crate::object::Version;
-use crate::object::VmEntry;
 use crate::object::WatchReply;
 
 /// The platform's object service.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod prelude;
 pub mod size;
 pub mod stored;
+pub mod vm;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -48,3 +48,4 @@
 pub use crate::size::Slots;
 pub use crate::stored::StoreError;
 pub use crate::stored::Stored;
+pub use crate::vm::VmEntry;
