--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,9 +5,11 @@
 pub mod answer;
 pub mod attempt;
 pub mod error;
+pub mod idempotency_key;
 pub mod ids;
 pub mod lookup;
 pub mod model;
 pub mod prelude;
 pub mod size;
 pub mod stored;
+pub mod vm;
