--- a/crates/http/tests/fuzz/callers.rs
+++ b/crates/http/tests/fuzz/callers.rs
@@ -118,6 +118,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("bound");
     let limits = Limits {
+        idle_timeout: std::time::Duration::from_secs(60),
         headers: 8192,
         header_timeout: PHASE_MAX,
         connections: 32,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -125,7 +125,6 @@
                     let staying = list.iter().filter(|v| !v.leaving);
                     let names = staying.map(|v| v.vm.clone()).collect();
                     self.feeds.book.push(gs_conf::Event::Members(names));
-                    let list = list.into_iter().map(entry).collect();
                     self.feeds.member.push(gs_member::Event::List(list));
                 }
                 Err(e) => log::debug!("event=vm-list-away error=\"{e}\""),
@@ -142,15 +141,3 @@
         connections: s.connections,
     }
 }
-
-fn entry(v: gs_store::VmEntry) -> gs_member::VmEntry {
-    gs_member::VmEntry {
-        vm: v.vm,
-        data_centre: v.data_centre,
-        region: v.region,
-        mesh: v.mesh,
-        callers: v.callers,
-        admin: v.admin,
-        leaving: v.leaving,
-    }
-}
