--- a/crates/limit/src/budget.rs
+++ b/crates/limit/src/budget.rs
@@ -19,7 +19,7 @@
 }
 
 impl ExtraBudget {
-    /// Earns `ratio` extra attempts by each first one and `floor` a second besides, and saves up
+    /// Earns `ratio` extra attempts by each first one and `floor` a second as well, and saves up
     /// `burst` of them; starts with what is kept for retries.
     #[must_use]
     pub fn new(ratio: f64, burst: u32, floor: f64) -> Self {
--- a/crates/settings/src/faults.rs
+++ b/crates/settings/src/faults.rs
@@ -38,24 +38,24 @@
     Clash,
 }
 
-/// One fault: its place, the reason and the mend.
+/// One fault: its place, the reason and the hint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
     kind: FaultKind,
     reason: String,
     place: Option<(Range<usize>, String)>,
-    mend: String,
+    hint: String,
     /// Whether what stands at the place may be a secret.
     hidden: bool,
 }
 
 impl Fault {
-    pub(crate) fn new(kind: FaultKind, reason: impl Into<String>, mend: impl Into<String>) -> Self {
+    pub(crate) fn new(kind: FaultKind, reason: impl Into<String>, hint: impl Into<String>) -> Self {
         Self {
             kind,
             reason: reason.into(),
             place: None,
-            mend: mend.into(),
+            hint: hint.into(),
             hidden: false,
         }
     }
@@ -85,10 +85,10 @@
         self.place.as_ref().map(|p| p.0.clone())
     }
 
-    /// How to mend it.
+    /// How to fix it.
     #[must_use]
-    pub fn mend(&self) -> &str {
-        &self.mend
+    pub fn hint(&self) -> &str {
+        &self.hint
     }
 }
 
@@ -106,7 +106,7 @@
     }
 
     fn help<'a>(&'a self) -> Option<Box<dyn fmt::Display + 'a>> {
-        Some(Box::new(&self.mend))
+        Some(Box::new(&self.hint))
     }
 
     fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,7 +1,7 @@
 //! The settings of one process: a TOML file, read and checked whole at start.
 //!
 //! [`load()`] gives [`Settings`] or a [`Faults`] report that points at every place at fault, says why
-//! it is one and how to mend it. Keys, units, ranges and defaults stand in one table, [`KEYS`], that
+//! it is one and how to fix it. Keys, units, ranges and defaults stand in one table, [`KEYS`], that
 //! the reader, the docs and the fault reports share.
 //!
 //! ```no_run
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -159,14 +159,14 @@
 }
 
 fn unknown_section(section: &str, place: Range<usize>) -> Fault {
-    let mend = match nearest(section, keys::sections().into_iter()) {
+    let hint = match nearest(section, keys::sections().into_iter()) {
         Some(s) => format!("did you mean `{s}`?"),
         None => format!("the sections are {}", keys::sections().join(", ")),
     };
     Fault::new(
         FaultKind::UnknownKey,
         format!("there is no section `{section:.64}`"),
-        mend,
+        hint,
     )
     .at(place, "unknown section")
 }
@@ -174,7 +174,7 @@
 fn unknown_key(section: &str, name: &str, place: Range<usize>) -> Fault {
     let here = || KEYS.iter().filter(|k| k.section == section);
     let elsewhere = KEYS.iter().find(|k| k.name == name);
-    let mend = match (nearest(name, here().map(|k| k.name)), elsewhere) {
+    let hint = match (nearest(name, here().map(|k| k.name)), elsewhere) {
         (_, Some(k)) => format!("it stands under `[{}]`", k.section),
         (Some(n), None) => format!("did you mean `{n}`?"),
         (None, None) => {
@@ -185,7 +185,7 @@
     Fault::new(
         FaultKind::UnknownKey,
         format!("there is no key `{name:.64}` in `[{section}]`"),
-        mend,
+        hint,
     )
     .at(place, "unknown key")
 }
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -145,7 +145,7 @@
         let n = content.len();
         let text = format!("names {}, whose secret has {n} bytes", path.display());
         return Err(Problem::new(FaultKind::OutOfRange, text)
-            .with_mend("put 16 bytes to 4KB of random text into it, the same on every VM"));
+            .with_hint("put 16 bytes to 4KB of random text into it, the same on every VM"));
     }
     Ok(Secret::new(content))
 }
@@ -157,12 +157,12 @@
             FaultKind::NoFile,
             format!("names {path}, which does not exist"),
         )
-        .with_mend("write the secret there; a relative path starts at the settings file"),
+        .with_hint("write the secret there; a relative path starts at the settings file"),
         _ => Problem::new(
             FaultKind::Unreadable,
             format!("names {path}, which cannot be read: {e}"),
         )
-        .with_mend("make it a file that this user may read"),
+        .with_hint("make it a file that this user may read"),
     }
 }
 
--- a/crates/settings/src/values.rs
+++ b/crates/settings/src/values.rs
@@ -19,7 +19,7 @@
 pub(crate) struct Problem {
     kind: FaultKind,
     text: String,
-    mend: Option<String>,
+    hint: Option<String>,
 }
 
 impl Problem {
@@ -27,21 +27,21 @@
         Self {
             kind,
             text: text.into(),
-            mend: None,
+            hint: None,
         }
     }
 
-    pub(crate) fn with_mend(mut self, mend: impl Into<String>) -> Self {
-        self.mend = Some(mend.into());
+    pub(crate) fn with_hint(mut self, hint: impl Into<String>) -> Self {
+        self.hint = Some(hint.into());
         self
     }
 
     pub(crate) fn into_fault(self, key: &Key, place: Range<usize>) -> Fault {
-        let mend = self.mend.unwrap_or_else(|| match self.kind {
+        let hint = self.hint.unwrap_or_else(|| match self.kind {
             FaultKind::OutOfRange => format!("give {}", key.kind.range()),
             _ => format!("write {}", key.kind.form()),
         });
-        let f = Fault::new(self.kind, format!("`{key}` {}", self.text), mend);
+        let f = Fault::new(self.kind, format!("`{key}` {}", self.text), hint);
         let f = f.at(place, "this value");
         match key.kind {
             Kind::Hash => f.hide(),
@@ -84,7 +84,7 @@
     s.parse().map_err(|e: Error| {
         let p = bad_value(&e);
         match e.hint() {
-            Some(hint) => p.with_mend(hint),
+            Some(hint) => p.with_hint(hint),
             None => p,
         }
     })
@@ -97,7 +97,7 @@
         .parse()
         .map_err(|_| bad_value(format!("`{s:.64}` is not an IP number and a port")))?;
     if addr.port() == 0 {
-        return Err(out_of_range("port 0").with_mend("name a port from 1 to 65535"));
+        return Err(out_of_range("port 0").with_hint("name a port from 1 to 65535"));
     }
     Ok(addr)
 }
@@ -189,6 +189,6 @@
     let s = text(v, key)?;
     s.parse().map_err(|_| {
         bad_value(format!("there is no `{s:.64}`"))
-            .with_mend(format!("write one of {}", key.kind.range()))
+            .with_hint(format!("write one of {}", key.kind.range()))
     })
 }
--- a/crates/settings/tests/settings/docs.rs
+++ b/crates/settings/tests/settings/docs.rs
@@ -17,7 +17,7 @@
 
 Each key that is unknown, doubled, misspelt, out of its range or without its unit is refused, and so
 is a key without a default that is missing. The report names every fault at once, each with its
-place, the reason and the mend; the exit code is 2. Nothing else falls back to a default.
+place, the reason and how to fix it; the exit code is 2. Nothing else falls back to a default.
 
 - A **duration** is a text with a unit: `\"250ms\"`, `\"2s\"`, `\"1m 30s\"`, `\"24h\"`.
 - A **size** is a text such as `\"64KB\"` or `\"1MB\"` (powers of 1,024) or a plain number of bytes.
--- a/crates/settings/tests/settings/refuse.rs
+++ b/crates/settings/tests/settings/refuse.rs
@@ -1,4 +1,4 @@
-//! Files that are refused, each with its place, reason and mend.
+//! Files that are refused, each with its place, reason and hint.
 
 use std::path::Path;
 
@@ -9,7 +9,7 @@
 use crate::common::dir;
 use crate::common::report;
 
-/// A fault in four lines: kind, the bytes at fault, the reason and the mend.
+/// A fault in four lines: kind, the bytes at fault, the reason and the hint.
 fn lines(faults: &Faults, text: &str, dir: &Path) -> Vec<String> {
     let dir = format!("{}/", dir.display());
     faults
@@ -17,7 +17,7 @@
         .iter()
         .map(|f| {
             let place = f.place().map_or("(file)", |p| &text[p]);
-            let line = format!("{} | {place} | {f} | {}", f.kind(), f.mend());
+            let line = format!("{} | {place} | {f} | {}", f.kind(), f.hint());
             line.replace(&dir, "DIR/")
         })
         .collect()
--- a/crates/trace/src/checker.rs
+++ b/crates/trace/src/checker.rs
@@ -31,7 +31,7 @@
 }
 
 impl Checker {
-    /// Starts with the outcomes stated; what must always hold is judged besides.
+    /// Starts with the outcomes stated; what must always hold is judged too.
     #[must_use]
     pub fn new(stated: Expectations) -> Self {
         Self {
@@ -41,7 +41,7 @@
         }
     }
 
-    /// Judges besides that each step does just what it did in the run that recorded, where the trace
+    /// Also judges that each step does just what it did in the run that recorded, where the trace
     /// tells. For the same build only: decisions that were changed on purpose do other things.
     #[must_use]
     pub fn exact(self) -> Self {
--- a/crates/trace/src/promises.rs
+++ b/crates/trace/src/promises.rs
@@ -1,7 +1,7 @@
 //! What must hold in every trace, stated or not: the promises of the brief that the engine keeps.
 //!
 //! Judged by events and actions alone, with no knowledge of how the engine is built:
-//! one final word to each lookup; a page made only of whole parts of its own attempts from its one
+//! one outcome to each lookup; a page made only of whole parts of its own attempts from its one
 //! snapshot, with a coverage that counts just these; `not-run` only if no attempt may have run; an
 //! at-most-once lookup dispatched only with its claim granted and never once an attempt with its key
 //! may have run; no new work on a draining server after [`DRAIN_GRACE`]; no lookup left without its
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -45,7 +45,7 @@
     Io,
 }
 
-/// An error with the step and the peer at which it arose, and the hint to mend it.
+/// An error with the step and the peer at which it arose, and a hint how to fix it.
 ///
 /// # Examples
 ///
@@ -97,7 +97,7 @@
         self
     }
 
-    /// Says how to mend it.
+    /// Says how to fix it.
     #[must_use]
     pub fn with_hint(mut self, hint: impl Into<String>) -> Self {
         self.hint.get_or_insert_with(|| hint.into());
@@ -122,7 +122,7 @@
         self.peer.as_deref()
     }
 
-    /// How to mend it, if known.
+    /// How to fix it, if known.
     #[must_use]
     pub fn hint(&self) -> Option<&str> {
         self.hint.as_deref()
--- a/src/commands/replay.rs
+++ b/src/commands/replay.rs
@@ -49,7 +49,7 @@
         .about("Runs a trace through the decisions and compares the outcomes with the stated ones")
         .long_about(
             "Runs a trace through the decisions and compares the outcomes with the stated ones.\n\n\
-             What must always hold is judged in any case: each lookup has one final word, each page \
+             What must always hold is judged in any case: each lookup has one outcome, each page \
              is of one snapshot with a true coverage, `not-run` is true, an at-most-once lookup runs \
              at most once, and a draining server gets no new work. The first step that differs is \
              shown.",
--- a/src/failure.rs
+++ b/src/failure.rs
@@ -78,7 +78,7 @@
         "kind": f.kind().to_string(),
         "error": f.to_string(),
         "place": f.place().map(|p| [p.start, p.end]),
-        "hint": f.mend(),
+        "hint": f.hint(),
     })
 }
 
