--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// The low bits that hold the phase beside the time.
@@ -33,6 +34,8 @@
 pub(crate) struct PhaseClock {
     start: Instant,
     word: Arc<AtomicU64>,
+    /// Told when a head begins, as its bound ends before that of the idle time that is waited for.
+    begun: Arc<Notify>,
     head_max: Duration,
     idle_max: Duration,
 }
@@ -42,6 +45,7 @@
         Self {
             start: Instant::now(),
             word: Arc::default(),
+            begun: Arc::default(),
             head_max,
             idle_max,
         }
@@ -64,7 +68,10 @@
             if until <= Instant::now() {
                 return;
             }
-            tokio::time::sleep_until(until).await;
+            tokio::select! {
+                () = tokio::time::sleep_until(until) => {}
+                () = self.begun.notified() => {}
+            }
         }
     }
 
@@ -80,6 +87,7 @@
     fn arrived(&self) {
         if self.read().0 == Phase::Idle {
             self.set(Phase::Head);
+            self.begun.notify_one();
         }
     }
 
