--- /dev/null
+++ b/crates/query/tests/engine/poison/canary.rs
@@ -0,0 +1,161 @@
+//! Suspects, the canary that tries them, and quarantine.
+
+use std::time::Duration;
+
+use gs_query::Event;
+use gs_query::PartReply;
+use gs_query::Sign;
+use gs_query::SignSource;
+use gs_types::prelude::*;
+
+use super::crash;
+use super::fingerprint;
+use super::quarantine;
+use crate::world::World;
+use crate::world::server;
+
+/// A poisoned lookup is fanned out. The first server crashes; all other attempts are stopped
+/// before they run, and one server alone gets it next. When that crashes too, the lookup is refused,
+/// here and by every peer, and nobody else sees it.
+#[test]
+fn at_most_one_further_server_sees_a_suspect() {
+    let mut w = World::new(6, 2);
+    let seq = w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    assert_eq!(w.cancelled.len(), 5);
+    for d in std::mem::take(&mut w.open) {
+        w.reply(&d, PartReply::NotSent);
+    }
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    let canary = w.open.remove(0);
+    assert_ne!(canary.server.name, first.server.name);
+    crash(&mut w, &canary);
+    assert!(w.open.is_empty());
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    let told = |crashes, rest| Sign::Quarantine {
+        fingerprint: fingerprint("urgent"),
+        crashes,
+        rest,
+    };
+    assert_eq!(
+        w.spread,
+        [told(1, Duration::ZERO), told(2, Duration::from_secs(30))]
+    );
+}
+
+#[test]
+fn a_resend_of_a_quarantined_lookup_is_refused_at_once() {
+    let mut w = World::new(3, 1);
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    w.pass(Duration::from_secs(10));
+    let seq = w.arrive("urgent");
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    assert_eq!(r.retry_after, Some(Duration::from_secs(20)));
+    assert!(w.open.is_empty());
+}
+
+/// The caller resends its poisoned lookup while the first is still being tried on one server.
+#[test]
+fn while_a_suspect_is_tried_its_resends_are_refused() {
+    let mut w = World::new(4, 2);
+    w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    let resend = w.arrive("urgent");
+    let Outcome::NotRun(r) = w.outcome(resend) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// A server dies by itself under a harmless lookup. The canary's answer clears the lookup, the
+/// rest of the fan-out follows, and the page is whole.
+#[test]
+fn a_harmless_lookup_is_cleared_by_its_canary_and_answered_whole() {
+    let mut w = World::new(4, 2);
+    let seq = w.arrive("complete");
+    let first = w.take(2);
+    crash(&mut w, &first);
+    for d in std::mem::take(&mut w.open) {
+        w.reply(&d, PartReply::NotSent);
+    }
+    assert_eq!(w.open.len(), 1);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    assert!(matches!(
+        w.spread.last(),
+        Some(Sign::Quarantine { crashes: 0, .. })
+    ));
+    assert!(w.engine.dump(w.now).suspects.is_empty());
+}
+
+#[test]
+fn under_a_peers_suspicion_a_lookup_shows_one_server_first() {
+    let mut w = World::new(5, 1);
+    quarantine(&mut w, 1, Duration::ZERO);
+    let early = w.arrive("urgent");
+    assert!(w.is_over(early), "left to the peer's canary at first");
+    w.pass(Duration::from_secs(2));
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 1);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+/// A quarantine somewhere raises suspicion: variants of the poisoned text may follow. A lookup
+/// never seen before shows one server first; one that ran well just now does not.
+#[test]
+fn while_suspicion_is_up_only_unproven_lookups_get_a_canary() {
+    let mut w = World::new(5, 1);
+    w.arrive_with(World::request("urgent", "known"));
+    w.serve_all();
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    w.arrive_with(World::request("urgent", "known"));
+    assert_eq!(w.open.len(), 5);
+    w.serve_all();
+    w.arrive_with(World::request("urgent", "variant"));
+    assert_eq!(w.open.len(), 1);
+}
+
+#[test]
+fn a_peers_quarantine_stops_the_lookup_here() {
+    let mut w = World::new(3, 1);
+    let seq = w.arrive("urgent");
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+    assert_eq!(w.cancelled.len(), 3);
+}
+
+/// Suspicion is up, and every shard but one has lost a replica already. A canary that crashed its
+/// server would leave any of those shards without one for everybody; so it goes to the one that has
+/// a replica to spare, and the next canary not to the shard whose server it just crashed.
+#[test]
+fn a_canary_goes_where_a_replica_can_be_spared() {
+    let mut w = World::new(6, 2);
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    for s in (0..6).filter(|s| *s != 4) {
+        w.on(Event::Sign(
+            Sign::Drain {
+                server: server(s, 0),
+                incarnation: None,
+            },
+            SignSource::Peer,
+        ));
+    }
+    w.arrive_with(World::request("urgent", "variant"));
+    let canary = w.open.remove(0);
+    assert_eq!(canary.attempt.shard, ShardId(4));
+    crash(&mut w, &canary);
+    let second = w.open.remove(0);
+    assert_ne!(second.attempt.shard, ShardId(4));
+}
--- /dev/null
+++ b/crates/query/tests/engine/poison/proven.rs
@@ -0,0 +1,128 @@
+//! Lookups that ran well before a server broke under them.
+
+use std::time::Duration;
+
+use gs_query::Event;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use super::crash;
+use super::quarantine;
+use crate::world::World;
+use crate::world::report;
+use crate::world::server;
+use crate::world::whole;
+
+/// A server dies under a lookup that another shard has answered already. A poisoned lookup crashes
+/// each server that runs it, so this one is harmless: no canary, only a retry of the lost part.
+#[test]
+fn a_lookup_that_a_server_survived_is_no_suspect() {
+    let mut w = World::new(3, 2);
+    let seq = w.arrive("urgent");
+    let ok = w.take(0);
+    w.sent(&ok);
+    w.reply(&ok, whole(&ok));
+    let broken = w.take(1);
+    crash(&mut w, &broken);
+    assert!(w.cancelled.is_empty());
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    assert_eq!(w.spread, []);
+}
+
+/// The crashed servers restart. Their new runs are served again at once, and owe nothing to the
+/// failures of the old.
+#[test]
+fn a_crashed_server_is_back_with_its_new_run() {
+    let mut w = World::new(1, 2);
+    for r in 0..2 {
+        w.on(Event::Report(report(server(0, r), 1, &[1])));
+    }
+    w.arrive("book");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    let second = w.take(0);
+    crash(&mut w, &second);
+    for r in 0..2 {
+        w.on(Event::Report(report(server(0, r), 2, &[1])));
+    }
+    let seq = w.arrive_with(World::request("urgent", "other"));
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    let failures: u32 = w
+        .engine
+        .dump(w.now)
+        .servers
+        .iter()
+        .map(|s| s.failures)
+        .sum();
+    assert_eq!(failures, 0);
+}
+
+/// A server dies by itself under a popular lookup, and the VM that saw it tells its suspicion. The
+/// lookup ran well here a moment ago, so it must not be refused by the whole fleet for that.
+#[test]
+fn a_peers_suspicion_does_not_stop_a_lookup_that_just_ran_well_here() {
+    let mut w = World::new(3, 1);
+    w.arrive("urgent");
+    w.serve_all();
+    quarantine(&mut w, 1, Duration::ZERO);
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 3);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+    quarantine(&mut w, 2, Duration::from_secs(30));
+    let seq = w.arrive("urgent");
+    let Outcome::NotRun(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// A text that ran well until now begins to crash servers, as their index or program changed. Its
+/// fan-out breaks a server of each shard. A retry of the first one at once would take that shard's
+/// last replica down too; it waits a moment for what the other shards say.
+#[test]
+fn a_lost_part_of_a_proven_lookup_waits_for_the_other_parts_before_its_retry() {
+    let mut w = World::new(3, 2);
+    w.arrive("urgent");
+    w.serve_all();
+    let seq = w.arrive("urgent");
+    let first = w.take(0);
+    crash(&mut w, &first);
+    assert_eq!(w.open.len(), 2, "retried before the others were heard");
+    for d in std::mem::take(&mut w.open) {
+        crash(&mut w, &d);
+    }
+    assert_eq!(w.open.len(), 1, "the canary alone");
+    let canary = w.open.remove(0);
+    crash(&mut w, &canary);
+    let Outcome::Unknown(r) = w.outcome(seq) else {
+        panic!("{:?}", w.answers);
+    };
+    assert_eq!(r.reason, RefusalReason::Quarantined);
+}
+
+/// The other side of it: one server dies by itself under a proven lookup. Its part is asked for
+/// again as soon as another part is in, or after a few milliseconds.
+#[rstest]
+#[case::after_another_part(true)]
+#[case::after_a_moment(false)]
+fn a_lost_part_of_a_proven_lookup_is_retried_soon(#[case] another_comes: bool) {
+    let mut w = World::new(3, 2);
+    w.arrive("urgent");
+    w.serve_all();
+    let seq = w.arrive("urgent");
+    let lost = w.take(0);
+    crash(&mut w, &lost);
+    if another_comes {
+        let d = w.take(1);
+        w.sent(&d);
+        w.reply(&d, whole(&d));
+    } else {
+        w.pass(Duration::from_millis(10));
+    }
+    assert!(w.open.iter().any(|d| d.attempt.shard == ShardId(0)));
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
