--- a/crates/trace/tests/trace/judge.rs
+++ b/crates/trace/tests/trace/judge.rs
@@ -1,73 +1,15 @@
-//! The judge names the first step at which a promise is broken or an outcome is not the stated one.
-
-use std::sync::Arc;
-use std::time::Duration;
+//! The judge names the first step at which a promise is broken.
 
 use gs_query::Action;
-use gs_query::Dispatch;
 use gs_types::prelude::*;
 use rstest::rstest;
 
 use crate::common::judge;
-
-fn dispatch(short: &str, server: &str, once: bool) -> Action {
-    let addr = "127.0.0.1:9000".parse().expect("an address");
-    let server = ServerDecl {
-        name: server.parse().expect("a name"),
-        service: "s".parse().expect("a name"),
-        addr,
-        data_centre: "hobart-a".parse().expect("a name"),
-        slots: Slots(2),
-        connections: Connections(25),
-    };
-    Action::Dispatch(Dispatch {
-        attempt: format!("hobart-1/1/{short}").parse().expect("an attempt"),
-        server: Arc::new(server),
-        snapshot: SnapshotId(7),
-        query: "salmon".into(),
-        key: None,
-        idempotency_key: None,
-        page: 10,
-        budget: Duration::from_millis(90),
-        once,
-    })
-}
-
-fn page(docs: &[&str], shards: u32, missing: &[u32]) -> Action {
-    let hit = |d: &&str| Hit {
-        doc: (*d).into(),
-        score: 1,
-        text: "".into(),
-    };
-    let miss = |n: &u32| MissingShard {
-        shard: ShardId(*n),
-        reason: MissReason::Late,
-    };
-    let answer = Answer {
-        snapshot: SnapshotId(7),
-        hits: docs.iter().map(hit).collect(),
-        matched: 1,
-        coverage: Coverage {
-            shards,
-            whole: shards - u32::try_from(missing.len()).expect("few"),
-            missing: missing.iter().map(miss).collect(),
-        },
-        ended_early: false,
-        extra_attempts: 0,
-    };
-    Action::Answer(LookupSeq(1), Outcome::Answered(answer))
-}
-
-fn refusal(run: fn(Refusal) -> Outcome) -> Action {
-    let refusal = Refusal::new(RefusalReason::Failed, None);
-    Action::Answer(LookupSeq(1), run(refusal))
-}
-
-const ARRIVE: &str = r#"
-[[step]]
-at = "0s"
-arrive = { seq = 1, lookup = "quote", query = "salmon" }
-"#;
+use crate::samples::ARRIVE;
+use crate::samples::dispatch;
+use crate::samples::page;
+use crate::samples::refusal;
+use crate::samples::whole;
 
 const AUDIT: &str = r#"
 [[step]]
@@ -83,13 +25,6 @@
 
 const SENT: &str = "[[step]]\nat = \"1ms\"\nsent = [\"1/0/0\"]\n";
 
-fn whole(shard: u32, snapshot: u32, doc: &str) -> String {
-    format!(
-        "[[step]]\nat = \"5ms\"\nreply = {{ to = [\"1/{shard}/0\"], whole = {{ snapshot = \
-         {snapshot}, hits = [[\"{doc}\", 1]] }} }}\n"
-    )
-}
-
 /// Both shards asked; both answer, the second from `snapshot`.
 fn scatter(lookup: &str, snapshot: u32, last: Action) -> Result<(), String> {
     let steps = format!("{lookup}{}{}", whole(0, 7, "a"), whole(1, snapshot, "b"));
@@ -264,61 +199,3 @@
     assert!(drained("9s", same).is_err());
     assert_eq!(drained("9s", new), Ok(()));
 }
-
-#[rstest]
-#[case::outcome("outcome = \"unknown\"", "outcome is Answered(")]
-#[case::snapshot(
-    "outcome = \"answered\"\nsnapshot = 8",
-    "snapshot is SnapshotId(7); stated: SnapshotId(8)"
-)]
-#[case::docs(
-    "outcome = \"answered\"\ndocs = [\"b\"]",
-    r#"docs is ["a"]; stated: ["b"]"#
-)]
-#[case::missing(
-    "outcome = \"answered\"\nmissing = []",
-    r#"missing is ["1 late"]; stated: []"#
-)]
-#[case::time("outcome = \"answered\"\nby = \"4ms\"", "its time is 5ms; stated: 4ms")]
-#[case::reason(
-    "outcome = \"answered\"\nreason = \"overload\"",
-    "reason is nothing; stated: Overload"
-)]
-fn another_outcome_than_stated(#[case] stated: &str, #[case] expected: &str) {
-    let steps = format!("{ARRIVE}{}", whole(0, 7, "a"));
-    let asked = vec![
-        dispatch("1/0/0", "a0", false),
-        dispatch("1/1/0", "b0", false),
-    ];
-    let stated = format!("[[lookup]]\nseq = 1\n{stated}\n");
-    let d = judge(&stated, &steps, vec![asked, vec![page(&["a"], 2, &[1])]]).expect_err("diverges");
-    assert_eq!(d.step, 4);
-    assert!(d.text.starts_with(&format!("lookup 1: {expected}")), "{d}");
-}
-
-#[rstest]
-#[case::too_many(
-    "[[lookup]]\nseq = 1\noutcome = \"pending\"\ndispatches-max = 0",
-    3,
-    "lookup 1 is dispatched 1 times, to a0"
-)]
-#[case::too_few(
-    "[[lookup]]\nseq = 1\noutcome = \"pending\"\ndispatches = 2",
-    3,
-    "lookup 1 was dispatched 1 times; stated: 2"
-)]
-#[case::no_outcome(
-    "[[lookup]]\nseq = 1\noutcome = \"unknown\"",
-    3,
-    "lookup 1 has no outcome; stated: unknown"
-)]
-#[case::server(
-    "[[server]]\nname = \"a0\"\ndispatches-max = 0",
-    3,
-    "server a0 gets attempt hobart-1/1/1/0/0, its number 1"
-)]
-fn another_course_than_stated(#[case] stated: &str, #[case] step: u64, #[case] expected: &str) {
-    let actions = vec![vec![dispatch("1/0/0", "a0", false)]];
-    let d = judge(stated, ARRIVE, actions).expect_err("diverges");
-    assert_eq!((d.step, d.text.as_str()), (step, expected));
-}
--- a/crates/trace/tests/trace/main.rs
+++ b/crates/trace/tests/trace/main.rs
@@ -6,4 +6,6 @@
 mod reading;
 mod recording;
 mod replaying;
+mod samples;
 mod scripts;
+mod stated;
