--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -10,6 +10,21 @@
 pub use system::SystemClock;
 
 /// Tells the time.
+///
+/// Pass it to whatever has to ask for the time by itself: [`SystemClock`] in a process,
+/// [`ManualClock`] in a test. A decision gets `now` as an argument and needs no clock.
+///
+/// ```
+/// use std::time::Duration;
+/// use std::time::SystemTime;
+///
+/// use gs_clock::Clock;
+/// use gs_clock::ManualClock;
+///
+/// let clock = ManualClock::starting_at(SystemTime::UNIX_EPOCH);
+/// clock.advance(Duration::from_secs(2));
+/// assert_eq!(gs_clock::unix_seconds(&clock), 2);
+/// ```
 pub trait Clock: Send + Sync {
     /// The monotonic time, for durations and timers.
     fn now(&self) -> Instant;
