--- a/crates/rig/src/args.rs
+++ b/crates/rig/src/args.rs
@@ -111,6 +111,10 @@
             )
             .arg(number("rate", "150", "Lookups a second")),
         )
+        .subcommand(common(
+            "storm",
+            "Measures goodput by load, and the time to recover from a storm of resends",
+        ))
         .subcommand(bare_command())
 }
 
@@ -216,6 +220,11 @@
     })
 }
 
+/// Reads `gs-rig storm`.
+pub fn storm(m: &ArgMatches) -> Result<Common> {
+    read_common(m)
+}
+
 /// Reads `gs-rig bare`.
 pub fn bare(m: &ArgMatches) -> Result<Bare> {
     let servers: std::result::Result<_, _> = read_list(m, "server")
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod experiment;
 mod scenario;
+mod storm;
 
 use std::process::ExitCode;
 
@@ -44,6 +45,7 @@
             Some(("demo", m)) => demo::run(&args::demo(m)?).await,
             Some(("table", m)) => experiment::run(&args::table(m)?).await,
             Some(("cost", m)) => cost::run(&args::cost(m)?).await,
+            Some(("storm", m)) => storm::run(&args::storm(m)?).await,
             Some(("bare", m)) => bare::run(&args::bare(m)?).await,
             _ => Ok(ExitCode::from(2)),
         }
--- /dev/null
+++ b/crates/rig/src/storm.rs
@@ -0,0 +1,291 @@
+//! `gs-rig storm`: goodput by load, and what is left of a storm of resends after it ends.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_rig::corpus::Corpus;
+use gs_rig::deployment::Deployment;
+use gs_rig::deployment::DeploymentOptions;
+use gs_rig::load::Caller;
+use gs_rig::load::LookupAsk;
+use gs_rig::operator::Operator;
+use gs_types::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use crate::args::Common;
+
+/// Makes a group of 2 servers × 2 slots run [`CAPACITY`] lookups a second.
+const SERVICE_TIME: Duration = Duration::from_millis(80);
+
+/// Lookups a second that the servers of the group can run.
+const CAPACITY: f64 = 50.0;
+
+/// The loads of the sweep, in shares of the capacity.
+const SWEEP: [f64; 5] = [0.8, 1.0, 1.2, 1.5, 2.0];
+
+/// Load before anything is counted.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// The length of one line of a storm's table.
+const SLICE: Duration = Duration::from_millis(500);
+
+/// Resends of one request at most.
+const RESENDS: u32 = 5;
+
+/// How much slower than before the storm is still normal.
+const NORMAL: f64 = 1.5;
+
+/// What callers do with a refusal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Manner {
+    Once,
+    ResendAtOnce,
+    HonourRetryAfter,
+}
+
+/// A stretch of arrivals at one rate.
+#[derive(Clone, Copy, Debug)]
+struct Phase {
+    load: f64,
+    length: Duration,
+    manner: Manner,
+}
+
+/// One request, resends counted by themselves; times are since the load began.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    sent: Duration,
+    ended: Duration,
+    page: bool,
+    whole: bool,
+    refused: bool,
+    wrong: bool,
+}
+
+/// Runs the sweep and both storms for both policies, and prints Markdown.
+pub async fn run(c: &Common) -> Result<ExitCode> {
+    let corpus = Arc::new(Corpus::read(&c.text)?);
+    println!("{}, seed {}, one lookup\n", c.deployment, c.seed);
+    let (mut wrong, peak) = sweep(c, &corpus).await?;
+    println!("peak {peak:.1} whole pages a second: normal is 0.6 of it, the storm 3 times\n");
+    for manner in [Manner::Once, Manner::ResendAtOnce, Manner::HonourRetryAfter] {
+        for policy in ["chosen", "baseline"] {
+            wrong += storm(c, &corpus, peak / CAPACITY, manner, policy).await?;
+        }
+    }
+    println!("wrong answers: {wrong}");
+    Ok(ExitCode::from(u8::from(wrong > 0)))
+}
+
+async fn start(c: &Common, corpus: &Arc<Corpus>, policy: &str) -> Result<Deployment> {
+    let options = DeploymentOptions::builder()
+        .shape(c.shape.clone())
+        .corpus(corpus.clone())
+        .bin(c.bin.clone())
+        .service_time(SERVICE_TIME)
+        .seed(c.seed)
+        .settings(format!(
+            "[tuning]\npolicy = \"{policy}\"\n\n[log]\nlevel = \"warn\"\n"
+        ))
+        .build();
+    Deployment::start(options).await
+}
+
+/// Whole pages a second at each load, and the most of them; every point has a deployment of its own.
+async fn sweep(c: &Common, corpus: &Arc<Corpus>) -> Result<(usize, f64)> {
+    println!(
+        "| policy | load | asked | refused | whole pages a second |\n|---|---:|---:|---:|---:|"
+    );
+    let (mut wrong, mut peak) = (0, 0.0_f64);
+    for policy in ["chosen", "baseline"] {
+        for load in SWEEP {
+            let d = start(c, corpus, policy).await?;
+            let length = WARM_UP + c.length;
+            let manner = Manner::Once;
+            let phase = Phase {
+                load,
+                length,
+                manner,
+            };
+            let samples = drive(&d, &[phase], c.seed).await;
+            wrong += count(&samples, |s| s.wrong);
+            let asked: Vec<_> = within(&samples, WARM_UP, length).collect();
+            // By their ends, so that a backlog served after the load is no goodput.
+            let goodput = count(&samples, |s| {
+                s.whole && s.ended >= WARM_UP && s.ended < length
+            });
+            let goodput = goodput as f64 / c.length.as_secs_f64();
+            peak = peak.max(goodput);
+            println!(
+                "| {policy} | {load} | {} | {} | {goodput:.1} |",
+                asked.len(),
+                asked.iter().filter(|s| s.refused).count(),
+            );
+        }
+    }
+    println!();
+    Ok((wrong, peak))
+}
+
+/// Normal load, a storm, normal load; a line for each half second and the time to recover.
+///
+/// Without resends there is no storm either, which shows what the load does by itself.
+async fn storm(
+    c: &Common,
+    corpus: &Arc<Corpus>,
+    unit: f64,
+    manner: Manner,
+    policy: &str,
+) -> Result<usize> {
+    let d = start(c, corpus, policy).await?;
+    let normal = |s| phase(0.6 * unit, s, Manner::Once);
+    let storm = if manner == Manner::Once { 0.6 } else { 3.0 };
+    let phases = [normal(6), phase(storm * unit, 4, manner), normal(6)];
+    let (begin, end) = (phases[0].length, phases[0].length + phases[1].length);
+    let before_runs = d.servers.counts().summary().total;
+    let samples = drive(&d, &phases, c.seed).await;
+    let total = d.servers.counts().summary().total;
+    let before = p(within(&samples, WARM_UP, begin), 0.99);
+    println!(
+        "storm of {manner:?}, {policy}; p99 before {before:.1} ms; servers ran {} parts, shed {}, connections opened {}\n",
+        total.runs - before_runs.runs,
+        total.shed - before_runs.shed,
+        total.opened - before_runs.opened
+    );
+    println!(
+        "| from s | asked | whole | p50 ms | p99 ms | refused |\n|---:|---:|---:|---:|---:|---:|"
+    );
+    let (mut recovered, mut outside) = (None, 0);
+    let mut at = Duration::ZERO;
+    while at < end + phases[2].length {
+        let slice = || within(&samples, at, at + SLICE);
+        let (p99, refused) = (p(slice(), 0.99), slice().filter(|s| s.refused).count());
+        println!(
+            "| {:.1} | {} | {} | {:.1} | {p99:.1} | {refused} |",
+            at.as_secs_f64(),
+            slice().count(),
+            slice().filter(|s| s.whole).count(),
+            p(slice(), 0.5)
+        );
+        at += SLICE;
+        let fits = p99 > 0.0 && p99 <= NORMAL * before && refused == 0;
+        if at > end && fits && recovered.is_none() {
+            recovered = Some(at - end);
+        }
+        // The first 2 s after a storm are its own.
+        outside += usize::from(at > end + WARM_UP && !fits);
+    }
+    println!(
+        "\nback to normal at the end of the first such half second: {recovered:?} after the storm; later than 2 s after it {outside} of 8 are not normal; fill by VM {}\n",
+        fills(&d).await
+    );
+    Ok(count(&samples, |s| s.wrong))
+}
+
+/// What share of its time each VM lets a lookup's parts need on the mean.
+async fn fills(d: &Deployment) -> String {
+    let mut out = Vec::new();
+    for vm in &d.vms {
+        let dump = Operator::new().dump(vm.plan().admin).await;
+        let dump = dump.unwrap_or_default();
+        let fill = dump["engine"]["admission"]["fill"].as_f64();
+        out.push(fill.map_or("?".to_owned(), |f| format!("{f:.2}")));
+    }
+    out.join(" ")
+}
+
+fn phase(load: f64, seconds: u64, manner: Manner) -> Phase {
+    let length = Duration::from_secs(seconds);
+    Phase {
+        load,
+        length,
+        manner,
+    }
+}
+
+/// Sends the phases one after another, open-loop, and waits until every request has ended.
+async fn drive(d: &Deployment, phases: &[Phase], seed: u64) -> Vec<Sample> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // An early end spares most of the work, so it says nothing about capacity.
+    let lookup = d.shape.lookups.iter().find(|l| l.enough_at.is_none());
+    let mut mix = d.mix(seed).only(&[lookup.map_or("", |l| l.name)]);
+    let (caller, targets, checker) = (Caller::new(), d.targets(false), d.checker());
+    let start = Instant::now();
+    let mut requests = JoinSet::new();
+    let (mut due, mut until) = (Duration::ZERO, Duration::ZERO);
+    for phase in phases {
+        until += phase.length;
+        loop {
+            let u: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+            due += Duration::from_secs_f64(-u.ln() / (phase.load * CAPACITY));
+            if due >= until {
+                due = until;
+                break;
+            }
+            tokio::time::sleep_until(start + due).await;
+            let (ask, manner) = (mix.draw(), phase.manner);
+            let (caller, targets, checker) = (caller.clone(), targets.clone(), checker.clone());
+            let delay = d.shape.to_callers;
+            let send = move |ask: LookupAsk| {
+                let (caller, vm, checker) = (caller.clone(), targets.next(), checker.clone());
+                async move {
+                    let sent = start.elapsed();
+                    tokio::time::sleep(delay).await;
+                    let reply = caller.ask(vm.expect("a deployment has VMs"), &ask).await;
+                    tokio::time::sleep(delay).await;
+                    let page = reply.page();
+                    let sample = Sample {
+                        sent,
+                        ended: start.elapsed(),
+                        page: page.is_some(),
+                        whole: page.is_some_and(|a| a.coverage.is_full()),
+                        refused: page.is_none(),
+                        wrong: checker.check(&ask, &reply).is_some(),
+                    };
+                    (sample, reply.refusal().and_then(|r| r.retry_after))
+                }
+            };
+            requests.spawn(async move {
+                let mut samples = Vec::new();
+                loop {
+                    let (sample, retry_after) = send(ask.clone()).await;
+                    samples.push(sample);
+                    let sent = u32::try_from(samples.len()).unwrap_or(u32::MAX);
+                    if !sample.refused || manner == Manner::Once || sent > RESENDS {
+                        return samples;
+                    }
+                    if manner == Manner::HonourRetryAfter {
+                        tokio::time::sleep(retry_after.unwrap_or_default()).await;
+                    }
+                }
+            });
+        }
+    }
+    requests.join_all().await.into_iter().flatten().collect()
+}
+
+fn within(samples: &[Sample], from: Duration, to: Duration) -> impl Iterator<Item = &Sample> {
+    samples
+        .iter()
+        .filter(move |s| s.sent >= from && s.sent < to)
+}
+
+fn count(samples: &[Sample], fits: impl Fn(&Sample) -> bool) -> usize {
+    samples.iter().filter(|s| fits(s)).count()
+}
+
+/// The latency of pages at this quantile, in milliseconds; 0 without pages.
+fn p<'a>(samples: impl Iterator<Item = &'a Sample>, quantile: f64) -> f64 {
+    let mut ms: Vec<f64> = samples
+        .filter(|s| s.page)
+        .map(|s| (s.ended - s.sent).as_secs_f64() * 1000.0)
+        .collect();
+    ms.sort_by(f64::total_cmp);
+    let at = (quantile * ms.len() as f64).ceil() as usize;
+    ms.get(at.saturating_sub(1)).copied().unwrap_or(0.0)
+}
