fix(node): a lookup that nobody declared adds no metric series

Cause: only not-run refusals for no-such-lookup were folded; with an idempotency key, or on a VM that is not ready, a caller's made-up names became labels, without bound.

--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -70,7 +70,9 @@
             self.run(seq, req).await
         };
         let took = self.clock.now().saturating_duration_since(start);
-        self.metrics.lookup(&front, &lookup, &outcome, took);
+        let is_declared = self.is_declared(&front, &lookup);
+        self.metrics
+            .lookup(&front, &lookup, is_declared, &outcome, took);
         let request = RequestId {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
@@ -93,6 +95,12 @@
 }
 
 impl NodeDesk {
+    fn is_declared(&self, front: &FrontName, lookup: &LookupName) -> bool {
+        let book = lock(&self.book);
+        book.config()
+            .is_some_and(|c| c.lookup(front, lookup).is_some())
+    }
+
     async fn run(&self, seq: LookupSeq, req: LookupRequest) -> Outcome {
         let (tx, rx) = oneshot::channel();
         self.pending.insert(seq, tx);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -89,6 +89,7 @@
         &self,
         front: &FrontName,
         lookup: &LookupName,
+        is_declared: bool,
         outcome: &Outcome,
         took: Duration,
     ) {
@@ -97,14 +98,8 @@
             Outcome::NotRun(r) => ("not-run", r.reason.into()),
             Outcome::Unknown(r) => ("unknown", r.reason.into()),
         };
-        let known = !matches!(
-            outcome,
-            Outcome::NotRun(Refusal {
-                reason: RefusalReason::NoSuchLookup,
-                ..
-            })
-        );
-        let name = if known {
+        // Names that nobody declared would let callers add series at will.
+        let name = if is_declared {
             format!("{front}/{lookup}")
         } else {
             "undeclared".to_owned()
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -4,6 +4,7 @@
 use std::process::Output;
 
 use gs_rig::deploy::TEAM_KEY;
+use gs_rig::load::LookupAsk;
 use gs_rig::operator::page_patch;
 use rstest::rstest;
 use serde_json::Value;
@@ -15,6 +16,7 @@
 use crate::support::Running;
 use crate::support::ask;
 use crate::support::ask_vm;
+use crate::support::reason;
 use crate::support::tiny;
 
 /// The rig's team of operators.
@@ -144,7 +146,17 @@
         let reply = ask_vm(&d, 0, &ask(&d, "placement", seed)).await;
         assert!(reply.page().is_some(), "{reply:?}");
     }
+    // A caller that makes names up, with a key so that the refusal is `unknown`, adds no series.
+    let made_up = LookupAsk {
+        front: "made-up",
+        ..ask(&d, "renewal", 9)
+    };
+    assert_eq!(
+        reason(&ask_vm(&d, 0, &made_up).await).as_deref(),
+        Some("no-such-lookup")
+    );
     let out = scrape(&d, 0).await;
+    assert!(!out.contains("made-up"), "{out}");
     let out = out.replace(",otel_scope_name=\"gentiansill\"", "");
     let lookup = "newsletter-archive/placement";
     for line in [
