--- a/crates/limit/src/adaptive.rs
+++ b/crates/limit/src/adaptive.rs
@@ -25,6 +25,12 @@
 /// What a lookup that ends in time adds to it; the fill then settles where one in 25 is late.
 const FILL_UP: f64 = FILL_DOWN / 25.0;
 
+/// How long nothing must have been refused before the fill is given back by time.
+const CALM_AFTER: Duration = Duration::from_millis(500);
+
+/// How much of the fill a second of calm gives back.
+const CALM_UP: f64 = FILL_MAX - FILL_MIN;
+
 /// How much more an urgent lookup may fill, as it can answer without its last parts.
 const URGENT_FACTOR: f64 = 1.25;
 
@@ -47,12 +53,18 @@
 /// How much of its time a lookup may fill shrinks with each one that ends late and grows slowly with
 /// those in time. That finds the concurrency that the servers bear, whatever other VMs send them,
 /// from this VM's own outcomes alone.
+///
+/// Guards against an overload that outlasts its cause: a storm ends, a VM takes few lookups by then,
+/// and each in time gives back a little only, so it went on refusing for a minute. While nothing is
+/// refused the fill binds nobody, so a second of calm gives all of it back.
 #[derive(Debug)]
 pub struct Adaptive {
     max: usize,
     fill: f64,
     /// When overload last showed.
     overloaded_at: Option<Instant>,
+    /// When a lookup was last refused, or calm was last counted in.
+    calm_from: Option<Instant>,
 }
 
 impl Adaptive {
@@ -63,6 +75,19 @@
             max,
             fill: FILL_MAX,
             overloaded_at: None,
+            calm_from: None,
+        }
+    }
+
+    /// Gives back what the calm since the last refusal has earned.
+    fn count_calm(&mut self, now: Instant) {
+        let Some(from) = self.calm_from else {
+            return;
+        };
+        let calm = now.saturating_duration_since(from);
+        if !calm.is_zero() {
+            self.fill = (self.fill + calm.as_secs_f64() * CALM_UP).min(FILL_MAX);
+            self.calm_from = Some(now);
         }
     }
 
@@ -80,12 +105,14 @@
 
 impl AdmissionPolicy for Adaptive {
     fn admit(&mut self, now: Instant, ask: &Ask) -> Verdict {
+        self.count_calm(now);
         // With nothing in flight, nobody would learn that the servers are fast again.
         let is_probe = ask.in_flight == 0;
         if is_probe || (ask.in_flight < self.max && self.fits(ask)) {
             return Verdict::Admit;
         }
         self.overloaded_at = Some(now);
+        self.calm_from = Some(now + CALM_AFTER);
         Verdict::Refuse(ask.worst.clamp(RETRY_MIN, RETRY_MAX))
     }
 
--- a/crates/limit/tests/limits.rs
+++ b/crates/limit/tests/limits.rs
@@ -75,6 +75,39 @@
     assert!(!policy.overloaded(now));
 }
 
+/// A storm of resends has ended. The VM takes a few lookups a second by now, and waiting until enough of
+/// them were in time it refused callers for a minute more. Half a second without a refusal is calm, and
+/// a second of calm gives everything back.
+#[test]
+fn calm_after_a_storm_gives_back_what_it_took() {
+    let mut policy = Adaptive::new(100);
+    let start = Instant::now();
+    let half_full = ask(Promise::Complete, 30, 60, 5);
+    for _ in 0..20 {
+        policy.ended(start, &ended(false));
+    }
+    assert_ne!(policy.admit(start, &half_full), Verdict::Admit);
+    let small = ask(Promise::Complete, 1, 1, 5);
+    let calm = start + Duration::from_millis(500);
+    assert_eq!(policy.admit(calm, &small), Verdict::Admit);
+    let later = calm + Duration::from_secs(1);
+    assert_eq!(policy.admit(later, &half_full), Verdict::Admit);
+}
+
+#[test]
+fn while_lookups_are_refused_nothing_is_given_back() {
+    let mut policy = Adaptive::new(100);
+    let start = Instant::now();
+    let half_full = ask(Promise::Complete, 30, 60, 5);
+    for _ in 0..20 {
+        policy.ended(start, &ended(false));
+    }
+    for step in 0..20 {
+        let now = start + Duration::from_millis(400) * step;
+        assert_ne!(policy.admit(now, &half_full), Verdict::Admit, "{step}");
+    }
+}
+
 /// After an overload the last latencies seen are bad ones. If every lookup were refused for them,
 /// nobody would find out that the servers are fast again.
 #[test]
