fix(http,node): no lost wake-up of a waiter for a connection; metrics and dumps that do not grow

- metrics: a VM that is not ready refuses before it looks a name up, so each made-up name became a series for good.
Such refusals count as undeclared.
The new process test failed first, on the made-up name in the scrape.
- lane: a waiter got in line only after it had looked; two connections put back in between kept one permit, and one waiter let its time pass beside an idle connection.
Found by reading (the case that tokio's documentation of Notify::enable describes), not reproduced.
- fleet dump: an operator that hung up left its entry and channel behind for good; a guard now removes it.

--- a/crates/http/src/backend/lane.rs
+++ b/crates/http/src/backend/lane.rs
@@ -1,5 +1,6 @@
 //! The connections to one backend server, never more than this VM's share of its limit.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -147,9 +148,15 @@
         self.freed.notify_one();
     }
 
+    /// Waits in line before it looks.
+    ///
+    /// Guards against a wake-up that is lost: `notify_one` keeps at most one permit for those not in
+    /// line yet. Were two connections put back between two waiters' look and their wait, one waiter
+    /// would let its time pass beside an idle connection, and its attempt end as not sent.
     async fn take_or_wait(self: &Arc<Self>) -> Result<Lent> {
         loop {
-            let freed = self.freed.notified();
+            let mut freed = pin!(self.freed.notified());
+            freed.as_mut().enable();
             if let Some(lent) = self.take_idle() {
                 return Ok(lent);
             }
--- a/crates/node/src/dumps.rs
+++ b/crates/node/src/dumps.rs
@@ -139,8 +139,8 @@
             all.insert(view.me.clone(), self.own());
         }
         let wanted = all.len().saturating_sub(1);
-        let (id, mut rx) = self.asked.begin();
-        self.spread.broadcast(&Message::WantDump(id));
+        let (asking, mut rx) = self.asked.begin();
+        self.spread.broadcast(&Message::WantDump(asking.id));
         let collect = async {
             for _ in 0..wanted {
                 if let Some((vm, dump)) = rx.recv().await {
@@ -149,7 +149,7 @@
             }
         };
         let _ = tokio::time::timeout(FLEET_WAIT, collect).await;
-        self.asked.end(id);
+        drop(asking);
         serde_json::to_value(all).unwrap_or(Value::Null)
     }
 
@@ -163,14 +163,25 @@
 }
 
 impl Asked {
-    fn begin(&self) -> (u64, mpsc::UnboundedReceiver<(VmId, Value)>) {
+    fn begin(&self) -> (Asking<'_>, mpsc::UnboundedReceiver<(VmId, Value)>) {
         let id = self.next.fetch_add(1, Ordering::Relaxed);
         let (tx, rx) = mpsc::unbounded_channel();
         lock(&self.waiting).insert(id, tx);
-        (id, rx)
+        (Asking { asked: self, id }, rx)
     }
+}
+
+/// A fleet dump under way; no answers to it are taken once this is dropped.
+///
+/// Guards against entries that stay for good: an operator that hangs up drops the future that waits
+/// for the answers, and each such call would leave its channel behind.
+struct Asking<'a> {
+    asked: &'a Asked,
+    id: u64,
+}
 
-    fn end(&self, id: u64) {
-        lock(&self.waiting).remove(&id);
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        lock(&self.asked.waiting).remove(&self.id);
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,9 @@
     0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0,
 ];
 
+/// The label of lookups whose name was found in no configuration.
+const UNDECLARED: &str = "undeclared";
+
 /// The instruments of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -89,17 +92,10 @@
             Outcome::NotRun(r) => ("not-run", r.reason.into()),
             Outcome::Unknown(r) => ("unknown", r.reason.into()),
         };
-        let known = !matches!(
-            outcome,
-            Outcome::NotRun(Refusal {
-                reason: RefusalReason::NoSuchLookup,
-                ..
-            })
-        );
-        let name = if known {
+        let name = if is_declared(outcome) {
             format!("{front}/{lookup}")
         } else {
-            "undeclared".to_owned()
+            UNDECLARED.to_owned()
         };
         let by = [
             KeyValue::new("lookup", name),
@@ -185,6 +181,20 @@
     }
 }
 
+/// Whether the lookup's name was found in the configuration.
+///
+/// Guards against a series of metrics for each name that a caller makes up, kept until the process
+/// ends: these refusals are given for a name that is not declared or before it is looked up.
+fn is_declared(outcome: &Outcome) -> bool {
+    let (Outcome::NotRun(refusal) | Outcome::Unknown(refusal)) = outcome else {
+        return true;
+    };
+    !matches!(
+        refusal.reason,
+        RefusalReason::NoSuchLookup | RefusalReason::NotReady | RefusalReason::Leaving
+    )
+}
+
 /// Whose metrics they are.
 pub(crate) struct Vm<'a> {
     pub(crate) name: &'a VmId,
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -4,13 +4,19 @@
 use std::process::Output;
 
 use gs_rig::deploy::TEAM_KEY;
+use gs_rig::load::Caller;
 use gs_rig::operator::page_patch;
+use gs_rig::platform::Control;
+use gs_rig::process::VmProcess;
 use rstest::rstest;
 use serde_json::Value;
 use tempfile::TempDir;
 
 use crate::support::Running;
+use crate::support::ask;
+use crate::support::reason;
 use crate::support::tiny;
+use crate::support::until;
 
 /// The rig's team of operators.
 const TEAM: &str = "operators";
@@ -119,3 +125,35 @@
     );
     assert!(!text(&dump.stderr).contains(TEAM_KEY), "{dump:?}");
 }
+
+/// The metrics of a VM that waits for its configuration grow by a series for each name asked.
+/// All VMs are gone and the platform is away; one starts, and a caller asks lookups that nobody
+/// declared. The cause was that only a refused name was taken for undeclared, while a VM that is
+/// not ready refuses before it looks the name up.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_name_that_nobody_declared_is_no_label_of_a_metric() {
+    let mut d = tiny().await;
+    d.vms.iter_mut().for_each(VmProcess::kill);
+    d.platform.control(Control {
+        down: Some(true),
+        ..Control::default()
+    });
+    let (caller, plan) = (Caller::new(), d.vms[0].plan().clone());
+    let mut asked = ask(&d, "quote", 13);
+    asked.front = "no-such-front";
+    let refused = until("the lookup is refused", async || {
+        let reply = caller.ask(plan.callers, &asked).await;
+        reason(&reply).as_deref() == Some("not-ready")
+    });
+    tokio::select! {
+        ready = d.restart(0) => panic!("ready without a configuration: {ready:?}"),
+        () = refused => {}
+    }
+    let (_, metrics) = caller
+        .get(plan.admin, "/metrics")
+        .await
+        .expect("the metrics");
+    assert!(metrics.contains("not-ready"), "{metrics}");
+    assert!(!metrics.contains("no-such-front"), "{metrics}");
+}
