--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,9 @@
     0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0,
 ];
 
+/// The label of lookups whose name was found in no configuration.
+const UNDECLARED: &str = "undeclared";
+
 /// The instruments of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -102,7 +105,7 @@
         let name = if is_declared {
             format!("{front}/{lookup}")
         } else {
-            "undeclared".to_owned()
+            UNDECLARED.to_owned()
         };
         let by = [
             KeyValue::new("lookup", name),
