--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -49,13 +49,23 @@
 }
 
 fn options(args: &Cost, corpus: &Arc<Corpus>, shape: Shape, service: u64) -> DeploymentOptions {
+    options_with(args, corpus, shape, service, "")
+}
+
+fn options_with(
+    args: &Cost,
+    corpus: &Arc<Corpus>,
+    shape: Shape,
+    service: u64,
+    settings: &str,
+) -> DeploymentOptions {
     DeploymentOptions::builder()
         .shape(shape)
         .corpus(corpus.clone())
         .bin(args.common.bin.clone())
         .seed(args.common.seed)
         .service_time(Duration::from_millis(service))
-        .settings("[log]\nlevel = \"warn\"\n")
+        .settings(format!("[log]\nlevel = \"warn\"\n{settings}"))
         .build()
 }
 
@@ -181,7 +191,9 @@
     for l in &mut shape.lookups {
         l.deadline = Duration::from_secs(20);
     }
-    let d = Deployment::start(options(args, corpus, shape, 2000)).await?;
+    // The chosen admission refuses part of so many at once; the baseline holds them all.
+    let hold_all = "[tuning]\npolicy = \"baseline\"\n";
+    let d = Deployment::start(options_with(args, corpus, shape, 2000, hold_all)).await?;
     let vm = &d.vms[0];
     let idle = vm.usage()?.resident;
     let name = d.shape.lookups[0].name;
