--- a/crates/conf/tests/rules/chart.rs
+++ b/crates/conf/tests/rules/chart.rs
@@ -19,3 +19,11 @@
     let opposed = chart.next(PatchState::Committing, PatchEvent::Opposed);
     assert_eq!((late, opposed), (None, None));
 }
+
+#[test]
+fn the_page_shows_the_chart_as_it_is() {
+    let chart = patch_chart().expect("the chart fits");
+    let page = include_str!("../../../../docs/DESIGN-patches.md");
+    let drawn = chart.mermaid();
+    assert!(page.contains(&drawn), "put this into the page:\n{drawn}");
+}
