--- a/crates/node/src/actor/driver.rs
+++ b/crates/actor/src/driver.rs
@@ -13,27 +13,30 @@
 use xtra::Handler;
 use xtra::Mailbox;
 
-use crate::actor::feed::Feed;
-use crate::actor::timer::Timer;
-use crate::board::lock;
+use crate::feed::Feed;
+use crate::lock;
+use crate::timer::Timer;
 
 /// The time of one event.
 #[derive(Clone, Copy)]
-pub(crate) struct Times<'a> {
+pub struct Times<'a> {
     /// The monotonic time.
-    pub(crate) now: Instant,
+    pub now: Instant,
     /// Tells the time of day to those that need it.
-    pub(crate) clock: &'a dyn Clock,
+    pub clock: &'a dyn Clock,
 }
 
 /// A decision that its actor and the readers of dumps share.
 ///
 /// The actor alone feeds it. Readers hold the lock only to look; so that a dump, and the check for
 /// a configuration in doubt on each lookup, need no turn in the actor's mailbox.
-pub(crate) type Shared<M> = Arc<Mutex<M>>;
+pub type Shared<M> = Arc<Mutex<M>>;
 
-/// A decision: a state machine without I/O.
-pub(crate) trait Machine: Send + 'static {
+/// A decision: a state machine without I/O, joined to the shell `S` that carries its actions out.
+///
+/// The shell is named so that a process's crate can join a decision of another crate to a shell of its
+/// own.
+pub trait Machine<S>: Send + 'static {
     /// What it is told.
     type Event: Send + 'static;
     /// What it asks for.
@@ -47,7 +50,7 @@
 }
 
 /// Carries out a decision's actions.
-pub(crate) trait Shell<M: Machine>: Send + 'static {
+pub trait Shell<M: Machine<Self>>: Sized + Send + 'static {
     /// Sees an event just before the decision does.
     fn before(&mut self, now: Instant, ev: &M::Event) {
         let _ = (now, ev);
@@ -58,7 +61,7 @@
 }
 
 /// The actor around one decision.
-pub(crate) struct Driver<M: Machine, S> {
+pub struct Driver<M: Machine<S>, S> {
     machine: Shared<M>,
     shell: S,
     clock: Arc<dyn Clock>,
@@ -75,14 +78,22 @@
 struct Due;
 
 /// An actor's mailbox, made before the actor, so that actors can feed each other.
-pub(crate) struct Slot<M: Machine, S> {
+pub struct Slot<M: Machine<S>, S> {
     addr: Address<Driver<M, S>>,
     mailbox: Mailbox<Driver<M, S>>,
     feed: Feed<M::Event>,
 }
 
-impl<M: Machine, S: Shell<M>> Slot<M, S> {
-    pub(crate) fn new() -> Self {
+impl<M: Machine<S>, S: Shell<M>> Default for Slot<M, S> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<M: Machine<S>, S: Shell<M>> Slot<M, S> {
+    /// Makes the mailbox.
+    #[must_use]
+    pub fn new() -> Self {
         let (addr, mailbox) = Mailbox::unbounded();
         let to: Address<Driver<M, S>> = addr.clone();
         let feed = Feed::new(Box::new(move || {
@@ -96,12 +107,12 @@
     }
 
     /// The way in; events wait until the actor starts.
-    pub(crate) fn feed(&self) -> Feed<M::Event> {
+    pub fn feed(&self) -> Feed<M::Event> {
         self.feed.clone()
     }
 
     /// Starts the actor.
-    pub(crate) fn start(self, machine: Shared<M>, shell: S, clock: Arc<dyn Clock>) {
+    pub fn start(self, machine: Shared<M>, shell: S, clock: Arc<dyn Clock>) {
         let to = self.addr;
         let timer = Timer::start(move || drop(to.send(Due).detach().now_or_never()));
         let driver = Driver {
@@ -117,7 +128,7 @@
     }
 }
 
-impl<M: Machine, S: Shell<M>> Driver<M, S> {
+impl<M: Machine<S>, S: Shell<M>> Driver<M, S> {
     fn step(&mut self, ev: M::Event) {
         let at = Times {
             now: self.clock.now(),
@@ -133,13 +144,13 @@
     }
 }
 
-impl<M: Machine, S: Shell<M>> Actor for Driver<M, S> {
+impl<M: Machine<S>, S: Shell<M>> Actor for Driver<M, S> {
     type Stop = ();
 
     async fn stopped(self) {}
 }
 
-impl<M: Machine, S: Shell<M>> Handler<Ready> for Driver<M, S> {
+impl<M: Machine<S>, S: Shell<M>> Handler<Ready> for Driver<M, S> {
     type Return = ();
 
     async fn handle(&mut self, _: Ready, _: &mut Context<Self>) {
@@ -152,11 +163,11 @@
     }
 }
 
-impl<M: Machine, S: Shell<M>> Handler<Due> for Driver<M, S> {
+impl<M: Machine<S>, S: Shell<M>> Handler<Due> for Driver<M, S> {
     type Return = ();
 
     async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
         self.timer.fired();
-        self.step(M::tick());
+        self.step(<M as Machine<S>>::tick());
     }
 }
--- a/crates/node/src/actor/feed.rs
+++ b/crates/actor/src/feed.rs
@@ -8,7 +8,7 @@
 ///
 /// A message an event would cost a mailbox entry and a wake-up for each of a fan-out's replies;
 /// while the actor is busy, events pile up here and are taken together.
-pub(crate) struct Feed<E> {
+pub struct Feed<E> {
     inner: Arc<Inner<E>>,
 }
 
@@ -26,7 +26,9 @@
 }
 
 impl<E> Feed<E> {
-    pub(crate) fn new(wake: Box<dyn Fn() + Send + Sync>) -> Self {
+    /// Starts empty; `wake` is called when the first event is queued.
+    #[must_use]
+    pub fn new(wake: Box<dyn Fn() + Send + Sync>) -> Self {
         Self {
             inner: Arc::new(Inner {
                 queue: Mutex::default(),
@@ -36,7 +38,7 @@
     }
 
     /// Adds an event; they are handed over in the order of the calls.
-    pub(crate) fn push(&self, ev: E) {
+    pub fn push(&self, ev: E) {
         let mut q = self
             .inner
             .queue
@@ -51,7 +53,7 @@
     }
 
     /// Takes everything queued by swapping it with the empty `into`.
-    pub(crate) fn take(&self, into: &mut Vec<E>) {
+    pub fn take(&self, into: &mut Vec<E>) {
         let mut q = self
             .inner
             .queue
--- a/crates/node/src/actor/timer.rs
+++ b/crates/actor/src/timer.rs
@@ -9,20 +9,20 @@
 ///
 /// A later time than the one that is set is not told to the timer's task: it calls back early then,
 /// and the decision asks again. So the many wake-ups asked for under load cost nothing here.
-pub(crate) struct Timer {
+pub struct Timer {
     armed: Option<Instant>,
     tx: mpsc::UnboundedSender<Instant>,
 }
 
 impl Timer {
-    pub(crate) fn start(due: impl Fn() + Send + 'static) -> Self {
+    pub fn start(due: impl Fn() + Send + 'static) -> Self {
         let (tx, rx) = mpsc::unbounded_channel();
         tokio::spawn(run(rx, due));
         Self { armed: None, tx }
     }
 
     /// Asks for a call back after this time at the latest.
-    pub(crate) fn wake_in(&mut self, after: Duration) {
+    pub fn wake_in(&mut self, after: Duration) {
         let at = Instant::now() + after;
         if self.armed.is_none_or(|armed| at < armed) {
             self.armed = Some(at);
@@ -31,7 +31,7 @@
     }
 
     /// Says that the call back has been seen.
-    pub(crate) fn fired(&mut self) {
+    pub fn fired(&mut self) {
         self.armed = None;
     }
 }
--- /dev/null
+++ b/crates/edge/src/directory.rs
@@ -0,0 +1,88 @@
+//! The border to where routes are declared and servers registered.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use gs_relay::RouteTable;
+use gs_relay::ServerEntry;
+use gs_types::prelude::*;
+
+/// What a directory lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DirectoryKind {
+    /// The routes, as one object.
+    Routes,
+    /// The backend servers, an object each.
+    Servers,
+}
+
+/// A state of the directory; a larger one is newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision(pub u64);
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// What an object says.
+#[derive(Clone, Debug)]
+pub enum Thing {
+    /// A version of the routes.
+    Routes(Arc<RouteTable>),
+    /// A backend server.
+    Server(Arc<ServerEntry>),
+    /// It cannot be read; it names nothing to use.
+    Unreadable(Error),
+    /// It is gone.
+    Gone,
+}
+
+/// An object of the directory.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// Its name within its kind.
+    pub name: String,
+    /// What it says.
+    pub thing: Thing,
+}
+
+/// Everything of a kind.
+#[derive(Clone, Debug, Default)]
+pub struct Listing {
+    /// The state to watch from.
+    pub at: Revision,
+    /// The objects.
+    pub items: Vec<Item>,
+}
+
+/// What changed since a revision.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The state to watch on from.
+    pub at: Revision,
+    /// What changed, in order; empty if nothing did in the time given.
+    pub items: Vec<Item>,
+}
+
+/// Where routes are declared and servers registered.
+#[async_trait]
+pub trait Directory: Send + Sync + 'static {
+    /// Lists everything of a kind, as of now.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unavailable`] if it cannot be reached, [`ErrorKind::TooMuch`] over a rate.
+    async fn list(&self, kind: DirectoryKind) -> Result<Listing>;
+
+    /// Waits until something of a kind changed after a revision, or until `wait` is over.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::list`], and [`ErrorKind::NotFound`] if the revision is forgotten: list again.
+    async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes>;
+}
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,180 @@
+//! Keeps routes and servers mirrored, through outages short and long.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_actor::Feed;
+use gs_relay::Event;
+use gs_store::Backoff;
+use gs_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::directory::Directory;
+use crate::directory::DirectoryKind;
+use crate::directory::Item;
+use crate::directory::Revision;
+use crate::directory::Thing;
+use crate::state::State;
+
+/// How long one watch waits. Each one is a call that is paid for; a connection that went silent is
+/// noticed by its own probes.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// The pause between two watches, so that a storm of changes is a few calls and not one each.
+const SETTLE: Duration = Duration::from_millis(200);
+
+/// The first wait after a failure.
+const BACKOFF: Duration = Duration::from_millis(100);
+
+/// The longest wait between tries during an outage; the bound on changes runs on.
+const BACKOFF_MAX: Duration = Duration::from_millis(800);
+
+/// Keeps one kind of the directory mirrored.
+pub(crate) struct Follower {
+    pub(crate) kind: DirectoryKind,
+    pub(crate) directory: Arc<dyn Directory>,
+    pub(crate) feed: Feed<Event>,
+    pub(crate) state: Arc<State>,
+    pub(crate) seed: u64,
+}
+
+/// What is known of a kind.
+#[derive(Default)]
+struct Known {
+    /// The names of the objects that are there.
+    names: BTreeSet<String>,
+    /// The state to watch from; `None` to list first.
+    at: Option<Revision>,
+    /// Since when every call has failed.
+    lost_since: Option<Instant>,
+}
+
+impl Follower {
+    /// Follows until the process ends.
+    pub(crate) async fn run(self) {
+        let mut backoff = Backoff::new(BACKOFF, BACKOFF_MAX, self.seed);
+        let mut known = Known::default();
+        loop {
+            let step = match known.at {
+                None => self.list(&mut known).await,
+                Some(after) => self.watch(&mut known, after).await,
+            };
+            match step {
+                Ok(()) => {
+                    self.regained(&mut known);
+                    backoff.reset();
+                    tokio::time::sleep(SETTLE).await;
+                }
+                Err(e) if e.kind() == ErrorKind::NotFound => {
+                    log::info!("event=directory-forgot kind={} error=\"{e}\"", self.kind);
+                    known.at = None;
+                }
+                Err(e) => {
+                    self.lost(&mut known, &e);
+                    tokio::time::sleep(backoff.wait()).await;
+                }
+            }
+        }
+    }
+
+    async fn list(&self, known: &mut Known) -> Result<()> {
+        let listing = self.directory.list(self.kind).await?;
+        let found: BTreeSet<String> = listing.items.iter().map(|i| i.name.clone()).collect();
+        let gone: Vec<String> = known.names.difference(&found).cloned().collect();
+        log::info!(
+            "event=directory-listed kind={} at={} objects={} gone={}",
+            self.kind,
+            listing.at,
+            found.len(),
+            gone.len()
+        );
+        for name in gone {
+            self.take(
+                known,
+                Item {
+                    name,
+                    thing: Thing::Gone,
+                },
+            );
+        }
+        for item in listing.items {
+            self.take(known, item);
+        }
+        known.at = Some(listing.at);
+        if self.kind == DirectoryKind::Servers {
+            self.state.set_has_servers();
+        }
+        Ok(())
+    }
+
+    async fn watch(&self, known: &mut Known, after: Revision) -> Result<()> {
+        let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
+        for item in changes.items {
+            self.take(known, item);
+        }
+        known.at = Some(changes.at);
+        Ok(())
+    }
+
+    fn take(&self, known: &mut Known, item: Item) {
+        let Item { name, thing } = item;
+        match thing {
+            Thing::Gone => {
+                known.names.remove(&name);
+                self.gone(&name);
+                return;
+            }
+            Thing::Routes(table) => {
+                let is_new = self.state.take_table(&table);
+                log::info!("event=routes version={} taken={is_new}", table.version());
+                self.feed.push(Event::Table(table));
+            }
+            Thing::Server(entry) => {
+                log::debug!(
+                    "event=server name={} service={} state={} addr={}",
+                    entry.name,
+                    entry.service,
+                    entry.availability,
+                    entry.addr
+                );
+                self.feed.push(Event::Server(entry));
+            }
+            Thing::Unreadable(e) => {
+                log::warn!(
+                    "event=object-unreadable kind={} name={name} error=\"{e}\"",
+                    self.kind
+                );
+                // What it said before no longer holds, and what it says now is not known.
+                self.gone(&name);
+            }
+        }
+        known.names.insert(name);
+    }
+
+    fn gone(&self, name: &str) {
+        if self.kind == DirectoryKind::Servers
+            && let Ok(server) = name.parse::<ServerName>()
+        {
+            log::debug!("event=server-unlisted name={server}");
+            self.feed.push(Event::ServerGone(server));
+        }
+    }
+
+    fn lost(&self, known: &mut Known, e: &Error) {
+        if known.lost_since.is_none() {
+            known.lost_since = Some(Instant::now());
+            log::warn!("event=directory-lost kind={} error=\"{e}\"", self.kind);
+        }
+    }
+
+    fn regained(&self, known: &mut Known) {
+        if let Some(since) = known.lost_since.take() {
+            log::info!(
+                "event=directory-regained kind={} after_ms={}",
+                self.kind,
+                since.elapsed().as_millis()
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,44 @@
+//! One process that relays callers' requests on routes: the relay's decisions joined to sockets.
+//!
+//! Three borders say what is spoken: [`CallerCodec`] towards callers, [`ServerCodec`] towards backend
+//! servers and [`Directory`] towards whoever declares routes and registers servers. This crate holds
+//! no policy and knows no wire format.
+//!
+//! [`serve()`] runs a process from its settings to its graceful end.
+
+mod callers;
+mod desk;
+mod directory;
+mod ends;
+mod follow;
+mod lanes;
+mod process;
+mod readiness;
+mod reload;
+mod serve;
+mod servers;
+mod settings;
+mod shell;
+mod shutdown;
+mod state;
+
+pub use callers::CallerCodec;
+pub use directory::Changes;
+pub use directory::Directory;
+pub use directory::DirectoryKind;
+pub use directory::Item;
+pub use directory::Listing;
+pub use directory::Revision;
+pub use directory::Thing;
+pub use serve::Protocols;
+pub use serve::serve;
+pub use servers::Judged;
+pub use servers::ServerCodec;
+pub use settings::Budget;
+pub use settings::EdgeSettings;
+pub use settings::Listen;
+pub use settings::Log;
+pub use settings::Platform;
+pub use settings::Servers;
+pub use settings::Shutdown;
+pub use settings::Vm;
--- /dev/null
+++ b/crates/edge/src/process.rs
@@ -0,0 +1,154 @@
+//! One process, put together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use gs_actor::Feed;
+use gs_actor::Shared;
+use gs_actor::Slot;
+use gs_clock::Clock;
+use gs_http::LaneOptions;
+use gs_http::Limits;
+use gs_http::Server;
+use gs_relay::Event;
+use gs_relay::Relay;
+use gs_types::prelude::*;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::callers::Callers;
+use crate::desk::Desk;
+use crate::desk::Pending;
+use crate::directory::DirectoryKind;
+use crate::follow::Follower;
+use crate::lanes::Lanes;
+use crate::readiness::Status;
+use crate::serve::Protocols;
+use crate::settings::EdgeSettings;
+use crate::shell::RelayShell;
+use crate::shutdown::Leaver;
+use crate::state::State;
+
+/// What callers are held to before any routes name their bounds.
+const FIRST_LIMITS: Limits = Limits {
+    headers: 32 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(60),
+    connections: 2048,
+};
+
+/// One process.
+pub(crate) struct Process {
+    settings: EdgeSettings,
+    protocols: Protocols,
+    relay: Shared<Relay>,
+    pub(crate) feed: Feed<Event>,
+    lanes: Arc<Lanes>,
+    pending: Arc<Pending>,
+    state: Arc<State>,
+}
+
+impl Process {
+    /// Starts the relay and what feeds it; takes no callers yet.
+    pub(crate) fn start(
+        settings: EdgeSettings,
+        protocols: Protocols,
+        clock: Arc<dyn Clock>,
+        seed: u64,
+    ) -> Self {
+        let slot: Slot<Relay, RelayShell> = Slot::new();
+        let feed = slot.feed();
+        let opts = LaneOptions {
+            source: Some(settings.listen.callers.ip()),
+            connect_timeout: settings.servers.connect_timeout,
+        };
+        let codec = Arc::clone(&protocols.servers);
+        let this = Self {
+            relay: Arc::new(Mutex::new(Relay::new(settings.relay(), seed))),
+            lanes: Arc::new(Lanes::new(codec, feed.clone(), opts)),
+            pending: Arc::default(),
+            state: Arc::default(),
+            settings,
+            protocols,
+            feed,
+        };
+        let shell = RelayShell {
+            lanes: Arc::clone(&this.lanes),
+            pending: Arc::clone(&this.pending),
+        };
+        slot.start(Arc::clone(&this.relay), shell, clock);
+        for kind in [DirectoryKind::Routes, DirectoryKind::Servers] {
+            tokio::spawn(this.follower(kind, seed).run());
+        }
+        this
+    }
+
+    /// Takes callers; gives what ends the process.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] with the address that is not to be had.
+    pub(crate) async fn open(&self) -> Result<Leaver> {
+        let listen_on = &self.settings.listen;
+        let callers = Server::new(listen(listen_on.callers, "callers").await?, FIRST_LIMITS);
+        let status = Server::new(listen(listen_on.status, "status").await?, FIRST_LIMITS);
+        let counts = callers.state();
+        let (stop, stopped) = watch::channel(false);
+        let answers = Status {
+            state: Arc::clone(&self.state),
+            relay: Arc::clone(&self.relay),
+            lanes: Arc::clone(&self.lanes),
+            callers: Arc::clone(&counts),
+        };
+        // It answers until the process is gone, so that the balancer is told `not ready` to the end.
+        let (forever, never) = watch::channel(false);
+        tokio::spawn(async move {
+            status.run(Arc::new(answers), never).await;
+            drop(forever);
+        });
+        let handler = Callers {
+            codec: Arc::clone(&self.protocols.callers),
+            desk: self.desk(),
+        };
+        Ok(Leaver {
+            cfg: self.settings.shutdown.clone(),
+            state: Arc::clone(&self.state),
+            relay: Arc::clone(&self.relay),
+            callers: counts,
+            stop,
+            serving: tokio::spawn(callers.run(Arc::new(handler), stopped)),
+        })
+    }
+
+    fn desk(&self) -> Desk {
+        Desk {
+            next: AtomicU64::new(1),
+            pending: Arc::clone(&self.pending),
+            feed: self.feed.clone(),
+            state: Arc::clone(&self.state),
+            ends: Arc::default(),
+        }
+    }
+
+    fn follower(&self, kind: DirectoryKind, seed: u64) -> Follower {
+        Follower {
+            kind,
+            directory: Arc::clone(&self.protocols.directory),
+            feed: self.feed.clone(),
+            state: Arc::clone(&self.state),
+            seed: seed ^ kind as u64,
+        }
+    }
+}
+
+async fn listen(addr: SocketAddr, whom: &str) -> Result<TcpListener> {
+    TcpListener::bind(addr).await.map_err(|e| {
+        Error::new(ErrorKind::Io, e.to_string())
+            .at(format!("listen for {whom}"))
+            .from_peer(addr.to_string())
+            .with_hint("check that the address is this VM's and that no other process uses it")
+    })
+}
--- /dev/null
+++ b/crates/edge/src/settings.rs
@@ -0,0 +1,234 @@
+//! The settings of a relaying process: a TOML file, read and checked whole.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use gs_relay::RelayOptions;
+use gs_settings::LogLevel;
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The largest settings file, in bytes.
+const FILE_MAX: u64 = 256 * 1024;
+
+/// The part of an allowance that is used, so that two VMs' windows that do not begin together keep it.
+const ALLOWANCE_PART: f64 = 0.9;
+
+/// The settings of one relaying process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct EdgeSettings {
+    /// This VM.
+    pub vm: Vm,
+    /// Where it listens.
+    pub listen: Listen,
+    /// Where routes are declared and servers registered.
+    pub platform: Platform,
+    /// Extra attempts at servers.
+    #[serde(default)]
+    pub budget: Budget,
+    /// Backend servers.
+    #[serde(default)]
+    pub servers: Servers,
+    /// How it ends.
+    #[serde(default)]
+    pub shutdown: Shutdown,
+    /// Its log.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// This VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Vm {
+    /// Its name.
+    pub name: VmId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its data centre's region.
+    pub region: Region,
+}
+
+/// Where a process listens.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's questions, metrics and dumps.
+    pub status: SocketAddr,
+}
+
+/// Where routes are declared and servers registered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Platform {
+    /// The address of the platform's store.
+    pub addr: SocketAddr,
+}
+
+/// Extra attempts at servers, that is hedges and retries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Budget {
+    /// The most extra attempts for each request for a service, over all VMs.
+    pub extra_ratio: f64,
+    /// The window in which they are counted.
+    #[serde(with = "humantime_serde")]
+    pub window: Duration,
+    /// The most extra attempts besides in a window, over all VMs.
+    pub slack: f64,
+    /// The most VMs that may be there at the same time.
+    pub peers: u32,
+}
+
+/// Backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Servers {
+    /// How long a server that is gone from the register goes on serving.
+    #[serde(with = "humantime_serde")]
+    pub drain: Duration,
+    /// The longest that opening a connection may take.
+    #[serde(with = "humantime_serde")]
+    pub connect_timeout: Duration,
+}
+
+/// How a process ends.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Shutdown {
+    /// How long it goes on accepting once it says that it is not ready; at least the time in which the
+    /// balancer notices.
+    #[serde(with = "humantime_serde")]
+    pub lag: Duration,
+    /// When it ends at the latest.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+}
+
+/// The log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Log {
+    /// The least level that is written.
+    pub level: LogLevel,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            extra_ratio: 0.2,
+            window: Duration::from_secs(10),
+            slack: 50.0,
+            peers: 12,
+        }
+    }
+}
+
+impl Default for Servers {
+    fn default() -> Self {
+        Self {
+            drain: Duration::from_secs(3),
+            connect_timeout: Duration::from_millis(300),
+        }
+    }
+}
+
+impl Default for Shutdown {
+    fn default() -> Self {
+        Self {
+            lag: Duration::from_millis(2500),
+            deadline: Duration::from_millis(5700),
+        }
+    }
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: LogLevel::Info,
+        }
+    }
+}
+
+impl EdgeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if it cannot be read, [`ErrorKind::BadInput`] with the place and the reason if
+    /// something in it is wrong.
+    pub fn load(path: &Path) -> Result<Self> {
+        let failed = |e: std::io::Error| {
+            Error::new(ErrorKind::Io, e.to_string())
+                .at("read settings")
+                .from_peer(path.display().to_string())
+                .with_hint("check that the file exists and may be read")
+        };
+        if std::fs::metadata(path).map_err(failed)?.len() > FILE_MAX {
+            return Err(
+                Error::new(ErrorKind::TooMuch, format!("over {FILE_MAX} bytes"))
+                    .at("read settings"),
+            );
+        }
+        Self::parse(&std::fs::read_to_string(path).map_err(failed)?)
+    }
+
+    /// Reads and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadInput`] with the place and the reason.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Self = toml::from_str(text).map_err(|e| {
+            Error::new(ErrorKind::BadInput, e.to_string())
+                .at("read settings")
+                .with_hint("docs/SETTINGS.md lists the keys of `relay`")
+        })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<()> {
+        let bad = |key: &str, range: &str| {
+            Err(
+                Error::new(ErrorKind::BadInput, format!("`{key}` is out of range"))
+                    .at("check settings")
+                    .with_hint(format!("give `{key}` {range}")),
+            )
+        };
+        if !(0.0..=10.0).contains(&self.budget.extra_ratio) {
+            return bad("budget.extra-ratio", "from 0 to 10");
+        }
+        if !(0.0..=1e9).contains(&self.budget.slack) {
+            return bad("budget.slack", "from 0 to 1e9");
+        }
+        if self.budget.peers == 0 {
+            return bad("budget.peers", "at least 1");
+        }
+        if self.budget.window < Duration::from_millis(100) {
+            return bad("budget.window", "at least 100ms");
+        }
+        if self.shutdown.lag > self.shutdown.deadline {
+            return bad("shutdown.lag", "at most `shutdown.deadline`");
+        }
+        Ok(())
+    }
+
+    /// The relay's settings.
+    #[must_use]
+    pub fn relay(&self) -> RelayOptions {
+        RelayOptions::builder()
+            .data_centre(self.vm.data_centre.clone())
+            .peers(self.budget.peers)
+            .extra_ratio(self.budget.extra_ratio * ALLOWANCE_PART)
+            .extra_window(self.budget.window)
+            .extra_slack(self.budget.slack * ALLOWANCE_PART)
+            .drain(self.servers.drain)
+            .build()
+    }
+}
--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -71,7 +71,7 @@
     d: &Dispatch,
     answered: &mut (impl Future<Output = (PartReply, bool)> + Unpin),
 ) -> (PartReply, bool) {
-    let Some(mut other) = lane.take_idle() else {
+    let Some(mut other) = lane.take_idle(None) else {
         return (PartReply::Cancelled, false);
     };
     let both = async {
--- a/crates/http/src/backend/check.rs
+++ b/crates/http/src/backend/check.rs
@@ -14,6 +14,7 @@
 use hyper::StatusCode;
 use smallvec::SmallVec;
 
+use crate::backend::exchange::ExchangeError;
 use crate::backend::exchange::Whole;
 use crate::backend::exchange::exchange;
 use crate::backend::lane::Lent;
@@ -33,8 +34,9 @@
 ) -> (PartReply, bool) {
     match exchange(lent, req, max).await {
         Ok(whole) => judge(&whole, d),
-        Err(e) if e.kind() == ErrorKind::TooMuch => (PartReply::Garbled, false),
-        Err(_) => (PartReply::Broken, false),
+        Err(ExchangeError::TooLarge) => (PartReply::Garbled, false),
+        // This attempt has passed the point of no return, so it counts as one that may have run.
+        Err(ExchangeError::NotSent | ExchangeError::Broken(_)) => (PartReply::Broken, false),
     }
 }
 
--- a/crates/http/src/backend/connect.rs
+++ b/crates/http/src/backend/connect.rs
@@ -10,6 +10,8 @@
 use hyper::client::conn::http1::Connection;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
@@ -19,6 +21,13 @@
 /// Drives one connection until it closes.
 pub(crate) type Driver = Connection<TokioIo<TcpStream>, Full<Bytes>>;
 
+/// Silence on an idle connection before it is probed; a connection that went silent for good is then
+/// noticed in about three of these, well within the time in which a VM must be in step again.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is closed.
+const KEEPALIVE_PROBES: u32 = 2;
+
 /// Opens a connection within `limit`, from `source` if given.
 pub(crate) async fn connect(
     addr: SocketAddr,
@@ -53,5 +62,18 @@
     }
     let tcp = socket.connect(addr).await?;
     tcp.set_nodelay(true)?;
+    keep_alive(&tcp)?;
     Ok(tcp)
 }
+
+/// Has the system probe the connection while it is silent.
+///
+/// Guards against a connection that goes silent without a reset: everything sent on it would wait for
+/// its whole time, and each new request might be given the same connection again.
+fn keep_alive(tcp: &TcpStream) -> std::io::Result<()> {
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    SockRef::from(tcp).set_tcp_keepalive(&probes)
+}
--- a/crates/http/src/backend/lane.rs
+++ b/crates/http/src/backend/lane.rs
@@ -1,5 +1,7 @@
 //! The connections to one backend server, never more than this VM's share of its limit.
 
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -9,18 +11,37 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use gs_query::Event;
 use gs_types::prelude::*;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::backend::connect::Sender;
 use crate::backend::connect::connect;
-use crate::backend::pool::Common;
+
+/// Sees the connections to backend servers open and close.
+pub trait ConnectionSink: Send + Sync + 'static {
+    /// A connection opened.
+    fn opened(&self, server: &ServerName);
+
+    /// A connection closed; `lost` if this process would have kept it.
+    fn closed(&self, server: &ServerName, lost: bool);
+}
+
+/// How connections to a backend server are opened.
+#[derive(Clone, Copy, Debug)]
+pub struct LaneOptions {
+    /// The address that connections start from; the system's choice if `None`.
+    pub source: Option<IpAddr>,
+    /// The longest that opening a connection may take.
+    pub connect_timeout: Duration,
+}
 
 /// The connections to one backend server.
-pub(crate) struct Lane {
-    pub(crate) decl: Arc<ServerDecl>,
-    common: Arc<Common>,
+pub struct Lane {
+    name: ServerName,
+    addr: SocketAddr,
+    opts: LaneOptions,
+    sink: Arc<dyn ConnectionSink>,
     state: Mutex<State>,
     freed: Notify,
 }
@@ -34,10 +55,27 @@
 }
 
 /// A connection lent out; given back by [`Lane::put_back`], closed when dropped.
-pub(crate) struct Lent {
+pub struct Lent {
     pub(crate) tx: Sender,
     /// Whether this process would keep it; tells a server's close from our own.
     kept: Arc<AtomicBool>,
+    /// When it was given back last.
+    idle_since: Instant,
+    /// The longest that it may be idle and used again; `None` for no bound.
+    idle_max: Option<Duration>,
+}
+
+impl Lent {
+    /// Bounds the time for which it may be idle and used again.
+    pub fn set_idle_max(&mut self, idle_max: Duration) {
+        self.idle_max = Some(idle_max);
+    }
+
+    fn is_usable(&self, idle_max: Option<Duration>) -> bool {
+        let idle = self.idle_since.elapsed();
+        let fits = |max: Option<Duration>| max.is_none_or(|max| idle < max);
+        !self.tx.is_closed() && fits(self.idle_max) && fits(idle_max)
+    }
 }
 
 impl Drop for Lent {
@@ -47,39 +85,63 @@
 }
 
 impl Lane {
-    pub(crate) fn new(decl: Arc<ServerDecl>, common: Arc<Common>) -> Arc<Self> {
+    /// Starts without connections and without a share.
+    #[must_use]
+    pub fn new(
+        name: ServerName,
+        addr: SocketAddr,
+        opts: LaneOptions,
+        sink: Arc<dyn ConnectionSink>,
+    ) -> Arc<Self> {
         let state = State {
             idle: Vec::new(),
             open: 0,
             share: 0,
         };
         Arc::new(Self {
-            decl,
-            common,
+            name,
+            addr,
+            opts,
+            sink,
             state: Mutex::new(state),
             freed: Notify::new(),
         })
     }
 
+    /// The server's name.
+    #[must_use]
+    pub fn name(&self) -> &ServerName {
+        &self.name
+    }
+
+    /// Where the server listens.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// Connections that may still be open.
-    pub(crate) fn open(&self) -> u32 {
+    #[must_use]
+    pub fn open(&self) -> u32 {
         self.state().open
     }
 
     /// Whether no more than the share may be open.
-    pub(crate) fn is_within_share(&self) -> bool {
+    #[must_use]
+    pub fn is_within_share(&self) -> bool {
         let s = self.state();
         s.open <= s.share
     }
 
     /// Whether the whole share is open.
-    pub(crate) fn is_full(&self) -> bool {
+    #[must_use]
+    pub fn is_full(&self) -> bool {
         let s = self.state();
         s.open >= s.share
     }
 
     /// Sets the share; closes idle connections above it at once, busy ones when they come back.
-    pub(crate) fn set_share(&self, share: Connections) {
+    pub fn set_share(&self, share: Connections) {
         let mut s = self.state();
         s.share = share.0;
         let over = s.open.saturating_sub(s.share) as usize;
@@ -90,7 +152,7 @@
     }
 
     /// Opens connections until `target` are open or the share is used up.
-    pub(crate) fn warm(self: &Arc<Self>, target: Connections) {
+    pub fn warm(self: &Arc<Self>, target: Connections) {
         let missing = {
             let mut s = self.state();
             let n = target.0.min(s.share).saturating_sub(s.open);
@@ -103,7 +165,7 @@
                 let slot = Slot {
                     lane: Arc::clone(&lane),
                 };
-                if let Ok(lent) = lane.open_in(slot, lane.common.opts.connect_timeout).await {
+                if let Ok(lent) = lane.open_in(slot).await {
                     lane.put_back(lent);
                 }
             });
@@ -115,23 +177,39 @@
     /// # Errors
     ///
     /// [`ErrorKind::Unavailable`] if none could be had within `limit`; nothing was sent.
-    pub(crate) async fn take(self: &Arc<Self>, limit: Duration) -> Result<Lent> {
-        tokio::time::timeout(limit, self.take_or_wait())
+    pub async fn take(self: &Arc<Self>, limit: Duration) -> Result<Lent> {
+        self.take_recent(limit, None).await
+    }
+
+    /// As [`Lane::take`], but no connection that was idle for longer than `idle_max`.
+    ///
+    /// Guards against a request that is written on a connection which its server closes at the same
+    /// moment as idle: what became of it is not known then, and it may not be sent again.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Lane::take`].
+    pub async fn take_recent(
+        self: &Arc<Self>,
+        limit: Duration,
+        idle_max: Option<Duration>,
+    ) -> Result<Lent> {
+        tokio::time::timeout(limit, self.take_or_wait(idle_max))
             .await
             .unwrap_or_else(|_| {
                 Err(
                     Error::new(ErrorKind::Unavailable, "no free connection in time")
                         .at("take connection")
-                        .from_peer(self.decl.name.to_string()),
+                        .from_peer(self.name.to_string()),
                 )
             })
     }
 
     /// Takes an idle connection if there is one.
-    pub(crate) fn take_idle(&self) -> Option<Lent> {
+    pub(crate) fn take_idle(&self, idle_max: Option<Duration>) -> Option<Lent> {
         let mut s = self.state();
         while let Some(lent) = s.idle.pop() {
-            if lent.tx.is_ready() {
+            if lent.is_usable(idle_max) {
                 return Some(lent);
             }
         }
@@ -139,7 +217,8 @@
     }
 
     /// Gives a connection back whose last exchange ended cleanly.
-    pub(crate) fn put_back(&self, lent: Lent) {
+    pub fn put_back(&self, mut lent: Lent) {
+        lent.idle_since = Instant::now();
         let mut s = self.state();
         if s.open <= s.share && !lent.tx.is_closed() {
             s.idle.push(lent);
@@ -153,15 +232,15 @@
     /// Guards against a wake-up that is lost: `notify_one` keeps at most one permit for those not in
     /// line yet. Were two connections put back between two waiters' look and their wait, one waiter
     /// would let its time pass beside an idle connection, and its attempt end as not sent.
-    async fn take_or_wait(self: &Arc<Self>) -> Result<Lent> {
+    async fn take_or_wait(self: &Arc<Self>, idle_max: Option<Duration>) -> Result<Lent> {
         loop {
             let mut freed = pin!(self.freed.notified());
             freed.as_mut().enable();
-            if let Some(lent) = self.take_idle() {
+            if let Some(lent) = self.take_idle(idle_max) {
                 return Ok(lent);
             }
             if let Some(slot) = self.reserve() {
-                return self.open_in(slot, self.common.opts.connect_timeout).await;
+                return self.open_in(slot).await;
             }
             freed.await;
         }
@@ -179,25 +258,27 @@
     }
 
     /// Opens a connection in a reserved slot; the slot is freed when the socket is closed.
-    async fn open_in(self: &Arc<Self>, slot: Slot, limit: Duration) -> Result<Lent> {
-        let (tx, driver) = connect(self.decl.addr, self.common.opts.source, limit).await?;
-        let sink = Arc::clone(&self.common.sink);
-        let name = self.decl.name.clone();
+    async fn open_in(self: &Arc<Self>, slot: Slot) -> Result<Lent> {
+        let opts = &self.opts;
+        let (tx, driver) = connect(self.addr, opts.source, opts.connect_timeout).await?;
+        let sink = Arc::clone(&self.sink);
+        let name = self.name.clone();
         let kept = Arc::new(AtomicBool::new(true));
         let seen = Arc::clone(&kept);
-        self.common.opened();
-        sink.event(Event::Connection(name.clone(), true));
+        sink.opened(&name);
         tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("event=backend-connection-ended server={name} error=\"{e}\"");
             }
             drop(slot);
-            if seen.load(Ordering::Relaxed) {
-                sink.event(Event::Lost(name.clone()));
-            }
-            sink.event(Event::Connection(name, false));
+            sink.closed(&name, seen.load(Ordering::Relaxed));
         });
-        Ok(Lent { tx, kept })
+        Ok(Lent {
+            tx,
+            kept,
+            idle_since: Instant::now(),
+            idle_max: None,
+        })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/crates/http/src/backend/pool.rs
+++ b/crates/http/src/backend/pool.rs
@@ -19,7 +19,9 @@
 use tokio::sync::oneshot;
 
 use crate::backend::attempt;
+use crate::backend::lane::ConnectionSink;
 use crate::backend::lane::Lane;
+use crate::backend::lane::LaneOptions;
 use crate::backend::status;
 
 /// Takes what happens to attempts and connections; the engine stands behind it.
@@ -48,9 +50,17 @@
     opened: AtomicU64,
 }
 
-impl Common {
-    pub(crate) fn opened(&self) {
+impl ConnectionSink for Common {
+    fn opened(&self, server: &ServerName) {
         self.opened.fetch_add(1, Ordering::Relaxed);
+        self.sink.event(Event::Connection(server.clone(), true));
+    }
+
+    fn closed(&self, server: &ServerName, lost: bool) {
+        if lost {
+            self.sink.event(Event::Lost(server.clone()));
+        }
+        self.sink.event(Event::Connection(server.clone(), false));
     }
 }
 
@@ -210,11 +220,16 @@
     fn lane(&self, decl: &Arc<ServerDecl>) -> Arc<Lane> {
         let mut lanes = lock(&self.lanes);
         if let Some(lane) = lanes.get(&decl.name)
-            && lane.decl.addr == decl.addr
+            && lane.addr() == decl.addr
         {
             return Arc::clone(lane);
         }
-        let lane = Lane::new(Arc::clone(decl), Arc::clone(&self.common));
+        let opts = LaneOptions {
+            source: self.common.opts.source,
+            connect_timeout: self.common.opts.connect_timeout,
+        };
+        let sink: Arc<dyn ConnectionSink> = Arc::<Common>::clone(&self.common);
+        let lane = Lane::new(decl.name.clone(), decl.addr, opts, sink);
         let shares = lock(&self.shares);
         if let Some(n) = shares.as_ref().and_then(|s| s.get(&decl.name)) {
             lane.set_share(*n);
--- a/crates/http/src/backend/status.rs
+++ b/crates/http/src/backend/status.rs
@@ -34,7 +34,7 @@
         Ok(Asked::Answered(body)) => Some(body),
         Ok(Asked::Failed) | Err(_) => None,
     };
-    Some(report(lane.decl.name.clone(), body))
+    Some(report(lane.name().clone(), body))
 }
 
 enum Asked {
@@ -45,7 +45,7 @@
 }
 
 async fn exchange_status(lane: &Arc<Lane>, limit: Duration) -> Asked {
-    let lent = match lane.take_idle() {
+    let lent = match lane.take_idle(None) {
         Some(lent) => Ok(lent),
         None if lane.is_full() => return Asked::Busy,
         None => lane.take(limit).await,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,10 +8,17 @@
 mod phase;
 mod server;
 
+pub use backend::ConnectionSink;
+pub use backend::ExchangeError;
+pub use backend::Lane;
+pub use backend::LaneOptions;
+pub use backend::Lent;
 pub use backend::Pool;
 pub use backend::PoolOptions;
 pub use backend::PoolState;
 pub use backend::Sink;
+pub use backend::Whole;
+pub use backend::exchange;
 pub use callers::Callers;
 pub use callers::Desk;
 pub use callers::LookupReply;
--- a/crates/node/src/board.rs
+++ b/crates/node/src/board.rs
@@ -4,11 +4,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use gs_actor::lock;
 use gs_member::View;
 use gs_types::prelude::*;
 
@@ -125,7 +124,3 @@
         self.leaving.load(Ordering::Relaxed)
     }
 }
-
-pub(crate) fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
-    m.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/node/src/book_shell.rs
+++ b/crates/node/src/book_shell.rs
@@ -17,17 +17,17 @@
 use gs_types::prelude::*;
 use tokio::sync::oneshot;
 
-use crate::actor::Feed;
-use crate::actor::Machine;
-use crate::actor::Shell;
-use crate::actor::Times;
-use crate::board::lock;
 use crate::calls::Calls;
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
+use gs_actor::Feed;
+use gs_actor::Machine;
+use gs_actor::Shell;
+use gs_actor::Times;
+use gs_actor::lock;
 
-impl Machine for Book {
+impl Machine<BookShell> for Book {
     type Event = Event;
     type Action = Action;
 
--- a/crates/node/src/desk.rs
+++ b/crates/node/src/desk.rs
@@ -17,10 +17,10 @@
 use gs_types::prelude::*;
 use tokio::sync::oneshot;
 
-use crate::actor::Feed;
-use crate::actor::Shared;
-use crate::board::lock;
 use crate::metrics::Metrics;
+use gs_actor::Feed;
+use gs_actor::Shared;
+use gs_actor::lock;
 
 /// When a lookup refused for a configuration in doubt is worth asking again.
 const DOUBT_RETRY: Duration = Duration::from_secs(1);
--- a/crates/node/src/dumps.rs
+++ b/crates/node/src/dumps.rs
@@ -22,11 +22,11 @@
 use serde_json::json;
 use tokio::sync::mpsc;
 
-use crate::actor::Shared;
 use crate::board::Board;
-use crate::board::lock;
 use crate::message::Message;
 use crate::spread::Spread;
+use gs_actor::Shared;
+use gs_actor::lock;
 
 /// The longest that other VMs are waited for.
 const FLEET_WAIT: Duration = Duration::from_millis(800);
--- a/crates/node/src/engine_shell.rs
+++ b/crates/node/src/engine_shell.rs
@@ -10,17 +10,17 @@
 use gs_query::Engine;
 use gs_query::Event;
 
-use crate::actor::Feed;
-use crate::actor::Machine;
-use crate::actor::Shell;
-use crate::actor::Times;
 use crate::board::Board;
 use crate::desk::Pending;
 use crate::feeds::Feeds;
 use crate::recording::Recording;
 use crate::spread::Spread;
+use gs_actor::Feed;
+use gs_actor::Machine;
+use gs_actor::Shell;
+use gs_actor::Times;
 
-impl Machine for Engine {
+impl Machine<EngineShell> for Engine {
     type Event = Event;
     type Action = Action;
 
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -1,6 +1,6 @@
 //! The ways into every decision of the process.
 
-use crate::actor::Feed;
+use gs_actor::Feed;
 
 /// The feeds of the four decisions; cheap to clone.
 #[derive(Clone)]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,7 +6,6 @@
 //!
 //! [`serve()`] runs a process from its settings to its graceful end.
 
-mod actor;
 mod board;
 mod book_shell;
 mod calls;
--- a/crates/node/src/member_shell.rs
+++ b/crates/node/src/member_shell.rs
@@ -12,10 +12,6 @@
 use gs_mesh::Mesh;
 use gs_types::prelude::*;
 
-use crate::actor::Feed;
-use crate::actor::Machine;
-use crate::actor::Shell;
-use crate::actor::Times;
 use crate::board::Board;
 use crate::calls::Calls;
 use crate::calls::failure;
@@ -23,11 +19,15 @@
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
+use gs_actor::Feed;
+use gs_actor::Machine;
+use gs_actor::Shell;
+use gs_actor::Times;
 
 /// How often it is looked whether the pool's connections are within lowered shares.
 const LOWER_PAUSE: Duration = Duration::from_millis(5);
 
-impl Machine for Membership {
+impl Machine<MemberShell> for Membership {
     type Event = Event;
     type Action = Action;
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -15,8 +15,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
-use crate::board::lock;
 use crate::dumps::Dumps;
+use gs_actor::lock;
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY: [f64; 14] = [
--- a/crates/node/src/once_shell.rs
+++ b/crates/node/src/once_shell.rs
@@ -7,18 +7,18 @@
 use gs_once::Event;
 use gs_once::Once;
 
-use crate::actor::Feed;
-use crate::actor::Machine;
-use crate::actor::Shell;
-use crate::actor::Times;
 use crate::calls::Calls;
 use crate::calls::failure;
 use crate::calls::stored;
 use crate::feeds::Feeds;
 use crate::message::Message;
 use crate::spread::Spread;
+use gs_actor::Feed;
+use gs_actor::Machine;
+use gs_actor::Shell;
+use gs_actor::Times;
 
-impl Machine for Once {
+impl Machine<OnceShell> for Once {
     type Event = Event;
     type Action = Action;
 
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -22,12 +22,12 @@
 use serde_json::Value;
 use tokio::sync::oneshot;
 
-use crate::actor::Feed;
-use crate::actor::Shared;
-use crate::board::lock;
 use crate::book_shell::Asks;
 use crate::dumps::Dumps;
 use crate::metrics::Metrics;
+use gs_actor::Feed;
+use gs_actor::Shared;
+use gs_actor::lock;
 
 /// What the process offers to operators.
 pub(crate) struct Operators {
--- a/crates/node/src/poll.rs
+++ b/crates/node/src/poll.rs
@@ -7,8 +7,8 @@
 use gs_http::Pool;
 use gs_query::Event;
 
-use crate::actor::Feed;
 use crate::board::Board;
+use gs_actor::Feed;
 
 /// Status calls under way at the same time.
 const AT_ONCE: usize = 32;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -21,8 +21,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::actor::Shared;
-use crate::actor::Slot;
 use crate::board::Board;
 use crate::book_shell::Asks;
 use crate::book_shell::BookShell;
@@ -48,6 +46,8 @@
 use crate::shutdown::Leaver;
 use crate::spread::Spread;
 use crate::watch::Follower;
+use gs_actor::Shared;
+use gs_actor::Slot;
 
 /// The addresses that a process listens on, bound before anything else starts.
 pub(crate) struct Listeners {
--- a/crates/node/src/recording.rs
+++ b/crates/node/src/recording.rs
@@ -11,7 +11,7 @@
 use gs_trace::Recorder;
 use gs_types::prelude::*;
 
-use crate::board::lock;
+use gs_actor::lock;
 
 /// A recording under way, or none.
 #[derive(Default)]
--- a/crates/node/src/shutdown.rs
+++ b/crates/node/src/shutdown.rs
@@ -15,10 +15,10 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-use crate::actor::Shared;
 use crate::board::Board;
-use crate::board::lock;
 use crate::feeds::Feeds;
+use gs_actor::Shared;
+use gs_actor::lock;
 
 /// How often it is looked whether everything has finished.
 const LOOK: Duration = Duration::from_millis(10);
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -13,14 +13,14 @@
 use gs_store::Watcher;
 use gs_types::prelude::*;
 
-use crate::actor::Shared;
 use crate::board::Board;
-use crate::board::lock;
 use crate::book_shell::found;
 use crate::calls::stored;
 use crate::feeds::Feeds;
 use crate::first_groups;
 use crate::spread::Spread;
+use gs_actor::Shared;
+use gs_actor::lock;
 
 /// Where shard maps are kept.
 pub(crate) const GROUPS: &str = "groups/";
--- /dev/null
+++ b/crates/relay/src/action.rs
@@ -0,0 +1,54 @@
+//! What the relay asks its shell to do.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gs_types::prelude::*;
+
+use crate::attempt::RunId;
+use crate::entry::ServerEntry;
+use crate::outcome::Ending;
+use crate::request::OpaqueRequest;
+
+/// An attempt to hand to a backend server.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// Which attempt it is.
+    pub run: RunId,
+    /// The server; nobody else may run it.
+    pub server: Arc<ServerEntry>,
+    /// The caller's id of the request.
+    pub id: Arc<str>,
+    /// What is handed on.
+    pub content: Arc<OpaqueRequest>,
+    /// The time that the caller still waits; handed to the server.
+    pub time_left: Duration,
+    /// When the attempt is given up; at most `time_left`.
+    pub give_up: Duration,
+    /// Whether it may run at most once, so that a connection that may be stale is not used.
+    pub once: bool,
+}
+
+/// One output of the relay.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Hand an attempt to a backend server.
+    Send(Dispatch),
+    /// Stop an attempt; if it was sent, close its connection so that the server drops the work.
+    Cancel(RunId),
+    /// The final word to the caller of this request; sent once, and at once.
+    Answer(LookupSeq, Box<Ending>),
+    /// Send [`crate::Event::Tick`] after this time at the latest.
+    Wake(Duration),
+    /// Hold at most `most` connections to this server, and `warm` of them open.
+    Connect {
+        /// The server.
+        server: Arc<ServerEntry>,
+        /// Connections to hold open.
+        warm: Connections,
+        /// The most connections.
+        most: Connections,
+    },
+    /// Close every connection to this server as it becomes idle.
+    Disconnect(ServerName),
+}
--- /dev/null
+++ b/crates/relay/src/arrive.rs
@@ -0,0 +1,127 @@
+//! A request arrives: its route, its time, its parts.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::action::Action;
+use crate::event::Arrival;
+use crate::outcome::Ending;
+use crate::outcome::Outcome;
+use crate::outcome::RefuseReason;
+use crate::relay::Core;
+use crate::request::CallerRequest;
+use crate::route::Route;
+use crate::route::Target;
+use crate::run::Part;
+use crate::run::Run;
+use crate::split;
+
+/// The part of a request's time that is kept for its final word to get to the caller.
+const LAST_WORD_PART: u32 = 20;
+
+/// The most time kept for it: two ways between regions.
+const LAST_WORD_MAX: Duration = Duration::from_millis(30);
+
+impl Core {
+    /// Takes a request on and begins it, or refuses it at once.
+    pub(crate) fn arrive(
+        &mut self,
+        now: Instant,
+        arrival: Arrival,
+        out: &mut Vec<Action>,
+    ) -> Option<Box<Run>> {
+        self.counters.arrivals += 1;
+        let Arrival { seq, req } = arrival;
+        let begun = self.find(&req).and_then(|route| {
+            let run = self.prepare(now, seq, req, route);
+            self.admit(now, &run).map(|()| run)
+        });
+        let mut run = match begun {
+            Ok(run) => run,
+            Err((reason, retry_after)) => {
+                self.refuse(seq, reason, retry_after, out);
+                return None;
+            }
+        };
+        for part in &run.parts {
+            let service = part.service.clone();
+            self.service(&service).extra.request(now);
+        }
+        for at in 0..run.parts.len() {
+            self.start_part(now, &mut run, at, out);
+        }
+        if self.settle(now, &mut run, out) {
+            return None;
+        }
+        Some(run)
+    }
+
+    fn find(&self, req: &CallerRequest) -> Result<Arc<Route>, (RefuseReason, Option<Duration>)> {
+        let Some(table) = &self.table else {
+            return Err((RefuseReason::NotReady, Some(NOT_READY_RETRY)));
+        };
+        let found = table.find(&req.host, &req.path).cloned();
+        found.ok_or((RefuseReason::NoRoute, None))
+    }
+
+    fn prepare(
+        &mut self,
+        now: Instant,
+        seq: LookupSeq,
+        req: CallerRequest,
+        route: Arc<Route>,
+    ) -> Box<Run> {
+        let patience = req.patience.map_or(route.timeout, |p| p.min(route.timeout));
+        let last_word = (patience / LAST_WORD_PART).min(LAST_WORD_MAX);
+        let on_time = route.objective.saturating_sub(self.options.answer_margin);
+        let answer_by = now + patience.saturating_sub(last_word);
+        Box::new(Run {
+            seq,
+            parts: self.parts_of(&route),
+            req,
+            arrived: now,
+            objective_at: (now + on_time).min(answer_by),
+            answer_by,
+            patience,
+            route,
+            whole: 0,
+            missing: 0,
+            extra: 0,
+            timer: None,
+        })
+    }
+
+    fn parts_of(&mut self, route: &Route) -> Vec<Part> {
+        match &route.target {
+            Target::One(services) => split::pick(services, &mut self.rng)
+                .map(|s| Part::new(s.clone()))
+                .into_iter()
+                .collect(),
+            Target::Scatter(s) => s.shards.iter().map(|n| Part::new(n.clone())).collect(),
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        seq: LookupSeq,
+        reason: RefuseReason,
+        retry_after: Option<Duration>,
+        out: &mut Vec<Action>,
+    ) {
+        self.counters.refused += 1;
+        let ending = Ending {
+            outcome: Outcome::Refused(reason, retry_after),
+            took: Duration::ZERO,
+            objective: Duration::ZERO,
+            parts: (0, 0),
+            extra: 0,
+        };
+        out.push(Action::Answer(seq, Box::new(ending)));
+    }
+}
+
+/// When a VM without routes is worth asking again; a start takes less than a second.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
--- /dev/null
+++ b/crates/relay/src/event.rs
@@ -0,0 +1,44 @@
+//! What the relay is told.
+
+use std::sync::Arc;
+
+use gs_types::prelude::*;
+
+use crate::attempt::RunId;
+use crate::entry::ServerEntry;
+use crate::options::RelayOptions;
+use crate::reply::AttemptEnd;
+use crate::request::CallerRequest;
+use crate::table::RouteTable;
+
+/// A caller's request, with the number that the shell gave it.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The number, unique in this process.
+    pub seq: LookupSeq,
+    /// The request.
+    pub req: CallerRequest,
+}
+
+/// One input of the relay.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A version of the routes is in force from now on; an older one is ignored.
+    Table(Arc<RouteTable>),
+    /// A server registered itself, or said something new of itself.
+    Server(Arc<ServerEntry>),
+    /// A server is gone from the register.
+    ServerGone(ServerName),
+    /// Other settings are in force from now on.
+    Options(RelayOptions),
+    /// A caller's request arrived.
+    Arrive(Arrival),
+    /// An attempt is about to put its first byte on a connection: the point of no return.
+    Sent(RunId),
+    /// An attempt ended; each [`crate::Action::Send`] gets exactly one, also after a cancel.
+    Ended(RunId, AttemptEnd),
+    /// The caller of this request hung up.
+    Gone(LookupSeq),
+    /// A timer asked for by [`crate::Action::Wake`] is due.
+    Tick,
+}
--- /dev/null
+++ b/crates/relay/src/hedge.rs
@@ -0,0 +1,95 @@
+//! When a slow attempt is made a second time elsewhere.
+//!
+//! The load it answers: with 20 shards on one server each, two fan-outs in three meet a pause of
+//! 200 ms somewhere, which is longer than the objective. The delay is learned by route and distance,
+//! so that about one attempt in ten is made twice, half of what the budget allows.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use gs_limit::Distance;
+use gs_limit::HedgePolicy;
+use gs_limit::LearnedDelay;
+use gs_types::prelude::*;
+
+/// How much of a new sample goes into a route's mean time of work.
+const WORK_WEIGHT: f64 = 0.02;
+
+/// The most that one sample may count against the mean, so that a pause does not pass for work.
+const WORK_SAMPLE_MAX: f64 = 4.0;
+
+/// How fast the least time to a data centre drifts up, so that one fluke does not stay for ever.
+const WAY_DRIFT: f64 = 0.002;
+
+/// The part of the objective that an attempt is first expected to take, before any was seen.
+const FIRST_WORK: f64 = 0.1;
+
+/// The part of the objective after which an attempt is hedged before any was seen.
+const FIRST_DELAY: f64 = 0.35;
+
+/// What is learned of one route's attempts.
+#[derive(Debug)]
+pub(crate) struct RouteTimes {
+    delays: LearnedDelay,
+    work_secs: f64,
+    samples: u32,
+    ways: HashMap<DataCentre, f64>,
+    first_delay: Duration,
+}
+
+impl RouteTimes {
+    pub(crate) fn new(objective: Duration, quantile: f64) -> Self {
+        Self {
+            delays: LearnedDelay::new(quantile),
+            work_secs: objective.as_secs_f64() * FIRST_WORK,
+            samples: 0,
+            ways: HashMap::new(),
+            first_delay: objective.mul_f64(FIRST_DELAY),
+        }
+    }
+
+    /// An attempt took this long; gives how many times longer than the mean that is.
+    pub(crate) fn observe(&mut self, from: &DataCentre, is_near: bool, took: Duration) -> f64 {
+        self.delays.observe(distance(is_near), took);
+        let secs = took.as_secs_f64();
+        let way = self.ways.entry(from.clone()).or_insert(secs);
+        *way = if secs < *way {
+            secs
+        } else {
+            *way + (secs - *way) * WAY_DRIFT
+        };
+        let work = (secs - *way).max(1e-4);
+        let ratio = work / self.work_secs;
+        let sample = work.min(self.work_secs * WORK_SAMPLE_MAX);
+        self.samples = self.samples.saturating_add(1);
+        let weight = WORK_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.work_secs += (sample - self.work_secs) * weight;
+        ratio
+    }
+
+    /// The mean time of an attempt beyond the way to its server.
+    pub(crate) fn work(&self) -> Duration {
+        Duration::from_secs_f64(self.work_secs)
+    }
+
+    /// The least time that an answer from a data centre takes.
+    pub(crate) fn way(&self, to: &DataCentre) -> Duration {
+        let known = self.ways.get(to).copied();
+        Duration::from_secs_f64(known.unwrap_or(0.0))
+    }
+
+    /// The time after which an attempt is hedged.
+    pub(crate) fn delay(&self, is_near: bool) -> Duration {
+        self.delays
+            .delay(distance(is_near))
+            .unwrap_or(self.first_delay)
+    }
+}
+
+fn distance(is_near: bool) -> Distance {
+    if is_near {
+        Distance::Near
+    } else {
+        Distance::Far
+    }
+}
--- /dev/null
+++ b/crates/relay/src/placement.rs
@@ -0,0 +1,134 @@
+//! Which server an attempt goes to.
+//!
+//! The load it answers: replicas that pause, turn several times slower or are shed by their own
+//! queue, while their register entries and health answers stay good. Each candidate is judged by
+//! when its answer is expected, from this VM's own attempts and the load told with answers; nothing
+//! is polled.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::attempt::Attempt;
+use crate::hedge::RouteTimes;
+use crate::run::Part;
+use crate::server::ServerView;
+use crate::servers::ServerKey;
+use crate::servers::Servers;
+use crate::stall;
+
+/// How much sooner a server in another data centre must be expected to answer, as the bytes of a
+/// part from there are paid for.
+const REMOTE_HANDICAP: Duration = Duration::from_millis(6);
+
+/// What is added for a server that does not answer anything at present, the length of a usual pause.
+const STALL_COST: Duration = Duration::from_millis(200);
+
+/// What is added for a server that fails every attempt: a retry's time and budget.
+const FAILURE_COST: Duration = Duration::from_millis(120);
+
+/// Where an attempt can go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// To this server now, which is expected to answer after this time.
+    Now(ServerKey, Duration),
+    /// To the first server of the service that has a connection free.
+    Wait,
+    /// Nowhere before this time, if any is known.
+    Nowhere(Option<Instant>),
+}
+
+/// What a placement is made from.
+pub(crate) struct Scene<'a> {
+    pub(crate) now: Instant,
+    pub(crate) servers: &'a Servers,
+    pub(crate) times: &'a RouteTimes,
+    pub(crate) data_centre: &'a DataCentre,
+    /// The most servers that may run a part.
+    pub(crate) servers_max: u16,
+}
+
+impl Scene<'_> {
+    /// Finds the server that is expected to answer first.
+    ///
+    /// A server that already failed the part is asked again only if no other is left.
+    pub(crate) fn place(&self, part: &Part) -> Place {
+        let fresh = self.among(part, |tried| tried.is_none());
+        if matches!(fresh, Place::Nowhere(_)) && !part.attempts.is_empty() {
+            return self.among(part, |tried| tried.is_some_and(|a| !a.is_live()));
+        }
+        fresh
+    }
+
+    /// Finds a server for a second attempt beside a slow one: untried and free.
+    pub(crate) fn place_hedge(&self, part: &Part) -> Option<(ServerKey, Duration)> {
+        match self.among(part, |tried| tried.is_none()) {
+            Place::Now(key, expected) => Some((key, expected)),
+            Place::Wait | Place::Nowhere(_) => None,
+        }
+    }
+
+    /// How long a server is expected to take for an attempt sent now.
+    pub(crate) fn expected(&self, view: &ServerView) -> Duration {
+        let slots = f64::from(view.entry.slots.0.max(1));
+        let rounds = ((view.ahead(self.now) + 1.0 - slots) / slots).max(0.0);
+        let work = self.times.work().mul_f64(view.slowness(self.now));
+        self.times.way(&view.entry.data_centre) + work.mul_f64(1.0 + rounds)
+    }
+
+    fn among(&self, part: &Part, wanted: impl Fn(Option<&Attempt>) -> bool) -> Place {
+        let ran = distinct_servers(&part.attempts);
+        let mut best: Option<(ServerKey, Duration, Duration)> = None;
+        let mut must_wait = false;
+        let mut back_at: Option<Instant> = None;
+        for key in self.servers.of(&part.service) {
+            let Some(view) = self.servers.get(*key).filter(|v| v.is_open()) else {
+                continue;
+            };
+            let tried = part.attempts.iter().rfind(|a| a.server == *key);
+            let is_new = !tried.is_some_and(Attempt::may_have_run);
+            if !wanted(tried) || (is_new && ran >= usize::from(self.servers_max)) {
+                continue;
+            }
+            if let Some(until) = view.rests_until(self.now) {
+                back_at = Some(back_at.map_or(until, |b| b.min(until)));
+                continue;
+            }
+            if !view.has_connection() {
+                must_wait = true;
+                continue;
+            }
+            let expected = self.expected(view);
+            let cost = expected + self.penalty(view, expected);
+            if best.is_none_or(|(_, _, least)| cost < least) {
+                best = Some((*key, expected, cost));
+            }
+        }
+        match best {
+            Some((key, expected, _)) => Place::Now(key, expected),
+            None if must_wait => Place::Wait,
+            None => Place::Nowhere(back_at),
+        }
+    }
+
+    fn penalty(&self, view: &ServerView, expected: Duration) -> Duration {
+        let mut cost = FAILURE_COST.mul_f64(view.failing(self.now));
+        if view.entry.data_centre != *self.data_centre {
+            cost += REMOTE_HANDICAP;
+        }
+        if stall::is_stalled(self.now, view, expected) {
+            cost += STALL_COST;
+        }
+        cost
+    }
+}
+
+/// Servers that ran the part or may have.
+fn distinct_servers(attempts: &[Attempt]) -> usize {
+    let ran = |a: &&Attempt| a.may_have_run();
+    let mut keys: Vec<ServerKey> = attempts.iter().filter(ran).map(|a| a.server).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys.len()
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,224 @@
+//! The relay: every request of a process, and what they share.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::action::Action;
+use crate::attempt::RunId;
+use crate::budget::ExtraWindow;
+use crate::counters::Counters;
+use crate::event::Event;
+use crate::hedge::RouteTimes;
+use crate::options::RelayOptions;
+use crate::route::Route;
+use crate::run::Run;
+use crate::server::ServerDump;
+use crate::servers::ServerKey;
+use crate::servers::Servers;
+use crate::service::Service;
+use crate::table::RouteTable;
+
+/// All requests of one process as a state machine without I/O.
+///
+/// Feed it every [`Event`] with the time at which it happened and carry out the [`Action`]s in their
+/// order. The same events at the same times with the same seed give the same actions.
+#[derive(Debug)]
+pub struct Relay {
+    pub(crate) core: Core,
+    pub(crate) runs: HashMap<LookupSeq, Box<Run>>,
+    woken_at: Option<Instant>,
+}
+
+/// What all requests share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) options: RelayOptions,
+    pub(crate) table: Option<Arc<RouteTable>>,
+    pub(crate) servers: Servers,
+    pub(crate) services: HashMap<ServiceName, Service>,
+    pub(crate) times: HashMap<LookupName, RouteTimes>,
+    /// Attempts whose request has ended, with their server and the time at which they began.
+    pub(crate) orphans: HashMap<RunId, (ServerKey, Instant, LookupName)>,
+    pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
+    /// Servers whose entry vanished, with the time at which they count as gone.
+    pub(crate) missing: HashMap<ServerName, Instant>,
+    /// Servers with a connection freed, or with more reach, since their queue was last looked at.
+    pub(crate) freed: Vec<ServiceName>,
+    pub(crate) in_flight: usize,
+    pub(crate) counters: Counters,
+    pub(crate) rng: ChaCha8Rng,
+}
+
+impl Relay {
+    /// Starts without routes and servers.
+    #[must_use]
+    pub fn new(options: RelayOptions, seed: u64) -> Self {
+        Self {
+            core: Core {
+                options,
+                table: None,
+                servers: Servers::default(),
+                services: HashMap::new(),
+                times: HashMap::new(),
+                orphans: HashMap::new(),
+                timers: BTreeSet::new(),
+                missing: HashMap::new(),
+                freed: Vec::new(),
+                in_flight: 0,
+                counters: Counters::default(),
+                rng: ChaCha8Rng::seed_from_u64(seed),
+            },
+            runs: HashMap::new(),
+            woken_at: None,
+        }
+    }
+
+    /// Takes one event in and appends what has to be done to `out`.
+    pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Table(table) => self.core.take_table(now, table, out),
+            Event::Server(entry) => self.core.register(now, entry, out),
+            Event::ServerGone(name) => self.core.missing(now, name, out),
+            Event::Options(options) => self.core.options = options,
+            Event::Arrive(arrival) => {
+                if let Some(run) = self.core.arrive(now, arrival, out) {
+                    self.runs.insert(run.seq, run);
+                }
+                self.core.in_flight = self.runs.len();
+            }
+            Event::Sent(_) => {}
+            Event::Ended(id, end) => self.ended(now, id, end, out),
+            Event::Gone(seq) => self.with(seq, |core, run| core.caller_gone(now, run, out)),
+            Event::Tick => self.tick(now, out),
+        }
+        self.serve_queues(now, out);
+        self.wake(now, out);
+    }
+
+    /// Running totals.
+    #[must_use]
+    pub fn counters(&self) -> &Counters {
+        &self.core.counters
+    }
+
+    /// Requests in flight.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// What is known of each server, for dumps.
+    #[must_use]
+    pub fn servers(&self, now: Instant) -> Vec<ServerDump> {
+        self.core.servers.all().map(|v| v.dump(now)).collect()
+    }
+
+    /// The version of the routes in force; `None` before the first.
+    #[must_use]
+    pub fn version(&self) -> Option<ConfVersion> {
+        self.core.table.as_ref().map(|t| t.version())
+    }
+
+    /// Runs `f` on a request in flight; it tells whether the request has ended.
+    pub(crate) fn with(&mut self, seq: LookupSeq, f: impl FnOnce(&mut Core, &mut Run) -> bool) {
+        let Some(run) = self.runs.get_mut(&seq) else {
+            return;
+        };
+        if f(&mut self.core, run) {
+            self.runs.remove(&seq);
+            self.core.in_flight = self.runs.len();
+        }
+    }
+
+    fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.woken_at = None;
+        self.core.drop_missing(now, out);
+        while let Some((at, seq)) = self.core.timers.first().copied() {
+            if at > now {
+                break;
+            }
+            self.core.timers.remove(&(at, seq));
+            let mut stalled = None;
+            self.with(seq, |core, run| {
+                run.timer = None;
+                stalled = core.look_at(now, run, out);
+                core.settle(now, run, out)
+            });
+            if let Some(server) = stalled {
+                self.spare_others(now, server, out);
+            }
+        }
+    }
+
+    /// Hedges the other attempts that wait for a server that was found to have stopped answering.
+    ///
+    /// A pause holds up everything sent to a server. The first attempt to outlast its delay tells of
+    /// it; those sent later would each wait their own delay out in turn.
+    fn spare_others(&mut self, now: Instant, server: ServerKey, out: &mut Vec<Action>) {
+        let Some(view) = self.core.servers.get(server) else {
+            return;
+        };
+        let waiting: Vec<RunId> = view.outstanding.iter().map(|(id, _)| *id).collect();
+        for id in waiting {
+            self.with(id.lookup, |core, run| {
+                core.spare(now, run, id.part, server, out);
+                false
+            });
+        }
+    }
+
+    fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let Some((at, _)) = self.core.timers.first() else {
+            return;
+        };
+        if self
+            .woken_at
+            .is_none_or(|woken| *at < woken || woken <= now)
+        {
+            self.woken_at = Some(*at);
+            out.push(Action::Wake(at.saturating_duration_since(now)));
+        }
+    }
+}
+
+impl Core {
+    /// What the requests for a service share.
+    pub(crate) fn service(&mut self, name: &ServiceName) -> &mut Service {
+        let o = &self.options;
+        let share = o.extra_slack / f64::from(o.peers.max(1));
+        self.services
+            .entry(name.clone())
+            .or_insert_with(|| Service::new(ExtraWindow::new(o.extra_window, o.extra_ratio, share)))
+    }
+
+    /// What is learned of a route's attempts.
+    pub(crate) fn times(&mut self, route: &Route) -> &mut RouteTimes {
+        let quantile = self.options.hedge_quantile;
+        self.times
+            .entry(route.name.clone())
+            .or_insert_with(|| RouteTimes::new(route.objective, quantile))
+    }
+
+    /// Sets the time at which a request is looked at next, if that is sooner than planned.
+    pub(crate) fn arm(&mut self, run: &mut Run, at: Instant) {
+        let at = at.min(run.answer_by);
+        if run.timer.is_some_and(|planned| planned <= at) {
+            return;
+        }
+        self.disarm(run);
+        run.timer = Some(at);
+        self.timers.insert((at, run.seq));
+    }
+
+    pub(crate) fn disarm(&mut self, run: &mut Run) {
+        if let Some(at) = run.timer.take() {
+            self.timers.remove(&(at, run.seq));
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/run.rs
@@ -0,0 +1,103 @@
+//! The state of one request in flight.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+use smallvec::SmallVec;
+
+use crate::attempt::Attempt;
+use crate::attempt::Cause;
+use crate::reply::ServerAnswer;
+use crate::request::CallerRequest;
+use crate::route::Repeat;
+use crate::route::Route;
+use crate::route::Target;
+
+/// What one part of a request is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PartState {
+    /// Waits for a connection.
+    Waiting(Cause),
+    /// An attempt is under way.
+    Running,
+    /// Its answer is in.
+    Whole,
+    /// Given up.
+    Missing,
+}
+
+/// One part of a request: a shard of a fan-out, or the whole of any other.
+#[derive(Clone, Debug)]
+pub(crate) struct Part {
+    pub(crate) service: ServiceName,
+    pub(crate) state: PartState,
+    pub(crate) attempts: SmallVec<[Attempt; 2]>,
+    /// The answer that counts, or the last failure that a server answered with.
+    pub(crate) answer: Option<Box<ServerAnswer>>,
+}
+
+impl Part {
+    pub(crate) fn new(service: ServiceName) -> Self {
+        Self {
+            service,
+            state: PartState::Waiting(Cause::First),
+            attempts: SmallVec::new(),
+            answer: None,
+        }
+    }
+
+    pub(crate) fn has_live(&self) -> bool {
+        self.attempts.iter().any(Attempt::is_live)
+    }
+
+    /// Whether it is neither whole nor given up.
+    pub(crate) fn is_open(&self) -> bool {
+        !matches!(self.state, PartState::Whole | PartState::Missing)
+    }
+}
+
+/// One request in flight.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) seq: LookupSeq,
+    pub(crate) req: CallerRequest,
+    pub(crate) route: Arc<Route>,
+    pub(crate) arrived: Instant,
+    /// When an answer that is to come within the objective must leave.
+    pub(crate) objective_at: Instant,
+    /// When its final word leaves at the latest.
+    pub(crate) answer_by: Instant,
+    /// How long the caller and the route give it.
+    pub(crate) patience: Duration,
+    pub(crate) parts: Vec<Part>,
+    pub(crate) whole: usize,
+    pub(crate) missing: usize,
+    pub(crate) extra: u32,
+    pub(crate) timer: Option<Instant>,
+}
+
+impl Run {
+    pub(crate) fn is_once(&self) -> bool {
+        self.route.repeat == Repeat::Once
+    }
+
+    /// The fewest parts that make an answer.
+    pub(crate) fn parts_min(&self) -> usize {
+        match &self.route.target {
+            Target::One(_) => 1,
+            Target::Scatter(s) => s.parts_min(),
+        }
+    }
+
+    /// Whether any server has run something of it, or may have.
+    pub(crate) fn may_have_run(&self) -> bool {
+        let mut attempts = self.parts.iter().flat_map(|p| &p.attempts);
+        attempts.any(Attempt::may_have_run)
+    }
+
+    pub(crate) fn left(&self, now: Instant) -> Duration {
+        self.answer_by.saturating_duration_since(now)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/servers.rs
@@ -0,0 +1,104 @@
+//! Every backend server known, by service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+use smallvec::SmallVec;
+
+use crate::entry::ServerEntry;
+use crate::server::ServerView;
+
+/// Names a server's view for as long as an attempt may refer to it; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct ServerKey(u64);
+
+/// Every backend server known.
+#[derive(Debug, Default)]
+pub(crate) struct Servers {
+    views: HashMap<ServerKey, ServerView>,
+    by_name: HashMap<ServerName, ServerKey>,
+    by_service: HashMap<ServiceName, SmallVec<[ServerKey; 4]>>,
+    next: u64,
+}
+
+impl Servers {
+    /// Takes in what a server says of itself; `true` if it is new here.
+    pub(crate) fn register(
+        &mut self,
+        now: Instant,
+        entry: Arc<ServerEntry>,
+        connections: u32,
+    ) -> bool {
+        let known = self.by_name.get(&entry.name).copied();
+        if let Some(key) = known
+            && let Some(view) = self.views.get_mut(&key)
+            && view.entry.service == entry.service
+        {
+            view.connections = connections;
+            view.renew(now, entry);
+            return false;
+        }
+        self.remove(&entry.name);
+        let key = ServerKey(self.next);
+        self.next += 1;
+        self.by_name.insert(entry.name.clone(), key);
+        let members = self.by_service.entry(entry.service.clone()).or_default();
+        members.push(key);
+        self.views
+            .insert(key, ServerView::new(now, entry, connections));
+        true
+    }
+
+    /// Forgets a server; its view stays until its last attempt has ended.
+    pub(crate) fn remove(&mut self, name: &ServerName) {
+        let Some(key) = self.by_name.remove(name) else {
+            return;
+        };
+        let Some(view) = self.views.get_mut(&key) else {
+            return;
+        };
+        view.is_gone = true;
+        if let Some(members) = self.by_service.get_mut(&view.entry.service) {
+            members.retain(|k| *k != key);
+        }
+        self.drop_if_done(key);
+    }
+
+    /// The servers of a service that are in the register.
+    pub(crate) fn of(&self, service: &ServiceName) -> &[ServerKey] {
+        self.by_service.get(service).map_or(&[], |m| m)
+    }
+
+    pub(crate) fn get(&self, key: ServerKey) -> Option<&ServerView> {
+        self.views.get(&key)
+    }
+
+    pub(crate) fn get_mut(&mut self, key: ServerKey) -> Option<&mut ServerView> {
+        self.views.get_mut(&key)
+    }
+
+    /// The view of a server in the register.
+    pub(crate) fn by_name(&self, name: &ServerName) -> Option<&ServerView> {
+        self.views.get(self.by_name.get(name)?)
+    }
+
+    /// The views of all servers in the register.
+    pub(crate) fn all(&self) -> impl Iterator<Item = &ServerView> {
+        self.by_name.values().filter_map(|k| self.views.get(k))
+    }
+
+    /// Drops the view of a server that is gone once nothing refers to it.
+    pub(crate) fn drop_if_done(&mut self, key: ServerKey) {
+        let is_done = |v: &ServerView| v.is_gone && v.outstanding.is_empty();
+        let in_register = |v: &ServerView| self.by_name.get(&v.entry.name) == Some(&key);
+        if self
+            .views
+            .get(&key)
+            .is_some_and(|v| is_done(v) && !in_register(v))
+        {
+            self.views.remove(&key);
+        }
+    }
+}
--- a/crates/settings/src/words.rs
+++ b/crates/settings/src/words.rs
@@ -1,5 +1,6 @@
 //! Settings that are one of a few words.
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Which set of decisions runs.
@@ -35,6 +36,7 @@
     PartialEq,
     Eq,
     Serialize,
+    Deserialize,
     strum::Display,
     strum::EnumString,
     strum::IntoStaticStr,
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -65,10 +65,14 @@
         .help(help)
 }
 
+/// The settings file named.
+pub(super) fn settings_path(m: &ArgMatches) -> PathBuf {
+    m.get_one::<PathBuf>(SETTINGS).cloned().unwrap_or_default()
+}
+
 /// Reads the settings file named.
 pub(super) fn load(m: &ArgMatches) -> Result<Settings, Faults> {
-    let path = m.get_one::<PathBuf>(SETTINGS).cloned().unwrap_or_default();
-    gs_settings::load(&path)
+    gs_settings::load(&settings_path(m))
 }
 
 /// Runs the command.
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod dump;
 mod patch;
 mod patch_file;
+mod relay;
 mod replay;
 mod serve;
 mod status;
@@ -34,6 +35,7 @@
         .arg_required_else_help(true)
         .subcommands([
             serve::command(),
+            relay::command(),
             check::command(),
             status::command(),
             dump::command(),
@@ -50,6 +52,7 @@
     };
     let done = match name {
         "serve" => serve::run(m),
+        "relay" => relay::run(m),
         "check" => check::run(m),
         "status" => status::run(m),
         "dump" => dump::run(m),
--- a/src/logging.rs
+++ b/src/logging.rs
@@ -1,4 +1,4 @@
-//! The log: one key=value line an event, on stderr.
+//! The log: one key=value line an event.
 
 use std::io;
 use std::io::Write;
@@ -15,16 +15,24 @@
 /// The modules of this program; libraries log warnings and errors only.
 const OURS: [&str; 2] = ["gs_", "gentiansill"];
 
-/// Starts the log; it ends when the handle is dropped.
+/// Starts the log on stderr; it ends when the handle is dropped.
 pub(crate) fn start(level: LogLevel) -> Result<LoggerHandle> {
+    start_by(level, Logger::log_to_stderr)
+}
+
+/// Starts the log on stdout.
+pub(crate) fn start_on_stdout(level: LogLevel) -> Result<LoggerHandle> {
+    start_by(level, Logger::log_to_stdout)
+}
+
+fn start_by(level: LogLevel, to: fn(Logger) -> Logger) -> Result<LoggerHandle> {
     let level = filter(level);
     let mut spec = LogSpecification::builder();
     spec.default(level.min(LevelFilter::Warn));
     for module in OURS {
         spec.module(module, level);
     }
-    Logger::with(spec.build())
-        .log_to_stderr()
+    to(Logger::with(spec.build()))
         .format(write_line)
         .start()
         .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("start log"))
