fix(relay): a new version of the routes brings no vanished server back

Cause: a version registered every known server again, which cleared the mark of those whose entry had vanished, and set their warming anew; and no wake-up was asked for when an entry vanished, so that it was dropped only when another timer fell due. Ruled out: the watch (it told of the removal after 6 ms), the size of the grace (1.65 s). Change: a version only renews the connections; the wake-up covers entries that vanished. Tests that failed first: register::a_new_version_of_the_routes_*.

--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -22,12 +22,7 @@
 
 impl Core {
     /// Takes a version of the routes, unless a newer one is in force.
-    pub(crate) fn take_table(
-        &mut self,
-        now: Instant,
-        table: Arc<RouteTable>,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn take_table(&mut self, table: Arc<RouteTable>, out: &mut Vec<Action>) {
         let newest = self.table.as_ref().map(|t| t.version());
         if newest.is_some_and(|v| v >= table.version()) {
             return;
@@ -35,7 +30,7 @@
         self.table = Some(table);
         let entries: Vec<_> = self.servers.all().map(|v| Arc::clone(&v.entry)).collect();
         for entry in entries {
-            self.register(now, entry, out);
+            self.connect(entry, out);
         }
     }
 
@@ -46,10 +41,16 @@
         entry: Arc<ServerEntry>,
         out: &mut Vec<Action>,
     ) {
-        let most = self.connections_to(&entry.service);
         self.missing.remove(&entry.name);
+        self.servers.register(now, Arc::clone(&entry));
+        self.connect(entry, out);
+    }
+
+    /// Says how many connections to hold to a server, by the routes in force and its own word.
+    fn connect(&mut self, entry: Arc<ServerEntry>, out: &mut Vec<Action>) {
+        let most = self.connections_to(&entry.service);
+        self.servers.set_connections(&entry.name, most);
         self.freed.push(entry.service.clone());
-        self.servers.register(now, Arc::clone(&entry), most.0);
         if entry.availability == Availability::Draining {
             out.push(Action::Disconnect(entry.name.clone()));
             return;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -82,7 +82,7 @@
     /// Takes one event in and appends what has to be done to `out`.
     pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Table(table) => self.core.take_table(now, table, out),
+            Event::Table(table) => self.core.take_table(table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
             Event::ServerGone(name) => self.core.missing(now, name, out),
             Event::Options(options) => self.core.options = options,
@@ -174,14 +174,13 @@
     }
 
     fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let Some((at, _)) = self.core.timers.first() else {
+        let first = self.core.timers.first().map(|(at, _)| *at);
+        let gone = self.core.missing.values().min().copied();
+        let Some(at) = first.into_iter().chain(gone).min() else {
             return;
         };
-        if self
-            .woken_at
-            .is_none_or(|woken| *at < woken || woken <= now)
-        {
-            self.woken_at = Some(*at);
+        if self.woken_at.is_none_or(|woken| at < woken || woken <= now) {
+            self.woken_at = Some(at);
             out.push(Action::Wake(at.saturating_duration_since(now)));
         }
     }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -77,13 +77,13 @@
 }
 
 impl ServerView {
-    pub(crate) fn new(now: Instant, entry: Arc<ServerEntry>, connections: u32) -> Self {
+    pub(crate) fn new(now: Instant, entry: Arc<ServerEntry>) -> Self {
         Self {
             warm_at: now + entry.warming,
             entry,
             is_gone: false,
             outstanding: SmallVec::new(),
-            connections,
+            connections: 0,
             slowness: (1.0, now),
             failing: (0.0, now),
             load: None,
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -24,21 +24,15 @@
 }
 
 impl Servers {
-    /// Takes in what a server says of itself; `true` if it is new here.
-    pub(crate) fn register(
-        &mut self,
-        now: Instant,
-        entry: Arc<ServerEntry>,
-        connections: u32,
-    ) -> bool {
+    /// Takes in what a server says of itself.
+    pub(crate) fn register(&mut self, now: Instant, entry: Arc<ServerEntry>) {
         let known = self.by_name.get(&entry.name).copied();
         if let Some(key) = known
             && let Some(view) = self.views.get_mut(&key)
             && view.entry.service == entry.service
         {
-            view.connections = connections;
             view.renew(now, entry);
-            return false;
+            return;
         }
         self.remove(&entry.name);
         let key = ServerKey(self.next);
@@ -46,9 +40,15 @@
         self.by_name.insert(entry.name.clone(), key);
         let members = self.by_service.entry(entry.service.clone()).or_default();
         members.push(key);
-        self.views
-            .insert(key, ServerView::new(now, entry, connections));
-        true
+        self.views.insert(key, ServerView::new(now, entry));
+    }
+
+    /// Sets the most connections of this VM to a server.
+    pub(crate) fn set_connections(&mut self, name: &ServerName, most: Connections) {
+        let key = self.by_name.get(name);
+        if let Some(view) = key.and_then(|k| self.views.get_mut(k)) {
+            view.connections = most.0;
+        }
     }
 
     /// Forgets a server; its view stays until its last attempt has ended.
--- /dev/null
+++ b/crates/relay/tests/relay/main.rs
@@ -0,0 +1,7 @@
+//! The relay's decisions, driven without I/O.
+
+mod hedges;
+mod once;
+mod pages;
+mod register;
+mod world;
