fix(relay): connections to servers only once the VMs are known, and each told once

Change: one connection a server, none held open, until the VMs are known; the list is read at once after a start (not at the first start of all, when it would show few of many); the shell is told only what changed; the longest pause between watches follows the drain time.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -26,13 +26,13 @@
 /// one each. It doubles while changes go on, and starts again after a quiet while.
 const SETTLE: Duration = Duration::from_millis(200);
 
-/// The longest such pause: with the time for which a vanished server is kept it stays within the time
-/// that a leaving server goes on serving, and a version within that in which it must be in force.
-pub(crate) const SETTLE_MAX: Duration = Duration::from_millis(800);
+/// The part of the time that a leaving server goes on serving which such a pause may take: with the time
+/// for which a vanished server is kept it stays within that.
+const SETTLE_PART: u32 = 4;
 
 /// The longest such pause while a fleet starts for the first time and all servers register at once; there
 /// are no callers yet.
-pub(crate) const SETTLE_FIRST: Duration = Duration::from_millis(2500);
+const SETTLE_FIRST: Duration = Duration::from_millis(2500);
 
 /// So many changes at once are a page, and more may be waiting: a pause before each of them would leave
 /// this VM seconds behind after a storm.
@@ -53,6 +53,32 @@
 /// The longest wait between tries during an outage; the bound on changes runs on.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 
+/// The longest pause between two watches that brought something.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Settle {
+    usual: Duration,
+    first: Duration,
+}
+
+impl Settle {
+    /// The pauses of a process, by how long a leaving server goes on serving.
+    pub(crate) fn new(drain: Duration, first_start: bool) -> Self {
+        let usual = (drain / SETTLE_PART).max(SETTLE);
+        Self {
+            usual,
+            first: if first_start { SETTLE_FIRST } else { usual },
+        }
+    }
+
+    fn max(self, since_start: Duration) -> Duration {
+        if since_start < FIRST_TIME {
+            self.first
+        } else {
+            self.usual
+        }
+    }
+}
+
 /// Keeps one kind of the directory mirrored.
 pub(crate) struct Follower {
     pub(crate) kind: DirectoryKind,
@@ -60,8 +86,7 @@
     pub(crate) feed: Feed<Event>,
     pub(crate) state: Arc<State>,
     pub(crate) contact: Arc<Contact>,
-    /// The longest pause between two watches that brought something.
-    pub(crate) settle_max: Duration,
+    pub(crate) settle: Settle,
     pub(crate) seed: u64,
 }
 
@@ -116,8 +141,7 @@
         match known.at {
             None => self.list(known).await,
             Some(after) => {
-                let is_new = begun.elapsed() < FIRST_TIME;
-                let settle_max = if is_new { self.settle_max } else { SETTLE_MAX };
+                let settle_max = self.settle.max(begun.elapsed());
                 self.watch(known, after, settle_max).await
             }
         }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -24,8 +24,7 @@
 use crate::desk::Pending;
 use crate::directory::DirectoryKind;
 use crate::follow::Follower;
-use crate::follow::SETTLE_FIRST;
-use crate::follow::SETTLE_MAX;
+use crate::follow::Settle;
 use crate::lanes::Lanes;
 use crate::peers::Peers;
 use crate::readiness::Status;
@@ -93,6 +92,7 @@
             directory: Arc::clone(&this.protocols.directory),
             feed: this.feed.clone(),
             contact,
+            first_start: this.settings.vm.first_start,
             seed,
         };
         tokio::spawn(keeper.run());
@@ -157,11 +157,7 @@
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
             contact: Arc::clone(contact),
-            settle_max: if self.settings.vm.first_start {
-                SETTLE_FIRST
-            } else {
-                SETTLE_MAX
-            },
+            settle: Settle::new(self.settings.servers.drain, self.settings.vm.first_start),
             seed: seed ^ kind as u64,
         }
     }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -12,8 +12,10 @@
 use crate::contact::Contact;
 use crate::directory::Directory;
 
-/// The time after the start in which all VMs of a fleet that starts together have announced themselves.
-const FIRST_LOOKS: [Duration; 3] = [
+/// The times of the first looks, each after the one before. All VMs of a fleet that starts together have
+/// announced themselves by the second; those of one that starts again are listed from before.
+const FIRST_LOOKS: [Duration; 4] = [
+    Duration::from_millis(10),
     Duration::from_millis(1000),
     Duration::from_millis(1500),
     Duration::from_millis(3000),
@@ -38,6 +40,8 @@
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) feed: Feed<Event>,
     pub(crate) contact: Arc<Contact>,
+    /// Whether the whole fleet starts for the first time.
+    pub(crate) first_start: bool,
     pub(crate) seed: u64,
 }
 
@@ -45,7 +49,8 @@
     /// Announces this VM, then looks who is there until the process ends.
     pub(crate) async fn run(self) {
         self.announce().await;
-        let mut looks = FIRST_LOOKS.into_iter();
+        // At the first start of all, a look at once would show few of many.
+        let mut looks = FIRST_LOOKS.into_iter().skip(usize::from(self.first_start));
         let mut next_look = Instant::now();
         loop {
             let wait = looks.next().unwrap_or(HEARTBEAT);
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -87,10 +87,20 @@
             return;
         }
         let is_near = entry.data_centre == self.options.data_centre;
+        let warm = self.sharing.warm(&entry.service, is_near).min(most);
+        let Some(view) = self.servers.by_name_mut(&entry.name) else {
+            return;
+        };
+        // Told again at each change of anything, the shell would open again what a server has just reset.
+        let told = Some((entry.addr, warm, most));
+        if view.told == told {
+            return;
+        }
+        view.told = told;
         out.push(Action::Connect {
-            warm: self.sharing.warm(&entry.service, is_near).min(most),
-            most,
             server: entry,
+            warm,
+            most,
         });
     }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,6 @@
 //! What is known of one backend server.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -69,6 +70,8 @@
     pub(crate) open: u32,
     /// The most connections of this VM.
     pub(crate) connections: u32,
+    /// What the shell was told last: where, connections to hold open, and the most.
+    pub(crate) told: Option<(SocketAddr, Connections, Connections)>,
     warm_at: Instant,
     slowness: (f64, Instant),
     failing: (f64, Instant),
@@ -87,6 +90,7 @@
             outstanding: SmallVec::new(),
             open: 0,
             connections: 0,
+            told: None,
             slowness: (1.0, now),
             failing: (0.0, now),
             load: None,
--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -31,6 +31,9 @@
 pub(crate) struct Sharing {
     /// Services that are shards of a fan-out.
     shards: HashSet<ServiceName>,
+    /// Whether the VMs are known; before, each VM keeps to one connection to a server, as all of a
+    /// fleet that starts together would else open more than the servers accept.
+    knows_vms: bool,
     /// Whether this VM runs fan-outs.
     runs: bool,
     /// VMs that run fan-outs.
@@ -47,6 +50,7 @@
         if core.roster.is_empty() {
             return Self {
                 shards,
+                knows_vms: false,
                 runs: true,
                 runners: core.options.peers,
                 all: core.options.peers,
@@ -57,6 +61,7 @@
         let is_me = |vm: &&PeerVm| vm.name == core.options.vm;
         Self {
             shards,
+            knows_vms: true,
             runs: runners.iter().any(is_me),
             runners: Roster::at_most(runners.len()).max(1),
             all: Roster::at_most(core.roster.vms().len()).max(1),
@@ -73,7 +78,9 @@
         let Some(limit) = decl.map(|s| f64::from(s.connections.0)) else {
             return UNDECLARED;
         };
-        let share = if !self.shards.contains(service) {
+        let share = if !self.knows_vms {
+            1.0
+        } else if !self.shards.contains(service) {
             limit / f64::from(self.all)
         } else if self.runs {
             limit * RUNNERS_PART / f64::from(self.runners)
@@ -98,7 +105,7 @@
 
     /// Connections to hold open to a server of a service.
     pub(crate) fn warm(&self, service: &ServiceName, is_near: bool) -> Connections {
-        let is_idle = self.shards.contains(service) && !self.runs;
+        let is_idle = !self.knows_vms || (self.shards.contains(service) && !self.runs);
         Connections(match is_near {
             _ if is_idle => 0,
             true => WARM_NEAR,
--- a/crates/relay/tests/relay/handover.rs
+++ b/crates/relay/tests/relay/handover.rs
@@ -5,12 +5,10 @@
 use bytes::Bytes;
 use gs_relay::Arrival;
 use gs_relay::AttemptEnd;
-use gs_relay::Capacity;
 use gs_relay::Event;
 use gs_relay::Handed;
 use gs_relay::Outcome;
 use gs_relay::Page;
-use gs_relay::PeerVm;
 use gs_relay::RefuseReason;
 use gs_relay::Route;
 use gs_types::prelude::*;
@@ -26,6 +24,7 @@
 use crate::world::request;
 use crate::world::shed;
 use crate::world::table;
+use crate::world::vm;
 
 const SHARDS: [&str; 3] = ["s0", "s1", "s2"];
 
@@ -33,19 +32,6 @@
     page_route(&SHARDS, 0.6)
 }
 
-fn vm(name: &str, data_centre: &str, region: &str, cores: f64) -> PeerVm {
-    PeerVm {
-        name: name.parse().expect("a name"),
-        data_centre: data_centre.parse().expect("a name"),
-        region: region.parse().expect("a name"),
-        addr: "127.0.0.1:9100".parse().expect("an address"),
-        capacity: Capacity {
-            cores,
-            megabits: 100.0,
-        },
-    }
-}
-
 fn opened(name: &str, took_ms: u64) -> Event {
     Event::Opened(name.parse().expect("a name"), ms(took_ms))
 }
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -12,11 +12,13 @@
 use gs_relay::Availability;
 use gs_relay::CallerLimits;
 use gs_relay::CallerRequest;
+use gs_relay::Capacity;
 use gs_relay::Dispatch;
 use gs_relay::Ending;
 use gs_relay::Event;
 use gs_relay::Load;
 use gs_relay::OpaqueRequest;
+use gs_relay::PeerVm;
 use gs_relay::Relay;
 use gs_relay::RelayOptions;
 use gs_relay::Repeat;
@@ -130,6 +132,20 @@
     ))
 }
 
+/// A VM with a link of 100 Mbit/s.
+pub fn vm(name: &str, data_centre: &str, region: &str, cores: f64) -> PeerVm {
+    PeerVm {
+        name: name.parse().expect("a name"),
+        data_centre: data_centre.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        addr: "127.0.0.1:9100".parse().expect("an address"),
+        capacity: Capacity {
+            cores,
+            megabits: 100.0,
+        },
+    }
+}
+
 /// A ready server with two slots.
 pub fn entry(name: &str, service: &str, data_centre: &str) -> ServerEntry {
     ServerEntry {
@@ -200,7 +216,9 @@
             wake_at: None,
             next: 1,
         };
+        w.tell(Event::Roster(vec![vm("vm-1", HERE, "hobart", 1.0)]));
         w.tell(Event::Table(table));
+        w.pass(ms(300));
         w
     }
 
