--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -28,7 +28,7 @@
 
 /// The part of the time that a leaving server goes on serving which such a pause may take: with the time
 /// for which a vanished server is kept it stays within that.
-const SETTLE_PART: u32 = 4;
+const SETTLE_PART: f64 = 0.4;
 
 /// The longest such pause while a fleet starts for the first time and all servers register at once; there
 /// are no callers yet.
@@ -63,7 +63,7 @@
 impl Settle {
     /// The pauses of a process, by how long a leaving server goes on serving.
     pub(crate) fn new(drain: Duration, first_start: bool) -> Self {
-        let usual = (drain / SETTLE_PART).max(SETTLE);
+        let usual = drain.mul_f64(SETTLE_PART).max(SETTLE);
         Self {
             usual,
             first: if first_start { SETTLE_FIRST } else { usual },
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -48,7 +48,7 @@
 }
 
 /// The part of [`RelayOptions::drain`] for which an entry that is missing is waited for.
-const ABSENCE_PART: f64 = 0.5;
+const ABSENCE_PART: f64 = 0.4;
 
 /// The longest that it is waited for while the register is in reach.
 const ABSENCE_MAX: Duration = Duration::from_millis(2200);
