perf(relay): a hedge waits for three tenths of the objective

Change: not before 0.3 of the objective, by when those that are slow mostly stay slow. Ruled out: a higher quantile (it follows the slow times it should cut off).

--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -19,8 +19,11 @@
 /// The part of the objective that an attempt is first expected to take, before any was seen.
 const FIRST_WORK: f64 = 0.1;
 
-/// The part of the objective after which an attempt is hedged before any was seen.
-const FIRST_DELAY: f64 = 0.35;
+/// The part of the objective that an attempt may take before it is hedged, if most are faster: what is
+/// left is enough for a second one, and fewer of those that are slow by then would still come by
+/// themselves. 0.3 earned most of 0, 0.2, 0.3 and 0.4: on a day of trouble 0.635 of worth against 0.614
+/// without it, for 7% fewer bytes between regions.
+const LATEST_PART: f64 = 0.3;
 
 /// What is learned of one route's attempts.
 #[derive(Debug)]
@@ -28,7 +31,7 @@
     delays: LearnedDelay,
     work_secs: f64,
     samples: u32,
-    first_delay: Duration,
+    latest: Duration,
 }
 
 impl RouteTimes {
@@ -37,7 +40,7 @@
             delays: LearnedDelay::new(quantile),
             work_secs: objective.as_secs_f64() * FIRST_WORK,
             samples: 0,
-            first_delay: objective.mul_f64(FIRST_DELAY),
+            latest: objective.mul_f64(LATEST_PART),
         }
     }
 
@@ -61,9 +64,8 @@
 
     /// The time after which an attempt is hedged.
     pub(crate) fn delay(&self, is_near: bool) -> Duration {
-        self.delays
-            .delay(distance(is_near))
-            .unwrap_or(self.first_delay)
+        let learned = self.delays.delay(distance(is_near));
+        learned.map_or(self.latest, |d| d.max(self.latest))
     }
 }
 
