test: a stand-in of the platform, and the relay as real processes on it

A VM without routes says when to come back by whether the platform is in reach. The command list in the help test gains 'relay'.

--- a/crates/edge/src/contact.rs
+++ b/crates/edge/src/contact.rs
@@ -4,7 +4,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use gs_actor::Feed;
 use gs_actor::lock;
+use gs_relay::Event;
 use gs_relay::Removal;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -17,6 +19,7 @@
     state: Mutex<State>,
     /// Counts the ends of outages.
     regained: watch::Sender<u64>,
+    feed: Feed<Event>,
 }
 
 #[derive(Default)]
@@ -26,10 +29,11 @@
 }
 
 impl Contact {
-    pub(crate) fn new() -> Arc<Self> {
+    pub(crate) fn new(feed: Feed<Event>) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
             regained: watch::channel(0).0,
+            feed,
         })
     }
 
@@ -39,6 +43,7 @@
         if s.lost_at.is_none() {
             s.lost_at = Some(Instant::now());
             log::warn!("event=directory-lost by={what} error=\"{error}\"");
+            self.feed.push(Event::Reach(false));
         }
     }
 
@@ -53,6 +58,7 @@
             "event=directory-regained by={what} after_ms={}",
             since.elapsed().as_millis()
         );
+        self.feed.push(Event::Reach(true));
         self.regained.send_modify(|n| *n += 1);
     }
 
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -83,7 +83,7 @@
             pending: Arc::clone(&this.pending),
         };
         slot.start(Arc::clone(&this.relay), shell, clock);
-        let contact = Contact::new();
+        let contact = Contact::new(this.feed.clone());
         for kind in [DirectoryKind::Routes, DirectoryKind::Servers] {
             tokio::spawn(this.follower(kind, &contact, seed).run());
         }
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -55,6 +55,8 @@
             ("requests_late_total", c.late),
             ("pages_partial_total", c.partial),
             ("callers_gone_total", c.gone),
+            ("bundles_total", c.bundles),
+            ("bundles_failed_total", c.bundles_failed),
             ("attempts_total", c.attempts),
             ("attempts_hedged_total", c.hedges),
             ("hedges_won_total", c.hedges_won),
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -81,7 +81,12 @@
 
     fn find(&self, req: &CallerRequest) -> Result<Arc<Route>, (RefuseReason, Option<Duration>)> {
         let Some(table) = &self.table else {
-            return Err((RefuseReason::NotReady, Some(NOT_READY_RETRY)));
+            let retry = if self.is_in_reach {
+                STARTING_RETRY
+            } else {
+                OUTAGE_RETRY
+            };
+            return Err((RefuseReason::NotReady, Some(retry)));
         };
         let found = table.find(&req.host, &req.path).cloned();
         found.ok_or((RefuseReason::NoRoute, None))
@@ -157,5 +162,8 @@
     }
 }
 
-/// When a VM without routes is worth asking again; a start takes less than a second.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// When a VM that has just started is worth asking again; it has its routes within 100 ms.
+const STARTING_RETRY: Duration = Duration::from_millis(250);
+
+/// When it is if the register is away; outages take seconds, and most callers ask only once more.
+const OUTAGE_RETRY: Duration = Duration::from_secs(3);
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -56,6 +56,8 @@
     Server(Arc<ServerEntry>),
     /// A server is gone from the register.
     ServerGone(ServerName, Removal),
+    /// Whether the register, from which routes and servers are known, is in reach.
+    Reach(bool),
     /// The VMs that are there, this one included.
     Roster(Vec<PeerVm>),
     /// A connection to a server or a peer opened, after this time.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -50,6 +50,8 @@
     /// Attempts whose request has ended, with their server and the time at which they began.
     pub(crate) orphans: HashMap<RunId, (ServerKey, Instant, LookupName)>,
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
+    /// Whether the register is in reach.
+    pub(crate) is_in_reach: bool,
     /// How far each data centre is.
     pub(crate) ways: Ways,
     /// The VMs that are there.
@@ -88,6 +90,7 @@
                 times: HashMap::new(),
                 orphans: HashMap::new(),
                 timers: BTreeSet::new(),
+                is_in_reach: true,
                 ways: Ways::default(),
                 roster: Roster::default(),
                 sharing: Sharing::default(),
@@ -113,6 +116,7 @@
             Event::Table(table) => self.core.take_table(now, table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
             Event::ServerGone(name, when) => self.core.missing(now, name, when, out),
+            Event::Reach(is_in_reach) => self.core.is_in_reach = is_in_reach,
             Event::Roster(vms) => self.core.take_roster(now, vms, out),
             Event::Opened(name, took) => self.core.opened(&name, took),
             Event::Closed(name) => self.core.closed(&name),
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`platform`]: the platform's object service and VM list;
 //! - [`process`] and [`deployment`]: the `gentiansill` processes, and everything together;
 //! - [`operator`]: an operator at the administration API;
+//! - [`site`]: the users' platform with its store, backend servers and relaying VMs;
 //! - [`load`]: open-loop arrivals, checks of every answer, tables and plots.
 
 pub mod control;
@@ -27,4 +28,5 @@
 pub mod platform;
 pub mod process;
 pub mod server;
+pub mod site;
 pub mod truth;
--- /dev/null
+++ b/crates/rig/src/site/backend.rs
@@ -0,0 +1,236 @@
+//! Backend servers as the platform tells of them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_types::prelude::*;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use super::http::Answers;
+use super::http::listen;
+use super::http::plain;
+use super::http::serve;
+use super::records::part;
+use super::store::Store;
+
+/// Requests that a server runs at the same time.
+const SLOTS: usize = 2;
+
+/// Requests that wait for a slot before the next is refused.
+const QUEUE: usize = 12;
+
+/// How a server misbehaves.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BackendFaults {
+    /// Nothing is answered before this time is over.
+    pub pause: Option<Duration>,
+    /// Every request is refused as not run.
+    pub sheds: bool,
+    /// Requests are run and their connections cut.
+    pub loses: bool,
+    /// Answers are cut short.
+    pub truncates: bool,
+    /// Answers bear another request's id.
+    pub crosses: bool,
+    /// Every request fails with a stamped 500.
+    pub fails: bool,
+}
+
+/// What ran: how often each server ran each request.
+pub type Runs = Arc<Mutex<HashMap<(String, String), u32>>>;
+
+/// A backend server, registered with the store.
+pub struct Backend {
+    id: String,
+    service: String,
+    zone: String,
+    addr: SocketAddr,
+    inner: Arc<Inner>,
+    task: JoinHandle<()>,
+}
+
+struct Inner {
+    id: String,
+    service: String,
+    work: Duration,
+    slots: Semaphore,
+    queued: Semaphore,
+    faults: Mutex<BackendFaults>,
+    runs: Runs,
+}
+
+impl Backend {
+    /// Starts a server and registers it.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot listen.
+    pub async fn start(
+        store: &Store,
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Duration,
+        runs: Runs,
+    ) -> Result<Self> {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let addr = listener
+            .local_addr()
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
+        let inner = Arc::new(Inner {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            work,
+            slots: Semaphore::new(SLOTS),
+            queued: Semaphore::new(SLOTS + QUEUE),
+            faults: Mutex::default(),
+            runs,
+        });
+        let this = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            zone: zone.to_owned(),
+            addr,
+            task: serve(listener, Arc::<Inner>::clone(&inner)),
+            inner,
+        };
+        this.register(store, "ready");
+        Ok(this)
+    }
+
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Its service.
+    #[must_use]
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
+    /// Writes its entry with this state.
+    pub fn register(&self, store: &Store, state: &str) {
+        store.put(
+            "servers",
+            &self.id,
+            json!({
+                "backend": self.service, "address": self.addr.to_string(), "zone": self.zone,
+                "version": "v1", "max_concurrent": SLOTS, "state": state, "warmup_left_ms": 0,
+                "sequence": 1, "born": 1,
+            }),
+        );
+    }
+
+    /// Misbehaves from now on.
+    pub fn misbehave(&self, faults: BackendFaults) {
+        *lock(&self.inner.faults) = faults;
+    }
+
+    /// Crashes it: its connections are reset and nothing listens any more.
+    pub fn crash(&self) {
+        self.task.abort();
+    }
+
+    /// Starts a crashed server again, at its old address.
+    ///
+    /// # Errors
+    ///
+    /// If the address is taken.
+    pub async fn restart(&mut self) -> Result<()> {
+        let listener = listen(self.addr).await?;
+        self.task = serve(listener, Arc::<Inner>::clone(&self.inner));
+        Ok(())
+    }
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[async_trait::async_trait]
+impl Answers for Inner {
+    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Full<Bytes>>> {
+        let header = |name: &str| {
+            let value = req.headers().get(name).and_then(|v| v.to_str().ok());
+            value.unwrap_or("").to_owned()
+        };
+        let expected = header("expect-instance");
+        if !expected.is_empty() && expected != self.id {
+            return Some(with(plain(421, ""), "instance-id", &self.id));
+        }
+        let id = header("attempt-id");
+        let faults = *lock(&self.faults);
+        let Ok(_queued) = self.queued.try_acquire() else {
+            return Some(self.shed());
+        };
+        if faults.sheds {
+            return Some(self.shed());
+        }
+        let Ok(_slot) = self.slots.acquire().await else {
+            return None;
+        };
+        if let Some(pause) = faults.pause {
+            tokio::time::sleep(pause).await;
+        }
+        *lock(&self.runs)
+            .entry((self.id.clone(), id.clone()))
+            .or_default() += 1;
+        tokio::time::sleep(self.work).await;
+        if faults.loses {
+            return None;
+        }
+        let target = req.uri().path_and_query().map_or("/", |t| t.as_str());
+        let stamp = format!("{}.{}.{id}", self.service, self.id);
+        let mut res = plain(
+            if faults.fails { 500 } else { 200 },
+            part(&self.service, target),
+        );
+        res = with(res, "answer-stamp", &stamp);
+        let echoed = if faults.crosses { "another" } else { &id };
+        res = with(res, "attempt-id", echoed);
+        res = with(res, "server-load", &self.load());
+        if faults.truncates {
+            res = with(res, "content-length", "100000");
+        }
+        Some(res)
+    }
+}
+
+impl Inner {
+    fn shed(&self) -> Response<Full<Bytes>> {
+        let res = with(plain(503, ""), "not-executed", "1");
+        with(res, "server-load", &self.load())
+    }
+
+    fn load(&self) -> String {
+        let running = SLOTS - self.slots.available_permits();
+        let there = SLOTS + QUEUE - self.queued.available_permits();
+        format!("{running},{},{SLOTS}", there.saturating_sub(running))
+    }
+}
+
+fn with(mut res: Response<Full<Bytes>>, name: &'static str, value: &str) -> Response<Full<Bytes>> {
+    if let Ok(value) = hyper::header::HeaderValue::from_str(value) {
+        res.headers_mut().insert(name, value);
+    }
+    res
+}
+
+fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/rig/src/site/caller.rs
@@ -0,0 +1,152 @@
+//! A caller that checks every answer.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+
+use super::config::SiteRoute;
+use super::records::part;
+
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// A right answer, with the shards that it left out.
+    Right(usize),
+    /// Refused as not run, with the time to come back in milliseconds.
+    NotRun(Option<u64>),
+    /// Failed; it may have run.
+    Failed(u16),
+    /// No answer.
+    Cut,
+    /// A wrong answer, and how it is wrong.
+    Wrong(String),
+}
+
+/// An answer and its verdict.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The caller's id of the request.
+    pub id: String,
+    /// What became of it.
+    pub verdict: Verdict,
+}
+
+/// A caller with kept connections.
+#[derive(Clone)]
+pub struct SiteCaller {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for SiteCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl SiteCaller {
+    /// Starts without connections.
+    #[must_use]
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Asks a VM on a route, and checks the answer.
+    pub async fn ask(&self, vm: SocketAddr, route: &SiteRoute, id: &str) -> Answer {
+        let target = format!("{}{id}", route.prefix);
+        let limit = Duration::from_millis(3500);
+        let asked = tokio::time::timeout(limit, self.send(vm, &target, id)).await;
+        let verdict = match asked {
+            Ok(Some(res)) => check(&res, route, &target, id),
+            Ok(None) | Err(_) => Verdict::Cut,
+        };
+        Answer {
+            id: id.to_owned(),
+            verdict,
+        }
+    }
+
+    /// Sends a request without a check.
+    pub async fn send(&self, vm: SocketAddr, target: &str, id: &str) -> Option<Response<Bytes>> {
+        let req = Request::get(format!("http://{vm}{target}"))
+            .header("host", "site.example")
+            .header("attempt-id", id)
+            .header("deadline-ms", "3000")
+            .body(Full::default())
+            .ok()?;
+        let res = self.client.request(req).await.ok()?;
+        let (head, body) = res.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        Some(Response::from_parts(head, body))
+    }
+}
+
+fn check(res: &Response<Bytes>, route: &SiteRoute, target: &str, id: &str) -> Verdict {
+    let text = |name: &str| res.headers().get(name).and_then(|v| v.to_str().ok());
+    match res.status() {
+        StatusCode::OK => {}
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            let seconds: Option<f64> = text("retry-after").and_then(|s| s.parse().ok());
+            return Verdict::NotRun(seconds.map(|s| (s * 1000.0) as u64));
+        }
+        s => return Verdict::Failed(s.as_u16()),
+    }
+    let wrong = |what: &str| Verdict::Wrong(format!("{what}: {res:?}"));
+    let Some((page, share)) = route.page else {
+        let service = &route.services[0];
+        let stamped = text("answer-stamp").is_some_and(|s| is_of(s, service, id));
+        let is_whole = res.body() == &part(service, target);
+        return match stamped && is_whole {
+            true => Verdict::Right(0),
+            false => wrong("not the server's answer"),
+        };
+    };
+    let stamps: Vec<&str> = text("part-stamps")
+        .unwrap_or("")
+        .split(',')
+        .map(str::trim)
+        .collect();
+    let missing: usize = text("missing-parts")
+        .and_then(|m| m.parse().ok())
+        .unwrap_or(0);
+    let held: BTreeSet<&String> = route
+        .services
+        .iter()
+        .filter(|s| stamps.iter().any(|stamp| is_of(stamp, s, id)))
+        .collect();
+    if held.len() != stamps.len() || held.len() + missing != route.services.len() {
+        return wrong("its parts are not what it says");
+    }
+    if (held.len() as f64) < share * route.services.len() as f64 - 1e-9 {
+        return wrong("too few parts");
+    }
+    let mut records: Vec<[u8; 16]> = Vec::new();
+    for service in held {
+        records.extend(part(service, target).as_chunks::<16>().0);
+    }
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.truncate(page);
+    match res.body()[..] == records.concat() {
+        true => Verdict::Right(missing),
+        false => wrong("not the greatest records of its parts"),
+    }
+}
+
+/// Whether a stamp is a server's of this service for this request.
+fn is_of(stamp: &str, service: &str, id: &str) -> bool {
+    let mut it = stamp.splitn(3, '.');
+    it.next() == Some(service) && it.next().is_some() && it.next() == Some(id)
+}
--- /dev/null
+++ b/crates/rig/src/site/records.rs
@@ -0,0 +1,21 @@
+//! The records of a part, as they follow from the service and the request.
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use gs_types::prelude::*;
+
+/// Records in a part.
+const RECORDS: usize = 12;
+
+/// The part of a service for a request's target; the records are in no order.
+#[must_use]
+pub fn part(service: &str, target: &str) -> Bytes {
+    let mut body = BytesMut::with_capacity(RECORDS * 16);
+    for n in 0..RECORDS {
+        let high = Fingerprint::of(&[service, target, &n.to_string()]).0;
+        let low = Fingerprint::of(&[target, service, &n.to_string()]).0;
+        body.extend_from_slice(&high.to_be_bytes());
+        body.extend_from_slice(&low.to_be_bytes());
+    }
+    body.freeze()
+}
--- /dev/null
+++ b/crates/rig/src/site/vm.rs
@@ -0,0 +1,166 @@
+//! One `gentiansill relay` process: started, signalled and ended by its id.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+use crate::load::Caller;
+
+/// The time between two looks at something that a process brings about.
+const LOOK_AGAIN: Duration = Duration::from_millis(5);
+
+/// A VM of a site.
+#[derive(Clone, Debug)]
+pub struct RelayVmPlan {
+    /// Its name.
+    pub name: String,
+    /// Its data centre, which is also its region.
+    pub zone: String,
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer.
+    pub status: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
+}
+
+/// A running process; killed when dropped.
+pub struct RelayVm {
+    plan: RelayVmPlan,
+    child: Child,
+    settings: PathBuf,
+}
+
+impl RelayVm {
+    /// Writes the settings and starts the process; its log is appended to `NAME.log` in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// If a file cannot be written or the program cannot be started.
+    pub fn start(bin: &Path, dir: &Path, store: SocketAddr, plan: RelayVmPlan) -> Result<Self> {
+        let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("start a VM");
+        let settings = dir.join(format!("{}.toml", plan.name));
+        std::fs::write(&settings, text(&plan, store)).map_err(failed)?;
+        let log = dir.join(format!("{}.log", plan.name));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .map_err(failed)?;
+        let child = Command::new(bin)
+            .arg("relay")
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().map_err(failed)?)
+            .stderr(log)
+            .spawn()
+            .map_err(failed)?;
+        Ok(Self {
+            plan,
+            child,
+            settings,
+        })
+    }
+
+    /// Its plan.
+    #[must_use]
+    pub fn plan(&self) -> &RelayVmPlan {
+        &self.plan
+    }
+
+    /// Its settings file.
+    #[must_use]
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// If it exits, or is not ready within `limit`.
+    pub async fn until_ready(&mut self, limit: Duration) -> Result<()> {
+        let caller = Caller::new();
+        let end = Instant::now() + limit;
+        loop {
+            let asked = caller.get(self.plan.status, "/ready");
+            if let Ok(Ok((200, _))) = tokio::time::timeout(Duration::from_secs(1), asked).await {
+                return Ok(());
+            }
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Err(Error::new(
+                    ErrorKind::Io,
+                    format!("it exited with {status}"),
+                ));
+            }
+            if Instant::now() > end {
+                return Err(Error::new(ErrorKind::Unavailable, "not ready in time"));
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
+    /// Sends a signal to it, and to nothing else.
+    pub fn signal(&self, signal: Signal) {
+        // It may have ended; then there is nothing to signal.
+        let _ = rustix::process::kill_process(Pid::from_child(&self.child), signal);
+    }
+
+    /// Waits until it has ended; gives its exit code.
+    ///
+    /// # Errors
+    ///
+    /// If it does not end within `limit`.
+    pub async fn until_ended(&mut self, limit: Duration) -> Result<Option<i32>> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Ok(status.code());
+            }
+            if Instant::now() > end {
+                return Err(Error::new(
+                    ErrorKind::Unavailable,
+                    "it has not ended in time",
+                ));
+            }
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+}
+
+impl Drop for RelayVm {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn text(plan: &RelayVmPlan, store: SocketAddr) -> String {
+    let RelayVmPlan {
+        name,
+        zone,
+        callers,
+        status,
+        peers,
+    } = plan;
+    format!(
+        "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
+         capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
+         [listen]\ncallers = \"{callers}\"\nstatus = \"{status}\"\npeers = \"{peers}\"\n\n\
+         [platform]\naddr = \"{store}\"\n\n\
+         [budget]\nslack = 400.0\n\n\
+         [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
+         [log]\nlevel = \"debug\"\n"
+    )
+}
--- /dev/null
+++ b/crates/rig/src/site/whole.rs
@@ -0,0 +1,183 @@
+//! A whole site: store, backend servers and VMs.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bon::Builder;
+use gs_types::prelude::*;
+
+use super::backend::Backend;
+use super::backend::Runs;
+use super::config::SiteConfig;
+use super::config::SiteRoute;
+use super::store::Store;
+use super::vm::RelayVm;
+use super::vm::RelayVmPlan;
+
+/// The data centres of a site.
+const ZONES: [&str; 3] = ["east", "west", "south"];
+
+/// How a site is built.
+#[derive(Builder)]
+pub struct SiteOptions {
+    /// The program.
+    pub bin: PathBuf,
+    /// Where settings and logs are written.
+    pub dir: PathBuf,
+    /// Shards, each of two servers in two of three data centres.
+    #[builder(default = 6)]
+    pub shards: usize,
+    /// VMs, one after the other in three data centres.
+    #[builder(default = 3)]
+    pub vms: usize,
+    /// The time that a server works on a request.
+    #[builder(default = Duration::from_millis(4))]
+    pub work: Duration,
+}
+
+/// A whole site: store, backend servers and VMs.
+pub struct Site {
+    /// The platform's store.
+    pub store: Store,
+    /// The backend servers.
+    pub backends: Vec<Backend>,
+    /// The VMs.
+    pub vms: Vec<RelayVm>,
+    /// What ran.
+    pub runs: Runs,
+    /// The configuration in force.
+    pub config: SiteConfig,
+    options: SiteOptions,
+}
+
+impl Site {
+    /// Starts everything and waits until each VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// If a part does not start.
+    pub async fn start(options: SiteOptions) -> Result<Self> {
+        let store = Store::start().await?;
+        let runs = Runs::default();
+        let shards: Vec<String> = (0..options.shards).map(|n| format!("shard{n}")).collect();
+        let mut backends = Vec::new();
+        for (n, shard) in shards.iter().enumerate() {
+            for copy in 0..2 {
+                let id = format!("i-{shard}-{copy}");
+                let zone = ZONES[(n + copy) % ZONES.len()];
+                let work = options.work;
+                let b = Backend::start(&store, &id, shard, zone, work, Runs::clone(&runs)).await?;
+                backends.push(b);
+            }
+        }
+        for (n, zone) in ZONES.iter().enumerate() {
+            let id = format!("i-desk-{n}");
+            let work = options.work;
+            let b = Backend::start(&store, &id, "desk", zone, work, Runs::clone(&runs)).await?;
+            backends.push(b);
+        }
+        let config = SiteConfig {
+            version: 1,
+            routes: vec![
+                route("/page/", &shards, Some((10, 0.5)), true),
+                route("/one/", &["desk".to_owned()], None, true),
+                route("/once/", &["desk".to_owned()], None, false),
+            ],
+        };
+        let mut site = Self {
+            store,
+            backends,
+            vms: Vec::new(),
+            runs,
+            config,
+            options,
+        };
+        site.store.put("config", "main", site.config.spec());
+        for n in 0..site.options.vms {
+            let plan = plan(n)?;
+            site.vms.push(site.launch(plan)?);
+        }
+        for vm in &mut site.vms {
+            vm.until_ready(Duration::from_secs(10)).await?;
+        }
+        Ok(site)
+    }
+
+    /// Starts a VM of this plan, or one that has ended again.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn launch(&self, plan: RelayVmPlan) -> Result<RelayVm> {
+        RelayVm::start(
+            &self.options.bin,
+            &self.options.dir,
+            self.store.addr(),
+            plan,
+        )
+    }
+
+    /// The route of this prefix.
+    ///
+    /// # Errors
+    ///
+    /// If there is none.
+    pub fn route(&self, prefix: &str) -> Result<SiteRoute> {
+        let found = self.config.routes.iter().find(|r| r.prefix == prefix);
+        found
+            .cloned()
+            .ok_or_else(|| Error::new(ErrorKind::NotFound, format!("no route {prefix}")))
+    }
+
+    /// A backend server by its id.
+    ///
+    /// # Errors
+    ///
+    /// If there is none.
+    pub fn backend(&mut self, id: &str) -> Result<&mut Backend> {
+        let found = self.backends.iter_mut().find(|b| b.id() == id);
+        found.ok_or_else(|| Error::new(ErrorKind::NotFound, format!("no server {id}")))
+    }
+
+    /// Puts a new version of the configuration in force.
+    pub fn configure(&mut self, change: impl FnOnce(&mut SiteConfig)) {
+        change(&mut self.config);
+        self.config.version += 3;
+        self.store.put("config", "main", self.config.spec());
+    }
+}
+
+fn route(
+    prefix: &str,
+    services: &[String],
+    page: Option<(usize, f64)>,
+    is_safe: bool,
+) -> SiteRoute {
+    SiteRoute {
+        prefix: prefix.to_owned(),
+        services: services.to_vec(),
+        page,
+        is_safe,
+        objective_ms: 400,
+    }
+}
+
+fn plan(n: usize) -> Result<RelayVmPlan> {
+    Ok(RelayVmPlan {
+        name: format!("vm-{n}"),
+        zone: ZONES[n % ZONES.len()].to_owned(),
+        callers: free()?,
+        status: free()?,
+        peers: free()?,
+    })
+}
+
+/// A port that nobody listens on at present.
+fn free() -> Result<SocketAddr> {
+    let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("find a port");
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(failed)?;
+    listener.local_addr().map_err(failed)
+}
--- a/tests/cli/help.rs
+++ b/tests/cli/help.rs
@@ -14,6 +14,7 @@
 
 Commands:
   serve    Runs one entry VM's process until SIGTERM or SIGINT, then leaves gracefully
+  relay    Relays requests on the platform's routes until SIGTERM or SIGINT, then leaves gracefully
   check    Checks a settings file or a patch and starts nothing
   status   Shows a summary of a process, one `key = value` a line
   dump     Shows the whole state of a process, or of the fleet through it
@@ -37,7 +38,10 @@
 
 #[rstest]
 fn each_command_shows_an_example_and_the_exit_codes(
-    #[values("serve", "check", "status", "dump", "patch", "replay", "version")] name: &str,
+    #[values(
+        "serve", "relay", "check", "status", "dump", "patch", "replay", "version"
+    )]
+    name: &str,
 ) {
     let r = run(&[name, "--help"]);
     assert_eq!(r.code, 0);
--- /dev/null
+++ b/tests/relay/bad_input.rs
@@ -0,0 +1,47 @@
+//! Entries and requests that cannot be read.
+
+use std::time::Duration;
+
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::support::all;
+use crate::support::is_whole;
+use crate::support::site;
+
+/// One entry that another writer left keeps every VM from knowing any server.
+#[rstest]
+#[case::nothing(Value::Null)]
+#[case::text(json!("not an entry"))]
+#[case::no_address(json!({"backend": "shard0", "zone": "east", "state": "ready"}))]
+#[case::another_type(json!({"backend": "shard0", "address": 7, "zone": "east", "max_concurrent": 2, "state": "ready"}))]
+#[case::unknown_state(json!({"backend": "shard0", "address": "127.0.0.1:1", "zone": "east", "max_concurrent": 2, "state": "asleep"}))]
+#[tokio::test]
+async fn an_entry_that_cannot_be_read_names_no_server_and_the_others_hold(#[case] entry: Value) {
+    let mut r = site().await;
+    r.site.store.put("servers", "i-forged", entry);
+    let end = tokio::time::Instant::now() + Duration::from_secs(5);
+    while !r.logs().contains("event=object-unreadable") {
+        assert!(tokio::time::Instant::now() < end, "no line tells of it");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let route = r.route("/page/");
+    all(&r.ask_all(3, &route).await, is_whole);
+}
+
+/// A configuration that cannot be read takes the one in force away.
+#[tokio::test]
+async fn routes_that_cannot_be_read_leave_those_in_force() {
+    let mut r = site().await;
+    r.site
+        .store
+        .put("config", "main", json!({"version": 99, "routes": 3}));
+    let end = tokio::time::Instant::now() + Duration::from_secs(5);
+    while !r.logs().contains("event=object-unreadable") {
+        assert!(tokio::time::Instant::now() < end, "no line tells of it");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let route = r.route("/page/");
+    all(&r.ask_all(3, &route).await, is_whole);
+}
--- /dev/null
+++ b/tests/relay/main.rs
@@ -0,0 +1,9 @@
+//! `gentiansill relay` as real processes, on a stand-in of the platform.
+
+mod bad_input;
+mod once;
+mod pages;
+mod servers;
+mod store;
+mod support;
+mod vms;
--- /dev/null
+++ b/tests/relay/once.rs
@@ -0,0 +1,52 @@
+//! Requests that may run at most once.
+
+use gs_rig::site::BackendFaults;
+use gs_rig::site::Verdict;
+
+use crate::support::all;
+use crate::support::site;
+
+/// A reader gets two invoices: the server ran the renewal, its connection broke, and the renewal was
+/// sent again.
+#[tokio::test]
+async fn a_request_whose_answer_was_lost_has_run_once() {
+    let mut r = site().await;
+    for n in 0..3 {
+        let loses = BackendFaults {
+            loses: true,
+            ..BackendFaults::default()
+        };
+        r.site
+            .backend(&format!("i-desk-{n}"))
+            .expect("a server")
+            .misbehave(loses);
+    }
+    let route = r.route("/once/");
+    let answers = r.ask_all(5, &route).await;
+    all(&answers, |v| matches!(v, Verdict::Failed(502)));
+    for a in &answers {
+        assert_eq!(r.ran(&a.id), 1, "{a:?}");
+    }
+}
+
+/// A clerk books a levy again that was booked: the first answer said that nothing had run.
+#[tokio::test]
+async fn a_refusal_that_says_not_run_is_true_and_says_when_to_come_back() {
+    let mut r = site().await;
+    for n in 0..3 {
+        let sheds = BackendFaults {
+            sheds: true,
+            ..BackendFaults::default()
+        };
+        r.site
+            .backend(&format!("i-desk-{n}"))
+            .expect("a server")
+            .misbehave(sheds);
+    }
+    let route = r.route("/once/");
+    let answers = r.ask_all(3, &route).await;
+    all(&answers, |v| matches!(v, Verdict::NotRun(Some(1..))));
+    for a in &answers {
+        assert_eq!(r.ran(&a.id), 0, "{a:?}");
+    }
+}
--- /dev/null
+++ b/tests/relay/servers.rs
@@ -0,0 +1,99 @@
+//! Backend servers that pause, crash, spoil answers or leave.
+
+use std::time::Duration;
+
+use gs_rig::site::BackendFaults;
+use rstest::rstest;
+
+use crate::support::all;
+use crate::support::is_right;
+use crate::support::is_whole;
+use crate::support::site;
+
+/// A page misses its objective, as one server pauses for longer than that.
+#[tokio::test]
+async fn a_page_does_not_wait_for_a_server_that_pauses() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    all(&r.ask_all(5, &route).await, is_whole);
+    let pauses = BackendFaults {
+        pause: Some(Duration::from_secs(2)),
+        ..BackendFaults::default()
+    };
+    r.site
+        .backend("i-shard0-0")
+        .expect("a server")
+        .misbehave(pauses);
+    let begun = tokio::time::Instant::now();
+    let answers = r.ask_all(2, &route).await;
+    all(&answers, is_whole);
+    assert!(
+        begun.elapsed() < Duration::from_secs(3),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
+/// A page holds lines that no server of ours has sent for it, or counts a shard that sent nothing.
+#[rstest]
+#[case::lost(BackendFaults { loses: true, ..BackendFaults::default() })]
+#[case::cut_short(BackendFaults { truncates: true, ..BackendFaults::default() })]
+#[case::of_another_request(BackendFaults { crosses: true, ..BackendFaults::default() })]
+#[case::a_failure(BackendFaults { fails: true, ..BackendFaults::default() })]
+#[case::refused(BackendFaults { sheds: true, ..BackendFaults::default() })]
+#[tokio::test]
+async fn a_server_that_spoils_its_answers_spoils_no_page(#[case] faults: BackendFaults) {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    for shard in [0, 3] {
+        let id = format!("i-shard{shard}-0");
+        r.site.backend(&id).expect("a server").misbehave(faults);
+    }
+    all(&r.ask_all(8, &route).await, is_whole);
+}
+
+/// A shard stays lost after its servers are back.
+#[tokio::test]
+async fn a_crashed_shard_is_left_out_truly_and_is_back_with_its_servers() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    for copy in 0..2 {
+        r.site
+            .backend(&format!("i-shard1-{copy}"))
+            .expect("a server")
+            .crash();
+    }
+    all(&r.ask_all(6, &route).await, is_right);
+    for copy in 0..2 {
+        let server = r
+            .site
+            .backend(&format!("i-shard1-{copy}"))
+            .expect("a server");
+        server.restart().await.expect("it starts again");
+    }
+    for vm in 0..3 {
+        r.until_whole(vm, &route, Duration::from_secs(10)).await;
+    }
+}
+
+/// A server that says it leaves is given work for seconds.
+#[tokio::test]
+async fn a_draining_server_gets_no_new_work() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    all(&r.ask_all(3, &route).await, is_whole);
+    let leaving = r.site.backends.iter().position(|b| b.id() == "i-shard2-0");
+    let leaving = leaving.expect("a server");
+    r.site.backends[leaving].register(&r.site.store, "draining");
+    let end = tokio::time::Instant::now() + Duration::from_secs(3);
+    loop {
+        r.clear_runs();
+        all(&r.ask_all(3, &route).await, is_whole);
+        if !r.busy().contains("i-shard2-0") {
+            break;
+        }
+        assert!(tokio::time::Instant::now() < end, "it still gets work");
+    }
+    all(&r.ask_all(3, &route).await, is_whole);
+    assert!(!r.busy().contains("i-shard2-0"));
+}
--- /dev/null
+++ b/tests/relay/store.rs
@@ -0,0 +1,61 @@
+//! The platform's store away, slow or forgetful.
+
+use std::time::Duration;
+
+use gs_rig::site::StoreFault;
+use rstest::rstest;
+
+use crate::support::all;
+use crate::support::is_whole;
+use crate::support::site;
+
+/// Nothing is served while the platform is away, although every server lives.
+#[rstest]
+#[case::busy(StoreFault::Busy)]
+#[case::limited(StoreFault::Limited)]
+#[case::silent(StoreFault::Silent)]
+#[case::answers_lost(StoreFault::Lost)]
+#[case::slow(StoreFault::Slow(Duration::from_millis(900)))]
+#[tokio::test]
+async fn pages_go_on_while_the_store_is_away_and_changes_come_after_it(#[case] fault: StoreFault) {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    r.site.store.misbehave(fault);
+    all(&r.ask_all(5, &route).await, is_whole);
+    r.site
+        .configure(|c| c.routes[0].prefix = "/other/".to_owned());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    r.site.store.misbehave(StoreFault::None);
+    let route = r.route("/other/");
+    for vm in 0..3 {
+        r.until_whole(vm, &route, Duration::from_secs(6)).await;
+    }
+}
+
+/// A change is never seen: it was made in the moment whose history the store has dropped.
+#[tokio::test]
+async fn a_change_in_forgotten_history_is_seen() {
+    let mut r = site().await;
+    r.site
+        .configure(|c| c.routes[0].prefix = "/other/".to_owned());
+    r.site.store.forget();
+    let route = r.route("/other/");
+    for vm in 0..3 {
+        r.until_whole(vm, &route, Duration::from_secs(6)).await;
+    }
+}
+
+/// Each VM's calls are paid for; a quiet site makes few.
+#[tokio::test]
+async fn a_quiet_site_makes_few_calls() {
+    let r = site().await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = r.site.store.calls();
+    let paid: u64 = calls
+        .iter()
+        .filter(|(call, _)| !call.contains("gentiansill-vms"))
+        .map(|(_, n)| n)
+        .sum();
+    // For each of three VMs, a list and few watches of each of two kinds.
+    assert!(paid <= 24, "{calls:?}");
+}
--- /dev/null
+++ b/tests/relay/support.rs
@@ -0,0 +1,121 @@
+//! What the tests share: a small site with the real binary.
+
+use std::collections::HashSet;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use gs_rig::site::Answer;
+use gs_rig::site::Site;
+use gs_rig::site::SiteCaller;
+use gs_rig::site::SiteOptions;
+use gs_rig::site::SiteRoute;
+use gs_rig::site::Verdict;
+use tempfile::TempDir;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
+
+/// Sites that run at the same time; more would only wait for the machine.
+static ROOM: Semaphore = Semaphore::const_new(3);
+
+/// A site, its folder and its room.
+pub struct Running {
+    pub site: Site,
+    pub caller: SiteCaller,
+    dir: TempDir,
+    next: u32,
+    _room: SemaphorePermit<'static>,
+}
+
+/// Starts three VMs, one in each data centre, over six shards of two servers.
+pub async fn site() -> Running {
+    let room = ROOM.acquire().await.expect("the semaphore stays open");
+    let dir = tempfile::tempdir().expect("a folder");
+    let options = SiteOptions::builder()
+        .bin(PathBuf::from(env!("CARGO_BIN_EXE_gentiansill")))
+        .dir(dir.path().to_owned())
+        .build();
+    Running {
+        site: Site::start(options).await.expect("the site starts"),
+        caller: SiteCaller::new(),
+        dir,
+        next: 0,
+        _room: room,
+    }
+}
+
+impl Running {
+    pub fn route(&self, prefix: &str) -> SiteRoute {
+        self.site.route(prefix).expect("a route")
+    }
+
+    /// Asks the `vm`-th VM on a route.
+    pub async fn ask(&mut self, vm: usize, route: &SiteRoute) -> Answer {
+        self.next += 1;
+        let id = format!("q{}", self.next);
+        let addr = self.site.vms[vm].plan().callers;
+        self.caller.ask(addr, route, &id).await
+    }
+
+    /// Asks each VM in turn, `rounds` times; gives all answers.
+    pub async fn ask_all(&mut self, rounds: usize, route: &SiteRoute) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        for n in 0..rounds * self.site.vms.len() {
+            answers.push(self.ask(n % self.site.vms.len(), route).await);
+        }
+        answers
+    }
+
+    /// Asks until the answer is whole and right; fails after `limit`.
+    pub async fn until_whole(&mut self, vm: usize, route: &SiteRoute, limit: Duration) {
+        let end = tokio::time::Instant::now() + limit;
+        loop {
+            let answer = self.ask(vm, route).await;
+            if answer.verdict == Verdict::Right(0) {
+                return;
+            }
+            assert!(tokio::time::Instant::now() < end, "{answer:?}");
+        }
+    }
+
+    /// The logs of all VMs.
+    pub fn logs(&self) -> String {
+        let files = std::fs::read_dir(self.dir.path()).expect("the folder");
+        let logs = files.filter_map(|f| {
+            let path = f.ok()?.path();
+            let is_log = path.extension().is_some_and(|e| e == "log");
+            is_log.then(|| std::fs::read_to_string(path).ok())?
+        });
+        logs.collect()
+    }
+
+    /// How often a request ran, on all servers together.
+    pub fn ran(&self, id: &str) -> u32 {
+        let runs = self.site.runs.lock().expect("the runs");
+        let of_id = runs.iter().filter(|((_, i), _)| i == id);
+        of_id.map(|(_, n)| *n).sum()
+    }
+
+    /// The servers that ran any request since the runs were cleared.
+    pub fn busy(&self) -> HashSet<String> {
+        let runs = self.site.runs.lock().expect("the runs");
+        runs.keys().map(|(server, _)| server.clone()).collect()
+    }
+
+    pub fn clear_runs(&self) {
+        self.site.runs.lock().expect("the runs").clear();
+    }
+}
+
+/// Fails if an answer is wrong, or is not of the kind wanted.
+pub fn all(answers: &[Answer], wanted: impl Fn(&Verdict) -> bool) {
+    let bad: Vec<&Answer> = answers.iter().filter(|a| !wanted(&a.verdict)).collect();
+    assert!(bad.is_empty(), "{bad:?}");
+}
+
+pub fn is_right(v: &Verdict) -> bool {
+    matches!(v, Verdict::Right(_))
+}
+
+pub fn is_whole(v: &Verdict) -> bool {
+    *v == Verdict::Right(0)
+}
--- /dev/null
+++ b/tests/relay/vms.rs
@@ -0,0 +1,93 @@
+//! VMs that are stopped, killed, frozen or told to read their settings again.
+
+use std::time::Duration;
+
+use gs_rig::site::Verdict;
+use rustix::process::Signal;
+
+use crate::support::all;
+use crate::support::is_right;
+use crate::support::is_whole;
+use crate::support::site;
+
+/// A reader's request is cut by a planned restart.
+#[tokio::test]
+async fn a_vm_told_to_leave_answers_everything_first() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    let addr = r.site.vms[0].plan().callers;
+    let asked: Vec<_> = (0..20)
+        .map(|n| {
+            let (caller, route) = (r.caller.clone(), route.clone());
+            tokio::spawn(async move { caller.ask(addr, &route, &format!("t{n}")).await })
+        })
+        .collect();
+    r.site.vms[0].signal(Signal::TERM);
+    for a in asked {
+        let answer = a.await.expect("the task ends");
+        assert!(is_right(&answer.verdict), "{answer:?}");
+    }
+    let code = r.site.vms[0].until_ended(Duration::from_secs(6)).await;
+    assert_eq!(code.expect("it ends"), Some(0));
+}
+
+/// Readers of every data centre lose shards for as long as one VM is away: what peers asked it for is
+/// waited for in vain.
+#[tokio::test]
+async fn pages_go_on_when_a_vm_is_killed_and_after_it_is_back() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    all(&r.ask_all(5, &route).await, is_whole);
+    r.site.vms[2].signal(Signal::KILL);
+    let ended = r.site.vms[2].until_ended(Duration::from_secs(5)).await;
+    ended.expect("it ends");
+    for n in 0..10 {
+        let answer = r.ask(n % 2, &route).await;
+        assert!(is_right(&answer.verdict), "{answer:?}");
+    }
+    let plan = r.site.vms[2].plan().clone();
+    let mut again = r.site.launch(plan).expect("it starts again");
+    again
+        .until_ready(Duration::from_secs(5))
+        .await
+        .expect("it is ready");
+    r.site.vms[2] = again;
+    for vm in 0..3 {
+        r.until_whole(vm, &route, Duration::from_secs(10)).await;
+    }
+}
+
+/// A VM stands still with bundles of others: nothing tells of it but silence.
+#[tokio::test]
+async fn pages_go_on_beside_a_vm_that_stands_still() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    all(&r.ask_all(5, &route).await, is_whole);
+    r.site.vms[1].signal(Signal::STOP);
+    let mut whole = 0;
+    for n in 0..12 {
+        let answer = r.ask((n % 2) * 2, &route).await;
+        assert!(!matches!(answer.verdict, Verdict::Wrong(_)), "{answer:?}");
+        whole += usize::from(is_whole(&answer.verdict));
+    }
+    r.site.vms[1].signal(Signal::CONT);
+    assert!(whole >= 6, "only {whole} of 12 were whole");
+    for vm in 0..3 {
+        r.until_whole(vm, &route, Duration::from_secs(10)).await;
+    }
+}
+
+/// A typing error in the settings takes a running VM down.
+#[tokio::test]
+async fn settings_that_cannot_be_read_change_nothing() {
+    let mut r = site().await;
+    std::fs::write(r.site.vms[0].settings(), "[vm\n").expect("the file");
+    r.site.vms[0].signal(Signal::HUP);
+    let end = tokio::time::Instant::now() + Duration::from_secs(5);
+    while !r.logs().contains("event=settings-refused") {
+        assert!(tokio::time::Instant::now() < end, "no line tells of it");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let route = r.route("/page/");
+    all(&r.ask_all(2, &route).await, is_whole);
+}
