fix(relay): a part that a peer did not bring goes only where the peer asked first

Before, only bundles that were lost were confined. Test that failed first: handover::what_a_peer_may_have_asked_for_goes_only_where_it_asked_first (missing).

feat(cli): explain tells the story of one request from the logs of all VMs; the log of relay is written by a thread behind a bounded queue, and each request that was not whole and on time leaves its attempts.

--- a/crates/edge/src/ends.rs
+++ b/crates/edge/src/ends.rs
@@ -7,9 +7,11 @@
 use gs_actor::lock;
 use gs_relay::Ending;
 use gs_relay::Outcome;
+use gs_types::prelude::*;
 
-/// The most lines a second; what is left out is counted and told with the next line.
-const LINES_PER_SECOND: u32 = 50;
+/// The most requests told of in a second; each is told whole, with its attempts, or not at all. How many
+/// were left out is told with the next one.
+const REQUESTS_PER_SECOND: u32 = 10;
 
 /// Writes what an engineer wants to know of requests that went wrong.
 #[derive(Default)]
@@ -39,15 +41,31 @@
         };
         let (whole, parts) = e.parts;
         log::info!(
-            "event=request-end id={id} path={path} handed={is_handed} outcome={outcome} reason={reason} took_ms={} \
-             objective_ms={} parts={whole}/{parts} extra={} left_out={left_out}",
+            "event=request-end id={id} path={path} route={} version={} handed={is_handed} \
+             outcome={outcome} reason={reason} took_ms={} objective_ms={} parts={whole}/{parts} \
+             extra={} left_out={left_out}",
+            e.route.as_ref().map_or("", LookupName::as_str),
+            e.version.unwrap_or_default(),
             e.took.as_millis(),
             e.objective.as_millis(),
             e.extra,
         );
+        for s in &e.trail {
+            log::info!(
+                "event=request-attempt id={id} shard={} service={} server={} cause={} at_ms={} \
+                 took_ms={} end={}",
+                s.shard,
+                s.service,
+                s.server.as_ref().map_or("", ServerName::as_str),
+                s.cause,
+                s.at.as_millis(),
+                s.took.map_or(-1, |t| t.as_millis() as i64),
+                s.end,
+            );
+        }
     }
 
-    /// Whether a line may be written now, and how many were left out since the last.
+    /// Whether a request may be told of now, and how many were left out since the last.
     fn may_write(&self) -> Option<u64> {
         let mut pace = lock(&self.0);
         let now = Instant::now();
@@ -58,7 +76,7 @@
             pace.second = Some(now);
             pace.lines = 0;
         }
-        if pace.lines >= LINES_PER_SECOND {
+        if pace.lines >= REQUESTS_PER_SECOND {
             pace.left_out += 1;
             return None;
         }
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -157,6 +157,9 @@
             objective: Duration::ZERO,
             parts: (0, 0),
             extra: 0,
+            route: None,
+            version: self.table.as_ref().map(|t| t.version()),
+            trail: Vec::new(),
         };
         out.push(Action::Answer(seq, Box::new(ending)));
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -54,6 +54,8 @@
     pub(crate) at: Instant,
     pub(crate) doing: Doing,
     pub(crate) cause: Cause,
+    /// When and how it ended.
+    pub(crate) ended: Option<(Instant, &'static str)>,
 }
 
 impl Attempt {
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -108,6 +108,7 @@
             at: now,
             doing: Doing::Live,
             cause: Cause::First,
+            ended: None,
         };
         run.bundles.push(Bundle {
             attempt,
@@ -132,6 +133,7 @@
             return;
         };
         bundle.attempt.doing = Doing::Ran;
+        bundle.attempt.ended = Some((now, (&end).into()));
         let (server, begun) = (bundle.attempt.server, bundle.attempt.at);
         let parts = bundle.parts.clone();
         let route = run.route.name.clone();
@@ -159,8 +161,9 @@
 
     /// Confines a part to the data centre where the peer will have asked for it first.
     ///
-    /// Guards against a part that runs on more servers than its route allows: a peer whose answer was
-    /// lost may have hedged it, so here it may go only to a server that will have had it already.
+    /// Guards against a part that runs on more servers than its route allows, which shows with three
+    /// replicas: a peer that did not bring it may have asked two of them, so here it may go only to one
+    /// that will have had it already.
     fn confine(&self, run: &mut Run, at: usize) {
         let place = self.first_place(&run.parts[at].service);
         run.parts[at].only_in = place;
@@ -190,6 +193,7 @@
             if is_enough {
                 self.give_up(run, at);
             } else {
+                self.confine(run, at);
                 self.try_part(now, run, at, Cause::Retry, out);
             }
         }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -113,6 +113,7 @@
             at: now,
             doing: Doing::Live,
             cause,
+            ended: None,
         });
         let Some(view) = self.servers.get_mut(server) else {
             return;
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -26,6 +26,7 @@
 use crate::run::PartState;
 use crate::run::Run;
 use crate::servers::ServerKey;
+use crate::trail::trail;
 use crate::verdict::Progress;
 use crate::verdict::Verdict;
 use crate::verdict::verdict;
@@ -76,6 +77,7 @@
             AttemptEnd::Shed(_) | AttemptEnd::WrongServer | AttemptEnd::NotSent => Doing::NotRun,
             _ => Doing::Ran,
         };
+        attempt.ended = Some((now, (&end).into()));
         let (server, begun, cause) = (attempt.server, attempt.at, attempt.cause);
         let route = run.route.name.clone();
         self.judge_server(now, server, id, begun, &route, &end);
@@ -224,7 +226,19 @@
     ) {
         let took = now.saturating_duration_since(run.arrived);
         self.note_end(run, took, &outcome);
+        let is_plain = match &outcome {
+            Outcome::Page(p) => p.missing.is_empty() && took <= run.route.objective,
+            Outcome::Relayed(a) => a.status.is_success() && took <= run.route.objective,
+            Outcome::Refused(..) | Outcome::Failed(_) => false,
+        };
         let ending = Ending {
+            trail: if is_plain {
+                Vec::new()
+            } else {
+                trail(run, &self.servers)
+            },
+            route: Some(run.route.name.clone()),
+            version: self.table.as_ref().map(|t| t.version()),
             outcome,
             took,
             objective: run.route.objective,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod stall;
 mod table;
 mod timers;
+mod trail;
 mod verdict;
 mod ways;
 
@@ -79,6 +80,7 @@
 pub use table::CallerLimits;
 pub use table::RouteTable;
 pub use table::ServiceDecl;
+pub use trail::Step;
 pub use verdict::Progress;
 pub use verdict::Verdict;
 pub use verdict::verdict;
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gs_types::prelude::*;
 use smallvec::SmallVec;
 
 use crate::reply::ServerAnswer;
+use crate::trail::Step;
 
 /// A page merged from the parts of a fan-out.
 #[derive(Clone, Debug)]
@@ -72,4 +74,10 @@
     pub parts: (usize, usize),
     /// Attempts made beyond the first of each part.
     pub extra: u32,
+    /// The route, if one took it.
+    pub route: Option<LookupName>,
+    /// The version of the routes in force; `None` before the first.
+    pub version: Option<ConfVersion>,
+    /// The attempts that tell why it was not whole and on time; empty if it was.
+    pub trail: Vec<Step>,
 }
--- /dev/null
+++ b/crates/relay/src/trail.rs
@@ -0,0 +1,83 @@
+//! What became of the attempts of a request that went wrong, for whoever explains it afterwards.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::attempt::Attempt;
+use crate::attempt::Cause;
+use crate::run::PartState;
+use crate::run::Run;
+use crate::servers::Servers;
+
+/// The most steps kept of one request; those of parts that were whole at the first attempt tell nothing.
+const STEPS_MAX: usize = 24;
+
+/// One attempt of a request, as a log line shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// The shard, or 0 where there is but one part.
+    pub shard: u16,
+    /// The service; for a bundle, the peers.
+    pub service: ServiceName,
+    /// The server or peer; `None` if it is not known any more.
+    pub server: Option<ServerName>,
+    /// Why it was made.
+    pub cause: Cause,
+    /// When it was made, after the request's arrival.
+    pub at: Duration,
+    /// How long it took; `None` if it was under way when the request ended.
+    pub took: Option<Duration>,
+    /// How it ended; `under-way` if it had not.
+    pub end: &'static str,
+}
+
+/// The attempts that tell why a request ended as it did.
+pub(crate) fn trail(run: &Run, servers: &Servers) -> Vec<Step> {
+    let mut steps = Vec::new();
+    for b in &run.bundles {
+        let view = servers.get(b.attempt.server);
+        let service = view.map(|v| v.entry.service.clone());
+        let first = b.parts.first().and_then(|at| run.parts.get(*at));
+        if let Some(service) = service.or_else(|| first.map(|p| p.service.clone())) {
+            let shard = first.map_or(0, |p| p.shard);
+            steps.push(step(run.arrived, shard, service, &b.attempt, servers));
+        }
+    }
+    for part in &run.parts {
+        let is_plain = part.state == PartState::Whole && part.attempts.len() <= 1;
+        if is_plain {
+            continue;
+        }
+        for a in &part.attempts {
+            steps.push(step(
+                run.arrived,
+                part.shard,
+                part.service.clone(),
+                a,
+                servers,
+            ));
+        }
+    }
+    steps.truncate(STEPS_MAX);
+    steps
+}
+
+fn step(
+    arrived: Instant,
+    shard: u16,
+    service: ServiceName,
+    a: &Attempt,
+    servers: &Servers,
+) -> Step {
+    Step {
+        shard,
+        service,
+        server: servers.get(a.server).map(|v| v.entry.name.clone()),
+        cause: a.cause,
+        at: a.at.saturating_duration_since(arrived),
+        took: a.ended.map(|(at, _)| at.saturating_duration_since(a.at)),
+        end: a.ended.map_or("under-way", |(_, how)| how),
+    }
+}
--- a/crates/relay/tests/relay/handover.rs
+++ b/crates/relay/tests/relay/handover.rs
@@ -111,6 +111,29 @@
     assert_eq!(w.busy(), ["s1-far", "s2-far"]);
 }
 
+/// A part runs on three servers although its route allows two: a peer asked two replicas in vain, and
+/// this VM, to which it is missing, asked the third.
+#[rstest]
+#[case::missing(page(&[], &[1, 2]))]
+#[case::broken(AttemptEnd::Broken)]
+fn what_a_peer_may_have_asked_for_goes_only_where_it_asked_first(#[case] end: AttemptEnd) {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    for s in ["s1", "s2"] {
+        w.tell(Event::Server(Arc::new(entry(
+            &format!("{s}-other"),
+            s,
+            "burnie-a",
+        ))));
+        w.tell(opened(&format!("{s}-other"), 1));
+    }
+    w.ask("/page/x", ms(2500));
+    w.end("vm-2", end);
+    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
+    w.pass(ms(1000));
+    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
+}
+
 /// A page counts a shard twice or not at all: the peer tells of other shards than it was asked for.
 #[rstest]
 #[case::too_few(page(&["x"], &[]))]
--- a/crates/rig/src/site/whole.rs
+++ b/crates/rig/src/site/whole.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bon::Builder;
@@ -166,18 +168,37 @@
 }
 
 fn plan(n: usize) -> Result<RelayVmPlan> {
+    let ip = own_address();
     Ok(RelayVmPlan {
         name: format!("vm-{n}"),
         zone: ZONES[n % ZONES.len()].to_owned(),
-        callers: free()?,
-        status: free()?,
-        peers: free()?,
+        callers: free(ip)?,
+        status: free(ip)?,
+        peers: free(ip)?,
     })
 }
 
-/// A port that nobody listens on at present.
-fn free() -> Result<SocketAddr> {
+/// Addresses given out by this process.
+static GIVEN: AtomicU32 = AtomicU32::new(0);
+
+/// A loopback address that no other VM has, of this process or of another one.
+///
+/// On a shared address a connection of somebody else may take a port between the moment in which it was
+/// found free and that in which the VM listens on it, and the VM does not start.
+fn own_address() -> Ipv4Addr {
+    /// Addresses below this belong to other stand-ins.
+    const FIRST: u32 = 64;
+    /// How many addresses a process has before it begins anew.
+    const COUNT: u32 = 128;
+    let n = FIRST + GIVEN.fetch_add(1, Ordering::Relaxed) % COUNT;
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    // The last number may be neither 0 nor 255.
+    Ipv4Addr::new(127, n as u8, high, low.clamp(1, 254))
+}
+
+/// A port of an address that nobody listens on at present.
+fn free(ip: Ipv4Addr) -> Result<SocketAddr> {
     let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("find a port");
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).map_err(failed)?;
+    let listener = TcpListener::bind((ip, 0)).map_err(failed)?;
     listener.local_addr().map_err(failed)
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod check;
 mod dump;
+mod explain;
 mod patch;
 mod patch_file;
 mod relay;
@@ -40,6 +41,7 @@
             status::command(),
             dump::command(),
             patch::command(),
+            explain::command(),
             replay::command(),
             version::command(),
         ])
@@ -57,6 +59,7 @@
         "status" => status::run(m),
         "dump" => dump::run(m),
         "patch" => patch::run(m),
+        "explain" => explain::run(m),
         "replay" => replay::run(m),
         _ => version::run(m),
     };
--- a/src/logging.rs
+++ b/src/logging/mod.rs
@@ -1,5 +1,7 @@
 //! The log: one key=value line an event.
 
+mod queue;
+
 use std::io;
 use std::io::Write;
 
@@ -12,6 +14,8 @@
 use log::LevelFilter;
 use log::Record;
 
+use self::queue::Queue;
+
 /// The modules of this program; libraries log warnings and errors only.
 const OURS: [&str; 2] = ["gs_", "gentiansill"];
 
@@ -20,12 +24,14 @@
     start_by(level, Logger::log_to_stderr)
 }
 
-/// Starts the log on stdout.
+/// Starts the log on stdout, behind a queue that never holds the process up.
 pub(crate) fn start_on_stdout(level: LogLevel) -> Result<LoggerHandle> {
-    start_by(level, Logger::log_to_stdout)
+    let failed = |e: io::Error| Error::new(ErrorKind::Io, e.to_string()).at("start log");
+    let queue = Queue::start(io::stdout()).map_err(failed)?;
+    start_by(level, |logger| logger.log_to_writer(Box::new(queue)))
 }
 
-fn start_by(level: LogLevel, to: fn(Logger) -> Logger) -> Result<LoggerHandle> {
+fn start_by(level: LogLevel, to: impl FnOnce(Logger) -> Logger) -> Result<LoggerHandle> {
     let level = filter(level);
     let mut spec = LogSpecification::builder();
     spec.default(level.min(LevelFilter::Warn));
--- a/tests/cli/help.rs
+++ b/tests/cli/help.rs
@@ -19,6 +19,7 @@
   status   Shows a summary of a process, one `key = value` a line
   dump     Shows the whole state of a process, or of the fleet through it
   patch    Sends a patch against a numbered version, and shows its verdict
+  explain  Tells the story of one request from the logs of all VMs, in the order of time
   replay   Runs a trace through the decisions and compares the outcomes with the stated ones
   version  Shows the version, and that of the trace format
   help     Print this message or the help of the given subcommand(s)
@@ -39,7 +40,7 @@
 #[rstest]
 fn each_command_shows_an_example_and_the_exit_codes(
     #[values(
-        "serve", "relay", "check", "status", "dump", "patch", "replay", "version"
+        "serve", "relay", "check", "status", "dump", "patch", "explain", "replay", "version"
     )]
     name: &str,
 ) {
--- a/tests/cli/main.rs
+++ b/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod common;
+mod explain;
 mod help;
 mod operators;
 mod replay;
