test(rig): a soak of the relay with faults from outside, by seeds

Real processes behind loopback proxies (delay, reset, silence, one way), signals in series (TERM, KILL, STOP, HUP), servers that crash, pause, lose, cut, cross, refuse and fail, a store that is busy, silent, slow, forgets and loses answers, configurations in between. Checked: no wrong page, nothing doubled that may run once, refusals true and with a time to come back, nothing cut by a planned end, whole pages again after it.

--- a/crates/rig/src/args.rs
+++ b/crates/rig/src/args.rs
@@ -29,6 +29,28 @@
     pub seed: u64,
 }
 
+/// The most VMs of a soak: each is a process.
+const VMS_MAX: u64 = 60;
+
+/// `gs-rig soak`.
+#[derive(Clone, Debug)]
+pub struct Soak {
+    /// The `gentiansill` program.
+    pub bin: PathBuf,
+    /// Where settings and logs go.
+    pub dir: PathBuf,
+    /// The first seed.
+    pub seed: u64,
+    /// How many seeds.
+    pub seeds: u64,
+    /// How long faults come, in seconds.
+    pub seconds: u64,
+    /// VMs.
+    pub vms: usize,
+    /// Shards.
+    pub shards: usize,
+}
+
 /// `gs-rig demo`.
 #[derive(Clone, Debug)]
 pub struct Demo {
@@ -116,6 +138,7 @@
             "Measures goodput by load, and the time to recover from a storm of resends",
         ))
         .subcommand(bare_command())
+        .subcommand(soak_command())
 }
 
 fn common(name: &'static str, about: &'static str) -> Command {
@@ -163,6 +186,26 @@
         )
 }
 
+fn soak_command() -> Command {
+    let whole = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("N")
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+            .help(help)
+    };
+    Command::new("soak")
+        .about("Injects faults into relaying processes from outside, seed by seed, and checks the promises")
+        .arg(path("bin", "The gentiansill program").default_value("target/release/gentiansill"))
+        .arg(path("dir", "Where settings and logs go").default_value("/tmp/gentiansill-soak"))
+        .arg(whole("seed", "1", "The first seed"))
+        .arg(whole("seeds", "1", "How many seeds, one after the other"))
+        .arg(whole("seconds", "20", "How long faults come"))
+        .arg(whole("vms", "3", "VMs, at most 60"))
+        .arg(whole("shards", "6", "Shards of two servers each"))
+}
+
 fn path(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name)
         .long(name)
@@ -189,6 +232,24 @@
         .help(help)
 }
 
+/// Reads `gs-rig soak`.
+pub fn soak(m: &ArgMatches) -> Result<Soak> {
+    let vms: u64 = read(m, "vms")?;
+    if vms == 0 || vms > VMS_MAX {
+        return Err(Error::new(ErrorKind::BadInput, "`vms` is out of range")
+            .with_hint(format!("give 1 to {VMS_MAX}")));
+    }
+    Ok(Soak {
+        bin: read(m, "bin")?,
+        dir: read(m, "dir")?,
+        seed: read(m, "seed")?,
+        seeds: read(m, "seeds")?,
+        seconds: read(m, "seconds")?,
+        vms: vms as usize,
+        shards: read::<u64>(m, "shards")? as usize,
+    })
+}
+
 /// Reads `gs-rig demo`.
 pub fn demo(m: &ArgMatches) -> Result<Demo> {
     Ok(Demo {
--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -21,6 +21,7 @@
 use super::http::listen;
 use super::http::plain;
 use super::http::serve;
+use super::proxy::FaultProxy;
 use super::records::part;
 use super::store::Store;
 
@@ -56,6 +57,7 @@
     service: String,
     zone: String,
     addr: SocketAddr,
+    link: FaultProxy,
     inner: Arc<Inner>,
     task: JoinHandle<()>,
 }
@@ -102,6 +104,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             addr,
+            link: FaultProxy::start(addr).await?,
             task: serve(listener, Arc::<Inner>::clone(&inner)),
             inner,
         };
@@ -121,13 +124,19 @@
         &self.service
     }
 
+    /// The proxy that everybody reaches it through.
+    #[must_use]
+    pub fn link(&self) -> &FaultProxy {
+        &self.link
+    }
+
     /// Writes its entry with this state.
     pub fn register(&self, store: &Store, state: &str) {
         store.put(
             "servers",
             &self.id,
             json!({
-                "backend": self.service, "address": self.addr.to_string(), "zone": self.zone,
+                "backend": self.service, "address": self.link.addr().to_string(), "zone": self.zone,
                 "version": "v1", "max_concurrent": SLOTS, "state": state, "warmup_left_ms": 0,
                 "sequence": 1, "born": 1,
             }),
--- /dev/null
+++ b/crates/rig/src/site/soak.rs
@@ -0,0 +1,470 @@
+//! A randomized soak: real processes, faults from outside, and the promises checked meanwhile.
+//!
+//! Faults come in series and overlap. Callers go on using their connections until a process is gone. What
+//! is checked is what callers and backend servers see: no wrong page, nothing doubled that may run once, a
+//! refusal that is true, nothing cut by a planned end, and whole pages again once the faults are over.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bon::Builder;
+use gs_types::prelude::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use strum::IntoEnumIterator;
+use tokio::time::Instant;
+
+use super::backend::BackendFaults;
+use super::caller::SiteCaller;
+use super::caller::Verdict;
+use super::config::SiteRoute;
+use super::proxy::Harm;
+use super::store::StoreFault;
+use super::whole::Site;
+use super::whole::SiteOptions;
+
+/// The time within which every VM serves whole pages again once the faults are over.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// The most violations that are told of.
+const TOLD_MAX: usize = 20;
+
+/// How a soak is run.
+#[derive(Builder)]
+pub struct SoakOptions {
+    /// The program.
+    pub bin: PathBuf,
+    /// Where settings and logs are written.
+    pub dir: PathBuf,
+    /// The seed of all faults.
+    pub seed: u64,
+    /// How long faults come.
+    pub length: Duration,
+    /// VMs.
+    #[builder(default = 3)]
+    pub vms: usize,
+    /// Shards.
+    #[builder(default = 6)]
+    pub shards: usize,
+}
+
+/// What a soak came to.
+#[derive(Debug, Default)]
+pub struct SoakReport {
+    /// Requests by what became of them.
+    pub ends: HashMap<&'static str, u64>,
+    /// The faults, in order.
+    pub faults: Vec<String>,
+    /// The promises broken; none on a good day.
+    pub violations: Vec<String>,
+}
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, strum::EnumIter, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+enum Fault {
+    VmTerm,
+    VmKill,
+    VmPause,
+    VmReload,
+    ServerCrash,
+    ServerPause,
+    ServerLoses,
+    ServerTruncates,
+    ServerCrosses,
+    ServerSheds,
+    ServerFails,
+    ServerLinkDelay,
+    ServerLinkReset,
+    ServerLinkSilent,
+    ServerLinkOneWay,
+    StoreBusy,
+    StoreSilent,
+    StoreLost,
+    StoreSlow,
+    StoreForgets,
+    StoreLinkReset,
+    StoreLinkSilent,
+    StoreLinkOneWay,
+    Configure,
+}
+
+/// One request as a caller saw it.
+struct Seen {
+    id: String,
+    vm: usize,
+    begun: Instant,
+    ended: Instant,
+    is_once: bool,
+    verdict: Verdict,
+}
+
+/// A time in which a VM may cut requests, as it was killed or stood still.
+struct Outage {
+    vm: usize,
+    from: Instant,
+    until: Instant,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+///
+/// If the site does not start.
+pub async fn soak(options: SoakOptions) -> Result<SoakReport> {
+    let site = SiteOptions::builder()
+        .bin(options.bin)
+        .dir(options.dir)
+        .vms(options.vms)
+        .shards(options.shards)
+        .build();
+    let mut run = Run {
+        site: Site::start(site).await?,
+        rng: ChaCha8Rng::seed_from_u64(options.seed),
+        pending: Vec::new(),
+        outages: Vec::new(),
+        report: SoakReport::default(),
+    };
+    let load = Load::start(&run.site);
+    let end = Instant::now() + options.length;
+    while Instant::now() < end {
+        let wait = run.rng.random_range(100..700);
+        run.pass(Duration::from_millis(wait)).await?;
+        run.strike().await?;
+    }
+    run.calm().await?;
+    run.recover().await;
+    let seen = load.stop().await;
+    run.check(&seen);
+    Ok(run.report)
+}
+
+/// A soak under way.
+struct Run {
+    site: Site,
+    rng: ChaCha8Rng,
+    /// What mends faults, and when.
+    pending: Vec<(Instant, Mend)>,
+    outages: Vec<Outage>,
+    report: SoakReport,
+}
+
+/// What mends a fault.
+#[derive(Clone, Copy, Debug)]
+enum Mend {
+    VmContinue(usize),
+    VmRestart(usize),
+    ServerRestart(usize),
+    ServerWell(usize),
+    ServerLink(usize),
+    Store,
+    StoreLink(usize),
+}
+
+impl Run {
+    /// Lets time pass, mending what falls due.
+    async fn pass(&mut self, d: Duration) -> Result<()> {
+        let until = Instant::now() + d;
+        loop {
+            self.pending.sort_by_key(|(at, _)| *at);
+            let due = self.pending.first().filter(|(at, _)| *at <= until).copied();
+            let Some((at, mend)) = due else { break };
+            tokio::time::sleep_until(at).await;
+            self.pending.remove(0);
+            self.mend(mend).await?;
+        }
+        tokio::time::sleep_until(until).await;
+        Ok(())
+    }
+
+    /// Draws a fault and its length.
+    async fn strike(&mut self) -> Result<()> {
+        let all: Vec<Fault> = Fault::iter().collect();
+        let Some(fault) = all.choose(&mut self.rng).copied() else {
+            return Ok(());
+        };
+        let length = Duration::from_millis(self.rng.random_range(200..2500));
+        let vm = self.rng.random_range(0..self.site.vms.len());
+        let server = self.rng.random_range(0..self.site.backends.len());
+        self.report
+            .faults
+            .push(format!("{fault} vm={vm} server={server} {length:?}"));
+        let until = Instant::now() + length;
+        let mend = self.begin(fault, vm, server, until).await?;
+        if let Some(mend) = mend {
+            self.pending.push((until, mend));
+        }
+        Ok(())
+    }
+
+    async fn begin(
+        &mut self,
+        fault: Fault,
+        vm: usize,
+        server: usize,
+        until: Instant,
+    ) -> Result<Option<Mend>> {
+        let is_down = |m: &Mend| matches!(m, Mend::VmRestart(v) | Mend::VmContinue(v) if *v == vm);
+        let vm_is_down = self.pending.iter().any(|(_, m)| is_down(m));
+        let site = &mut self.site;
+        let ill = |f: fn(&mut BackendFaults)| {
+            let mut faults = BackendFaults::default();
+            f(&mut faults);
+            faults
+        };
+        let sick = match fault {
+            Fault::ServerPause => Some(ill(|f| f.pause = Some(Duration::from_millis(600)))),
+            Fault::ServerLoses => Some(ill(|f| f.loses = true)),
+            Fault::ServerTruncates => Some(ill(|f| f.truncates = true)),
+            Fault::ServerCrosses => Some(ill(|f| f.crosses = true)),
+            Fault::ServerSheds => Some(ill(|f| f.sheds = true)),
+            Fault::ServerFails => Some(ill(|f| f.fails = true)),
+            _ => None,
+        };
+        if let Some(faults) = sick {
+            site.backends[server].misbehave(faults);
+            return Ok(Some(Mend::ServerWell(server)));
+        }
+        let link = |harm| {
+            site.backends[server].link().harm(harm);
+            Some(Mend::ServerLink(server))
+        };
+        let store = |fault| {
+            site.store.misbehave(fault);
+            Some(Mend::Store)
+        };
+        let store_link = |harm| {
+            site.store_links[vm].harm(harm);
+            Some(Mend::StoreLink(vm))
+        };
+        Ok(match fault {
+            Fault::ServerLinkDelay => link(Harm::Delay(Duration::from_millis(80))),
+            Fault::ServerLinkReset => link(Harm::Reset),
+            Fault::ServerLinkSilent => link(Harm::Silent),
+            Fault::ServerLinkOneWay => link(Harm::OneWay),
+            Fault::StoreBusy => store(StoreFault::Busy),
+            Fault::StoreSilent => store(StoreFault::Silent),
+            Fault::StoreLost => store(StoreFault::Lost),
+            Fault::StoreSlow => store(StoreFault::Slow(Duration::from_millis(400))),
+            Fault::StoreLinkReset => store_link(Harm::Reset),
+            Fault::StoreLinkSilent => store_link(Harm::Silent),
+            Fault::StoreLinkOneWay => store_link(Harm::OneWay),
+            Fault::StoreForgets => {
+                site.store.forget();
+                None
+            }
+            Fault::Configure => {
+                site.configure(|c| c.routes[0].objective_ms ^= 8);
+                None
+            }
+            Fault::ServerCrash => {
+                site.backends[server].crash();
+                Some(Mend::ServerRestart(server))
+            }
+            // A VM that is down already, or stands still, gets no second signal.
+            _ if vm_is_down => None,
+            Fault::VmReload => {
+                site.vms[vm].signal(Signal::HUP);
+                None
+            }
+            Fault::VmTerm => {
+                site.vms[vm].signal(Signal::TERM);
+                Some(Mend::VmRestart(vm))
+            }
+            Fault::VmKill => {
+                self.outage(vm, until);
+                self.site.vms[vm].signal(Signal::KILL);
+                Some(Mend::VmRestart(vm))
+            }
+            _ => {
+                self.outage(vm, until);
+                self.site.vms[vm].signal(Signal::STOP);
+                Some(Mend::VmContinue(vm))
+            }
+        })
+    }
+
+    /// Notes that a VM may cut or hold up what comes until then and a little longer.
+    fn outage(&mut self, vm: usize, until: Instant) {
+        self.outages.push(Outage {
+            vm,
+            from: Instant::now(),
+            until: until + Duration::from_secs(4),
+        });
+    }
+
+    async fn mend(&mut self, mend: Mend) -> Result<()> {
+        let site = &mut self.site;
+        match mend {
+            Mend::VmContinue(vm) => site.vms[vm].signal(Signal::CONT),
+            Mend::VmRestart(vm) => {
+                let ended = site.vms[vm].until_ended(Duration::from_secs(8)).await;
+                if let Err(e) = ended {
+                    self.report
+                        .violations
+                        .push(format!("vm {vm} did not end: {e}"));
+                }
+                let plan = self.site.vms[vm].plan().clone();
+                self.site.vms[vm] = self.site.launch(vm, plan)?;
+            }
+            Mend::ServerRestart(server) => site.backends[server].restart().await?,
+            Mend::ServerWell(server) => site.backends[server].misbehave(BackendFaults::default()),
+            Mend::ServerLink(server) => site.backends[server].link().harm(Harm::None),
+            Mend::Store => site.store.misbehave(StoreFault::None),
+            Mend::StoreLink(vm) => site.store_links[vm].harm(Harm::None),
+        }
+        Ok(())
+    }
+
+    /// Mends everything.
+    async fn calm(&mut self) -> Result<()> {
+        let last = self.pending.iter().map(|(at, _)| *at).max();
+        if let Some(last) = last {
+            self.pass(last.saturating_duration_since(Instant::now()))
+                .await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every VM serves whole pages again.
+    async fn recover(&mut self) {
+        let caller = SiteCaller::new();
+        let end = Instant::now() + RECOVERY;
+        let route = self.site.config.routes[0].clone();
+        for vm in 0..self.site.vms.len() {
+            let addr = self.site.vms[vm].plan().callers;
+            let mut n = 0;
+            loop {
+                n += 1;
+                let answer = caller.ask(addr, &route, &format!("recover-{vm}-{n}")).await;
+                if answer.verdict == Verdict::Right(0) {
+                    break;
+                }
+                if Instant::now() > end {
+                    let text = format!("vm {vm} has not recovered: {answer:?}");
+                    self.report.violations.push(text);
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+
+    /// Checks what callers saw against what ran.
+    fn check(&mut self, seen: &[Seen]) {
+        let runs = self
+            .site
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut ran: HashMap<&str, u32> = HashMap::new();
+        for ((_, id), n) in runs.iter() {
+            *ran.entry(id).or_default() += n;
+        }
+        let mut violations = Vec::new();
+        for s in seen {
+            let ran = ran.get(s.id.as_str()).copied().unwrap_or(0);
+            let kind = match &s.verdict {
+                Verdict::Right(0) => "whole",
+                Verdict::Right(_) => "partial",
+                Verdict::NotRun(_) => "not-run",
+                Verdict::Failed(_) => "failed",
+                Verdict::Cut => "cut",
+                Verdict::Wrong(_) => "wrong",
+            };
+            *self.report.ends.entry(kind).or_default() += 1;
+            match &s.verdict {
+                Verdict::Wrong(how) => violations.push(format!("{}: {how}", s.id)),
+                Verdict::NotRun(_) if s.is_once && ran > 0 => {
+                    violations.push(format!("{}: refused as not run, and ran {ran} times", s.id));
+                }
+                Verdict::NotRun(None) => violations.push(format!("{}: no time to come back", s.id)),
+                Verdict::Cut if !self.may_cut(s) => {
+                    violations.push(format!("{}: cut by vm {}", s.id, s.vm));
+                }
+                _ if s.is_once && ran > 1 => violations.push(format!("{}: ran {ran} times", s.id)),
+                _ => {}
+            }
+        }
+        let left_out = violations.len().saturating_sub(TOLD_MAX);
+        violations.truncate(TOLD_MAX);
+        if left_out > 0 {
+            violations.push(format!("and {left_out} more"));
+        }
+        self.report.violations.extend(violations);
+    }
+
+    /// Whether a request may have been cut: its VM was killed or stood still, or was not there at all.
+    fn may_cut(&self, s: &Seen) -> bool {
+        let meets = |o: &Outage| o.vm == s.vm && s.begun < o.until && s.ended > o.from;
+        let is_refused = s.ended - s.begun < Duration::from_millis(50);
+        is_refused || self.outages.iter().any(meets)
+    }
+}
+
+/// Callers that go on asking every VM.
+struct Load {
+    stop: Arc<AtomicBool>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+/// Callers at each VM.
+const CALLERS: usize = 3;
+
+impl Load {
+    fn start(site: &Site) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let next = Arc::new(AtomicU64::new(0));
+        let mut tasks = Vec::new();
+        for (vm, process) in site.vms.iter().enumerate() {
+            for _ in 0..CALLERS {
+                let (stop, seen, next) = (Arc::clone(&stop), Arc::clone(&seen), Arc::clone(&next));
+                let addr = process.plan().callers;
+                let routes = site.config.routes.clone();
+                tasks.push(tokio::spawn(async move {
+                    let caller = SiteCaller::new();
+                    while !stop.load(Ordering::Relaxed) {
+                        let n = next.fetch_add(1, Ordering::Relaxed);
+                        let route: &SiteRoute = &routes[n as usize % routes.len()];
+                        let begun = Instant::now();
+                        let answer = caller.ask(addr, route, &format!("s{n}")).await;
+                        let one = Seen {
+                            id: answer.id,
+                            vm,
+                            begun,
+                            ended: Instant::now(),
+                            is_once: !route.is_safe,
+                            verdict: answer.verdict,
+                        };
+                        seen.lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .push(one);
+                        tokio::time::sleep(Duration::from_millis(15)).await;
+                    }
+                }));
+            }
+        }
+        Self { stop, seen, tasks }
+    }
+
+    async fn stop(self) -> Vec<Seen> {
+        self.stop.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            // A caller that panicked has told of it on stderr.
+            let _ = task.await;
+        }
+        std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/rig/src/site/whole.rs
+++ b/crates/rig/src/site/whole.rs
@@ -15,6 +15,7 @@
 use super::backend::Runs;
 use super::config::SiteConfig;
 use super::config::SiteRoute;
+use super::proxy::FaultProxy;
 use super::store::Store;
 use super::vm::RelayVm;
 use super::vm::RelayVmPlan;
@@ -48,6 +49,8 @@
     pub backends: Vec<Backend>,
     /// The VMs.
     pub vms: Vec<RelayVm>,
+    /// The proxies through which each VM reaches the store.
+    pub store_links: Vec<FaultProxy>,
     /// What ran.
     pub runs: Runs,
     /// The configuration in force.
@@ -93,6 +96,7 @@
             store,
             backends,
             vms: Vec::new(),
+            store_links: Vec::new(),
             runs,
             config,
             options,
@@ -100,7 +104,9 @@
         site.store.put("config", "main", site.config.spec());
         for n in 0..site.options.vms {
             let plan = plan(n)?;
-            site.vms.push(site.launch(plan)?);
+            let link = FaultProxy::start(site.store.addr()).await?;
+            site.store_links.push(link);
+            site.vms.push(site.launch(n, plan)?);
         }
         for vm in &mut site.vms {
             vm.until_ready(Duration::from_secs(10)).await?;
@@ -108,18 +114,14 @@
         Ok(site)
     }
 
-    /// Starts a VM of this plan, or one that has ended again.
+    /// Starts the `n`-th VM, or starts it again after it has ended.
     ///
     /// # Errors
     ///
     /// If it cannot be started.
-    pub fn launch(&self, plan: RelayVmPlan) -> Result<RelayVm> {
-        RelayVm::start(
-            &self.options.bin,
-            &self.options.dir,
-            self.store.addr(),
-            plan,
-        )
+    pub fn launch(&self, n: usize, plan: RelayVmPlan) -> Result<RelayVm> {
+        let store = self.store_links[n].addr();
+        RelayVm::start(&self.options.bin, &self.options.dir, store, plan)
     }
 
     /// The route of this prefix.
--- /dev/null
+++ b/crates/rig/src/soak.rs
@@ -0,0 +1,47 @@
+//! `gs-rig soak`: the randomized soak, seed by seed.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gs_rig::site::SoakOptions;
+use gs_rig::site::soak;
+use gs_types::prelude::*;
+
+use crate::args::Soak;
+
+/// Runs the seeds one after the other; exits with 1 if a promise was broken.
+pub(crate) async fn run(args: &Soak) -> Result<ExitCode> {
+    let mut broken = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        let dir = args.dir.join(format!("soak-{seed}"));
+        std::fs::create_dir_all(&dir)
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("make a folder"))?;
+        let options = SoakOptions::builder()
+            .bin(args.bin.clone())
+            .dir(dir.clone())
+            .seed(seed)
+            .length(Duration::from_secs(args.seconds))
+            .vms(args.vms)
+            .shards(args.shards)
+            .build();
+        let report = soak(options).await?;
+        let mut ends: Vec<_> = report.ends.iter().collect();
+        ends.sort();
+        println!(
+            "seed {seed}: {} faults, {ends:?}, {} violations",
+            report.faults.len(),
+            report.violations.len()
+        );
+        if report.violations.is_empty() {
+            // Logs are kept for seeds that failed only; a leftover folder harms nothing.
+            let _ = std::fs::remove_dir_all(&dir);
+            continue;
+        }
+        broken += 1;
+        for line in report.faults.iter().chain(&report.violations) {
+            println!("  {line}");
+        }
+        println!("  logs: {}", dir.display());
+    }
+    Ok(ExitCode::from(u8::from(broken > 0)))
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod once;
 mod pages;
 mod servers;
+mod soak;
 mod store;
 mod support;
 mod vms;
--- a/tests/relay/vms.rs
+++ b/tests/relay/vms.rs
@@ -46,7 +46,7 @@
         assert!(is_right(&answer.verdict), "{answer:?}");
     }
     let plan = r.site.vms[2].plan().clone();
-    let mut again = r.site.launch(plan).expect("it starts again");
+    let mut again = r.site.launch(2, plan).expect("it starts again");
     again
         .until_ready(Duration::from_secs(5))
         .await
