feat(relay): a request that crashes servers is refused by every VM

What broke three attempts on two servers and was answered by none is refused for half a minute, with the time to come back, and noted in a kind of our own, which every VM reads with its heartbeat. Tests: suspects.rs, and a process test on three VMs.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -94,12 +94,27 @@
     /// As for [`Directory::list`]; it may have been done all the same, and may be done again.
     async fn announce(&self, vm: &PeerVm) -> Result<()>;
 
-    /// Whether a VM is announced, as a sign that the directory is in reach; it may be seconds old.
+    /// The requests that any VM found to crash servers; the list may be seconds old. There are few or none,
+    /// so that it also serves as a sign that the directory is in reach.
     ///
     /// # Errors
     ///
     /// As for [`Directory::list`].
-    async fn is_announced(&self, vm: &VmId) -> Result<bool>;
+    async fn quarantined(&self) -> Result<Vec<Fingerprint>>;
+
+    /// Tells every VM that a request crashes servers.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::announce`].
+    async fn quarantine(&self, request: Fingerprint) -> Result<()>;
+
+    /// Takes that back.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::announce`].
+    async fn release(&self, request: Fingerprint) -> Result<()>;
 
     /// Takes the announcement of a VM that leaves back.
     ///
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -81,6 +81,7 @@
         let shell = RelayShell {
             lanes: Arc::clone(&this.lanes),
             pending: Arc::clone(&this.pending),
+            directory: Arc::clone(&this.protocols.directory),
         };
         slot.start(Arc::clone(&this.relay), shell, clock);
         let contact = Contact::new(this.feed.clone());
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -77,20 +77,26 @@
         match self.directory.vms().await {
             Ok(vms) => {
                 self.contact.seen("vms");
+                let is_listed = vms.iter().any(|vm| vm.name == self.me.name);
                 self.tell(vms);
+                if !is_listed {
+                    log::info!("event=announcement-missing");
+                    self.announce().await;
+                }
             }
             Err(e) => self.contact.lost("vms", &e),
         }
     }
 
-    /// Looks whether the directory is in reach, at a tenth of a call's price.
+    /// Looks whether the directory is in reach, and for requests that crash servers, at a tenth of a call's
+    /// price.
     async fn beat(&self) {
-        match self.directory.is_announced(&self.me.name).await {
-            Ok(true) => self.contact.seen("heartbeat"),
-            Ok(false) => {
+        match self.directory.quarantined().await {
+            Ok(requests) => {
                 self.contact.seen("heartbeat");
-                log::info!("event=announcement-gone");
-                self.announce().await;
+                if !requests.is_empty() {
+                    self.feed.push(Event::Quarantined(requests));
+                }
             }
             Err(e) => self.contact.lost("heartbeat", &e),
         }
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -55,6 +55,8 @@
     Cancel(RunId),
     /// The final word to the caller of this request; sent once, and at once.
     Answer(LookupSeq, Box<Ending>),
+    /// Tell the other VMs that this request crashes servers.
+    Quarantine(Fingerprint),
     /// Send [`crate::Event::Tick`] after this time at the latest.
     Wake(Duration),
     /// Hold at most `most` connections to this server, and `warm` of them open.
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -13,6 +13,7 @@
 use crate::outcome::RefuseReason;
 use crate::placement::Place;
 use crate::relay::Core;
+use crate::request::CallerRequest;
 use crate::run::Run;
 
 /// The least time to come back after a refusal: sooner, nothing can have changed.
@@ -25,6 +26,21 @@
 const RETRY_SPREAD: f64 = 0.5;
 
 impl Core {
+    /// Refuses a request that crashes servers.
+    pub(crate) fn check_quarantine(
+        &mut self,
+        now: Instant,
+        req: &CallerRequest,
+    ) -> Result<(), (RefuseReason, Option<Duration>)> {
+        if self.suspects.is_calm() {
+            return Ok(());
+        }
+        match self.suspects.refused_for(now, req.fingerprint()) {
+            None => Ok(()),
+            Some(rest) => Err((RefuseReason::Quarantined, Some(rest))),
+        }
+    }
+
     /// Refuses a request if too much is in flight here to hold it.
     pub(crate) fn check_load(&mut self) -> Result<(), (RefuseReason, Option<Duration>)> {
         if self.in_flight >= self.options.lookups_max {
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -63,6 +63,7 @@
         handed: Option<Handed>,
     ) -> Result<Box<Run>, (RefuseReason, Option<Duration>)> {
         let route = self.find(&req)?;
+        self.check_quarantine(now, &req)?;
         self.check_load()?;
         let mut run = self.prepare(now, seq, req, route);
         let Some(handed) = handed else {
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -81,6 +81,7 @@
         let (server, begun, cause) = (attempt.server, attempt.at, attempt.cause);
         let route = run.route.name.clone();
         self.judge_server(now, server, id, begun, &route, &end);
+        self.judge_request(now, run, server, &end, out);
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = run.parts[at].service.clone();
             self.service(&service).extra.give_back();
@@ -103,6 +104,30 @@
         self.part_failed(now, run, at, id, out);
     }
 
+    /// Learns from how an attempt ended whether its request crashes servers.
+    fn judge_request(
+        &mut self,
+        now: Instant,
+        run: &Run,
+        server: ServerKey,
+        end: &AttemptEnd,
+        out: &mut Vec<Action>,
+    ) {
+        match end {
+            AttemptEnd::Broken => {
+                let request = run.req.fingerprint();
+                if self.suspects.broke(now, request, server) {
+                    log::warn!("event=quarantine request={request} id={}", run.req.id);
+                    out.push(Action::Quarantine(request));
+                }
+            }
+            AttemptEnd::Answered(..) if !self.suspects.is_calm() => {
+                self.suspects.answered(run.req.fingerprint());
+            }
+            _ => {}
+        }
+    }
+
     /// Decides what follows when an attempt at a part failed.
     fn part_failed(
         &mut self,
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -66,6 +66,8 @@
     Closed(ServerName),
     /// Other settings are in force from now on.
     Options(RelayOptions),
+    /// Other VMs found that these requests crash servers.
+    Quarantined(Vec<Fingerprint>),
     /// A caller's request arrived.
     Arrive(Arrival),
     /// An attempt is about to put its first byte on a connection: the point of no return.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod sharing;
 mod split;
 mod stall;
+mod suspects;
 mod table;
 mod timers;
 mod trail;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::servers::Servers;
 use crate::service::Service;
 use crate::sharing::Sharing;
+use crate::suspects::Suspects;
 use crate::table::RouteTable;
 use crate::ways::Ways;
 
@@ -50,6 +51,8 @@
     /// Attempts whose request has ended, with their server and the time at which they began.
     pub(crate) orphans: HashMap<RunId, (ServerKey, Instant, LookupName)>,
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
+    /// Requests that crash servers.
+    pub(crate) suspects: Suspects,
     /// Whether the register is in reach.
     pub(crate) is_in_reach: bool,
     /// How far each data centre is.
@@ -90,6 +93,7 @@
                 times: HashMap::new(),
                 orphans: HashMap::new(),
                 timers: BTreeSet::new(),
+                suspects: Suspects::default(),
                 is_in_reach: true,
                 ways: Ways::default(),
                 roster: Roster::default(),
@@ -116,6 +120,11 @@
             Event::Table(table) => self.core.take_table(now, table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
             Event::ServerGone(name, when) => self.core.missing(now, name, when, out),
+            Event::Quarantined(requests) => {
+                for request in requests {
+                    self.core.suspects.refuse(now, request);
+                }
+            }
             Event::Reach(is_in_reach) => self.core.is_in_reach = is_in_reach,
             Event::Roster(vms) => self.core.take_roster(now, vms, out),
             Event::Opened(name, took) => self.core.opened(&name, took),
--- /dev/null
+++ b/crates/relay/src/suspects.rs
@@ -0,0 +1,97 @@
+//! Requests that crash the servers which run them.
+//!
+//! The load it answers: one request that breaks each server that begins it, and a caller that sends it
+//! again, to every VM in turn; each time a whole shard, or with a fan-out all of them, is lost for
+//! seconds. What breaks connections and is never answered is refused for a while, and every VM is told.
+
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+use smallvec::SmallVec;
+
+use crate::servers::ServerKey;
+
+/// Broken attempts of one request, none answered, after which it is refused: two may be the bad luck of
+/// connections that a server loses; a route allows no more than a few.
+const BREAKS_MAX: u32 = 3;
+
+/// The fewest servers that it must have broken: one server may be broken by itself.
+const SERVERS_MIN: usize = 2;
+
+/// How long it is refused.
+const QUARANTINE: Duration = Duration::from_secs(30);
+
+/// How long breaks are remembered; callers send again within their deadline of some seconds.
+const REMEMBER: Duration = Duration::from_secs(20);
+
+/// The most requests remembered, so that a storm of breaks does not grow without bound.
+const SUSPECTS_MAX: usize = 4096;
+
+/// What is held against one request.
+#[derive(Debug)]
+struct Suspect {
+    breaks: u32,
+    servers: SmallVec<[ServerKey; 4]>,
+    last: Instant,
+}
+
+/// Requests that broke connections, and those that are refused for it.
+#[derive(Debug, Default)]
+pub(crate) struct Suspects {
+    suspects: HashMap<Fingerprint, Suspect>,
+    refused: HashMap<Fingerprint, Instant>,
+}
+
+impl Suspects {
+    /// Whether anything is held against any request, so that fingerprints are worth their time.
+    pub(crate) fn is_calm(&self) -> bool {
+        self.suspects.is_empty() && self.refused.is_empty()
+    }
+
+    /// How long a request is still refused; `None` if it is not.
+    pub(crate) fn refused_for(&mut self, now: Instant, request: Fingerprint) -> Option<Duration> {
+        self.refused.retain(|_, until| *until > now);
+        let until = self.refused.get(&request)?;
+        Some(until.saturating_duration_since(now))
+    }
+
+    /// A server broke while it had the request; `true` if the request is refused from now on.
+    pub(crate) fn broke(&mut self, now: Instant, request: Fingerprint, server: ServerKey) -> bool {
+        if self.suspects.len() >= SUSPECTS_MAX {
+            self.suspects
+                .retain(|_, s| now.saturating_duration_since(s.last) < REMEMBER);
+        }
+        let fresh = Suspect {
+            breaks: 0,
+            servers: SmallVec::new(),
+            last: now,
+        };
+        let s = self.suspects.entry(request).or_insert(fresh);
+        if now.saturating_duration_since(s.last) >= REMEMBER {
+            s.breaks = 0;
+            s.servers.clear();
+        }
+        s.breaks += 1;
+        s.last = now;
+        if !s.servers.contains(&server) {
+            s.servers.push(server);
+        }
+        if s.breaks < BREAKS_MAX || s.servers.len() < SERVERS_MIN {
+            return false;
+        }
+        self.suspects.remove(&request);
+        self.refuse(now, request)
+    }
+
+    /// A server ran the request and lived.
+    pub(crate) fn answered(&mut self, request: Fingerprint) {
+        self.suspects.remove(&request);
+    }
+
+    /// Refuses a request for a while; `true` if it was not refused before.
+    pub(crate) fn refuse(&mut self, now: Instant, request: Fingerprint) -> bool {
+        self.refused.insert(request, now + QUARANTINE).is_none()
+    }
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -5,4 +5,5 @@
 mod once;
 mod pages;
 mod register;
+mod suspects;
 mod world;
--- /dev/null
+++ b/crates/relay/tests/relay/suspects.rs
@@ -0,0 +1,88 @@
+//! Requests that crash the servers which run them.
+
+use gs_relay::AttemptEnd;
+use gs_relay::Event;
+use gs_relay::Outcome;
+use gs_relay::RefuseReason;
+use gs_relay::Repeat;
+use gs_types::prelude::*;
+
+use crate::world::World;
+use crate::world::good;
+use crate::world::ms;
+use crate::world::one_route;
+use crate::world::page_route;
+use crate::world::table;
+
+const SHARDS: [&str; 3] = ["s0", "s1", "s2"];
+
+fn world() -> World {
+    let routes = vec![page_route(&SHARDS, 0.6), one_route(Repeat::Safe)];
+    World::new(table(1, routes)).with_pairs(&["s0", "s1", "s2", "desk"])
+}
+
+/// Breaks every attempt of a request until it ends.
+fn break_all(w: &mut World, path: &str) -> LookupSeq {
+    let seq = w.ask(path, ms(2500));
+    while w.ending(seq).is_none() {
+        let server = w.sent[0].server.name.to_string();
+        w.end(&server, AttemptEnd::Broken);
+    }
+    w.sent.clear();
+    seq
+}
+
+fn is_quarantined(w: &World, seq: LookupSeq) -> bool {
+    let outcome = w.ending(seq).map(|e| &e.outcome);
+    matches!(
+        outcome,
+        Some(Outcome::Refused(RefuseReason::Quarantined, Some(_)))
+    )
+}
+
+/// Every shard is lost again each time a reader repeats the one search that crashes its servers.
+#[test]
+fn a_fan_out_that_broke_its_servers_is_refused_when_it_comes_again() {
+    let mut w = world();
+    break_all(&mut w, "/page/poison");
+    assert_eq!(w.quarantined.len(), 1);
+    let again = w.ask("/page/poison", ms(2500));
+    assert!(is_quarantined(&w, again));
+    assert!(w.sent.is_empty());
+    w.ask("/page/other", ms(2500));
+    assert!(!w.sent.is_empty());
+}
+
+#[test]
+fn what_another_vm_found_is_refused_here() {
+    let mut w = world();
+    let found = w.fingerprint("/page/poison");
+    w.tell(Event::Quarantined(vec![found]));
+    let seq = w.ask("/page/poison", ms(2500));
+    assert!(is_quarantined(&w, seq));
+}
+
+/// A reader's search is refused for half a minute although it harms nobody: two connections broke under
+/// it by chance, and a third answered.
+#[test]
+fn a_request_that_a_server_answered_is_no_suspect() {
+    let mut w = world();
+    for _ in 0..4 {
+        let seq = w.ask("/one/x", ms(8000));
+        let first = w.busy()[0].to_owned();
+        w.end(&first, AttemptEnd::Broken);
+        let second = w.busy()[0].to_owned();
+        w.end(&second, good(b'a'));
+        assert!(w.ending(seq).is_some());
+    }
+    assert!(w.quarantined.is_empty());
+}
+
+#[test]
+fn it_is_let_go_after_a_while() {
+    let mut w = world();
+    break_all(&mut w, "/page/poison");
+    w.pass(ms(31_000));
+    let again = w.ask("/page/poison", ms(2500));
+    assert!(!is_quarantined(&w, again));
+}
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -50,6 +50,8 @@
     pub sent: VecDeque<Dispatch>,
     /// Attempts cancelled.
     pub cancelled: Vec<RunId>,
+    /// Requests that other VMs were told of.
+    pub quarantined: Vec<Fingerprint>,
     /// Requests that have ended.
     pub ended: Vec<(LookupSeq, Ending)>,
     wake_at: Option<Instant>,
@@ -212,6 +214,7 @@
             now: Instant::now(),
             sent: VecDeque::new(),
             cancelled: Vec::new(),
+            quarantined: Vec::new(),
             ended: Vec::new(),
             wake_at: None,
             next: 1,
@@ -247,6 +250,7 @@
                 Action::Send(d) => self.sent.push_back(d),
                 Action::Cancel(id) => self.cancelled.push(id),
                 Action::Answer(seq, ending) => self.ended.push((seq, *ending)),
+                Action::Quarantine(request) => self.quarantined.push(request),
                 Action::Wake(after) => {
                     let at = self.now + after;
                     self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
@@ -280,6 +284,11 @@
         seq
     }
 
+    /// The fingerprint of a request for a path.
+    pub fn fingerprint(&self, path: &str) -> Fingerprint {
+        request(path, LookupSeq(0), ms(1000)).fingerprint()
+    }
+
     /// Ends the oldest attempt that is under way at this server.
     pub fn end(&mut self, server: &str, end: AttemptEnd) {
         let at = self
--- a/tests/relay/servers.rs
+++ b/tests/relay/servers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gs_rig::site::BackendFaults;
+use gs_rig::site::Verdict;
 use rstest::rstest;
 
 use crate::support::all;
@@ -97,3 +98,31 @@
     all(&r.ask_all(3, &route).await, is_whole);
     assert!(!r.busy().contains("i-shard2-0"));
 }
+
+/// One search takes every shard down again each time its reader repeats it, at whatever VM.
+#[tokio::test]
+async fn a_request_that_breaks_servers_is_refused_at_every_vm() {
+    let r = site().await;
+    let route = r.route("/page/");
+    let loses = BackendFaults {
+        loses: true,
+        ..BackendFaults::default()
+    };
+    r.site.backends.iter().for_each(|b| b.misbehave(loses));
+    let first = r.site.vms[0].plan().callers;
+    let answer = r.caller.ask(first, &route, "poison").await;
+    assert!(!is_right(&answer.verdict), "{answer:?}");
+    let well = BackendFaults::default();
+    r.site.backends.iter().for_each(|b| b.misbehave(well));
+    for vm in &r.site.vms {
+        let addr = vm.plan().callers;
+        let end = tokio::time::Instant::now() + Duration::from_secs(4);
+        loop {
+            let answer = r.caller.ask(addr, &route, "poison").await;
+            if matches!(answer.verdict, Verdict::NotRun(Some(_))) {
+                break;
+            }
+            assert!(tokio::time::Instant::now() < end, "{answer:?}");
+        }
+    }
+}
