--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -200,7 +200,7 @@
         let settings: Self = toml::from_str(text).map_err(|e| {
             Error::new(ErrorKind::BadInput, e.to_string())
                 .at("read settings")
-                .with_hint("docs/SETTINGS.md lists the keys of `relay`")
+                .with_hint("docs/SETTINGS-relay.md lists the keys")
         })?;
         settings.check()?;
         Ok(settings)
--- /dev/null
+++ b/crates/edge/tests/settings.rs
@@ -0,0 +1,69 @@
+//! The settings file: what is read, and what is refused with a place and a reason.
+
+use gs_edge::EdgeSettings;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+/// The documented example.
+fn example() -> String {
+    let page = include_str!("../../../docs/SETTINGS-relay.md");
+    let (_, rest) = page.split_once("```toml\n").expect("an example");
+    rest.split_once("```").expect("its end").0.to_owned()
+}
+
+/// The keys without a default.
+const LEAST: &str = r#"
+[vm]
+name = "front-hobart-a-1"
+data-centre = "hobart-a"
+region = "hobart"
+capacity = { cores = 0.25, megabits = 1000.0 }
+[vm.data-centres]
+hobart-a = "hobart"
+launceston-a = "launceston"
+[listen]
+callers = "127.0.0.1:8104"
+status = "127.0.0.1:8108"
+peers = "127.0.0.1:7380"
+[platform]
+addr = "127.0.0.1:8102"
+"#;
+
+#[test]
+fn the_documented_defaults_are_those_in_force() {
+    let documented = EdgeSettings::parse(&example()).expect("it reads");
+    let least = EdgeSettings::parse(LEAST).expect("it reads");
+    assert_eq!(documented, least);
+}
+
+#[rstest]
+#[case::not_toml("[vm", "unclosed table")]
+#[case::unknown_key("[vm]\nnam = 1", "unknown field `nam`")]
+#[case::nothing("", "missing field `vm`")]
+fn what_cannot_be_read(#[case] text: &str, #[case] told: &str) {
+    let e = EdgeSettings::parse(text).expect_err("it is refused");
+    assert_eq!(e.kind(), ErrorKind::BadInput);
+    assert!(e.to_string().contains(told), "{e}");
+    assert!(
+        e.hint().is_some_and(|h| h.contains("SETTINGS-relay")),
+        "{e:?}"
+    );
+}
+
+#[rstest]
+#[case("[budget]\nextra-ratio = -1.0", "budget.extra-ratio")]
+#[case("[budget]\nslack = -1.0", "budget.slack")]
+#[case("[budget]\npeers = 0", "budget.peers")]
+#[case("[budget]\nwindow = \"1ms\"", "budget.window")]
+#[case("[shutdown]\nlag = \"9s\"", "shutdown.lag")]
+fn what_is_out_of_range(#[case] more: &str, #[case] key: &str) {
+    let e = EdgeSettings::parse(&format!("{LEAST}{more}\n")).expect_err("it is refused");
+    assert!(e.to_string().contains(key), "{e}");
+    assert!(e.hint().is_some_and(|h| h.contains(key)), "{e:?}");
+}
+
+#[test]
+fn a_file_that_is_not_there() {
+    let e = EdgeSettings::load("no/such.toml".as_ref()).expect_err("it is refused");
+    assert_eq!((e.kind(), e.peer()), (ErrorKind::Io, Some("no/such.toml")));
+}
