--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -22,8 +22,8 @@
 /// Connections held open to each server elsewhere.
 const WARM_FAR: u32 = 1;
 
-/// The part of a shard's connections that the VMs which run fan-outs share; the rest is for the others
-/// when their peers are away, and for VMs that are not listed yet.
+/// The part of a shard's connections that the VMs which run fan-outs share where there are others; the rest
+/// is for those when their peers are away.
 const RUNNERS_PART: f64 = 0.8;
 
 /// Who shares the connections to servers with this VM.
@@ -83,7 +83,7 @@
         } else if !self.shards.contains(service) {
             limit / f64::from(self.all)
         } else if self.runs {
-            limit * RUNNERS_PART / f64::from(self.runners)
+            limit * self.runners_part() / f64::from(self.runners)
         } else {
             1.0
         };
@@ -97,12 +97,20 @@
             return 1.0 / all;
         }
         if self.runs {
-            RUNNERS_PART / f64::from(self.runners.max(1))
+            self.runners_part() / f64::from(self.runners.max(1))
         } else {
             (1.0 - RUNNERS_PART) / all
         }
     }
 
+    fn runners_part(&self) -> f64 {
+        if self.runners == self.all {
+            1.0
+        } else {
+            RUNNERS_PART
+        }
+    }
+
     /// Connections to hold open to a server of a service.
     pub(crate) fn warm(&self, service: &ServiceName, is_near: bool) -> Connections {
         let is_idle = !self.knows_vms || (self.shards.contains(service) && !self.runs);
