--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 pub use serve::serve;
 pub use servers::Judged;
 pub use servers::ServerCodec;
+pub use servers::opaque_request;
 pub use settings::Budget;
 pub use settings::EdgeSettings;
 pub use settings::Listen;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -34,6 +34,7 @@
 use crate::desk::Desk;
 use crate::servers::Judged;
 use crate::servers::ServerCodec;
+use crate::servers::opaque_request;
 
 /// The caller's id of the request.
 const ID: HeaderName = HeaderName::from_static("gs-id");
@@ -61,14 +62,8 @@
 
 impl ServerCodec for PeerCodec {
     fn request(&self, d: &Dispatch, left: Duration) -> Result<Request<Full<Bytes>>> {
-        let bad = |e: http::Error| Error::new(ErrorKind::BadInput, e.to_string());
-        let mut req = Request::builder()
-            .method(d.content.method.clone())
-            .uri(&*d.content.target)
-            .body(Full::new(d.content.body.clone()))
-            .map_err(bad)?;
+        let mut req = opaque_request(&d.content)?;
         let headers = req.headers_mut();
-        headers.clone_from(&d.content.headers);
         headers.insert(ID, text_value(&d.id)?);
         headers.insert(PATIENCE_MS, millis(left));
         if let Some(h) = &d.hand_over {
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -1,6 +1,5 @@
 //! One process, put together.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -12,10 +11,10 @@
 use gs_http::LaneOptions;
 use gs_http::Limits;
 use gs_http::Server;
+use gs_http::listen;
 use gs_relay::Event;
 use gs_relay::Relay;
 use gs_types::prelude::*;
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::callers::Callers;
@@ -163,12 +162,3 @@
         }
     }
 }
-
-async fn listen(addr: SocketAddr, whom: &str) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|e| {
-        Error::new(ErrorKind::Io, e.to_string())
-            .at(format!("listen for {whom}"))
-            .from_peer(addr.to_string())
-            .with_hint("check that the address is this VM's and that no other process uses it")
-    })
-}
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -6,6 +6,7 @@
 use gs_http::Whole;
 use gs_relay::AttemptEnd;
 use gs_relay::Dispatch;
+use gs_relay::OpaqueRequest;
 use gs_types::prelude::*;
 use http_body_util::Full;
 use hyper::Request;
@@ -23,6 +24,21 @@
     fn reply(&self, d: &Dispatch, whole: Whole) -> Judged;
 }
 
+/// The caller's request as it goes on: its method, target, headers and body, unchanged.
+///
+/// # Errors
+///
+/// [`ErrorKind::BadInput`] if it cannot be put into a request.
+pub fn opaque_request(content: &OpaqueRequest) -> Result<Request<Full<Bytes>>> {
+    let mut req = Request::builder()
+        .method(content.method.clone())
+        .uri(&*content.target)
+        .body(Full::new(content.body.clone()))
+        .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("build request"))?;
+    req.headers_mut().clone_from(&content.headers);
+    Ok(req)
+}
+
 /// A reply as it was read.
 pub struct Judged {
     /// How the attempt ended.
--- a/crates/http/src/callers/handler.rs
+++ b/crates/http/src/callers/handler.rs
@@ -8,14 +8,12 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use gs_types::prelude::*;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 
+use crate::body::read_body;
 use crate::callers::reply;
 use crate::callers::reply::LookupReply;
 use crate::callers::request;
@@ -51,33 +49,12 @@
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (head, body) = req.into_parts();
         let target = request::target(&head)?;
-        let body = self.read(body).await?;
+        let body = read_body(body, self.body, self.body_timeout).await?;
         let req = request::lookup(&head, target, &body)?;
         let (front, lookup) = (req.front.clone(), req.lookup.clone());
         let r = self.desk.lookup(req).await;
         Ok(reply::lookup(&r, &front, &lookup))
     }
-
-    /// Reads a body within its bounds of size and time.
-    ///
-    /// Guards against a sender that trickles or never ends a body: it would hold memory and a
-    /// connection for as long as it likes.
-    async fn read(&self, body: Incoming) -> Result<Bytes> {
-        let read = Limited::new(body, self.body).collect();
-        let read = tokio::time::timeout(self.body_timeout, read).await;
-        let read = read.map_err(|_| {
-            Error::new(ErrorKind::TooMuch, "the body did not arrive in time").at("read body")
-        })?;
-        match read {
-            Ok(b) => Ok(b.to_bytes()),
-            Err(e) if e.is::<LengthLimitError>() => Err(Error::new(
-                ErrorKind::TooMuch,
-                format!("the body is over {} bytes", self.body),
-            )
-            .at("read body")),
-            Err(e) => Err(Error::new(ErrorKind::BadInput, e.to_string()).at("read body")),
-        }
-    }
 }
 
 impl Handler for Callers {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,7 +4,9 @@
 //! hands lookups in through [`Desk`] and attempts' ends in through [`Sink`].
 
 mod backend;
+mod body;
 mod callers;
+mod listen;
 mod phase;
 mod server;
 
@@ -19,10 +21,12 @@
 pub use backend::Sink;
 pub use backend::Whole;
 pub use backend::exchange;
+pub use body::read_body;
 pub use callers::Callers;
 pub use callers::Desk;
 pub use callers::LookupReply;
 pub use callers::status_of;
+pub use listen::listen;
 pub use server::Handler;
 pub use server::Limits;
 pub use server::Server;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -1,6 +1,5 @@
 //! One process, put together.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -12,6 +11,7 @@
 use gs_http::Pool;
 use gs_http::Server;
 use gs_http::ServerState;
+use gs_http::listen;
 use gs_member::Membership;
 use gs_mesh::Mesh;
 use gs_once::Once;
@@ -334,12 +334,3 @@
 fn shared<M>(machine: M) -> Shared<M> {
     Arc::new(Mutex::new(machine))
 }
-
-async fn listen(addr: SocketAddr, whom: &str) -> Result<TcpListener> {
-    TcpListener::bind(addr).await.map_err(|e| {
-        Error::new(ErrorKind::Io, e.to_string())
-            .at(format!("listen for {whom}"))
-            .from_peer(addr.to_string())
-            .with_hint("check that the address is this VM's and that no other process uses it")
-    })
-}
