--- a/crates/edge/src/ends.rs
+++ b/crates/edge/src/ends.rs
@@ -1,5 +1,6 @@
 //! One log line for each request that did not end whole and on time, and the totals of all.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,13 +10,17 @@
 use gs_relay::Outcome;
 use gs_types::prelude::*;
 
+use crate::metrics::Metrics;
+
 /// The most requests told of in a second; each is told whole, with its attempts, or not at all. How many
 /// were left out is told with the next one.
 const REQUESTS_PER_SECOND: u32 = 10;
 
-/// Writes what an engineer wants to know of requests that went wrong.
-#[derive(Default)]
-pub(crate) struct Ends(Mutex<Pace>);
+/// Writes what an engineer wants to know of requests that went wrong, and measures all.
+pub(crate) struct Ends {
+    pace: Mutex<Pace>,
+    metrics: Arc<Metrics>,
+}
 
 #[derive(Default)]
 struct Pace {
@@ -25,17 +30,20 @@
 }
 
 impl Ends {
+    pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
+        Self {
+            pace: Mutex::default(),
+            metrics,
+        }
+    }
+
     /// Notes the end of a request.
     pub(crate) fn note(&self, id: &str, path: &str, is_handed: bool, e: &Ending) {
-        let is_late = e.took > e.objective;
-        let (outcome, reason): (&str, &str) = match &e.outcome {
-            Outcome::Relayed(a) if !a.status.is_success() => ("relayed-failure", a.status.as_str()),
-            Outcome::Relayed(_) | Outcome::Page(_) if is_late => ("late", ""),
-            Outcome::Page(p) if !p.missing.is_empty() => ("partial", ""),
-            Outcome::Relayed(_) | Outcome::Page(_) => return,
-            Outcome::Refused(reason, _) => ("refused", reason.into()),
-            Outcome::Failed(reason) => ("failed", reason.into()),
-        };
+        let (outcome, reason) = kind_of(e);
+        self.metrics.request(outcome, reason, e.took);
+        if outcome == WHOLE {
+            return;
+        }
         let Some(left_out) = self.may_write() else {
             return;
         };
@@ -67,7 +75,7 @@
 
     /// Whether a request may be told of now, and how many were left out since the last.
     fn may_write(&self) -> Option<u64> {
-        let mut pace = lock(&self.0);
+        let mut pace = lock(&self.pace);
         let now = Instant::now();
         let is_new = pace
             .second
@@ -84,3 +92,19 @@
         Some(std::mem::take(&mut pace.left_out))
     }
 }
+
+/// The outcome of a request that was whole and on time.
+const WHOLE: &str = "whole";
+
+/// How a request ended, and why if it was refused or failed.
+fn kind_of(e: &Ending) -> (&'static str, &'static str) {
+    let is_late = e.took > e.objective;
+    match &e.outcome {
+        Outcome::Relayed(a) if !a.status.is_success() => ("relayed-failure", ""),
+        Outcome::Relayed(_) | Outcome::Page(_) if is_late => ("late", ""),
+        Outcome::Page(p) if !p.missing.is_empty() => ("partial", ""),
+        Outcome::Relayed(_) | Outcome::Page(_) => (WHOLE, ""),
+        Outcome::Refused(reason, _) => ("refused", reason.into()),
+        Outcome::Failed(reason) => ("failed", reason.into()),
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod ends;
 mod follow;
 mod lanes;
+mod metrics;
 mod peers;
 mod process;
 mod readiness;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -22,9 +22,11 @@
 use crate::desk::Desk;
 use crate::desk::Pending;
 use crate::directory::DirectoryKind;
+use crate::ends::Ends;
 use crate::follow::Follower;
 use crate::follow::Settle;
 use crate::lanes::Lanes;
+use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::readiness::Status;
 use crate::roster::RosterKeeper;
@@ -51,16 +53,24 @@
     lanes: Arc<Lanes>,
     pending: Arc<Pending>,
     state: Arc<State>,
+    ends: Arc<Ends>,
+    metrics: Arc<Metrics>,
 }
 
 impl Process {
     /// Starts the relay and what feeds it; takes no callers yet.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if metrics cannot be set up.
     pub(crate) fn start(
         settings: EdgeSettings,
         protocols: Protocols,
         clock: Arc<dyn Clock>,
         seed: u64,
-    ) -> Self {
+    ) -> Result<Self> {
+        let vm = &settings.vm;
+        let metrics = Arc::new(Metrics::new(&vm.name, &vm.data_centre)?);
         let slot: Slot<Relay, RelayShell> = Slot::new();
         let feed = slot.feed();
         let opts = LaneOptions {
@@ -73,6 +83,8 @@
             lanes: Arc::new(Lanes::new(codec, feed.clone(), opts)),
             pending: Arc::default(),
             state: Arc::default(),
+            ends: Arc::new(Ends::new(Arc::clone(&metrics))),
+            metrics,
             settings,
             protocols,
             feed,
@@ -96,7 +108,7 @@
             seed,
         };
         tokio::spawn(keeper.run());
-        this
+        Ok(this)
     }
 
     /// Takes callers; gives what ends the process.
@@ -116,13 +128,19 @@
             relay: Arc::clone(&self.relay),
             lanes: Arc::clone(&self.lanes),
             callers: Arc::clone(&counts),
+            metrics: Arc::clone(&self.metrics),
         };
         let handed = Peers { desk: self.desk() };
         tokio::spawn(peers.run(Arc::new(handed), stopped.clone()));
         // It answers until the process is gone, so that the balancer is told `not ready` to the end.
         let (forever, never) = watch::channel(false);
+        let answers = Arc::new(answers);
+        if let Some(addr) = listen_on.metrics {
+            let scrapes = Server::new(listen(addr, "metrics").await?, FIRST_LIMITS);
+            tokio::spawn(scrapes.run(Arc::<Status>::clone(&answers), never.clone()));
+        }
         tokio::spawn(async move {
-            status.run(Arc::new(answers), never).await;
+            status.run(answers, never).await;
             drop(forever);
         });
         let handler = Callers {
@@ -146,7 +164,7 @@
             pending: Arc::clone(&self.pending),
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
-            ends: Arc::default(),
+            ends: Arc::clone(&self.ends),
         }
     }
 
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -20,6 +20,7 @@
 use serde_json::json;
 
 use crate::lanes::Lanes;
+use crate::metrics::Metrics;
 use crate::state::State;
 
 /// Answers `/ready`, `/metrics` and `/dump`.
@@ -28,6 +29,7 @@
     pub(crate) relay: Shared<Relay>,
     pub(crate) lanes: Arc<Lanes>,
     pub(crate) callers: Arc<ServerState>,
+    pub(crate) metrics: Arc<Metrics>,
 }
 
 impl Status {
@@ -35,7 +37,7 @@
         match path {
             "/ready" if self.state.is_ready() => (StatusCode::OK, String::new()),
             "/ready" => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-            "/metrics" => (StatusCode::OK, self.metrics()),
+            "/metrics" => (StatusCode::OK, self.scrape()),
             "/dump" => (StatusCode::OK, self.dump()),
             _ => (
                 StatusCode::NOT_FOUND,
@@ -44,43 +46,42 @@
         }
     }
 
-    /// The totals in the usual scrape format.
-    fn metrics(&self) -> String {
-        let c = *lock(&self.relay).counters();
+    /// The scrape.
+    fn scrape(&self) -> String {
+        let relay = lock(&self.relay);
+        let c = *relay.counters();
+        let in_flight = relay.in_flight();
+        let version = relay.version().unwrap_or_default();
+        drop(relay);
         let counts = &self.lanes.counts;
         let totals = [
-            ("requests_total", c.arrivals),
-            ("requests_refused_total", c.refused),
-            ("requests_failed_total", c.failed),
-            ("requests_late_total", c.late),
-            ("pages_partial_total", c.partial),
-            ("callers_gone_total", c.gone),
-            ("bundles_total", c.bundles),
-            ("bundles_failed_total", c.bundles_failed),
-            ("attempts_total", c.attempts),
-            ("attempts_hedged_total", c.hedges),
-            ("hedges_won_total", c.hedges_won),
-            ("attempts_retried_total", c.retries),
-            ("attempts_shed_total", c.sheds),
-            ("attempts_broken_total", c.broken),
-            ("extra_attempts_refused_total", c.extra_refused),
-            (
-                "connections_opened_total",
-                counts.opened.load(Ordering::Relaxed),
-            ),
-            (
-                "connections_lost_total",
-                counts.lost.load(Ordering::Relaxed),
-            ),
-            ("callers_accepted_total", self.callers.accepted()),
+            ("requests", c.arrivals),
+            ("requests-refused", c.refused),
+            ("requests-failed", c.failed),
+            ("requests-late", c.late),
+            ("pages-partial", c.partial),
+            ("callers-gone", c.gone),
+            ("bundles", c.bundles),
+            ("bundles-failed", c.bundles_failed),
+            ("attempts", c.attempts),
+            ("attempts-hedged", c.hedges),
+            ("hedges-won", c.hedges_won),
+            ("attempts-retried", c.retries),
+            ("attempts-shed", c.sheds),
+            ("attempts-broken", c.broken),
+            ("extra-attempts-refused", c.extra_refused),
+            ("connections-opened", counts.opened.load(Ordering::Relaxed)),
+            ("connections-lost", counts.lost.load(Ordering::Relaxed)),
+            ("callers-accepted", self.callers.accepted()),
         ];
-        let mut text = String::new();
-        for (name, value) in totals {
-            text.push_str(&format!(
-                "# TYPE gentiansill_{name} counter\ngentiansill_{name} {value}\n"
-            ));
-        }
-        text
+        let states = [
+            ("requests-in-flight", in_flight as f64),
+            ("attempts-under-way", self.lanes.running() as f64),
+            ("callers-open", self.callers.open() as f64),
+            ("routes-version", version.0 as f64),
+            ("ready", f64::from(u8::from(self.state.is_ready()))),
+        ];
+        self.metrics.text(&totals, &states)
     }
 
     fn dump(&self) -> String {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -40,7 +40,7 @@
         env!("CARGO_PKG_VERSION")
     );
     let (mut ending, hup) = Signals::install()?.split();
-    let process = Process::start(settings.clone(), protocols, Arc::new(SystemClock), seed);
+    let process = Process::start(settings.clone(), protocols, Arc::new(SystemClock), seed)?;
     let leaver = process.open().await?;
     tokio::spawn(reload::run(hup, path, process.feed.clone(), settings));
     ending.first().await;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -71,8 +71,11 @@
     pub callers: SocketAddr,
     /// For the balancer's questions, metrics and dumps.
     pub status: SocketAddr,
-    /// For other VMs that hand requests over.
+    /// For other VMs that ask for parts.
     pub peers: SocketAddr,
+    /// For metrics beside `status`, on a port that is known beforehand.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Where routes are declared and servers registered.
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -66,6 +66,12 @@
         self.replan_at = Some(self.replan_at.map_or(at, |planned| planned.min(at)));
     }
 
+    /// Notes that a peer that is wanted may no longer be connected.
+    pub(crate) fn peer_lost(&mut self, now: Instant) {
+        let at = now + RECONNECT_AFTER;
+        self.replan_at = Some(self.replan_at.map_or(at, |planned| planned.min(at)));
+    }
+
     /// Makes the plans anew if it is time, and connects to the peers that they name.
     pub(crate) fn replan(&mut self, now: Instant, out: &mut Vec<Action>) {
         if self.replan_at.is_none_or(|at| at > now) {
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -56,10 +56,13 @@
     }
 
     /// A connection closed.
-    pub(crate) fn closed(&mut self, name: &ServerName) {
+    pub(crate) fn closed(&mut self, now: Instant, name: &ServerName) {
         if let Some(view) = self.servers.by_name_mut(name) {
             view.open = view.open.saturating_sub(1);
         }
+        if self.peers_wanted.contains(name) {
+            self.peer_lost(now);
+        }
     }
 
     /// Takes in what a server says of itself.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -129,7 +129,7 @@
             Event::Reach(is_in) => self.core.reach.set(now, is_in),
             Event::Roster(vms) => self.core.take_roster(now, vms, out),
             Event::Opened(name, took) => self.core.opened(&name, took),
-            Event::Closed(name) => self.core.closed(&name),
+            Event::Closed(name) => self.core.closed(now, &name),
             Event::Options(options) => self.core.options = options,
             Event::Arrive(arrival) => {
                 if let Some(run) = self.core.arrive(now, arrival, out) {
--- a/crates/relay/tests/relay/handover.rs
+++ b/crates/relay/tests/relay/handover.rs
@@ -170,6 +170,22 @@
     assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
 }
 
+/// A VM asks for every part itself for ten seconds after its peer was restarted: nobody connected to the
+/// peer again once its connection had closed.
+#[test]
+fn a_peer_whose_connection_closed_is_connected_to_again() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    w.tell(opened("vm-3", 16));
+    w.pass(ms(3000));
+    w.connects.clear();
+    w.tell(Event::Closed("vm-2".parse().expect("a name")));
+    w.pass(ms(1100));
+    let names: Vec<&str> = w.connects.iter().map(ServerName::as_str).collect();
+    assert!(names.contains(&"vm-2"), "{names:?}");
+    assert!(!names.contains(&"vm-3"), "{names:?}");
+}
+
 /// A VM loses power with bundles that were left to it; nothing tells of it but silence.
 #[test]
 fn a_page_does_not_wait_for_a_silent_peer_and_the_next_one_passes_it_by() {
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -50,6 +50,8 @@
     pub sent: VecDeque<Dispatch>,
     /// Attempts cancelled.
     pub cancelled: Vec<RunId>,
+    /// Servers and peers that connections were asked for to.
+    pub connects: Vec<ServerName>,
     /// Requests that other VMs were told of.
     pub quarantined: Vec<Fingerprint>,
     /// Requests that have ended.
@@ -214,6 +216,7 @@
             now: Instant::now(),
             sent: VecDeque::new(),
             cancelled: Vec::new(),
+            connects: Vec::new(),
             quarantined: Vec::new(),
             ended: Vec::new(),
             wake_at: None,
@@ -255,7 +258,8 @@
                     let at = self.now + after;
                     self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
                 }
-                Action::Connect { .. } | Action::Disconnect(_) => {}
+                Action::Connect { server, .. } => self.connects.push(server.name.clone()),
+                Action::Disconnect(_) => {}
             }
         }
     }
--- a/tests/relay/pages.rs
+++ b/tests/relay/pages.rs
@@ -64,22 +64,30 @@
     loop {
         let answers = r.ask_all(2, &route).await;
         all(&answers, is_whole);
-        if r.logs().contains("handed=true") || metric(&r, "bundles_total").await > 0 {
+        if r.logs().contains("handed=true") || metric(&r, "bundles").await > 0 {
             return;
         }
-        assert!(tokio::time::Instant::now() < end, "no bundle was sent");
+        assert!(
+            tokio::time::Instant::now() < end,
+            "no bundle was sent: {}",
+            scrape(&r).await
+        );
     }
 }
 
-async fn metric(r: &crate::support::Running, name: &str) -> u64 {
+async fn scrape(r: &crate::support::Running) -> String {
     let addr = r.site.vms[0].plan().status;
-    let (_, text) = gs_rig::load::Caller::new()
-        .get(addr, "/metrics")
-        .await
-        .expect("metrics");
-    let line = format!("gentiansill_{name} ");
-    let value = text
-        .lines()
-        .find_map(|l| l.strip_prefix(&line)?.parse().ok());
-    value.unwrap_or_else(|| panic!("no {name} in {text}"))
+    let asked = gs_rig::load::Caller::new().get(addr, "/metrics").await;
+    asked.expect("metrics").1
+}
+
+/// A total of the first VM; 0 before it has grown.
+async fn metric(r: &crate::support::Running, name: &str) -> u64 {
+    let text = scrape(r).await;
+    assert!(text.contains("gentiansill_relay_events"), "{text}");
+    let kind = format!("kind=\"{name}\"");
+    let mut lines = text.lines();
+    let line = lines.find(|l| l.starts_with("gentiansill_relay_events") && l.contains(&kind));
+    let value = line.and_then(|l| l.rsplit(' ').next()?.parse().ok());
+    value.unwrap_or(0)
 }
