fix(relay): the first callers of a route are not turned away by a guess

Change: no refusal for expected time before 20 attempts were seen. Test that states it: overload::the_first_callers_of_a_route_are_taken_on.

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -103,7 +103,9 @@
             .only
             .as_ref()
             .is_some_and(|o| o.len() < scatter.shards.len());
-        if is_part_of_one || self.in_flight < IN_FLIGHT_FREE {
+        // Before anything is learned of a route, a guess must not turn its first callers away.
+        let is_learned = self.times(&run.route).is_learned();
+        if is_part_of_one || !is_learned || self.in_flight < IN_FLIGHT_FREE {
             return Ok(());
         }
         let Some(expected) = self.expected_page(now, run, &scatter.shards) else {
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -16,6 +16,9 @@
 /// The most that one sample may count against the mean, so that a pause does not pass for work.
 const WORK_SAMPLE_MAX: f64 = 4.0;
 
+/// Samples after which the mean is more than a guess: those of one page or a few.
+const LEARNED: u32 = 20;
+
 /// The part of the objective that an attempt is first expected to take, before any was seen.
 const FIRST_WORK: f64 = 0.1;
 
@@ -66,6 +69,11 @@
         ratio
     }
 
+    /// Whether enough was seen for the mean to be more than a guess.
+    pub(crate) fn is_learned(&self) -> bool {
+        self.samples >= LEARNED
+    }
+
     /// The mean time of an attempt beyond the way to its server.
     pub(crate) fn work(&self) -> Duration {
         Duration::from_secs_f64(self.work_secs)
--- a/crates/relay/tests/relay/overload.rs
+++ b/crates/relay/tests/relay/overload.rs
@@ -123,6 +123,16 @@
     }
 }
 
+/// Readers are turned away just after a start, as nothing is known yet of how long the work takes.
+#[test]
+fn the_first_callers_of_a_route_are_taken_on() {
+    let mut w = World::new(table(1, vec![page_route(&SHARDS, 0.75)])).with_pairs(&SHARDS);
+    for _ in 0..20 {
+        w.ask("/page/x", ms(2500));
+    }
+    assert!(w.ended.is_empty(), "{:?}", w.ended.first());
+}
+
 /// Four slots a shard and 15 ms a part: 266 pages a second at the most.
 const CAPACITY: u64 = 266;
 
@@ -156,6 +166,15 @@
 #[test]
 fn what_is_turned_away_is_turned_away_at_once() {
     let mut w = World::new(table(1, vec![page_route(&SHARDS, 0.75)])).with_pairs(&SHARDS);
+    let mut servers = Servers::default();
+    // The time of the way is learned when connections open, and the rest is work.
+    w.tell(Event::Opened("s0-near".parse().expect("a name"), ms(0)));
+    w.tell(Event::Opened("s0-far".parse().expect("a name"), ms(16)));
+    for _ in 0..20 {
+        w.ask("/page/x", ms(2500));
+        let until = w.now + ms(30);
+        servers.pass(&mut w, until);
+    }
     for _ in 0..200 {
         w.ask("/page/x", ms(2500));
     }
