refactor(relay, rig): ends of attempts and the soak's callers in files of their own; callers held to the routes' bounds

The bounds that the routes name for callers (headers, their time, idle time) hold for connections that open from then on; before, those of a start did. An event that nobody told (Sent) is gone.

--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -2,14 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Duration;
 
 use gs_actor::Feed;
 use gs_actor::Shared;
 use gs_actor::Slot;
 use gs_clock::Clock;
 use gs_http::LaneOptions;
-use gs_http::Limits;
 use gs_http::Server;
 use gs_http::listen;
 use gs_relay::Event;
@@ -34,16 +32,9 @@
 use crate::settings::EdgeSettings;
 use crate::shell::RelayShell;
 use crate::shutdown::Leaver;
+use crate::state::FIRST_LIMITS;
 use crate::state::State;
 
-/// What callers are held to before any routes name their bounds.
-const FIRST_LIMITS: Limits = Limits {
-    headers: 32 * 1024,
-    header_timeout: Duration::from_secs(10),
-    idle_timeout: Duration::from_secs(60),
-    connections: 2048,
-};
-
 /// One process.
 pub(crate) struct Process {
     settings: EdgeSettings,
@@ -119,6 +110,7 @@
     pub(crate) async fn open(&self) -> Result<Leaver> {
         let listen_on = &self.settings.listen;
         let callers = Server::new(listen(listen_on.callers, "callers").await?, FIRST_LIMITS);
+        self.state.set_callers(callers.limits());
         let peers = Server::new(listen(listen_on.peers, "peers").await?, FIRST_LIMITS);
         let status = Server::new(listen(listen_on.status, "status").await?, FIRST_LIMITS);
         let counts = callers.state();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -4,15 +4,28 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use gs_actor::lock;
+use gs_http::Limits;
+use gs_http::LiveLimits;
 use gs_relay::CallerLimits;
 use gs_relay::RouteTable;
 
+/// What callers are held to before any routes name their bounds.
+pub(crate) const FIRST_LIMITS: Limits = Limits {
+    headers: 32 * 1024,
+    header_timeout: Duration::from_secs(10),
+    idle_timeout: Duration::from_secs(60),
+    connections: 2048,
+};
+
 /// What the parts of a process share besides events.
 #[derive(Debug, Default)]
 pub(crate) struct State {
     table: Mutex<Option<Arc<RouteTable>>>,
+    /// Where callers are held to the bounds of the routes in force.
+    callers: Mutex<Option<LiveLimits>>,
     has_servers: AtomicBool,
     is_leaving: AtomicBool,
 }
@@ -25,9 +38,31 @@
         if is_newer {
             *held = Some(Arc::clone(table));
         }
+        drop(held);
+        self.hold_callers();
         is_newer
     }
 
+    /// Holds callers to the bounds of the routes in force, here and as they change.
+    pub(crate) fn set_callers(&self, limits: LiveLimits) {
+        *lock(&self.callers) = Some(limits);
+        self.hold_callers();
+    }
+
+    fn hold_callers(&self) {
+        let Some(bounds) = self.limits() else {
+            return;
+        };
+        if let Some(callers) = lock(&self.callers).as_ref() {
+            callers.set(Limits {
+                headers: bounds.headers,
+                header_timeout: bounds.header_timeout,
+                idle_timeout: bounds.idle_timeout,
+                ..FIRST_LIMITS
+            });
+        }
+    }
+
     /// What a caller may send, by the routes in force.
     pub(crate) fn limits(&self) -> Option<CallerLimits> {
         lock(&self.table).as_ref().map(|t| t.limits().clone())
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -29,5 +29,6 @@
 pub use listen::listen;
 pub use server::Handler;
 pub use server::Limits;
+pub use server::LiveLimits;
 pub use server::Server;
 pub use server::ServerState;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -105,10 +107,28 @@
     }
 }
 
+/// The bounds of a server, to be changed while it serves.
+#[derive(Clone, Debug)]
+pub struct LiveLimits(Arc<Mutex<Limits>>);
+
+impl LiveLimits {
+    /// Holds the connections that open from now on to these bounds; the number of connections stays.
+    pub fn set(&self, limits: Limits) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+
+    fn get(&self) -> Limits {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
 /// An HTTP/1.1 server on one listener.
 pub struct Server {
     listener: TcpListener,
-    limits: Limits,
+    limits: LiveLimits,
     state: Arc<ServerState>,
 }
 
@@ -118,11 +138,17 @@
     pub fn new(listener: TcpListener, limits: Limits) -> Self {
         Self {
             listener,
-            limits,
+            limits: LiveLimits(Arc::new(Mutex::new(limits))),
             state: Arc::default(),
         }
     }
 
+    /// The bounds, to be changed while the server runs.
+    #[must_use]
+    pub fn limits(&self) -> LiveLimits {
+        self.limits.clone()
+    }
+
     /// The counters, shared with the running server.
     #[must_use]
     pub fn state(&self) -> Arc<ServerState> {
@@ -131,7 +157,7 @@
 
     /// Serves until `stop` turns true, then finishes every request that has begun and returns.
     pub async fn run(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) {
-        let permits = Arc::new(Semaphore::new(self.limits.connections));
+        let permits = Arc::new(Semaphore::new(self.limits.get().connections));
         let graceful = GracefulShutdown::new();
         loop {
             let permit = tokio::select! {
@@ -171,7 +197,8 @@
         let open = Open::new(&self.state);
         let state = Arc::clone(&self.state);
         let handler = Arc::clone(handler);
-        let clock = PhaseClock::new(self.limits.header_timeout, self.limits.idle_timeout);
+        let limits = self.limits.get();
+        let clock = PhaseClock::new(limits.header_timeout, limits.idle_timeout);
         let phase = clock.clone();
         let service = service_fn(move |req| {
             phase.busy();
@@ -189,7 +216,7 @@
             }
         });
         let conn = hyper::server::conn::http1::Builder::new()
-            .max_buf_size(self.limits.headers.max(HEADER_BUFFER_MIN))
+            .max_buf_size(limits.headers.max(HEADER_BUFFER_MIN))
             .serve_connection(TokioIo::new(Watched::new(tcp, clock.clone())), service);
         let conn = graceful.watch(conn);
         async move {
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -1,16 +1,11 @@
-//! How attempts and requests end.
+//! How requests end.
 
 use std::time::Duration;
 use std::time::Instant;
 
-use gs_types::prelude::*;
 use http::StatusCode;
 
 use crate::action::Action;
-use crate::attempt::Cause;
-use crate::attempt::Doing;
-use crate::attempt::RunId;
-use crate::bundle::BUNDLE;
 use crate::merge::best_records;
 use crate::outcome::Ending;
 use crate::outcome::FailReason;
@@ -18,14 +13,11 @@
 use crate::outcome::Page;
 use crate::outcome::RefuseReason;
 use crate::relay::Core;
-use crate::relay::Relay;
-use crate::reply::AttemptEnd;
 use crate::reply::ServerAnswer;
 use crate::route::Target;
 use crate::run::Part;
 use crate::run::PartState;
 use crate::run::Run;
-use crate::servers::ServerKey;
 use crate::trail::trail;
 use crate::verdict::Progress;
 use crate::verdict::Verdict;
@@ -34,188 +26,7 @@
 /// When a request that no server took is worth sending again: a server's queue empties in that time.
 const BUSY_RETRY: Duration = Duration::from_millis(100);
 
-impl Relay {
-    /// An attempt ended.
-    pub(crate) fn ended(
-        &mut self,
-        now: Instant,
-        id: RunId,
-        end: AttemptEnd,
-        out: &mut Vec<Action>,
-    ) {
-        if let Some((server, at, route)) = self.core.orphans.remove(&id) {
-            // Its request was late; how long it would have taken on an idle server is not known.
-            self.core
-                .judge_server(now, server, id, (at, 0.0), &route, &end);
-            return;
-        }
-        self.with(id.lookup, |core, run| {
-            if id.part == BUNDLE {
-                core.bundle_ended(now, run, id, end, out);
-            } else {
-                core.attempt_ended(now, run, id, end, out);
-            }
-            core.settle(now, run, out)
-        });
-    }
-}
-
 impl Core {
-    /// Takes in the end of an attempt of a request in flight.
-    fn attempt_ended(
-        &mut self,
-        now: Instant,
-        run: &mut Run,
-        id: RunId,
-        end: AttemptEnd,
-        out: &mut Vec<Action>,
-    ) {
-        let at = usize::from(id.part);
-        let Some(attempt) = run.parts[at].attempts.get_mut(usize::from(id.attempt)) else {
-            log::error!("event=attempt-unknown attempt={id}");
-            return;
-        };
-        attempt.doing = match end {
-            AttemptEnd::Shed(_) | AttemptEnd::WrongServer | AttemptEnd::NotSent => Doing::NotRun,
-            _ => Doing::Ran,
-        };
-        let rounds = attempt.rounds;
-        attempt.ended = Some((now, (&end).into()));
-        let (server, begun, cause) = (attempt.server, attempt.at, attempt.cause);
-        let route = run.route.name.clone();
-        self.judge_server(now, server, id, (begun, rounds), &route, &end);
-        self.judge_request(now, run, server, &end, out);
-        if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
-            let service = run.parts[at].service.clone();
-            self.service(&service).extra.give_back();
-        }
-        if !run.parts[at].is_open() {
-            return;
-        }
-        let is_good = matches!(&end, AttemptEnd::Answered(a, _) if a.is_good());
-        if let AttemptEnd::Answered(answer, _) = end {
-            run.parts[at].answer = Some(answer);
-        }
-        if is_good {
-            run.parts[at].state = PartState::Whole;
-            run.whole += 1;
-            if cause == Cause::Hedge {
-                self.counters.hedges_won += 1;
-            }
-            return;
-        }
-        self.part_failed(now, run, at, id, out);
-    }
-
-    /// Learns from how an attempt ended whether its request crashes servers.
-    fn judge_request(
-        &mut self,
-        now: Instant,
-        run: &Run,
-        server: ServerKey,
-        end: &AttemptEnd,
-        out: &mut Vec<Action>,
-    ) {
-        match end {
-            AttemptEnd::Broken => {
-                let request = run.req.fingerprint();
-                if self.suspects.broke(now, request, server) {
-                    log::warn!("event=quarantine request={request} id={}", run.req.id);
-                    out.push(Action::Quarantine(request));
-                }
-            }
-            AttemptEnd::Answered(..) if !self.suspects.is_calm() => {
-                self.suspects.answered(run.req.fingerprint());
-            }
-            _ => {}
-        }
-    }
-
-    /// Decides what follows when an attempt at a part failed.
-    fn part_failed(
-        &mut self,
-        now: Instant,
-        run: &mut Run,
-        at: usize,
-        id: RunId,
-        out: &mut Vec<Action>,
-    ) {
-        if run.parts[at].has_live() || run.parts[at].state != PartState::Running {
-            return;
-        }
-        let failed = &run.parts[at].attempts[usize::from(id.attempt)];
-        if run.is_once() && failed.may_have_run() {
-            self.give_up(run, at);
-            return;
-        }
-        // An attempt that never reached a server is not counted there, so its repeat is no extra.
-        let cause = match failed.cause {
-            Cause::First if failed.doing == Doing::NotRun && !self.was_heard(failed.server) => {
-                Cause::First
-            }
-            _ => Cause::Retry,
-        };
-        self.try_part(now, run, at, cause, out);
-    }
-
-    /// Whether a server is known to take connections at present.
-    fn was_heard(&self, server: ServerKey) -> bool {
-        let view = self.servers.get(server);
-        view.is_some_and(|v| !v.is_resting())
-    }
-
-    /// Learns from how an attempt ended at a server.
-    pub(crate) fn judge_server(
-        &mut self,
-        now: Instant,
-        server: ServerKey,
-        id: RunId,
-        (begun, rounds): (Instant, f64),
-        route: &LookupName,
-        end: &AttemptEnd,
-    ) {
-        let took = now.saturating_duration_since(begun);
-        let Some(view) = self.servers.get_mut(server) else {
-            return;
-        };
-        view.ended(id);
-        self.freed.push(view.entry.service.clone());
-        match end {
-            AttemptEnd::Answered(answer, load) => {
-                let is_near = view.entry.data_centre == self.options.data_centre;
-                self.ways.observe(&view.entry.data_centre, took);
-                let way = self.ways.to(&view.entry.data_centre);
-                let times = self.times.get_mut(route);
-                let ratio = times.map_or(1.0, |t| t.observe(is_near, took, way, rounds));
-                view.answered(now, ratio, *load, answer.is_good());
-            }
-            AttemptEnd::Shed(load) => {
-                self.counters.sheds += 1;
-                view.shed(now, *load);
-            }
-            AttemptEnd::WrongServer => {
-                log::info!("event=server-replaced server={}", view.entry.name);
-                view.is_gone = true;
-            }
-            AttemptEnd::NotSent => view.unreachable(now),
-            AttemptEnd::Late(_) => {
-                self.counters.broken += 1;
-                if view.is_silent_since(begun) {
-                    view.unreachable(now);
-                } else {
-                    view.broke(now);
-                }
-            }
-            AttemptEnd::Broken | AttemptEnd::Garbled => {
-                self.counters.broken += 1;
-                view.broke(now);
-            }
-            AttemptEnd::Paged(_) | AttemptEnd::Overloaded(_) => view.answered(now, 1.0, None, true),
-            AttemptEnd::Cancelled => {}
-        }
-        self.servers.drop_if_done(server);
-    }
-
     /// The caller hung up: nothing of its request is worth running any more.
     pub(crate) fn caller_gone(&mut self, run: &mut Run, out: &mut Vec<Action>) -> bool {
         self.counters.gone += 1;
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -60,8 +60,6 @@
     Quarantined(Vec<Fingerprint>),
     /// A caller's request arrived.
     Arrive(Arrival),
-    /// An attempt is about to put its first byte on a connection: the point of no return.
-    Sent(RunId),
     /// An attempt ended; each [`crate::Action::Send`] gets exactly one, also after a cancel.
     Ended(RunId, AttemptEnd),
     /// The caller of this request hung up.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod admission;
 mod arrive;
 mod attempt;
+mod attempt_end;
 mod budget;
 mod bundle;
 mod counters;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -137,7 +137,6 @@
                 }
                 self.core.in_flight = self.runs.len();
             }
-            Event::Sent(_) => {}
             Event::Ended(id, end) => self.ended(now, id, end, out),
             Event::Gone(seq) => self.with(seq, |core, run| core.caller_gone(run, out)),
             Event::Tick => self.tick(now, out),
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -11,6 +11,7 @@
 mod proxy;
 mod records;
 mod soak;
+mod soak_load;
 mod store;
 mod vm;
 mod whole;
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -6,12 +6,7 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bon::Builder;
@@ -27,8 +22,9 @@
 use super::backend::BackendFaults;
 use super::caller::SiteCaller;
 use super::caller::Verdict;
-use super::config::SiteRoute;
 use super::proxy::Harm;
+use super::soak_load::Load;
+use super::soak_load::Seen;
 use super::store::StoreFault;
 use super::whole::Site;
 use super::whole::SiteOptions;
@@ -99,16 +95,6 @@
     Configure,
 }
 
-/// One request as a caller saw it.
-struct Seen {
-    id: String,
-    vm: usize,
-    begun: Instant,
-    ended: Instant,
-    is_once: bool,
-    verdict: Verdict,
-}
-
 /// A time in which a VM may cut requests, as it was killed or stood still.
 struct Outage {
     vm: usize,
@@ -411,60 +397,3 @@
         is_refused || self.outages.iter().any(meets)
     }
 }
-
-/// Callers that go on asking every VM.
-struct Load {
-    stop: Arc<AtomicBool>,
-    seen: Arc<Mutex<Vec<Seen>>>,
-    tasks: Vec<tokio::task::JoinHandle<()>>,
-}
-
-/// Callers at each VM.
-const CALLERS: usize = 3;
-
-impl Load {
-    fn start(site: &Site) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let seen = Arc::new(Mutex::new(Vec::new()));
-        let next = Arc::new(AtomicU64::new(0));
-        let mut tasks = Vec::new();
-        for (vm, process) in site.vms.iter().enumerate() {
-            for _ in 0..CALLERS {
-                let (stop, seen, next) = (Arc::clone(&stop), Arc::clone(&seen), Arc::clone(&next));
-                let addr = process.plan().callers;
-                let routes = site.config.routes.clone();
-                tasks.push(tokio::spawn(async move {
-                    let caller = SiteCaller::new();
-                    while !stop.load(Ordering::Relaxed) {
-                        let n = next.fetch_add(1, Ordering::Relaxed);
-                        let route: &SiteRoute = &routes[n as usize % routes.len()];
-                        let begun = Instant::now();
-                        let answer = caller.ask(addr, route, &format!("s{n}")).await;
-                        let one = Seen {
-                            id: answer.id,
-                            vm,
-                            begun,
-                            ended: Instant::now(),
-                            is_once: !route.is_safe,
-                            verdict: answer.verdict,
-                        };
-                        seen.lock()
-                            .unwrap_or_else(PoisonError::into_inner)
-                            .push(one);
-                        tokio::time::sleep(Duration::from_millis(15)).await;
-                    }
-                }));
-            }
-        }
-        Self { stop, seen, tasks }
-    }
-
-    async fn stop(self) -> Vec<Seen> {
-        self.stop.store(true, Ordering::Relaxed);
-        for task in self.tasks {
-            // A caller that panicked has told of it on stderr.
-            let _ = task.await;
-        }
-        std::mem::take(&mut *self.seen.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-}
