--- a/crates/rig/src/args.rs
+++ b/crates/rig/src/args.rs
@@ -32,7 +32,7 @@
 /// The most VMs of a soak: each is a process.
 const VMS_MAX: u64 = 60;
 
-/// `gs-rig soak`.
+/// `gs-rig soak` and `gs-rig site`.
 #[derive(Clone, Debug)]
 pub struct Soak {
     /// The `gentiansill` program.
@@ -139,6 +139,7 @@
         ))
         .subcommand(bare_command())
         .subcommand(soak_command())
+        .subcommand(site_command())
 }
 
 fn common(name: &'static str, about: &'static str) -> Command {
@@ -187,6 +188,24 @@
 }
 
 fn soak_command() -> Command {
+    site_args(
+        Command::new("soak").about(
+            "Injects faults into relaying processes from outside, seed by seed, and checks the promises",
+        ),
+        "/tmp/gentiansill-soak",
+    )
+}
+
+fn site_command() -> Command {
+    site_args(
+        Command::new("site")
+            .about("Starts relaying VMs on a stand-in of the platform and checks every page"),
+        "/tmp/gentiansill-site",
+    )
+}
+
+/// What both take; `site` has no use for seeds.
+fn site_args(command: Command, dir: &'static str) -> Command {
     let whole = |name: &'static str, default: &'static str, help: &'static str| {
         Arg::new(name)
             .long(name)
@@ -195,10 +214,9 @@
             .value_parser(value_parser!(u64))
             .help(help)
     };
-    Command::new("soak")
-        .about("Injects faults into relaying processes from outside, seed by seed, and checks the promises")
+    command
         .arg(path("bin", "The gentiansill program").default_value("target/release/gentiansill"))
-        .arg(path("dir", "Where settings and logs go").default_value("/tmp/gentiansill-soak"))
+        .arg(path("dir", "Where settings and logs go").default_value(dir))
         .arg(whole("seed", "1", "The first seed"))
         .arg(whole("seeds", "1", "How many seeds, one after the other"))
         .arg(whole("seconds", "20", "How long faults come"))
@@ -232,7 +250,7 @@
         .help(help)
 }
 
-/// Reads `gs-rig soak`.
+/// Reads `gs-rig soak` and `gs-rig site`.
 pub fn soak(m: &ArgMatches) -> Result<Soak> {
     let vms: u64 = read(m, "vms")?;
     if vms == 0 || vms > VMS_MAX {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod experiment;
 mod scenario;
+mod site_demo;
 mod soak;
 mod storm;
 
@@ -47,6 +48,7 @@
             Some(("table", m)) => experiment::run(&args::table(m)?).await,
             Some(("cost", m)) => cost::run(&args::cost(m)?).await,
             Some(("storm", m)) => storm::run(&args::storm(m)?).await,
+            Some(("site", m)) => site_demo::run(&args::soak(m)?).await,
             Some(("soak", m)) => soak::run(&args::soak(m)?).await,
             Some(("bare", m)) => bare::run(&args::bare(m)?).await,
             _ => Ok(ExitCode::from(2)),
--- /dev/null
+++ b/crates/rig/src/site_demo.rs
@@ -0,0 +1,74 @@
+//! `gs-rig site`: relaying VMs on a stand-in of the users' platform, every page checked.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use gs_rig::site::Site;
+use gs_rig::site::SiteCaller;
+use gs_rig::site::SiteOptions;
+use gs_rig::site::Verdict;
+use gs_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::args::Soak;
+
+/// The pause between two requests of the one caller.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Asks every VM on every route in turn; exits with 1 if an answer was wrong or none was whole.
+pub(crate) async fn run(args: &Soak) -> Result<ExitCode> {
+    std::fs::create_dir_all(&args.dir)
+        .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("make a folder"))?;
+    let options = SiteOptions::builder()
+        .bin(args.bin.clone())
+        .dir(args.dir.clone())
+        .vms(args.vms)
+        .shards(args.shards)
+        .build();
+    let site = Site::start(options).await?;
+    println!(
+        "{} VMs, {} backend servers, {} s",
+        args.vms,
+        site.backends.len(),
+        args.seconds
+    );
+    let caller = SiteCaller::new();
+    let end = Instant::now() + Duration::from_secs(args.seconds);
+    let mut ends: BTreeMap<(String, &'static str), u64> = BTreeMap::new();
+    let mut wrong = Vec::new();
+    let mut took = Vec::new();
+    for n in 0.. {
+        if Instant::now() > end {
+            break;
+        }
+        let route = &site.config.routes[n % site.config.routes.len()];
+        let vm = site.vms[n % site.vms.len()].plan().callers;
+        let begun = Instant::now();
+        let answer = caller.ask(vm, route, &format!("demo-{n}")).await;
+        took.push(begun.elapsed());
+        let kind = match answer.verdict {
+            Verdict::Right(0) => "whole",
+            Verdict::Right(_) => "partial",
+            Verdict::NotRun(_) => "not-run",
+            Verdict::Failed(_) => "failed",
+            Verdict::Cut => "cut",
+            Verdict::Wrong(ref how) => {
+                wrong.push(how.clone());
+                "wrong"
+            }
+        };
+        *ends.entry((route.prefix.clone(), kind)).or_default() += 1;
+        tokio::time::sleep(PAUSE).await;
+    }
+    took.sort_unstable();
+    for ((prefix, kind), n) in &ends {
+        println!("{prefix:8} {kind:8} {n}");
+    }
+    if let Some(middle) = took.get(took.len() / 2) {
+        println!("median {:.1} ms", middle.as_secs_f64() * 1e3);
+    }
+    wrong.iter().for_each(|w| println!("wrong: {w}"));
+    let is_any_whole = ends.keys().any(|(_, kind)| *kind == "whole");
+    Ok(ExitCode::from(u8::from(!wrong.is_empty() || !is_any_whole)))
+}
