--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -53,9 +53,9 @@
         let mut looks = FIRST_LOOKS.into_iter().skip(usize::from(self.first_start));
         let mut next_look = Instant::now();
         loop {
-            let wait = looks.next().unwrap_or(HEARTBEAT);
-            tokio::time::sleep(wait).await;
-            if wait != HEARTBEAT || Instant::now() >= next_look {
+            let first = looks.next();
+            tokio::time::sleep(first.unwrap_or(HEARTBEAT)).await;
+            if first.is_some() || Instant::now() >= next_look {
                 self.look().await;
                 next_look = Instant::now() + LOOK_EVERY;
             } else {
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -35,8 +35,8 @@
     pub lookups_max: usize,
     /// The time between the decision to answer and the caller's last byte, with the time that its request
     /// took to get here: on a new connection twice the way there and back, 12 ms where callers are
-    /// 3 ms away. 14 earned most of 8, 11 and 14 ms: 0.646 of worth against 0.593 where callers are 3 ms
-    /// away, and the same where they are 1 ms away.
+    /// 3 ms away. Of 8, 11 and 14 ms the last is best: 95% of what is possible against 92% on a quiet day with callers
+    /// 3 ms away, and the same with callers 1 ms away.
     #[builder(default = Duration::from_millis(14))]
     pub answer_margin: Duration,
     /// The share of attempts that answer before a hedge is due.
