fix(edge): hear of requests that crash servers at every look too

Cause: the keeper of the VMs' list either looked or beat. Ruled out: load (it fails alone), suspects and admission (it passes with the old roster.rs alone). Change: each look is followed by a beat.

--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -58,9 +58,10 @@
             if first.is_some() || Instant::now() >= next_look {
                 self.look().await;
                 next_look = Instant::now() + LOOK_EVERY;
-            } else {
-                self.beat().await;
             }
+            // Also after a look: it tells nothing of requests that crash servers, and a VM that only looks
+            // runs one of them for 3 s more.
+            self.beat().await;
         }
     }
 
