--- a/crates/edge/src/desk.rs
+++ b/crates/edge/src/desk.rs
@@ -13,6 +13,7 @@
 use gs_relay::Ending;
 use gs_relay::Event;
 use gs_relay::FailReason;
+use gs_relay::Handed;
 use gs_relay::Outcome;
 use gs_types::prelude::*;
 use tokio::sync::oneshot;
@@ -20,33 +21,39 @@
 use crate::ends::Ends;
 use crate::state::State;
 
-/// The callers that wait for an end.
+/// The callers that wait for an end, and the numbers of their requests.
+///
+/// Callers and peers share it: a number that both gave out would end one's request with the other's.
 #[derive(Default)]
-pub(crate) struct Pending(Mutex<HashMap<LookupSeq, oneshot::Sender<Ending>>>);
+pub(crate) struct Pending {
+    waiting: Mutex<HashMap<LookupSeq, oneshot::Sender<Ending>>>,
+    given: AtomicU64,
+}
 
 impl Pending {
     /// Gives a waiting caller its end.
     pub(crate) fn settle(&self, seq: LookupSeq, ending: Ending) {
-        if let Some(tx) = lock(&self.0).remove(&seq) {
+        if let Some(tx) = lock(&self.waiting).remove(&seq) {
             // A caller that hung up at this moment no longer listens.
             drop(tx.send(ending));
         }
     }
 
-    fn insert(&self, seq: LookupSeq) -> oneshot::Receiver<Ending> {
+    /// Gives a request its number.
+    fn insert(&self) -> (LookupSeq, oneshot::Receiver<Ending>) {
+        let seq = LookupSeq(self.given.fetch_add(1, Ordering::Relaxed));
         let (tx, rx) = oneshot::channel();
-        lock(&self.0).insert(seq, tx);
-        rx
+        lock(&self.waiting).insert(seq, tx);
+        (seq, rx)
     }
 
     fn remove(&self, seq: LookupSeq) -> bool {
-        lock(&self.0).remove(&seq).is_some()
+        lock(&self.waiting).remove(&seq).is_some()
     }
 }
 
 /// The way from callers to the relay.
 pub(crate) struct Desk {
-    pub(crate) next: AtomicU64,
     pub(crate) pending: Arc<Pending>,
     pub(crate) feed: Feed<Event>,
     pub(crate) state: Arc<State>,
@@ -57,19 +64,19 @@
     /// Runs one request to its only end.
     ///
     /// Dropping the future tells the relay that the caller hung up.
-    pub(crate) async fn ask(&self, req: CallerRequest) -> Outcome {
-        let seq = LookupSeq(self.next.fetch_add(1, Ordering::Relaxed));
-        let rx = self.pending.insert(seq);
+    pub(crate) async fn ask(&self, req: CallerRequest, handed: Option<Handed>) -> Outcome {
+        let (seq, rx) = self.pending.insert();
         let _hang_up = HangUp {
             seq,
             pending: &self.pending,
             feed: &self.feed,
         };
         let (id, path) = (Arc::clone(&req.id), req.path.clone());
-        self.feed.push(Event::Arrive(Arrival { seq, req }));
+        let is_handed = handed.is_some();
+        self.feed.push(Event::Arrive(Arrival { seq, req, handed }));
         match rx.await {
             Ok(ending) => {
-                self.ends.note(&id, &path, &ending);
+                self.ends.note(&id, &path, is_handed, &ending);
                 ending.outcome
             }
             Err(_) => {
@@ -79,6 +86,11 @@
         }
     }
 
+    /// Whether new requests are welcome.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
     /// The most bytes of a request's body, by the routes in force.
     pub(crate) fn body_max(&self) -> Option<usize> {
         self.state.limits().map(|l| l.body)
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use gs_relay::PeerVm;
 use gs_relay::RouteTable;
 use gs_relay::ServerEntry;
 use gs_types::prelude::*;
@@ -85,4 +86,25 @@
     ///
     /// As for [`Directory::list`], and [`ErrorKind::NotFound`] if the revision is forgotten: list again.
     async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes>;
+
+    /// Announces a VM of ours to the others, or what has changed of it.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::list`]; it may have been done all the same, and may be done again.
+    async fn announce(&self, vm: &PeerVm) -> Result<()>;
+
+    /// Takes the announcement of a VM that leaves back.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::announce`].
+    async fn withdraw(&self, vm: &VmId) -> Result<()>;
+
+    /// The VMs announced; the list may be seconds old.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::list`].
+    async fn vms(&self) -> Result<Vec<PeerVm>>;
 }
--- a/crates/edge/src/ends.rs
+++ b/crates/edge/src/ends.rs
@@ -24,12 +24,12 @@
 
 impl Ends {
     /// Notes the end of a request.
-    pub(crate) fn note(&self, id: &str, path: &str, e: &Ending) {
+    pub(crate) fn note(&self, id: &str, path: &str, is_handed: bool, e: &Ending) {
         let is_late = e.took > e.objective;
         let (outcome, reason): (&str, &str) = match &e.outcome {
             Outcome::Relayed(a) if !a.status.is_success() => ("relayed-failure", a.status.as_str()),
             Outcome::Relayed(_) | Outcome::Page(_) if is_late => ("late", ""),
-            Outcome::Page(p) if p.missing > 0 => ("partial", ""),
+            Outcome::Page(p) if !p.missing.is_empty() => ("partial", ""),
             Outcome::Relayed(_) | Outcome::Page(_) => return,
             Outcome::Refused(reason, _) => ("refused", reason.into()),
             Outcome::Failed(reason) => ("failed", reason.into()),
@@ -39,7 +39,7 @@
         };
         let (whole, parts) = e.parts;
         log::info!(
-            "event=request-end id={id} path={path} outcome={outcome} reason={reason} took_ms={} \
+            "event=request-end id={id} path={path} handed={is_handed} outcome={outcome} reason={reason} took_ms={} \
              objective_ms={} parts={whole}/{parts} extra={} left_out={left_out}",
             e.took.as_millis(),
             e.objective.as_millis(),
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -21,9 +21,17 @@
 /// noticed by its own probes.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
-/// The pause between two watches, so that a storm of changes is a few calls and not one each.
+/// The pause after a watch that brought something, so that a storm of changes is a few calls and not
+/// one each. It doubles while changes go on, and starts again after a quiet while.
 const SETTLE: Duration = Duration::from_millis(200);
 
+/// The longest such pause: with the time for which a vanished server is kept it stays within the time
+/// that a leaving server goes on serving, and a version within that in which it must be in force.
+const SETTLE_MAX: Duration = Duration::from_millis(800);
+
+/// A watch that waited so long before it brought something was quiet.
+const QUIET: Duration = Duration::from_secs(2);
+
 /// The first wait after a failure.
 const BACKOFF: Duration = Duration::from_millis(100);
 
@@ -48,6 +56,8 @@
     at: Option<Revision>,
     /// Since when every call has failed.
     lost_since: Option<Instant>,
+    /// The pause after the last watch.
+    settle: Duration,
 }
 
 impl Follower {
@@ -64,7 +74,7 @@
                 Ok(()) => {
                     self.regained(&mut known);
                     backoff.reset();
-                    tokio::time::sleep(SETTLE).await;
+                    tokio::time::sleep(known.settle).await;
                 }
                 Err(e) if e.kind() == ErrorKind::NotFound => {
                     log::info!("event=directory-forgot kind={} error=\"{e}\"", self.kind);
@@ -109,7 +119,13 @@
     }
 
     async fn watch(&self, known: &mut Known, after: Revision) -> Result<()> {
+        let begun = Instant::now();
         let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
+        known.settle = match begun.elapsed() {
+            _ if changes.items.is_empty() => Duration::ZERO,
+            waited if waited >= QUIET => SETTLE,
+            _ => (known.settle * 2).clamp(SETTLE, SETTLE_MAX),
+        };
         for item in changes.items {
             self.take(known, item);
         }
--- a/crates/edge/src/lanes.rs
+++ b/crates/edge/src/lanes.rs
@@ -24,6 +24,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::peers::PeerCodec;
 use crate::servers::Judged;
 use crate::servers::ServerCodec;
 
@@ -37,19 +38,21 @@
 /// The most of its server's announced idle time that a connection is used again after.
 const IDLE_PART: f64 = 0.7;
 
-/// Counts connections for metrics.
-#[derive(Debug, Default)]
+/// Tells the relay of connections, and counts them for metrics.
 pub(crate) struct Opened {
     pub(crate) opened: AtomicU64,
     pub(crate) lost: AtomicU64,
+    feed: Feed<Event>,
 }
 
 impl ConnectionSink for Opened {
-    fn opened(&self, _: &ServerName) {
+    fn opened(&self, server: &ServerName, took: Duration) {
         self.opened.fetch_add(1, Ordering::Relaxed);
+        self.feed.push(Event::Opened(server.clone(), took));
     }
 
     fn closed(&self, server: &ServerName, lost: bool) {
+        self.feed.push(Event::Closed(server.clone()));
         if lost {
             self.lost.fetch_add(1, Ordering::Relaxed);
             log::debug!("event=connection-lost server={server}");
@@ -69,13 +72,18 @@
 
 impl Lanes {
     pub(crate) fn new(codec: Arc<dyn ServerCodec>, feed: Feed<Event>, opts: LaneOptions) -> Self {
+        let counts = Opened {
+            opened: AtomicU64::new(0),
+            lost: AtomicU64::new(0),
+            feed: feed.clone(),
+        };
         Self {
             codec,
             feed,
             opts,
             lanes: Mutex::default(),
             running: Arc::default(),
-            counts: Arc::default(),
+            counts: Arc::new(counts),
         }
     }
 
@@ -84,11 +92,11 @@
         let lane = self.lane(&d.server);
         let (tx, cancelled) = oneshot::channel();
         lock(&self.running).insert(d.run, tx);
-        let attempt = AttemptRun {
-            codec: Arc::clone(&self.codec),
-            lane,
-            d,
+        let codec: Arc<dyn ServerCodec> = match d.hand_over {
+            Some(_) => Arc::new(PeerCodec),
+            None => Arc::clone(&self.codec),
         };
+        let attempt = AttemptRun { codec, lane, d };
         let running = Arc::clone(&self.running);
         let feed = self.feed.clone();
         tokio::spawn(async move {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,15 +6,18 @@
 //!
 //! [`serve()`] runs a process from its settings to its graceful end.
 
+mod body;
 mod callers;
 mod desk;
 mod directory;
 mod ends;
 mod follow;
 mod lanes;
+mod peers;
 mod process;
 mod readiness;
 mod reload;
+mod roster;
 mod serve;
 mod servers;
 mod settings;
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,232 @@
+//! What VMs say to each other: a request with the shards that are wanted, and the page that comes of it.
+//!
+//! The caller's request goes on as it is, with headers of our own beside it. The peer answers with a
+//! page of what came in time, or says that it has run nothing.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gs_http::Handler;
+use gs_http::Whole;
+use gs_relay::AttemptEnd;
+use gs_relay::CallerRequest;
+use gs_relay::Dispatch;
+use gs_relay::Handed;
+use gs_relay::OpaqueRequest;
+use gs_relay::Outcome;
+use gs_relay::Page;
+use gs_types::prelude::*;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::request::Parts;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+use crate::body::read_body;
+use crate::desk::Desk;
+use crate::servers::Judged;
+use crate::servers::ServerCodec;
+
+/// The caller's id of the request.
+const ID: HeaderName = HeaderName::from_static("gs-id");
+/// The host that the caller named.
+const HOST: HeaderName = HeaderName::from_static("gs-host");
+/// The route by its content at the VM that asks.
+const ROUTE: HeaderName = HeaderName::from_static("gs-route");
+/// The numbers of the shards wanted, with commas.
+const SHARDS: HeaderName = HeaderName::from_static("gs-shards");
+/// VMs that the request has passed.
+const HOPS: HeaderName = HeaderName::from_static("gs-hops");
+/// How long the caller still waits, in milliseconds.
+const PATIENCE_MS: HeaderName = HeaderName::from_static("gs-patience-ms");
+/// The time in which the page must leave the peer, in milliseconds.
+const ON_TIME_MS: HeaderName = HeaderName::from_static("gs-on-time-ms");
+/// The stamps of a page's parts, with commas.
+const STAMPS: HeaderName = HeaderName::from_static("gs-stamps");
+/// The numbers of the shards that a page leaves out, with commas.
+const MISSING: HeaderName = HeaderName::from_static("gs-missing");
+/// Why a request was not run.
+const REASON: HeaderName = HeaderName::from_static("gs-reason");
+
+/// Speaks with peers.
+pub(crate) struct PeerCodec;
+
+impl ServerCodec for PeerCodec {
+    fn request(&self, d: &Dispatch, left: Duration) -> Result<Request<Full<Bytes>>> {
+        let bad = |e: http::Error| Error::new(ErrorKind::BadInput, e.to_string());
+        let mut req = Request::builder()
+            .method(d.content.method.clone())
+            .uri(&*d.content.target)
+            .body(Full::new(d.content.body.clone()))
+            .map_err(bad)?;
+        let headers = req.headers_mut();
+        headers.clone_from(&d.content.headers);
+        headers.insert(ID, text_value(&d.id)?);
+        headers.insert(PATIENCE_MS, millis(left));
+        if let Some(h) = &d.hand_over {
+            headers.insert(HOST, text_value(&h.host)?);
+            headers.insert(ROUTE, HeaderValue::from(h.route.0));
+            headers.insert(SHARDS, text_value(&join(&h.shards))?);
+            headers.insert(HOPS, HeaderValue::from(u16::from(h.hops)));
+            headers.insert(ON_TIME_MS, millis(h.on_time));
+        }
+        Ok(req)
+    }
+
+    fn reply(&self, _: &Dispatch, whole: Whole) -> Judged {
+        let end = match whole.status {
+            StatusCode::OK => page(whole).map_or(AttemptEnd::Garbled, |page| {
+                AttemptEnd::Paged(Box::new(page))
+            }),
+            // Nothing was run there: it leaves, has no routes yet, or others than this VM.
+            StatusCode::SERVICE_UNAVAILABLE => AttemptEnd::Shed(None),
+            _ => AttemptEnd::Garbled,
+        };
+        Judged {
+            end,
+            is_clean: true,
+            idle_max: None,
+        }
+    }
+}
+
+/// A page as a peer sends it; `None` if it is none.
+fn page(whole: Whole) -> Option<Page> {
+    let stamps = whole.headers.get(STAMPS)?.as_bytes();
+    let stamps = stamps.split(|b| *b == b',').filter(|s| !s.is_empty());
+    Some(Page {
+        stamps: stamps.map(Bytes::copy_from_slice).collect(),
+        missing: numbers(&whole.headers, &MISSING)?.into(),
+        body: whole.body,
+    })
+}
+
+/// Runs what peers hand over.
+pub(crate) struct Peers {
+    pub(crate) desk: Desk,
+}
+
+impl Peers {
+    async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = req.into_parts();
+        let body = read_body(body, self.desk.body_max()).await;
+        let (req, handed) = match body.and_then(|body| read(head, body)) {
+            Ok(read) => read,
+            Err(e) => {
+                log::warn!("event=hand-over-unreadable error=\"{e}\"");
+                return said(StatusCode::BAD_REQUEST, "unreadable");
+            }
+        };
+        if !self.desk.is_ready() {
+            return said(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        }
+        match self.desk.ask(req, Some(handed)).await {
+            Outcome::Page(page) => write(*page),
+            Outcome::Refused(reason, _) => said(StatusCode::SERVICE_UNAVAILABLE, reason.into()),
+            Outcome::Failed(_) | Outcome::Relayed(_) => said(StatusCode::BAD_GATEWAY, "failed"),
+        }
+    }
+}
+
+impl Handler for Peers {
+    fn handle(
+        self: Arc<Self>,
+        _: SocketAddr,
+        req: Request<Incoming>,
+    ) -> Pin<Box<dyn Future<Output = Response<Full<Bytes>>> + Send>> {
+        Box::pin(async move { self.answer(req).await })
+    }
+}
+
+fn read(mut head: Parts, body: Bytes) -> Result<(CallerRequest, Handed)> {
+    let missing = |name: &HeaderName| {
+        Error::new(ErrorKind::BadInput, format!("no `{name}`")).at("read hand-over")
+    };
+    let h = &head.headers;
+    let text = |name: &HeaderName| h.get(name).and_then(|v| v.to_str().ok());
+    let id: Arc<str> = text(&ID).ok_or_else(|| missing(&ID))?.into();
+    let host: Box<str> = text(&HOST).ok_or_else(|| missing(&HOST))?.into();
+    let patience = number(h, &PATIENCE_MS).ok_or_else(|| missing(&PATIENCE_MS))?;
+    let on_time = number(h, &ON_TIME_MS).ok_or_else(|| missing(&ON_TIME_MS))?;
+    let route = number(h, &ROUTE).ok_or_else(|| missing(&ROUTE))?;
+    let shards = numbers(h, &SHARDS).ok_or_else(|| missing(&SHARDS))?;
+    let hops = number(h, &HOPS).ok_or_else(|| missing(&HOPS))?;
+    for name in [ID, HOST, PATIENCE_MS, ON_TIME_MS, ROUTE, SHARDS, HOPS] {
+        head.headers.remove(name);
+    }
+    // The length is set anew for each server.
+    head.headers.remove(http::header::CONTENT_LENGTH);
+    let target = head.uri.path_and_query().map_or("/", |t| t.as_str());
+    let req = CallerRequest {
+        host,
+        path: head.uri.path().into(),
+        id,
+        patience: Some(Duration::from_millis(patience)),
+        content: Arc::new(OpaqueRequest {
+            target: target.into(),
+            method: head.method,
+            headers: head.headers,
+            body,
+        }),
+    };
+    let handed = Handed {
+        route: Fingerprint(route),
+        on_time: Duration::from_millis(on_time),
+        shards,
+        hops,
+    };
+    Ok((req, handed))
+}
+
+fn write(page: Page) -> Response<Full<Bytes>> {
+    let Ok(stamps) = HeaderValue::from_bytes(&page.stamps.join(&b","[..])) else {
+        return said(StatusCode::BAD_GATEWAY, "stamps");
+    };
+    let mut res = Response::new(Full::new(page.body));
+    let Ok(missing) = text_value(&join(&page.missing)) else {
+        return said(StatusCode::BAD_GATEWAY, "missing");
+    };
+    res.headers_mut().insert(STAMPS, stamps);
+    res.headers_mut().insert(MISSING, missing);
+    res
+}
+
+fn said(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::default());
+    *res.status_mut() = status;
+    res.headers_mut()
+        .insert(REASON, HeaderValue::from_static(reason));
+    res
+}
+
+fn number<T: FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+/// Numbers with commas; none for an empty value.
+fn numbers(headers: &HeaderMap, name: &HeaderName) -> Option<Vec<u16>> {
+    let text = headers.get(name)?.to_str().ok()?;
+    let each = text.split(',').filter(|n| !n.is_empty());
+    each.map(|n| n.parse().ok()).collect()
+}
+
+fn join(numbers: &[u16]) -> String {
+    let texts: Vec<String> = numbers.iter().map(u16::to_string).collect();
+    texts.join(",")
+}
+
+fn millis(d: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn text_value(text: &str) -> Result<HeaderValue> {
+    HeaderValue::from_str(text).map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()))
+}
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use gs_actor::Feed;
@@ -25,7 +24,9 @@
 use crate::directory::DirectoryKind;
 use crate::follow::Follower;
 use crate::lanes::Lanes;
+use crate::peers::Peers;
 use crate::readiness::Status;
+use crate::roster::RosterKeeper;
 use crate::serve::Protocols;
 use crate::settings::EdgeSettings;
 use crate::shell::RelayShell;
@@ -83,6 +84,13 @@
         for kind in [DirectoryKind::Routes, DirectoryKind::Servers] {
             tokio::spawn(this.follower(kind, seed).run());
         }
+        let keeper = RosterKeeper {
+            me: this.settings.as_peer(),
+            directory: Arc::clone(&this.protocols.directory),
+            feed: this.feed.clone(),
+            seed,
+        };
+        tokio::spawn(keeper.run());
         this
     }
 
@@ -94,6 +102,7 @@
     pub(crate) async fn open(&self) -> Result<Leaver> {
         let listen_on = &self.settings.listen;
         let callers = Server::new(listen(listen_on.callers, "callers").await?, FIRST_LIMITS);
+        let peers = Server::new(listen(listen_on.peers, "peers").await?, FIRST_LIMITS);
         let status = Server::new(listen(listen_on.status, "status").await?, FIRST_LIMITS);
         let counts = callers.state();
         let (stop, stopped) = watch::channel(false);
@@ -103,6 +112,8 @@
             lanes: Arc::clone(&self.lanes),
             callers: Arc::clone(&counts),
         };
+        let handed = Peers { desk: self.desk() };
+        tokio::spawn(peers.run(Arc::new(handed), stopped.clone()));
         // It answers until the process is gone, so that the balancer is told `not ready` to the end.
         let (forever, never) = watch::channel(false);
         tokio::spawn(async move {
@@ -114,6 +125,8 @@
             desk: self.desk(),
         };
         Ok(Leaver {
+            vm: self.settings.vm.name.clone(),
+            directory: Arc::clone(&self.protocols.directory),
             cfg: self.settings.shutdown.clone(),
             state: Arc::clone(&self.state),
             relay: Arc::clone(&self.relay),
@@ -125,7 +138,6 @@
 
     fn desk(&self) -> Desk {
         Desk {
-            next: AtomicU64::new(1),
             pending: Arc::clone(&self.pending),
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,9 +1,12 @@
 //! The settings of a relaying process: a TOML file, read and checked whole.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use gs_relay::Capacity;
+use gs_relay::PeerVm;
 use gs_relay::RelayOptions;
 use gs_settings::LogLevel;
 use gs_types::prelude::*;
@@ -50,6 +53,11 @@
     pub data_centre: DataCentre,
     /// Its data centre's region.
     pub region: Region,
+    /// What it can do in a second.
+    pub capacity: Capacity,
+    /// The region of every data centre.
+    #[serde(default)]
+    pub data_centres: HashMap<DataCentre, Region>,
 }
 
 /// Where a process listens.
@@ -60,6 +68,8 @@
     pub callers: SocketAddr,
     /// For the balancer's questions, metrics and dumps.
     pub status: SocketAddr,
+    /// For other VMs that hand requests over.
+    pub peers: SocketAddr,
 }
 
 /// Where routes are declared and servers registered.
@@ -219,10 +229,27 @@
         Ok(())
     }
 
+    /// This VM as the others see it.
+    #[must_use]
+    pub fn as_peer(&self) -> PeerVm {
+        PeerVm {
+            name: self.vm.name.clone(),
+            data_centre: self.vm.data_centre.clone(),
+            region: self.vm.region.clone(),
+            addr: self.listen.peers,
+            capacity: self.vm.capacity,
+        }
+    }
+
     /// The relay's settings.
     #[must_use]
     pub fn relay(&self) -> RelayOptions {
+        let mut regions = self.vm.data_centres.clone();
+        regions.insert(self.vm.data_centre.clone(), self.vm.region.clone());
         RelayOptions::builder()
+            .vm(self.vm.name.clone())
+            .region(self.vm.region.clone())
+            .regions(regions)
             .data_centre(self.vm.data_centre.clone())
             .peers(self.budget.peers)
             .extra_ratio(self.budget.extra_ratio * ALLOWANCE_PART)
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::directory::Directory;
 use crate::settings::Shutdown;
 use crate::state::State;
 
@@ -76,6 +77,8 @@
 /// Ends a process.
 pub(crate) struct Leaver {
     pub(crate) cfg: Shutdown,
+    pub(crate) vm: VmId,
+    pub(crate) directory: Arc<dyn Directory>,
     pub(crate) state: Arc<State>,
     pub(crate) relay: Shared<Relay>,
     pub(crate) callers: Arc<ServerState>,
@@ -90,6 +93,13 @@
         log::info!("event=leaving step=unready");
         self.state.set_leaving();
         self.callers.announce_close();
+        // It goes on beside the rest: a platform that is away must not hold a leaving process up.
+        let (vm, directory) = (self.vm.clone(), Arc::clone(&self.directory));
+        tokio::spawn(async move {
+            if let Err(e) = directory.withdraw(&vm).await {
+                log::info!("event=withdraw-failed error=\"{e}\"");
+            }
+        });
         tokio::time::sleep(self.cfg.lag).await;
         log::info!("event=leaving step=stop-accepting");
         let _ = self.stop.send(true);
--- a/crates/http/src/backend/lane.rs
+++ b/crates/http/src/backend/lane.rs
@@ -20,8 +20,8 @@
 
 /// Sees the connections to backend servers open and close.
 pub trait ConnectionSink: Send + Sync + 'static {
-    /// A connection opened.
-    fn opened(&self, server: &ServerName);
+    /// A connection opened, after this time.
+    fn opened(&self, server: &ServerName, took: Duration);
 
     /// A connection closed; `lost` if this process would have kept it.
     fn closed(&self, server: &ServerName, lost: bool);
@@ -165,8 +165,11 @@
                 let slot = Slot {
                     lane: Arc::clone(&lane),
                 };
-                if let Ok(lent) = lane.open_in(slot).await {
-                    lane.put_back(lent);
+                match lane.open_in(slot).await {
+                    Ok(lent) => lane.put_back(lent),
+                    Err(e) => {
+                        log::debug!("event=warming-failed server={} error=\"{e}\"", lane.name)
+                    }
                 }
             });
         }
@@ -260,12 +263,13 @@
     /// Opens a connection in a reserved slot; the slot is freed when the socket is closed.
     async fn open_in(self: &Arc<Self>, slot: Slot) -> Result<Lent> {
         let opts = &self.opts;
+        let begun = Instant::now();
         let (tx, driver) = connect(self.addr, opts.source, opts.connect_timeout).await?;
         let sink = Arc::clone(&self.sink);
         let name = self.name.clone();
         let kept = Arc::new(AtomicBool::new(true));
         let seen = Arc::clone(&kept);
-        sink.opened(&name);
+        sink.opened(&name, begun.elapsed());
         tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("event=backend-connection-ended server={name} error=\"{e}\"");
--- a/crates/http/src/backend/pool.rs
+++ b/crates/http/src/backend/pool.rs
@@ -51,7 +51,7 @@
 }
 
 impl ConnectionSink for Common {
-    fn opened(&self, server: &ServerName) {
+    fn opened(&self, server: &ServerName, _: Duration) {
         self.opened.fetch_add(1, Ordering::Relaxed);
         self.sink.event(Event::Connection(server.clone(), true));
     }
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -27,6 +27,23 @@
     pub give_up: Duration,
     /// Whether it may run at most once, so that a connection that may be stale is not used.
     pub once: bool,
+    /// Set if the server is another VM, which is to ask for parts.
+    pub hand_over: Option<HandOver>,
+}
+
+/// What is said to a VM that is to ask for parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HandOver {
+    /// The host that the caller named.
+    pub host: Box<str>,
+    /// The route by its content; the peer runs the request under no other.
+    pub route: Fingerprint,
+    /// The time in which its page must leave there to be in time here.
+    pub on_time: Duration,
+    /// The shards wanted, by their number in the route.
+    pub shards: Vec<u16>,
+    /// VMs that the request has passed.
+    pub hops: u8,
 }
 
 /// One output of the relay.
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -4,6 +4,7 @@
 //! requests than the servers can run. What is known to fail is refused at once, before anything of it
 //! runs, and told when to come back.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -24,15 +25,20 @@
 const RETRY_SPREAD: f64 = 0.5;
 
 impl Core {
-    /// Says whether a request is begun at all.
-    pub(crate) fn admit(
+    /// Refuses a request if too much is in flight here to hold it.
+    pub(crate) fn check_load(&mut self) -> Result<(), (RefuseReason, Option<Duration>)> {
+        if self.in_flight >= self.options.lookups_max {
+            return Err((RefuseReason::Overload, Some(self.spread(RETRY_USUAL))));
+        }
+        Ok(())
+    }
+
+    /// Refuses a request that cannot come to an answer, as too few of its parts have a server.
+    pub(crate) fn check_reach(
         &mut self,
         now: Instant,
         run: &Run,
     ) -> Result<(), (RefuseReason, Option<Duration>)> {
-        if self.in_flight >= self.options.lookups_max {
-            return Err((RefuseReason::Overload, Some(self.spread(RETRY_USUAL))));
-        }
         let Some(back_at) = self.out_of_reach(now, run) else {
             return Ok(());
         };
@@ -43,17 +49,17 @@
 
     /// Whether too few parts have a server to come to an answer, and until when if that is known.
     fn out_of_reach(&mut self, now: Instant, run: &Run) -> Option<Option<Instant>> {
-        let route = std::sync::Arc::clone(&run.route);
+        let route = Arc::clone(&run.route);
         self.times(&route);
         let mut reached = 0;
         let mut back_at: Option<Instant> = None;
-        for part in &run.parts {
-            match self.scene(now, run).place(part) {
+        for part in self.parts_of(&route, run.only.as_deref()) {
+            match self.scene(now, run).place(&part) {
                 Place::Now(..) | Place::Wait => reached += 1,
                 Place::Nowhere(until) => back_at = soonest(back_at, until),
             }
         }
-        (reached < run.parts_min()).then_some(back_at)
+        (reached < run.parts_min).then_some(back_at)
     }
 
     fn spread(&mut self, retry: Duration) -> Duration {
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -5,9 +5,11 @@
 use std::time::Instant;
 
 use gs_types::prelude::*;
+use smallvec::SmallVec;
 
 use crate::action::Action;
 use crate::event::Arrival;
+use crate::event::Handed;
 use crate::outcome::Ending;
 use crate::outcome::Outcome;
 use crate::outcome::RefuseReason;
@@ -34,31 +36,49 @@
         out: &mut Vec<Action>,
     ) -> Option<Box<Run>> {
         self.counters.arrivals += 1;
-        let Arrival { seq, req } = arrival;
-        let begun = self.find(&req).and_then(|route| {
-            let run = self.prepare(now, seq, req, route);
-            self.admit(now, &run).map(|()| run)
-        });
-        let mut run = match begun {
+        let Arrival { seq, req, handed } = arrival;
+        let mut run = match self.take_on(now, seq, req, handed) {
             Ok(run) => run,
             Err((reason, retry_after)) => {
                 self.refuse(seq, reason, retry_after, out);
                 return None;
             }
         };
-        for part in &run.parts {
-            let service = part.service.clone();
-            self.service(&service).extra.request(now);
-        }
-        for at in 0..run.parts.len() {
-            self.start_part(now, &mut run, at, out);
+        if let Err((reason, retry_after)) = self.check_reach(now, &run) {
+            self.refuse(seq, reason, retry_after, out);
+            return None;
         }
+        self.begin(now, &mut run, out);
         if self.settle(now, &mut run, out) {
             return None;
         }
         Some(run)
     }
 
+    fn take_on(
+        &mut self,
+        now: Instant,
+        seq: LookupSeq,
+        req: CallerRequest,
+        handed: Option<Handed>,
+    ) -> Result<Box<Run>, (RefuseReason, Option<Duration>)> {
+        let route = self.find(&req)?;
+        self.check_load()?;
+        let mut run = self.prepare(now, seq, req, route);
+        let Some(handed) = handed else {
+            return Ok(run);
+        };
+        // Parts of two versions' shards must not meet on one page.
+        if handed.route != run.route.fingerprint() {
+            return Err((RefuseReason::OtherRoute, None));
+        }
+        run.objective_at = (now + handed.on_time).min(run.answer_by);
+        run.only = Some(handed.shards);
+        run.hops = handed.hops;
+        run.parts_min = 0;
+        Ok(run)
+    }
+
     fn find(&self, req: &CallerRequest) -> Result<Arc<Route>, (RefuseReason, Option<Duration>)> {
         let Some(table) = &self.table else {
             return Err((RefuseReason::NotReady, Some(NOT_READY_RETRY)));
@@ -80,8 +100,12 @@
         let answer_by = now + patience.saturating_sub(last_word);
         Box::new(Run {
             seq,
-            parts: self.parts_of(&route),
             req,
+            only: None,
+            hops: 0,
+            parts_min: route.parts_min(),
+            bundles: SmallVec::new(),
+            parts: Vec::new(),
             arrived: now,
             objective_at: (now + on_time).min(answer_by),
             answer_by,
@@ -94,13 +118,23 @@
         })
     }
 
-    fn parts_of(&mut self, route: &Route) -> Vec<Part> {
-        match &route.target {
-            Target::One(services) => split::pick(services, &mut self.rng)
-                .map(|s| Part::new(s.clone()))
-                .into_iter()
-                .collect(),
-            Target::Scatter(s) => s.shards.iter().map(|n| Part::new(n.clone())).collect(),
+    /// The parts of a request on a route; with `only`, those of these shards.
+    pub(crate) fn parts_of(&mut self, route: &Route, only: Option<&[u16]>) -> Vec<Part> {
+        let shards = match &route.target {
+            Target::One(services) => {
+                let picked = split::pick(services, &mut self.rng);
+                return picked
+                    .map(|s| Part::new(0, s.clone()))
+                    .into_iter()
+                    .collect();
+            }
+            Target::Scatter(s) => &s.shards,
+        };
+        let all = shards.iter().enumerate();
+        let parts = all.map(|(n, service)| Part::new(n as u16, service.clone()));
+        match only {
+            None => parts.collect(),
+            Some(only) => parts.filter(|p| only.contains(&p.shard)).collect(),
         }
     }
 
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Changes the extra attempts allowed besides.
+    pub fn set_slack(&mut self, slack: f64) {
+        self.slack = slack;
+    }
+
     /// A request for the service arrived.
     pub fn request(&mut self, now: Instant) {
         self.bucket(now).requests += 1;
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -17,7 +17,11 @@
     pub partial: u64,
     /// Callers that hung up first.
     pub gone: u64,
-    /// Attempts handed over.
+    /// Bundles of parts left to other VMs.
+    pub bundles: u64,
+    /// Bundles that came to nothing.
+    pub bundles_failed: u64,
+    /// Attempts made.
     pub attempts: u64,
     /// Attempts made beside a slow one.
     pub hedges: u64,
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -28,17 +28,6 @@
 const GIVE_UP_MIN: Duration = Duration::from_millis(500);
 
 impl Core {
-    /// Makes the first attempt at a part, or queues it, or gives the part up.
-    pub(crate) fn start_part(
-        &mut self,
-        now: Instant,
-        run: &mut Run,
-        at: usize,
-        out: &mut Vec<Action>,
-    ) {
-        self.try_part(now, run, at, Cause::First, out);
-    }
-
     /// Makes an attempt at a part if a server is free and the budget allows it.
     pub(crate) fn try_part(
         &mut self,
@@ -71,6 +60,7 @@
             now,
             servers: &self.servers,
             times: &self.times[&run.route.name],
+            ways: &self.ways,
             data_centre: &self.options.data_centre,
             servers_max: run.route.servers_max,
         }
@@ -137,6 +127,7 @@
             time_left: run.patience.saturating_sub(now - run.arrived),
             give_up,
             once: run.is_once(),
+            hand_over: None,
         }));
         self.count(run, cause);
         if !run.is_once() {
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -5,12 +5,12 @@
 
 use gs_types::prelude::*;
 use http::StatusCode;
-use smallvec::SmallVec;
 
 use crate::action::Action;
 use crate::attempt::Cause;
 use crate::attempt::Doing;
 use crate::attempt::RunId;
+use crate::bundle::BUNDLE;
 use crate::merge::best_records;
 use crate::outcome::Ending;
 use crate::outcome::FailReason;
@@ -22,6 +22,7 @@
 use crate::reply::AttemptEnd;
 use crate::reply::ServerAnswer;
 use crate::route::Target;
+use crate::run::Part;
 use crate::run::PartState;
 use crate::run::Run;
 use crate::servers::ServerKey;
@@ -46,7 +47,11 @@
             return;
         }
         self.with(id.lookup, |core, run| {
-            core.attempt_ended(now, run, id, end, out);
+            if id.part == BUNDLE {
+                core.bundle_ended(now, run, id, end, out);
+            } else {
+                core.attempt_ended(now, run, id, end, out);
+            }
             core.settle(now, run, out)
         });
     }
@@ -130,7 +135,7 @@
     }
 
     /// Learns from how an attempt ended at a server.
-    fn judge_server(
+    pub(crate) fn judge_server(
         &mut self,
         now: Instant,
         server: ServerKey,
@@ -148,9 +153,10 @@
         match end {
             AttemptEnd::Answered(answer, load) => {
                 let is_near = view.entry.data_centre == self.options.data_centre;
+                self.ways.observe(&view.entry.data_centre, took);
+                let way = self.ways.to(&view.entry.data_centre);
                 let times = self.times.get_mut(route);
-                let dc = view.entry.data_centre.clone();
-                let ratio = times.map_or(1.0, |t| t.observe(&dc, is_near, took));
+                let ratio = times.map_or(1.0, |t| t.observe(is_near, took, way));
                 view.answered(now, ratio, *load, answer.is_good());
             }
             AttemptEnd::Shed(load) => {
@@ -174,31 +180,18 @@
                 self.counters.broken += 1;
                 view.broke(now);
             }
+            AttemptEnd::Paged(_) => view.answered(now, 1.0, None, true),
             AttemptEnd::Cancelled => {}
         }
         self.servers.drop_if_done(server);
     }
 
     /// The caller hung up: nothing of its request is worth running any more.
-    pub(crate) fn caller_gone(
-        &mut self,
-        now: Instant,
-        run: &mut Run,
-        out: &mut Vec<Action>,
-    ) -> bool {
+    pub(crate) fn caller_gone(&mut self, run: &mut Run, out: &mut Vec<Action>) -> bool {
         self.counters.gone += 1;
-        for (at, part) in run.parts.iter().enumerate() {
-            for (n, a) in part.attempts.iter().enumerate() {
-                if a.is_live() {
-                    out.push(Action::Cancel(RunId {
-                        lookup: run.seq,
-                        part: at as u16,
-                        attempt: n as u16,
-                    }));
-                }
-            }
-        }
-        self.let_go(now, run);
+        let live = run.live_attempts();
+        out.extend(live.into_iter().map(|(id, _)| Action::Cancel(id)));
+        self.let_go(run);
         true
     }
 
@@ -208,7 +201,7 @@
             parts: run.parts.len(),
             whole: run.whole,
             missing: run.missing,
-            parts_min: run.parts_min(),
+            parts_min: run.parts_min,
             objective_at: run.objective_at,
             answer_by: run.answer_by,
         };
@@ -217,6 +210,18 @@
             Verdict::Deliver => deliver(run),
             Verdict::Fail => fail(now, run),
         };
+        self.answer(now, run, outcome, out);
+        true
+    }
+
+    /// Gives a request's caller its only answer.
+    pub(crate) fn answer(
+        &mut self,
+        now: Instant,
+        run: &mut Run,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
         let took = now.saturating_duration_since(run.arrived);
         self.note_end(run, took, &outcome);
         let ending = Ending {
@@ -227,8 +232,7 @@
             extra: run.extra,
         };
         out.push(Action::Answer(run.seq, Box::new(ending)));
-        self.let_go(now, run);
-        true
+        self.let_go(run);
     }
 
     fn note_end(&mut self, run: &Run, took: Duration, outcome: &Outcome) {
@@ -236,56 +240,47 @@
             Outcome::Failed(_) => self.counters.failed += 1,
             Outcome::Refused(..) => self.counters.refused += 1,
             _ if took > run.route.objective => self.counters.late += 1,
-            Outcome::Page(p) if p.missing > 0 => self.counters.partial += 1,
+            Outcome::Page(p) if !p.missing.is_empty() => self.counters.partial += 1,
             _ => {}
         }
     }
 
     /// Forgets a request; its attempts under way are left to end, so that connections stay usable.
-    fn let_go(&mut self, _now: Instant, run: &mut Run) {
+    fn let_go(&mut self, run: &mut Run) {
         self.disarm(run);
         for at in 0..run.parts.len() {
             if matches!(run.parts[at].state, PartState::Waiting(_)) {
                 self.unqueue(run, at);
             }
-            for (n, a) in run.parts[at].attempts.iter().enumerate() {
-                if !a.is_live() {
-                    continue;
-                }
-                let id = RunId {
-                    lookup: run.seq,
-                    part: at as u16,
-                    attempt: n as u16,
-                };
-                self.orphans
-                    .insert(id, (a.server, a.at, run.route.name.clone()));
-            }
+        }
+        for (id, a) in run.live_attempts() {
+            self.orphans
+                .insert(id, (a.server, a.at, run.route.name.clone()));
         }
     }
 }
 
 fn deliver(run: &mut Run) -> Outcome {
-    let page = match &run.route.target {
-        Target::One(_) => None,
-        Target::Scatter(s) => Some(s.page),
+    let Target::Scatter(scatter) = &run.route.target else {
+        let answer = run.parts.iter_mut().find_map(|p| p.answer.take());
+        return answer.map_or(Outcome::Failed(FailReason::Failed), Outcome::Relayed);
     };
-    let whole = run.parts.iter_mut();
-    let whole = whole.filter(|p| p.state == PartState::Whole);
-    let mut answers = whole.filter_map(|p| p.answer.take());
-    match page {
-        None => answers
-            .next()
-            .map_or(Outcome::Failed(FailReason::Failed), Outcome::Relayed),
-        Some(page) => {
-            let answers: Vec<Box<ServerAnswer>> = answers.collect();
-            let stamps: SmallVec<_> = answers.iter().filter_map(|a| a.stamp.clone()).collect();
-            Outcome::Page(Box::new(Page {
-                missing: run.parts.len() - stamps.len(),
-                stamps,
-                body: best_records(answers.iter().map(|a| &a.body), page),
-            }))
-        }
-    }
+    let is_whole = |p: &&Part| p.state == PartState::Whole;
+    let answers = run
+        .parts
+        .iter()
+        .filter(is_whole)
+        .filter_map(|p| p.answer.as_ref());
+    let pages = run.bundles.iter().filter_map(|b| b.page.as_ref());
+    let own = answers.clone().filter_map(|a| a.stamp.clone());
+    let others = pages.clone().flat_map(|p| p.stamps.iter().cloned());
+    let bodies = answers.map(|a| &a.body).chain(pages.map(|p| &p.body));
+    let missing = run.parts.iter().filter(|p| !is_whole(p));
+    Outcome::Page(Box::new(Page {
+        stamps: own.chain(others).collect(),
+        missing: missing.map(|p| p.shard).collect(),
+        body: best_records(bodies, scatter.page),
+    }))
 }
 
 /// The end of a request without a success.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -1,6 +1,7 @@
 //! What the relay is told.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_types::prelude::*;
 
@@ -9,6 +10,7 @@
 use crate::options::RelayOptions;
 use crate::reply::AttemptEnd;
 use crate::request::CallerRequest;
+use crate::roster::PeerVm;
 use crate::table::RouteTable;
 
 /// A caller's request, with the number that the shell gave it.
@@ -18,6 +20,21 @@
     pub seq: LookupSeq,
     /// The request.
     pub req: CallerRequest,
+    /// Set if another VM asks for parts.
+    pub handed: Option<Handed>,
+}
+
+/// What a VM that asks for parts says of them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handed {
+    /// The route by its content there; the request is run under no other.
+    pub route: Fingerprint,
+    /// The time in which the page must leave to be in time.
+    pub on_time: Duration,
+    /// The shards wanted, by their number in the route.
+    pub shards: Vec<u16>,
+    /// VMs that the request has passed.
+    pub hops: u8,
 }
 
 /// One input of the relay.
@@ -29,6 +46,12 @@
     Server(Arc<ServerEntry>),
     /// A server is gone from the register.
     ServerGone(ServerName),
+    /// The VMs that are there, this one included.
+    Roster(Vec<PeerVm>),
+    /// A connection to a server or a peer opened, after this time.
+    Opened(ServerName, Duration),
+    /// A connection to a server or a peer closed.
+    Closed(ServerName),
     /// Other settings are in force from now on.
     Options(RelayOptions),
     /// A caller's request arrived.
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -4,13 +4,11 @@
 //! 200 ms somewhere, which is longer than the objective. The delay is learned by route and distance,
 //! so that about one attempt in ten is made twice, half of what the budget allows.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use gs_limit::Distance;
 use gs_limit::HedgePolicy;
 use gs_limit::LearnedDelay;
-use gs_types::prelude::*;
 
 /// How much of a new sample goes into a route's mean time of work.
 const WORK_WEIGHT: f64 = 0.02;
@@ -18,9 +16,6 @@
 /// The most that one sample may count against the mean, so that a pause does not pass for work.
 const WORK_SAMPLE_MAX: f64 = 4.0;
 
-/// How fast the least time to a data centre drifts up, so that one fluke does not stay for ever.
-const WAY_DRIFT: f64 = 0.002;
-
 /// The part of the objective that an attempt is first expected to take, before any was seen.
 const FIRST_WORK: f64 = 0.1;
 
@@ -33,7 +28,6 @@
     delays: LearnedDelay,
     work_secs: f64,
     samples: u32,
-    ways: HashMap<DataCentre, f64>,
     first_delay: Duration,
 }
 
@@ -43,22 +37,15 @@
             delays: LearnedDelay::new(quantile),
             work_secs: objective.as_secs_f64() * FIRST_WORK,
             samples: 0,
-            ways: HashMap::new(),
             first_delay: objective.mul_f64(FIRST_DELAY),
         }
     }
 
-    /// An attempt took this long; gives how many times longer than the mean that is.
-    pub(crate) fn observe(&mut self, from: &DataCentre, is_near: bool, took: Duration) -> f64 {
+    /// An attempt took this long, of which `way` was the way; gives how many times longer than the mean
+    /// that is.
+    pub(crate) fn observe(&mut self, is_near: bool, took: Duration, way: Duration) -> f64 {
         self.delays.observe(distance(is_near), took);
-        let secs = took.as_secs_f64();
-        let way = self.ways.entry(from.clone()).or_insert(secs);
-        *way = if secs < *way {
-            secs
-        } else {
-            *way + (secs - *way) * WAY_DRIFT
-        };
-        let work = (secs - *way).max(1e-4);
+        let work = took.saturating_sub(way).as_secs_f64().max(1e-4);
         let ratio = work / self.work_secs;
         let sample = work.min(self.work_secs * WORK_SAMPLE_MAX);
         self.samples = self.samples.saturating_add(1);
@@ -72,12 +59,6 @@
         Duration::from_secs_f64(self.work_secs)
     }
 
-    /// The least time that an answer from a data centre takes.
-    pub(crate) fn way(&self, to: &DataCentre) -> Duration {
-        let known = self.ways.get(to).copied();
-        Duration::from_secs_f64(known.unwrap_or(0.0))
-    }
-
     /// The time after which an attempt is hedged.
     pub(crate) fn delay(&self, is_near: bool) -> Duration {
         self.delays
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -1,6 +1,7 @@
 //! Takes in routes and servers as they are declared.
 
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use gs_types::prelude::*;
@@ -9,28 +10,55 @@
 use crate::entry::Availability;
 use crate::entry::ServerEntry;
 use crate::relay::Core;
+use crate::sharing::Sharing;
 use crate::table::RouteTable;
 
-/// Connections to a server whose service no route names; none is opened before one does.
-const UNDECLARED: Connections = Connections(1);
-
-/// Connections held open to each server in this VM's data centre, if its share allows.
-const WARM_NEAR: u32 = 2;
-
-/// Connections held open to each server elsewhere.
-const WARM_FAR: u32 = 1;
-
 impl Core {
     /// Takes a version of the routes, unless a newer one is in force.
-    pub(crate) fn take_table(&mut self, table: Arc<RouteTable>, out: &mut Vec<Action>) {
+    pub(crate) fn take_table(
+        &mut self,
+        now: Instant,
+        table: Arc<RouteTable>,
+        out: &mut Vec<Action>,
+    ) {
         let newest = self.table.as_ref().map(|t| t.version());
         if newest.is_some_and(|v| v >= table.version()) {
             return;
         }
         self.table = Some(table);
+        self.share_out(out);
+        self.plans_stale(now);
+    }
+
+    /// Says anew how many connections to hold to each backend server.
+    pub(crate) fn share_out(&mut self, out: &mut Vec<Action>) {
+        self.sharing = Sharing::new(self);
+        let slack = self.options.extra_slack;
+        for (name, service) in &mut self.services {
+            service
+                .extra
+                .set_slack(slack * self.sharing.slack_part(name));
+        }
         let entries: Vec<_> = self.servers.all().map(|v| Arc::clone(&v.entry)).collect();
         for entry in entries {
-            self.connect(entry, out);
+            if !self.peers_known.contains(&entry.name) {
+                self.connect(entry, out);
+            }
+        }
+    }
+
+    /// A connection opened.
+    pub(crate) fn opened(&mut self, name: &ServerName, took: Duration) {
+        if let Some(view) = self.servers.by_name_mut(name) {
+            view.open += 1;
+            self.ways.observe(&view.entry.data_centre, took);
+        }
+    }
+
+    /// A connection closed.
+    pub(crate) fn closed(&mut self, name: &ServerName) {
+        if let Some(view) = self.servers.by_name_mut(name) {
+            view.open = view.open.saturating_sub(1);
         }
     }
 
@@ -44,11 +72,13 @@
         self.missing.remove(&entry.name);
         self.servers.register(now, Arc::clone(&entry));
         self.connect(entry, out);
+        self.plans_stale(now);
     }
 
     /// Says how many connections to hold to a server, by the routes in force and its own word.
     fn connect(&mut self, entry: Arc<ServerEntry>, out: &mut Vec<Action>) {
-        let most = self.connections_to(&entry.service);
+        let limit = self.table.as_ref().and_then(|t| t.service(&entry.service));
+        let most = self.sharing.most(limit, &entry.service);
         self.servers.set_connections(&entry.name, most);
         self.freed.push(entry.service.clone());
         if entry.availability == Availability::Draining {
@@ -56,9 +86,8 @@
             return;
         }
         let is_near = entry.data_centre == self.options.data_centre;
-        let warm = if is_near { WARM_NEAR } else { WARM_FAR };
         out.push(Action::Connect {
-            warm: Connections(warm.min(most.0)),
+            warm: self.sharing.warm(&entry.service, is_near).min(most),
             most,
             server: entry,
         });
@@ -86,20 +115,8 @@
         }
     }
 
-    fn remove(&mut self, name: &ServerName, out: &mut Vec<Action>) {
+    pub(crate) fn remove(&mut self, name: &ServerName, out: &mut Vec<Action>) {
         self.servers.remove(name);
         out.push(Action::Disconnect(name.clone()));
     }
-
-    /// This VM's part of the connections that each server of a service accepts.
-    ///
-    /// A server resets what is beyond its limit, so the parts of all VMs that may be there at the
-    /// same time must add up to no more.
-    fn connections_to(&self, service: &ServiceName) -> Connections {
-        let declared = self.table.as_ref().and_then(|t| t.service(service));
-        let Some(limit) = declared.map(|s| s.connections) else {
-            return UNDECLARED;
-        };
-        Connections((limit.0 / self.options.peers.max(1)).max(1))
-    }
 }
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -1,5 +1,6 @@
 //! The relay's settings.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use gs_types::prelude::*;
@@ -7,9 +8,17 @@
 /// The relay's settings; the defaults are docs/DESIGN-platform.md's.
 #[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct RelayOptions {
+    /// This VM.
+    pub vm: VmId,
+    /// The region of this VM.
+    pub region: Region,
+    /// The region of each data centre.
+    #[builder(default)]
+    pub regions: HashMap<DataCentre, Region>,
     /// The data centre of this VM.
     pub data_centre: DataCentre,
-    /// VMs that may be there at the same time; each takes its part of what all share.
+    /// VMs that may be there at the same time before they are listed; each takes its part of what all
+    /// share.
     #[builder(default = 12)]
     pub peers: u32,
     /// Extra attempts allowed for each request for a service.
@@ -37,7 +46,7 @@
 }
 
 /// The part of [`RelayOptions::drain`] for which an entry that is missing is waited for.
-const ABSENCE_PART: f64 = 0.55;
+const ABSENCE_PART: f64 = 0.5;
 
 /// The longest that it is waited for: entries that lapsed during an outage are back within two seconds.
 const ABSENCE_MAX: Duration = Duration::from_millis(2200);
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -12,8 +12,8 @@
 pub struct Page {
     /// The stamps of the parts that are in.
     pub stamps: SmallVec<[Bytes; 32]>,
-    /// Shards whose part is not in.
-    pub missing: usize,
+    /// Shards whose part is not in, by their number in the route.
+    pub missing: SmallVec<[u16; 4]>,
     /// The greatest records, greatest first.
     pub body: Bytes,
 }
@@ -30,6 +30,8 @@
     Overload,
     /// Too few of its shards, or no server of its service, can be reached.
     NoServer,
+    /// The route is another here than at the VM that asks for parts.
+    OtherRoute,
     /// It crashed servers, and is set aside for a while.
     Quarantined,
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -17,6 +17,7 @@
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::stall;
+use crate::ways::Ways;
 
 /// How much sooner a server in another data centre must be expected to answer, as the bytes of a
 /// part from there are paid for.
@@ -44,6 +45,7 @@
     pub(crate) now: Instant,
     pub(crate) servers: &'a Servers,
     pub(crate) times: &'a RouteTimes,
+    pub(crate) ways: &'a Ways,
     pub(crate) data_centre: &'a DataCentre,
     /// The most servers that may run a part.
     pub(crate) servers_max: u16,
@@ -74,7 +76,7 @@
         let slots = f64::from(view.entry.slots.0.max(1));
         let rounds = ((view.ahead(self.now) + 1.0 - slots) / slots).max(0.0);
         let work = self.times.work().mul_f64(view.slowness(self.now));
-        self.times.way(&view.entry.data_centre) + work.mul_f64(1.0 + rounds)
+        self.ways.to(&view.entry.data_centre) + work.mul_f64(1.0 + rounds)
     }
 
     fn among(&self, part: &Part, wanted: impl Fn(Option<&Attempt>) -> bool) -> Place {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -14,15 +14,19 @@
 use crate::budget::ExtraWindow;
 use crate::counters::Counters;
 use crate::event::Event;
+use crate::handover::Plan;
 use crate::hedge::RouteTimes;
 use crate::options::RelayOptions;
+use crate::roster::Roster;
 use crate::route::Route;
 use crate::run::Run;
 use crate::server::ServerDump;
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::service::Service;
+use crate::sharing::Sharing;
 use crate::table::RouteTable;
+use crate::ways::Ways;
 
 /// All requests of one process as a state machine without I/O.
 ///
@@ -46,6 +50,22 @@
     /// Attempts whose request has ended, with their server and the time at which they began.
     pub(crate) orphans: HashMap<RunId, (ServerKey, Instant, LookupName)>,
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
+    /// How far each data centre is.
+    pub(crate) ways: Ways,
+    /// The VMs that are there.
+    pub(crate) roster: Roster,
+    /// Who shares the connections to servers with this VM.
+    pub(crate) sharing: Sharing,
+    /// Where the fan-outs of each route are run.
+    pub(crate) plans: HashMap<LookupName, Plan>,
+    /// Peers that are kept beside the servers.
+    pub(crate) peers_known: BTreeSet<ServerName>,
+    /// Peers that the plans name.
+    pub(crate) peers_wanted: BTreeSet<ServerName>,
+    /// Whether something has changed since the plans were made.
+    pub(crate) are_plans_stale: bool,
+    /// When the plans are made anew, or peers that are away are connected to.
+    pub(crate) replan_at: Option<Instant>,
     /// Servers whose entry vanished, with the time at which they count as gone.
     pub(crate) missing: HashMap<ServerName, Instant>,
     /// Servers with a connection freed, or with more reach, since their queue was last looked at.
@@ -68,6 +88,14 @@
                 times: HashMap::new(),
                 orphans: HashMap::new(),
                 timers: BTreeSet::new(),
+                ways: Ways::default(),
+                roster: Roster::default(),
+                sharing: Sharing::default(),
+                plans: HashMap::new(),
+                peers_known: BTreeSet::new(),
+                peers_wanted: BTreeSet::new(),
+                are_plans_stale: false,
+                replan_at: None,
                 missing: HashMap::new(),
                 freed: Vec::new(),
                 in_flight: 0,
@@ -82,9 +110,12 @@
     /// Takes one event in and appends what has to be done to `out`.
     pub fn on(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
-            Event::Table(table) => self.core.take_table(table, out),
+            Event::Table(table) => self.core.take_table(now, table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
             Event::ServerGone(name) => self.core.missing(now, name, out),
+            Event::Roster(vms) => self.core.take_roster(now, vms, out),
+            Event::Opened(name, took) => self.core.opened(&name, took),
+            Event::Closed(name) => self.core.closed(&name),
             Event::Options(options) => self.core.options = options,
             Event::Arrive(arrival) => {
                 if let Some(run) = self.core.arrive(now, arrival, out) {
@@ -94,7 +125,7 @@
             }
             Event::Sent(_) => {}
             Event::Ended(id, end) => self.ended(now, id, end, out),
-            Event::Gone(seq) => self.with(seq, |core, run| core.caller_gone(now, run, out)),
+            Event::Gone(seq) => self.with(seq, |core, run| core.caller_gone(run, out)),
             Event::Tick => self.tick(now, out),
         }
         self.serve_queues(now, out);
@@ -139,6 +170,7 @@
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.woken_at = None;
         self.core.drop_missing(now, out);
+        self.core.replan(now, out);
         while let Some((at, seq)) = self.core.timers.first().copied() {
             if at > now {
                 break;
@@ -176,7 +208,8 @@
     fn wake(&mut self, now: Instant, out: &mut Vec<Action>) {
         let first = self.core.timers.first().map(|(at, _)| *at);
         let gone = self.core.missing.values().min().copied();
-        let Some(at) = first.into_iter().chain(gone).min() else {
+        let times = [first, gone, self.core.replan_at];
+        let Some(at) = times.into_iter().flatten().min() else {
             return;
         };
         if self.woken_at.is_none_or(|woken| at < woken || woken <= now) {
@@ -190,7 +223,7 @@
     /// What the requests for a service share.
     pub(crate) fn service(&mut self, name: &ServiceName) -> &mut Service {
         let o = &self.options;
-        let share = o.extra_slack / f64::from(o.peers.max(1));
+        let share = o.extra_slack * self.sharing.slack_part(name);
         self.services
             .entry(name.clone())
             .or_insert_with(|| Service::new(ExtraWindow::new(o.extra_window, o.extra_ratio, share)))
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -6,6 +6,8 @@
 use http::HeaderMap;
 use http::StatusCode;
 
+use crate::outcome::Page;
+
 /// The load that a server tells with an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -56,6 +58,8 @@
     Garbled,
     /// No answer came in the attempt's time; it may have run.
     Late(Duration),
+    /// A peer asked for parts and sent a page of what came.
+    Paged(Box<Page>),
     /// Stopped by [`crate::Action::Cancel`] after it was sent; it may have run.
     Cancelled,
 }
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -78,6 +78,29 @@
 }
 
 impl Route {
+    /// The fewest parts that make an answer.
+    #[must_use]
+    pub fn parts_min(&self) -> usize {
+        match &self.target {
+            Target::One(_) => 1,
+            Target::Scatter(s) => s.parts_min(),
+        }
+    }
+
+    /// Hashes what decides who runs a request and what becomes of it; equal for the same route in two
+    /// versions.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let page = match &self.target {
+            Target::One(_) => 0,
+            Target::Scatter(s) => s.page,
+        };
+        let page = page.to_string();
+        let mut parts: Vec<&str> = vec![self.name.as_str(), &self.host, &self.prefix, &page];
+        parts.extend(self.services().map(ServiceName::as_str));
+        Fingerprint::of(&parts)
+    }
+
     /// Whether its requests go to every shard.
     #[must_use]
     pub fn is_scatter(&self) -> bool {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -9,17 +9,21 @@
 
 use crate::attempt::Attempt;
 use crate::attempt::Cause;
+use crate::attempt::RunId;
+use crate::bundle::BUNDLE;
+use crate::bundle::Bundle;
 use crate::reply::ServerAnswer;
 use crate::request::CallerRequest;
 use crate::route::Repeat;
 use crate::route::Route;
-use crate::route::Target;
 
 /// What one part of a request is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PartState {
     /// Waits for a connection.
     Waiting(Cause),
+    /// A peer asks for it.
+    Bundled,
     /// An attempt is under way.
     Running,
     /// Its answer is in.
@@ -31,6 +35,8 @@
 /// One part of a request: a shard of a fan-out, or the whole of any other.
 #[derive(Clone, Debug)]
 pub(crate) struct Part {
+    /// Its number among the route's shards; 0 where there is but one part.
+    pub(crate) shard: u16,
     pub(crate) service: ServiceName,
     pub(crate) state: PartState,
     pub(crate) attempts: SmallVec<[Attempt; 2]>,
@@ -39,8 +45,9 @@
 }
 
 impl Part {
-    pub(crate) fn new(service: ServiceName) -> Self {
+    pub(crate) fn new(shard: u16, service: ServiceName) -> Self {
         Self {
+            shard,
             service,
             state: PartState::Waiting(Cause::First),
             attempts: SmallVec::new(),
@@ -71,6 +78,14 @@
     pub(crate) answer_by: Instant,
     /// How long the caller and the route give it.
     pub(crate) patience: Duration,
+    /// The shards wanted, if another VM asks for parts.
+    pub(crate) only: Option<Vec<u16>>,
+    /// VMs that it has passed.
+    pub(crate) hops: u8,
+    /// The fewest parts that make an answer.
+    pub(crate) parts_min: usize,
+    /// Parts that peers ask for.
+    pub(crate) bundles: SmallVec<[Bundle; 2]>,
     pub(crate) parts: Vec<Part>,
     pub(crate) whole: usize,
     pub(crate) missing: usize,
@@ -83,18 +98,32 @@
         self.route.repeat == Repeat::Once
     }
 
-    /// The fewest parts that make an answer.
-    pub(crate) fn parts_min(&self) -> usize {
-        match &self.route.target {
-            Target::One(_) => 1,
-            Target::Scatter(s) => s.parts_min(),
-        }
+    /// Every attempt under way, at servers and at peers.
+    pub(crate) fn live_attempts(&self) -> Vec<(RunId, Attempt)> {
+        let bundles = self.bundles.iter().enumerate();
+        let bundles = bundles.map(|(n, b)| (BUNDLE, n, b.attempt));
+        let parts = self.parts.iter().enumerate().flat_map(|(at, part)| {
+            // A fan-out has far fewer than 2^16 shards.
+            let attempts = part.attempts.iter().enumerate();
+            attempts.map(move |(n, a)| (at as u16, n, *a))
+        });
+        let live = bundles.chain(parts).filter(|(_, _, a)| a.is_live());
+        let named = live.map(|(part, n, a)| {
+            let id = RunId {
+                lookup: self.seq,
+                part,
+                attempt: n as u16,
+            };
+            (id, a)
+        });
+        named.collect()
     }
 
     /// Whether any server has run something of it, or may have.
     pub(crate) fn may_have_run(&self) -> bool {
-        let mut attempts = self.parts.iter().flat_map(|p| &p.attempts);
-        attempts.any(Attempt::may_have_run)
+        let attempts = self.parts.iter().flat_map(|p| &p.attempts);
+        let bundles = self.bundles.iter().map(|b| &b.attempt);
+        { attempts }.chain(bundles).any(Attempt::may_have_run)
     }
 
     pub(crate) fn left(&self, now: Instant) -> Duration {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -65,6 +65,8 @@
     pub(crate) is_gone: bool,
     /// Attempts of this VM that have not ended, with the times at which they were handed over.
     pub(crate) outstanding: SmallVec<[(RunId, Instant); 4]>,
+    /// Connections of this VM that are open.
+    pub(crate) open: u32,
     /// The most connections of this VM.
     pub(crate) connections: u32,
     warm_at: Instant,
@@ -83,6 +85,7 @@
             entry,
             is_gone: false,
             outstanding: SmallVec::new(),
+            open: 0,
             connections: 0,
             slowness: (1.0, now),
             failing: (0.0, now),
@@ -125,6 +128,10 @@
         !self.is_gone && self.entry.availability == Availability::Ready
     }
 
+    pub(crate) fn is_connected(&self) -> bool {
+        self.open > 0
+    }
+
     pub(crate) fn has_connection(&self) -> bool {
         (self.outstanding.len() as u32) < self.connections
     }
--- a/crates/relay/src/servers.rs
+++ b/crates/relay/src/servers.rs
@@ -79,6 +79,17 @@
         self.views.get_mut(&key)
     }
 
+    /// A server in the register.
+    pub(crate) fn find(&self, name: &ServerName) -> Option<(ServerKey, &ServerView)> {
+        let key = *self.by_name.get(name)?;
+        self.views.get(&key).map(|view| (key, view))
+    }
+
+    /// The view of a server in the register, to change it.
+    pub(crate) fn by_name_mut(&mut self, name: &ServerName) -> Option<&mut ServerView> {
+        self.views.get_mut(self.by_name.get(name)?)
+    }
+
     /// The view of a server in the register.
     pub(crate) fn by_name(&self, name: &ServerName) -> Option<&ServerView> {
         self.views.get(self.by_name.get(name)?)
--- /dev/null
+++ b/crates/relay/tests/relay/handover.rs
@@ -0,0 +1,283 @@
+//! Parts that another VM asks for.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gs_relay::Arrival;
+use gs_relay::AttemptEnd;
+use gs_relay::Capacity;
+use gs_relay::Event;
+use gs_relay::Handed;
+use gs_relay::Outcome;
+use gs_relay::Page;
+use gs_relay::PeerVm;
+use gs_relay::RefuseReason;
+use gs_relay::Route;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use crate::world::HERE;
+use crate::world::THERE;
+use crate::world::World;
+use crate::world::entry;
+use crate::world::good;
+use crate::world::ms;
+use crate::world::page_route;
+use crate::world::request;
+use crate::world::shed;
+use crate::world::table;
+
+const SHARDS: [&str; 3] = ["s0", "s1", "s2"];
+
+fn route() -> Route {
+    page_route(&SHARDS, 0.6)
+}
+
+fn vm(name: &str, data_centre: &str, region: &str, cores: f64) -> PeerVm {
+    PeerVm {
+        name: name.parse().expect("a name"),
+        data_centre: data_centre.parse().expect("a name"),
+        region: region.parse().expect("a name"),
+        addr: "127.0.0.1:9100".parse().expect("an address"),
+        capacity: Capacity {
+            cores,
+            megabits: 100.0,
+        },
+    }
+}
+
+fn opened(name: &str, took_ms: u64) -> Event {
+    Event::Opened(name.parse().expect("a name"), ms(took_ms))
+}
+
+/// Shard 0 has a replica here, the others only where two peers stand.
+fn world() -> World {
+    let mut w = World::new(table(1, vec![route()]));
+    w.tell(Event::Server(Arc::new(entry("s0-near", "s0", HERE))));
+    for s in SHARDS {
+        w.tell(Event::Server(Arc::new(entry(
+            &format!("{s}-far"),
+            s,
+            THERE,
+        ))));
+    }
+    w.tell(opened("s0-near", 0));
+    w.tell(Event::Roster(vec![
+        vm("vm-1", HERE, "hobart", 1.0),
+        vm("vm-2", THERE, "launceston", 1.0),
+        vm("vm-3", THERE, "launceston", 1.0),
+    ]));
+    w.pass(ms(300));
+    w
+}
+
+fn page(stamps: &[&'static str], missing: &[u16]) -> AttemptEnd {
+    let stamps = stamps.iter().map(|s| Bytes::from_static(s.as_bytes()));
+    AttemptEnd::Paged(Box::new(Page {
+        stamps: stamps.collect(),
+        missing: missing.iter().copied().collect(),
+        body: Bytes::from_static(b"bbbbbbbbbbbbbbbb"),
+    }))
+}
+
+fn whole_page(w: &World, seq: LookupSeq) -> &Page {
+    match &w.ending(seq).expect("it has ended").outcome {
+        Outcome::Page(p) => p,
+        other => panic!("no page: {other:?}"),
+    }
+}
+
+#[test]
+fn shards_without_a_replica_here_are_left_to_one_peer_beside_them() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    let seq = w.ask("/page/x", ms(2500));
+    assert_eq!(w.busy(), ["vm-2", "s0-near"]);
+    let over = w.sent[0].hand_over.clone().expect("a bundle");
+    assert_eq!((over.shards, over.hops), (vec![1, 2], 1));
+    // 150 ms, less the margin of 8 ms, 4 ms to merge, and 1.3 times the way of 16 ms there and back.
+    assert_eq!(over.on_time.as_micros(), 117_200);
+    w.end("s0-near", good(b'a'));
+    w.end("vm-2", page(&["x", "y"], &[]));
+    let p = whole_page(&w, seq);
+    assert_eq!((p.stamps.len(), p.missing.len()), (3, 0));
+    assert_eq!(&p.body[..], [[b'b'; 16], [b'a'; 16]].concat());
+}
+
+#[test]
+fn a_page_tells_truly_what_the_peer_has_left_out() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    let seq = w.ask("/page/x", ms(2500));
+    w.end("s0-near", good(b'a'));
+    w.end("vm-2", page(&["x"], &[2]));
+    let p = whole_page(&w, seq);
+    assert_eq!((p.stamps.len(), p.missing.as_slice()), (2, &[2][..]));
+}
+
+#[test]
+fn what_a_peer_has_left_out_is_asked_for_here_if_the_page_would_be_too_thin() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    w.ask("/page/x", ms(2500));
+    w.end("s0-near", good(b'a'));
+    w.end("vm-2", page(&[], &[1, 2]));
+    assert_eq!(w.busy(), ["s1-far", "s2-far"]);
+}
+
+/// A page counts a shard twice or not at all: the peer tells of other shards than it was asked for.
+#[rstest]
+#[case::too_few(page(&["x"], &[]))]
+#[case::too_many(page(&["x", "y", "z"], &[]))]
+#[case::another_shard(page(&["x"], &[0]))]
+#[case::broken(AttemptEnd::Broken)]
+#[case::late(AttemptEnd::Late(ms(100)))]
+fn a_bundle_that_came_to_nothing_is_asked_for_here(#[case] end: AttemptEnd) {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    w.ask("/page/x", ms(2500));
+    w.end("vm-2", end);
+    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
+}
+
+#[rstest]
+#[case::not_sent(AttemptEnd::NotSent)]
+#[case::refused(shed())]
+fn a_bundle_that_was_not_run_is_asked_for_here(#[case] end: AttemptEnd) {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    w.ask("/page/x", ms(2500));
+    w.end("vm-2", end);
+    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
+    assert_eq!(w.relay.counters().retries, 0);
+}
+
+#[test]
+fn everything_is_asked_for_here_while_no_peer_is_connected() {
+    let mut w = world();
+    w.ask("/page/x", ms(2500));
+    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
+}
+
+/// A VM loses power with bundles that were left to it; nothing tells of it but silence.
+#[test]
+fn a_page_does_not_wait_for_a_silent_peer_and_the_next_one_passes_it_by() {
+    let mut w = World::new(table(1, vec![page_route(&SHARDS, 0.3)]));
+    w.tell(Event::Server(Arc::new(entry("s0-near", "s0", HERE))));
+    for s in SHARDS {
+        w.tell(Event::Server(Arc::new(entry(
+            &format!("{s}-far"),
+            s,
+            THERE,
+        ))));
+    }
+    let vms = vec![
+        vm("vm-1", HERE, "hobart", 1.0),
+        vm("vm-2", THERE, "launceston", 1.0),
+    ];
+    w.tell(Event::Roster(vms));
+    w.pass(ms(300));
+    w.tell(opened("vm-2", 16));
+    let seq = w.ask("/page/x", ms(2500));
+    w.end("s0-near", good(b'a'));
+    w.pass(ms(150));
+    assert_eq!(whole_page(&w, seq).missing.as_slice(), [1, 2]);
+    assert!(w.sent[0].give_up <= ms(210), "{:?}", w.sent[0].give_up);
+    w.end("vm-2", AttemptEnd::Late(ms(202)));
+    w.ask("/page/y", ms(2500));
+    assert!(!w.busy().contains(&"vm-2"), "{:?}", w.busy());
+}
+
+#[test]
+fn a_weak_vm_leaves_everything_to_a_strong_one_of_its_region() {
+    let mut w = World::new(table(1, vec![route()])).with_pairs(&SHARDS);
+    w.tell(Event::Roster(vec![
+        vm("vm-1", HERE, "hobart", 0.12),
+        vm("vm-2", HERE, "hobart", 0.5),
+        vm("vm-3", THERE, "launceston", 0.5),
+    ]));
+    w.pass(ms(300));
+    w.tell(opened("vm-2", 0));
+    w.tell(opened("vm-3", 16));
+    w.ask("/page/x", ms(2500));
+    assert_eq!(w.busy(), ["vm-2"]);
+}
+
+#[test]
+fn a_strong_vm_beside_replicas_asks_for_everything_itself() {
+    let mut w = World::new(table(1, vec![route()])).with_pairs(&SHARDS);
+    w.tell(Event::Roster(vec![
+        vm("vm-1", HERE, "hobart", 0.5),
+        vm("vm-2", HERE, "hobart", 0.5),
+    ]));
+    w.pass(ms(300));
+    w.tell(opened("vm-2", 0));
+    w.ask("/page/x", ms(2500));
+    assert_eq!(w.busy(), ["s0-near", "s1-near", "s2-near"]);
+}
+
+#[test]
+fn a_caller_that_hangs_up_stops_the_peers_work() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    let seq = w.ask("/page/x", ms(2500));
+    w.tell(Event::Gone(seq));
+    let all: Vec<_> = w.sent.iter().map(|d| d.run).collect();
+    assert_eq!(w.cancelled, all);
+}
+
+fn handed(route: &Route, shards: &[u16], hops: u8) -> Option<Handed> {
+    Some(Handed {
+        route: route.fingerprint(),
+        on_time: ms(100),
+        shards: shards.to_vec(),
+        hops,
+    })
+}
+
+fn arrive(w: &mut World, handed: Option<Handed>) -> LookupSeq {
+    let seq = LookupSeq(900);
+    w.tell(Event::Arrive(Arrival {
+        seq,
+        req: request("/page/x", seq, ms(2500)),
+        handed,
+    }));
+    seq
+}
+
+#[test]
+fn a_bundle_brings_its_own_shards_only_and_leaves_in_time_with_what_is_there() {
+    let mut w = World::new(table(1, vec![route()])).with_pairs(&SHARDS);
+    let seq = arrive(&mut w, handed(&route(), &[0, 2], 1));
+    assert_eq!(w.busy(), ["s0-near", "s2-near"]);
+    w.end("s2-near", good(b'c'));
+    w.pass(ms(101));
+    let p = whole_page(&w, seq);
+    assert_eq!((p.stamps.len(), p.missing.as_slice()), (1, &[0][..]));
+}
+
+#[test]
+fn a_bundle_is_passed_on_once_and_not_twice() {
+    for (hops, expected) in [
+        (1, vec!["vm-2", "s0-near"]),
+        (2, vec!["s0-near", "s1-far", "s2-far"]),
+    ] {
+        let mut w = world();
+        w.tell(opened("vm-2", 16));
+        arrive(&mut w, handed(&route(), &[0, 1, 2], hops));
+        assert_eq!(w.busy(), expected);
+    }
+}
+
+/// A page holds parts of two cuts of the index: the bundle was asked for at a VM which has another
+/// version of the route.
+#[test]
+fn a_bundle_of_another_route_is_refused() {
+    let mut w = World::new(table(2, vec![route()])).with_pairs(&SHARDS);
+    let other = page_route(&["s0", "s1"], 0.6);
+    let seq = arrive(&mut w, handed(&other, &[0], 1));
+    let outcome = &w.ending(seq).expect("it has ended").outcome;
+    let is_refused = matches!(outcome, Outcome::Refused(RefuseReason::OtherRoute, _));
+    assert!(is_refused, "{outcome:?}");
+    assert!(w.sent.is_empty());
+}
