--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -94,6 +94,13 @@
     /// As for [`Directory::list`]; it may have been done all the same, and may be done again.
     async fn announce(&self, vm: &PeerVm) -> Result<()>;
 
+    /// Whether a VM is announced, as a sign that the directory is in reach; it may be seconds old.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::list`].
+    async fn is_announced(&self, vm: &VmId) -> Result<bool>;
+
     /// Takes the announcement of a VM that leaves back.
     ///
     /// # Errors
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -10,6 +10,7 @@
 use gs_types::prelude::*;
 use tokio::time::Instant;
 
+use crate::contact::Contact;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::directory::Item;
@@ -27,7 +28,21 @@
 
 /// The longest such pause: with the time for which a vanished server is kept it stays within the time
 /// that a leaving server goes on serving, and a version within that in which it must be in force.
-const SETTLE_MAX: Duration = Duration::from_millis(800);
+pub(crate) const SETTLE_MAX: Duration = Duration::from_millis(800);
+
+/// The longest such pause while a fleet starts for the first time and all servers register at once; there
+/// are no callers yet.
+pub(crate) const SETTLE_FIRST: Duration = Duration::from_millis(2500);
+
+/// So many changes at once are a page, and more may be waiting: a pause before each of them would leave
+/// this VM seconds behind after a storm.
+const FULL_PAGE: usize = 200;
+
+/// How long a first start takes.
+const FIRST_TIME: Duration = Duration::from_secs(8);
+
+/// The kinds, for the log.
+const KINDS: [&str; 2] = ["routes", "servers"];
 
 /// A watch that waited so long before it brought something was quiet.
 const QUIET: Duration = Duration::from_secs(2);
@@ -44,6 +59,9 @@
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) feed: Feed<Event>,
     pub(crate) state: Arc<State>,
+    pub(crate) contact: Arc<Contact>,
+    /// The longest pause between two watches that brought something.
+    pub(crate) settle_max: Duration,
     pub(crate) seed: u64,
 }
 
@@ -54,8 +72,6 @@
     names: BTreeSet<String>,
     /// The state to watch from; `None` to list first.
     at: Option<Revision>,
-    /// Since when every call has failed.
-    lost_since: Option<Instant>,
     /// The pause after the last watch.
     settle: Duration,
 }
@@ -65,14 +81,22 @@
     pub(crate) async fn run(self) {
         let mut backoff = Backoff::new(BACKOFF, BACKOFF_MAX, self.seed);
         let mut known = Known::default();
+        let mut outage_ends = self.contact.ends();
+        let begun = Instant::now();
         loop {
-            let step = match known.at {
-                None => self.list(&mut known).await,
-                Some(after) => self.watch(&mut known, after).await,
+            // A watch that began before an outage may wait on a connection that brings nothing more, and
+            // hear of nothing to the end of its time; so the end of an outage ends it. A list then is
+            // fewer calls than what has gathered, which comes in pages.
+            let step = tokio::select! {
+                step = self.step(&mut known, begun) => step,
+                _ = outage_ends.changed() => {
+                    known.at = None;
+                    continue;
+                }
             };
             match step {
                 Ok(()) => {
-                    self.regained(&mut known);
+                    self.contact.seen(KINDS[self.kind as usize]);
                     backoff.reset();
                     tokio::time::sleep(known.settle).await;
                 }
@@ -81,13 +105,24 @@
                     known.at = None;
                 }
                 Err(e) => {
-                    self.lost(&mut known, &e);
+                    self.contact.lost(KINDS[self.kind as usize], &e);
                     tokio::time::sleep(backoff.wait()).await;
                 }
             }
         }
     }
 
+    async fn step(&self, known: &mut Known, begun: Instant) -> Result<()> {
+        match known.at {
+            None => self.list(known).await,
+            Some(after) => {
+                let is_new = begun.elapsed() < FIRST_TIME;
+                let settle_max = if is_new { self.settle_max } else { SETTLE_MAX };
+                self.watch(known, after, settle_max).await
+            }
+        }
+    }
+
     async fn list(&self, known: &mut Known) -> Result<()> {
         let listing = self.directory.list(self.kind).await?;
         let found: BTreeSet<String> = listing.items.iter().map(|i| i.name.clone()).collect();
@@ -118,13 +153,13 @@
         Ok(())
     }
 
-    async fn watch(&self, known: &mut Known, after: Revision) -> Result<()> {
+    async fn watch(&self, known: &mut Known, after: Revision, settle_max: Duration) -> Result<()> {
         let begun = Instant::now();
         let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
         known.settle = match begun.elapsed() {
-            _ if changes.items.is_empty() => Duration::ZERO,
+            _ if changes.items.is_empty() || changes.items.len() >= FULL_PAGE => Duration::ZERO,
             waited if waited >= QUIET => SETTLE,
-            _ => (known.settle * 2).clamp(SETTLE, SETTLE_MAX),
+            _ => (known.settle * 2).clamp(SETTLE, settle_max),
         };
         for item in changes.items {
             self.take(known, item);
@@ -173,24 +208,8 @@
             && let Ok(server) = name.parse::<ServerName>()
         {
             log::debug!("event=server-unlisted name={server}");
-            self.feed.push(Event::ServerGone(server));
-        }
-    }
-
-    fn lost(&self, known: &mut Known, e: &Error) {
-        if known.lost_since.is_none() {
-            known.lost_since = Some(Instant::now());
-            log::warn!("event=directory-lost kind={} error=\"{e}\"", self.kind);
-        }
-    }
-
-    fn regained(&self, known: &mut Known) {
-        if let Some(since) = known.lost_since.take() {
-            log::info!(
-                "event=directory-regained kind={} after_ms={}",
-                self.kind,
-                since.elapsed().as_millis()
-            );
+            self.feed
+                .push(Event::ServerGone(server, self.contact.removal()));
         }
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod body;
 mod callers;
+mod contact;
 mod desk;
 mod directory;
 mod ends;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -19,10 +19,13 @@
 use tokio::sync::watch;
 
 use crate::callers::Callers;
+use crate::contact::Contact;
 use crate::desk::Desk;
 use crate::desk::Pending;
 use crate::directory::DirectoryKind;
 use crate::follow::Follower;
+use crate::follow::SETTLE_FIRST;
+use crate::follow::SETTLE_MAX;
 use crate::lanes::Lanes;
 use crate::peers::Peers;
 use crate::readiness::Status;
@@ -81,13 +84,15 @@
             pending: Arc::clone(&this.pending),
         };
         slot.start(Arc::clone(&this.relay), shell, clock);
+        let contact = Contact::new();
         for kind in [DirectoryKind::Routes, DirectoryKind::Servers] {
-            tokio::spawn(this.follower(kind, seed).run());
+            tokio::spawn(this.follower(kind, &contact, seed).run());
         }
         let keeper = RosterKeeper {
             me: this.settings.as_peer(),
             directory: Arc::clone(&this.protocols.directory),
             feed: this.feed.clone(),
+            contact,
             seed,
         };
         tokio::spawn(keeper.run());
@@ -145,12 +150,18 @@
         }
     }
 
-    fn follower(&self, kind: DirectoryKind, seed: u64) -> Follower {
+    fn follower(&self, kind: DirectoryKind, contact: &Arc<Contact>, seed: u64) -> Follower {
         Follower {
             kind,
             directory: Arc::clone(&self.protocols.directory),
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
+            contact: Arc::clone(contact),
+            settle_max: if self.settings.vm.first_start {
+                SETTLE_FIRST
+            } else {
+                SETTLE_MAX
+            },
             seed: seed ^ kind as u64,
         }
     }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -7,7 +7,9 @@
 use gs_relay::Event;
 use gs_relay::PeerVm;
 use gs_store::Backoff;
+use tokio::time::Instant;
 
+use crate::contact::Contact;
 use crate::directory::Directory;
 
 /// The time after the start in which all VMs of a fleet that starts together have announced themselves.
@@ -20,6 +22,10 @@
 /// The time between two looks later on; a VM that was added waits so long for its share at the most.
 const LOOK_EVERY: Duration = Duration::from_secs(10);
 
+/// The time between two looks whether the directory is in reach. A watch that an outage has silenced is
+/// begun again after it; without this it would hear of nothing to the end of its time.
+const HEARTBEAT: Duration = Duration::from_millis(1500);
+
 /// The first wait after a failure.
 const BACKOFF: Duration = Duration::from_millis(200);
 
@@ -31,24 +37,57 @@
     pub(crate) me: PeerVm,
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) feed: Feed<Event>,
+    pub(crate) contact: Arc<Contact>,
     pub(crate) seed: u64,
 }
 
 impl RosterKeeper {
     /// Announces this VM, then looks who is there until the process ends.
     pub(crate) async fn run(self) {
+        self.announce().await;
+        let mut looks = FIRST_LOOKS.into_iter();
+        let mut next_look = Instant::now();
+        loop {
+            let wait = looks.next().unwrap_or(HEARTBEAT);
+            tokio::time::sleep(wait).await;
+            if wait != HEARTBEAT || Instant::now() >= next_look {
+                self.look().await;
+                next_look = Instant::now() + LOOK_EVERY;
+            } else {
+                self.beat().await;
+            }
+        }
+    }
+
+    async fn announce(&self) {
         let mut backoff = Backoff::new(BACKOFF, BACKOFF_MAX, self.seed);
         while let Err(e) = self.directory.announce(&self.me).await {
-            log::info!("event=announce-failed error=\"{e}\"");
+            self.contact.lost("announcement", &e);
             tokio::time::sleep(backoff.wait()).await;
         }
-        let mut looks = FIRST_LOOKS.into_iter();
-        loop {
-            tokio::time::sleep(looks.next().unwrap_or(LOOK_EVERY)).await;
-            match self.directory.vms().await {
-                Ok(vms) => self.tell(vms),
-                Err(e) => log::info!("event=vms-unknown error=\"{e}\""),
+        self.contact.seen("announcement");
+    }
+
+    async fn look(&self) {
+        match self.directory.vms().await {
+            Ok(vms) => {
+                self.contact.seen("vms");
+                self.tell(vms);
+            }
+            Err(e) => self.contact.lost("vms", &e),
+        }
+    }
+
+    /// Looks whether the directory is in reach, at a tenth of a call's price.
+    async fn beat(&self) {
+        match self.directory.is_announced(&self.me.name).await {
+            Ok(true) => self.contact.seen("heartbeat"),
+            Ok(false) => {
+                self.contact.seen("heartbeat");
+                log::info!("event=announcement-gone");
+                self.announce().await;
             }
+            Err(e) => self.contact.lost("heartbeat", &e),
         }
     }
 
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -55,6 +55,9 @@
     pub region: Region,
     /// What it can do in a second.
     pub capacity: Capacity,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
     /// The region of every data centre.
     #[serde(default)]
     pub data_centres: HashMap<DataCentre, Region>,
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -150,12 +150,22 @@
             _ => {
                 self.counters.bundles_failed += 1;
                 for at in parts {
+                    self.confine(run, at);
                     self.try_part(now, run, at, Cause::Retry, out);
                 }
             }
         }
     }
 
+    /// Confines a part to the data centre where the peer will have asked for it first.
+    ///
+    /// Guards against a part that runs on more servers than its route allows: a peer whose answer was
+    /// lost may have hedged it, so here it may go only to a server that will have had it already.
+    fn confine(&self, run: &mut Run, at: usize) {
+        let place = self.first_place(&run.parts[at].service);
+        run.parts[at].only_in = place;
+    }
+
     fn take_page(
         &mut self,
         now: Instant,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -53,6 +53,7 @@
 pub use event::Arrival;
 pub use event::Event;
 pub use event::Handed;
+pub use event::Removal;
 pub use merge::RECORD_BYTES;
 pub use merge::best_records;
 pub use options::RelayOptions;
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -5,6 +5,8 @@
 
 use gs_types::prelude::*;
 
+use crate::event::Removal;
+
 /// The relay's settings; the defaults are docs/DESIGN-platform.md's.
 #[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct RelayOptions {
@@ -48,9 +50,13 @@
 /// The part of [`RelayOptions::drain`] for which an entry that is missing is waited for.
 const ABSENCE_PART: f64 = 0.5;
 
-/// The longest that it is waited for: entries that lapsed during an outage are back within two seconds.
+/// The longest that it is waited for while the register is in reach.
 const ABSENCE_MAX: Duration = Duration::from_millis(2200);
 
+/// How long it is waited for after an outage: entries that lapsed are back within two seconds, and are
+/// seen here a little later.
+const ABSENCE_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
+
 impl RelayOptions {
     /// How long a server whose entry vanished is kept.
     ///
@@ -58,7 +64,10 @@
     /// servers are missing for up to two seconds, and dropped at once, every shard would be without a
     /// server. A server that has really left goes on serving for longer than this.
     #[must_use]
-    pub fn absence(&self) -> Duration {
+    pub fn absence(&self, when: Removal) -> Duration {
+        if when == Removal::AfterOutage {
+            return ABSENCE_AFTER_OUTAGE;
+        }
         self.drain.mul_f64(ABSENCE_PART).min(ABSENCE_MAX)
     }
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -88,6 +88,10 @@
             let Some(view) = self.servers.get(*key).filter(|v| v.is_open()) else {
                 continue;
             };
+            let place = &view.entry.data_centre;
+            if part.only_in.as_ref().is_some_and(|only| only != place) {
+                continue;
+            }
             let tried = part.attempts.iter().rfind(|a| a.server == *key);
             let is_new = !tried.is_some_and(Attempt::may_have_run);
             if !wanted(tried) || (is_new && ran >= usize::from(self.servers_max)) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -112,7 +112,7 @@
         match event {
             Event::Table(table) => self.core.take_table(now, table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
-            Event::ServerGone(name) => self.core.missing(now, name, out),
+            Event::ServerGone(name, when) => self.core.missing(now, name, when, out),
             Event::Roster(vms) => self.core.take_roster(now, vms, out),
             Event::Opened(name, took) => self.core.opened(&name, took),
             Event::Closed(name) => self.core.closed(&name),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -40,6 +40,8 @@
     pub(crate) service: ServiceName,
     pub(crate) state: PartState,
     pub(crate) attempts: SmallVec<[Attempt; 2]>,
+    /// Where alone it may be asked for, as a peer whose answer was lost has asked there before.
+    pub(crate) only_in: Option<DataCentre>,
     /// The answer that counts, or the last failure that a server answered with.
     pub(crate) answer: Option<Box<ServerAnswer>>,
 }
@@ -51,6 +53,7 @@
             service,
             state: PartState::Waiting(Cause::First),
             attempts: SmallVec::new(),
+            only_in: None,
             answer: None,
         }
     }
