--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -232,8 +232,7 @@
             && let Ok(server) = name.parse::<ServerName>()
         {
             log::debug!("event=server-unlisted name={server}");
-            self.feed
-                .push(Event::ServerGone(server, self.contact.removal()));
+            self.feed.push(Event::ServerGone(server));
         }
     }
 }
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -82,7 +82,7 @@
 
     fn find(&self, req: &CallerRequest) -> Result<Arc<Route>, (RefuseReason, Option<Duration>)> {
         let Some(table) = &self.table else {
-            let retry = if self.is_in_reach {
+            let retry = if self.reach.is_in() {
                 STARTING_RETRY
             } else {
                 OUTAGE_RETRY
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -37,16 +37,6 @@
     pub hops: u8,
 }
 
-/// When a server's entry vanished.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-pub enum Removal {
-    /// While the register was in reach.
-    Plain,
-    /// Just after the register had been out of reach, when entries of live servers may have lapsed.
-    AfterOutage,
-}
-
 /// One input of the relay.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -55,7 +45,7 @@
     /// A server registered itself, or said something new of itself.
     Server(Arc<ServerEntry>),
     /// A server is gone from the register.
-    ServerGone(ServerName, Removal),
+    ServerGone(ServerName),
     /// Whether the register, from which routes and servers are known, is in reach.
     Reach(bool),
     /// The VMs that are there, this one included.
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -9,7 +9,6 @@
 use crate::action::Action;
 use crate::entry::Availability;
 use crate::entry::ServerEntry;
-use crate::event::Removal;
 use crate::relay::Core;
 use crate::sharing::Sharing;
 use crate::table::RouteTable;
@@ -105,18 +104,14 @@
     }
 
     /// A server is gone from the register: at once if it said that it leaves, else after a while.
-    pub(crate) fn missing(
-        &mut self,
-        now: Instant,
-        name: ServerName,
-        when: Removal,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn missing(&mut self, now: Instant, name: ServerName, out: &mut Vec<Action>) {
         match self.servers.by_name(&name) {
             None => {}
             Some(view) if !view.is_open() => self.remove(&name, out),
             Some(_) => {
-                self.missing.insert(name, now + self.options.absence(when));
+                let may_be_back = self.reach.may_have_lapsed(now);
+                let gone_at = now + self.options.absence(may_be_back);
+                self.missing.insert(name, gone_at);
             }
         }
     }
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -5,8 +5,6 @@
 
 use gs_types::prelude::*;
 
-use crate::event::Removal;
-
 /// The relay's settings; the defaults are docs/DESIGN-platform.md's.
 #[derive(Clone, Debug, PartialEq, bon::Builder)]
 pub struct RelayOptions {
@@ -57,7 +55,7 @@
 
 /// How long it is waited for after an outage: entries that lapsed are back within two seconds, and are
 /// seen here a little later.
-const ABSENCE_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
+const ABSENCE_AFTER_OUTAGE: Duration = Duration::from_millis(2200);
 
 impl RelayOptions {
     /// How long a server whose entry vanished is kept.
@@ -66,8 +64,8 @@
     /// servers are missing for up to two seconds, and dropped at once, every shard would be without a
     /// server. A server that has really left goes on serving for longer than this.
     #[must_use]
-    pub fn absence(&self, when: Removal) -> Duration {
-        if when == Removal::AfterOutage {
+    pub fn absence(&self, may_have_lapsed: bool) -> Duration {
+        if may_have_lapsed {
             return ABSENCE_AFTER_OUTAGE;
         }
         self.drain.mul_f64(ABSENCE_PART).min(ABSENCE_MAX)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::handover::Plan;
 use crate::hedge::RouteTimes;
 use crate::options::RelayOptions;
+use crate::reach::Reach;
 use crate::roster::Roster;
 use crate::route::Route;
 use crate::run::Run;
@@ -54,7 +55,7 @@
     /// Requests that crash servers.
     pub(crate) suspects: Suspects,
     /// Whether the register is in reach.
-    pub(crate) is_in_reach: bool,
+    pub(crate) reach: Reach,
     /// How far each data centre is.
     pub(crate) ways: Ways,
     /// The VMs that are there.
@@ -94,7 +95,7 @@
                 orphans: HashMap::new(),
                 timers: BTreeSet::new(),
                 suspects: Suspects::default(),
-                is_in_reach: true,
+                reach: Reach::new(),
                 ways: Ways::default(),
                 roster: Roster::default(),
                 sharing: Sharing::default(),
@@ -119,13 +120,13 @@
         match event {
             Event::Table(table) => self.core.take_table(now, table, out),
             Event::Server(entry) => self.core.register(now, entry, out),
-            Event::ServerGone(name, when) => self.core.missing(now, name, when, out),
+            Event::ServerGone(name) => self.core.missing(now, name, out),
             Event::Quarantined(requests) => {
                 for request in requests {
                     self.core.suspects.refuse(now, request);
                 }
             }
-            Event::Reach(is_in_reach) => self.core.is_in_reach = is_in_reach,
+            Event::Reach(is_in) => self.core.reach.set(now, is_in),
             Event::Roster(vms) => self.core.take_roster(now, vms, out),
             Event::Opened(name, took) => self.core.opened(&name, took),
             Event::Closed(name) => self.core.closed(&name),
