fix(relay, edge): no part runs on more servers than its route allows, peers included

Cause: a VM to which a peer's page came without a part asked for it again "where the peer will have asked first", the replica beside the peer. With that replica hanging or resting the peer had asked the two others, and the guess made a third.

Change: a page tells, for each part that it leaves out, which servers may have run it; those count as the VM's own attempts do. Of a lost peer nothing is known: its parts are asked for only where a shard has no more replicas than the route allows, so on the two sites of two replicas as before.

Ruled out: naming to the peer which servers it may ask (1.3 KB and a hash a part for each bundle).

Tests: `what_a_peer_may_have_asked_for_goes_only_where_it_asked_first` stated the guess, with two replicas; in its place three tests of three replicas: what is told binds (fails with the names ignored), what is not told goes nowhere, and a page of a VM whose own peer is lost says so.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,10 +12,12 @@
 use bytes::Bytes;
 use gs_http::Handler;
 use gs_http::Whole;
+use gs_relay::Asked;
 use gs_relay::AttemptEnd;
 use gs_relay::CallerRequest;
 use gs_relay::Dispatch;
 use gs_relay::Handed;
+use gs_relay::Missing;
 use gs_relay::OpaqueRequest;
 use gs_relay::Outcome;
 use gs_relay::Page;
@@ -30,6 +32,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 
 use crate::body::read_body;
 use crate::desk::Desk;
@@ -53,8 +56,11 @@
 const ON_TIME_MS: HeaderName = HeaderName::from_static("gs-on-time-ms");
 /// The stamps of a page's parts, with commas.
 const STAMPS: HeaderName = HeaderName::from_static("gs-stamps");
-/// The numbers of the shards that a page leaves out, with commas.
-const MISSING: HeaderName = HeaderName::from_static("gs-missing");
+/// The shards that a page leaves out, with semicolons: the number, `=`, and the servers that may have run
+/// the part, with commas, or `*` for any.
+const LEFT_OUT: HeaderName = HeaderName::from_static("gs-left-out");
+/// Stands for servers that are not known.
+const ANY: &str = "*";
 /// When a request for which there is no room may come again, in milliseconds.
 const RETRY_MS: HeaderName = HeaderName::from_static("gs-retry-ms");
 /// The same if a peer does not say.
@@ -108,11 +114,46 @@
     let stamps = stamps.split(|b| *b == b',').filter(|s| !s.is_empty());
     Some(Page {
         stamps: stamps.map(Bytes::copy_from_slice).collect(),
-        missing: numbers(&whole.headers, &MISSING)?.into(),
+        missing: left_out(whole.headers.get(LEFT_OUT)?.to_str().ok()?)?,
         body: whole.body,
     })
 }
 
+/// What a page says of a shard that it leaves out.
+fn told(missing: &Missing) -> String {
+    let names = missing.asked.servers().iter().map(ServerName::as_str);
+    let names: Vec<&str> = names.collect();
+    let asked = match missing.asked {
+        Asked::Unknown => ANY.to_owned(),
+        Asked::None | Asked::Servers(_) => names.join(","),
+    };
+    format!("{}={asked}", missing.shard)
+}
+
+/// Reads the shards that a page leaves out; `None` if one cannot be read.
+fn left_out(text: &str) -> Option<SmallVec<[Missing; 4]>> {
+    let each = text.split(';').filter(|m| !m.is_empty());
+    each.map(|m| {
+        let (shard, asked) = m.split_once('=')?;
+        Some(Missing {
+            shard: shard.parse().ok()?,
+            asked: asked_of(asked)?,
+        })
+    })
+    .collect()
+}
+
+fn asked_of(text: &str) -> Option<Asked> {
+    match text {
+        "" => Some(Asked::None),
+        ANY => Some(Asked::Unknown),
+        names => {
+            let names = names.split(',').map(|n| n.parse().ok());
+            names.collect::<Option<_>>().map(Asked::Servers)
+        }
+    }
+}
+
 /// Runs what peers hand over.
 pub(crate) struct Peers {
     pub(crate) desk: Desk,
@@ -201,11 +242,12 @@
         return said(StatusCode::BAD_GATEWAY, "stamps");
     };
     let mut res = Response::new(Full::new(page.body));
-    let Ok(missing) = text_value(&join(&page.missing)) else {
-        return said(StatusCode::BAD_GATEWAY, "missing");
+    let left_out: Vec<String> = page.missing.iter().map(told).collect();
+    let Ok(left_out) = text_value(&left_out.join(";")) else {
+        return said(StatusCode::BAD_GATEWAY, "left-out");
     };
     res.headers_mut().insert(STAMPS, stamps);
-    res.headers_mut().insert(MISSING, missing);
+    res.headers_mut().insert(LEFT_OUT, left_out);
     res
 }
 
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -7,14 +7,15 @@
 use crate::action::Action;
 use crate::action::Dispatch;
 use crate::action::HandOver;
+use crate::asked::Asked;
 use crate::attempt::Attempt;
 use crate::attempt::Cause;
 use crate::attempt::Doing;
 use crate::attempt::RunId;
+use crate::outcome::Missing;
 use crate::outcome::Page;
 use crate::relay::Core;
 use crate::reply::AttemptEnd;
-use crate::run::Part;
 use crate::run::PartState;
 use crate::run::Run;
 use crate::servers::ServerKey;
@@ -164,23 +165,13 @@
             _ => {
                 self.counters.bundles_failed += 1;
                 for at in parts {
-                    self.confine(run, at);
+                    run.parts[at].elsewhere = Asked::Unknown;
                     self.try_part(now, run, at, Cause::Retry, out);
                 }
             }
         }
     }
 
-    /// Confines a part to the data centre where the peer will have asked for it first.
-    ///
-    /// Guards against a part that runs on more servers than its route allows, which shows with three
-    /// replicas: a peer that did not bring it may have asked two of them, so here it may go only to one
-    /// that will have had it already.
-    fn confine(&self, run: &mut Run, at: usize) {
-        let place = self.first_place(&run.parts[at].service);
-        run.parts[at].only_in = place;
-    }
-
     fn take_page(
         &mut self,
         now: Instant,
@@ -189,14 +180,16 @@
         page: Box<Page>,
         out: &mut Vec<Action>,
     ) {
-        let parts = run.bundles[n].parts.clone();
-        let is_missing = |part: &Part| page.missing.contains(&part.shard);
-        let (missing, whole): (Vec<usize>, Vec<usize>) = parts
-            .into_iter()
-            .partition(|at| is_missing(&run.parts[*at]));
-        for at in whole {
-            run.parts[at].state = PartState::Whole;
-            run.whole += 1;
+        let mut missing = Vec::with_capacity(page.missing.len());
+        for at in run.bundles[n].parts.clone() {
+            let part = &mut run.parts[at];
+            if let Some(m) = page.missing.iter().find(|m| m.shard == part.shard) {
+                part.elsewhere = m.asked.clone();
+                missing.push(at);
+            } else {
+                part.state = PartState::Whole;
+                run.whole += 1;
+            }
         }
         run.bundles[n].page = Some(page);
         // The peer has waited for them until the objective; they are of use only below the least coverage.
@@ -205,7 +198,6 @@
             if is_enough {
                 self.give_up(run, at);
             } else {
-                self.confine(run, at);
                 self.try_part(now, run, at, Cause::Retry, out);
             }
         }
@@ -214,6 +206,6 @@
 
 /// Whether a page tells of each part that was asked for, and of no other.
 fn is_sound(run: &Run, parts: &[usize], page: &Page) -> bool {
-    let is_ours = |shard: &u16| parts.iter().any(|at| run.parts[*at].shard == *shard);
+    let is_ours = |m: &Missing| parts.iter().any(|at| run.parts[*at].shard == m.shard);
     page.stamps.len() + page.missing.len() == parts.len() && page.missing.iter().all(is_ours)
 }
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -6,9 +6,11 @@
 use http::StatusCode;
 
 use crate::action::Action;
+use crate::asked::Asked;
 use crate::merge::best_records;
 use crate::outcome::Ending;
 use crate::outcome::FailReason;
+use crate::outcome::Missing;
 use crate::outcome::Outcome;
 use crate::outcome::Page;
 use crate::outcome::RefuseReason;
@@ -48,7 +50,7 @@
         };
         let outcome = match verdict(now, &progress) {
             Verdict::Wait => return false,
-            Verdict::Deliver => deliver(run),
+            Verdict::Deliver => self.deliver(run),
             Verdict::Fail => fail(now, run),
         };
         self.answer(now, run, outcome, out);
@@ -88,6 +90,45 @@
         self.let_go(run);
     }
 
+    fn deliver(&self, run: &mut Run) -> Outcome {
+        let Target::Scatter(scatter) = &run.route.target else {
+            let answer = run.parts.iter_mut().find_map(|p| p.answer.take());
+            return answer.map_or(Outcome::Failed(FailReason::Failed), Outcome::Relayed);
+        };
+        let is_whole = |p: &&Part| p.state == PartState::Whole;
+        let answers = run
+            .parts
+            .iter()
+            .filter(is_whole)
+            .filter_map(|p| p.answer.as_ref());
+        let pages = run.bundles.iter().filter_map(|b| b.page.as_ref());
+        let own = answers.clone().filter_map(|a| a.stamp.clone());
+        let others = pages.clone().flat_map(|p| p.stamps.iter().cloned());
+        let bodies = answers.map(|a| &a.body).chain(pages.map(|p| &p.body));
+        let missing = run.parts.iter().filter(|p| !is_whole(p));
+        Outcome::Page(Box::new(Page {
+            stamps: own.chain(others).collect(),
+            missing: missing.map(|p| self.missing_part(p)).collect(),
+            body: best_records(bodies, scatter.page),
+        }))
+    }
+
+    /// What is said of a part that is not in, to a peer that asked for it.
+    fn missing_part(&self, part: &Part) -> Missing {
+        let mut asked = part.elsewhere.clone();
+        if part.state == PartState::Bundled {
+            asked = Asked::Unknown;
+        }
+        for attempt in part.attempts.iter().filter(|a| a.may_have_run()) {
+            let view = self.servers.get(attempt.server);
+            asked.add(view.map(|v| v.entry.name.clone()));
+        }
+        Missing {
+            shard: part.shard,
+            asked,
+        }
+    }
+
     fn note_end(&mut self, run: &Run, took: Duration, outcome: &Outcome) {
         match outcome {
             Outcome::Failed(_) => self.counters.failed += 1,
@@ -113,29 +154,6 @@
     }
 }
 
-fn deliver(run: &mut Run) -> Outcome {
-    let Target::Scatter(scatter) = &run.route.target else {
-        let answer = run.parts.iter_mut().find_map(|p| p.answer.take());
-        return answer.map_or(Outcome::Failed(FailReason::Failed), Outcome::Relayed);
-    };
-    let is_whole = |p: &&Part| p.state == PartState::Whole;
-    let answers = run
-        .parts
-        .iter()
-        .filter(is_whole)
-        .filter_map(|p| p.answer.as_ref());
-    let pages = run.bundles.iter().filter_map(|b| b.page.as_ref());
-    let own = answers.clone().filter_map(|a| a.stamp.clone());
-    let others = pages.clone().flat_map(|p| p.stamps.iter().cloned());
-    let bodies = answers.map(|a| &a.body).chain(pages.map(|p| &p.body));
-    let missing = run.parts.iter().filter(|p| !is_whole(p));
-    Outcome::Page(Box::new(Page {
-        stamps: own.chain(others).collect(),
-        missing: missing.map(|p| p.shard).collect(),
-        body: best_records(bodies, scatter.page),
-    }))
-}
-
 /// The end of a request without a success.
 ///
 /// A server's own failure is handed on as it is. Where nothing ran, the refusal may say so.
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -224,12 +224,6 @@
         places.first().copied().cloned()
     }
 
-    /// The data centre whose replica of a shard is asked first.
-    pub(crate) fn first_place(&self, shard: &ServiceName) -> Option<DataCentre> {
-        let mine = Some(self.options.data_centre.clone());
-        self.place_of(shard).or(mine)
-    }
-
     /// The strong VMs of a data centre, this one aside.
     fn strong_in(&self, place: &DataCentre) -> Vec<ServerName> {
         let vms = self.roster.vms().iter();
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -6,16 +6,26 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
+use crate::asked::Asked;
 use crate::reply::ServerAnswer;
 use crate::trail::Step;
 
+/// A shard whose part is not on a page.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Missing {
+    /// Its number in the route.
+    pub shard: u16,
+    /// The servers that may have run the part in vain.
+    pub asked: Asked,
+}
+
 /// A page merged from the parts of a fan-out.
 #[derive(Clone, Debug)]
 pub struct Page {
     /// The stamps of the parts that are in.
     pub stamps: SmallVec<[Bytes; 32]>,
-    /// Shards whose part is not in, by their number in the route.
-    pub missing: SmallVec<[u16; 4]>,
+    /// Shards whose part is not in.
+    pub missing: SmallVec<[Missing; 4]>,
     /// The greatest records, greatest first.
     pub body: Bytes,
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,6 +11,7 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
+use crate::asked::Asked;
 use crate::attempt::Attempt;
 use crate::hedge::RouteTimes;
 use crate::run::Part;
@@ -118,21 +119,22 @@
     }
 
     fn among(&self, part: &Part, wanted: impl Fn(Option<&Attempt>) -> bool) -> Place {
-        let ran = distinct_servers(&part.attempts);
+        let servers = self.servers.of(&part.service);
+        let may_all_have_run = part.elsewhere == Asked::Unknown;
+        if may_all_have_run && servers.len() > usize::from(self.servers_max) {
+            return Place::Nowhere(None);
+        }
+        let ran = Ran::of(part, self.servers);
         let mut best: Option<(ServerKey, Duration, Duration)> = None;
         let mut must_wait = false;
         let mut back_at: Option<Instant> = None;
-        for key in self.servers.of(&part.service) {
+        for key in servers {
             let Some(view) = self.servers.get(*key).filter(|v| v.is_open()) else {
                 continue;
             };
-            let place = &view.entry.data_centre;
-            if part.only_in.as_ref().is_some_and(|only| only != place) {
-                continue;
-            }
             let tried = part.attempts.iter().rfind(|a| a.server == *key);
-            let is_new = !tried.is_some_and(Attempt::may_have_run);
-            if !wanted(tried) || (is_new && ran >= usize::from(self.servers_max)) {
+            let is_new = !ran.contains(*key, view);
+            if !wanted(tried) || (is_new && ran.count() >= usize::from(self.servers_max)) {
                 continue;
             }
             if let Some(until) = view.rests_until(self.now) {
@@ -168,11 +170,35 @@
     }
 }
 
-/// Servers that ran the part or may have.
-fn distinct_servers(attempts: &[Attempt]) -> usize {
-    let ran = |a: &&Attempt| a.may_have_run();
-    let mut keys: Vec<ServerKey> = attempts.iter().filter(ran).map(|a| a.server).collect();
-    keys.sort_unstable();
-    keys.dedup();
-    keys.len()
+/// The servers that ran a part or may have, for this VM and for its peers.
+///
+/// Guards against a part that runs on more servers than its route allows, which shows with three
+/// replicas: a peer asked two of them in vain, and this VM, to which it is missing, the third.
+struct Ran<'a> {
+    here: SmallVec<[ServerKey; 4]>,
+    elsewhere: SmallVec<[&'a ServerName; 4]>,
+}
+
+impl<'a> Ran<'a> {
+    fn of(part: &'a Part, servers: &Servers) -> Self {
+        let ran = part.attempts.iter().filter(|a| a.may_have_run());
+        let mut here: SmallVec<[ServerKey; 4]> = ran.map(|a| a.server).collect();
+        here.sort_unstable();
+        here.dedup();
+        let is_here = |name: &&ServerName| {
+            let key = servers.find(name).map(|(key, _)| key);
+            key.is_some_and(|key| here.contains(&key))
+        };
+        let names = part.elsewhere.servers().iter();
+        let elsewhere = names.filter(|name| !is_here(name)).collect();
+        Self { here, elsewhere }
+    }
+
+    fn count(&self) -> usize {
+        self.here.len() + self.elsewhere.len()
+    }
+
+    fn contains(&self, key: ServerKey, view: &ServerView) -> bool {
+        self.here.contains(&key) || self.elsewhere.contains(&&view.entry.name)
+    }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -7,6 +7,7 @@
 use gs_types::prelude::*;
 use smallvec::SmallVec;
 
+use crate::asked::Asked;
 use crate::attempt::Attempt;
 use crate::attempt::Cause;
 use crate::attempt::RunId;
@@ -40,8 +41,8 @@
     pub(crate) service: ServiceName,
     pub(crate) state: PartState,
     pub(crate) attempts: SmallVec<[Attempt; 2]>,
-    /// Where alone it may be asked for, as a peer whose answer was lost has asked there before.
-    pub(crate) only_in: Option<DataCentre>,
+    /// The servers that may have run it for a peer.
+    pub(crate) elsewhere: Asked,
     /// The answer that counts, or the last failure that a server answered with.
     pub(crate) answer: Option<Box<ServerAnswer>>,
 }
@@ -53,7 +54,7 @@
             service,
             state: PartState::Waiting(Cause::First),
             attempts: SmallVec::new(),
-            only_in: None,
+            elsewhere: Asked::None,
             answer: None,
         }
     }
--- a/crates/relay/tests/relay/handover.rs
+++ b/crates/relay/tests/relay/handover.rs
@@ -4,9 +4,11 @@
 
 use bytes::Bytes;
 use gs_relay::Arrival;
+use gs_relay::Asked;
 use gs_relay::AttemptEnd;
 use gs_relay::Event;
 use gs_relay::Handed;
+use gs_relay::Missing;
 use gs_relay::Outcome;
 use gs_relay::Page;
 use gs_relay::RefuseReason;
@@ -57,15 +59,32 @@
     w
 }
 
+/// A peer's page; it has asked the far replica of each shard that is missing.
 fn page(stamps: &[&'static str], missing: &[u16]) -> AttemptEnd {
+    let missing = missing.iter().map(|n| (*n, vec![format!("s{n}-far")]));
+    page_of(stamps, missing.map(|(n, names)| (n, asked(&names))))
+}
+
+fn asked<S: AsRef<str>>(names: &[S]) -> Asked {
+    let names = names.iter().map(|n| n.as_ref().parse().expect("a name"));
+    Asked::Servers(names.collect())
+}
+
+fn page_of(stamps: &[&'static str], missing: impl Iterator<Item = (u16, Asked)>) -> AttemptEnd {
     let stamps = stamps.iter().map(|s| Bytes::from_static(s.as_bytes()));
     AttemptEnd::Paged(Box::new(Page {
         stamps: stamps.collect(),
-        missing: missing.iter().copied().collect(),
+        missing: missing
+            .map(|(shard, asked)| Missing { shard, asked })
+            .collect(),
         body: Bytes::from_static(b"bbbbbbbbbbbbbbbb"),
     }))
 }
 
+fn shards_missing(p: &Page) -> Vec<u16> {
+    p.missing.iter().map(|m| m.shard).collect()
+}
+
 fn whole_page(w: &World, seq: LookupSeq) -> &Page {
     match &w.ending(seq).expect("it has ended").outcome {
         Outcome::Page(p) => p,
@@ -98,7 +117,7 @@
     w.end("s0-near", good(b'a'));
     w.end("vm-2", page(&["x"], &[2]));
     let p = whole_page(&w, seq);
-    assert_eq!((p.stamps.len(), p.missing.as_slice()), (2, &[2][..]));
+    assert_eq!((p.stamps.len(), shards_missing(p)), (2, vec![2]));
 }
 
 #[test]
@@ -111,29 +130,86 @@
     assert_eq!(w.busy(), ["s1-far", "s2-far"]);
 }
 
-/// A part runs on three servers although its route allows two: a peer asked two replicas in vain, and
-/// this VM, to which it is missing, asked the third.
-#[rstest]
-#[case::missing(page(&[], &[1, 2]))]
-#[case::broken(AttemptEnd::Broken)]
-fn what_a_peer_may_have_asked_for_goes_only_where_it_asked_first(#[case] end: AttemptEnd) {
+/// Three replicas of shard 1, of which its route allows two to be asked.
+fn with_three_replicas() -> World {
     let mut w = world();
     w.tell(opened("vm-2", 16));
-    for s in ["s1", "s2"] {
-        w.tell(Event::Server(Arc::new(entry(
-            &format!("{s}-other"),
-            s,
-            "burnie-a",
-        ))));
-        w.tell(opened(&format!("{s}-other"), 1));
+    for name in ["s1-other", "s1-third"] {
+        w.tell(Event::Server(Arc::new(entry(name, "s1", "burnie-a"))));
+        w.tell(opened(name, 1));
+    }
+    w
+}
+
+/// The servers of shard 1 that attempts went to, told of or not, within a second.
+fn asked_here(w: &mut World) -> Vec<String> {
+    let mut names = Vec::new();
+    for _ in 0..10 {
+        let sent = w.sent.iter().filter(|d| d.server.service.as_str() == "s1");
+        names.extend(sent.map(|d| d.server.name.to_string()));
+        let at = w
+            .sent
+            .iter()
+            .position(|d| d.server.service.as_str() == "s1");
+        if let Some(d) = at.and_then(|at| w.sent.remove(at)) {
+            w.tell(Event::Ended(d.run, AttemptEnd::Broken));
+        }
+        w.pass(ms(100));
     }
+    names.sort_unstable();
+    names.dedup();
+    names
+}
+
+/// A part runs on three servers although its route allows two. A peer's own replica hung, so it asked the
+/// two others and sent its page without the part; the VM that had asked the peer took it that the peer's
+/// own replica was among them, and asked that one.
+#[rstest]
+#[case::both(asked(&["s1-far", "s1-third"]), &["s1-far", "s1-third"])]
+#[case::one_of_them(asked(&["s1-far"]), &["s1-far", "s1-other"])]
+#[case::not_told(Asked::Unknown, &[])]
+fn a_part_runs_on_no_more_servers_than_its_route_allows_peers_included(
+    #[case] told: Asked,
+    #[case] expected: &[&str],
+) {
+    let mut w = with_three_replicas();
     w.ask("/page/x", ms(2500));
+    w.end("s0-near", good(b'a'));
+    w.end(
+        "vm-2",
+        page_of(&[], [(1, told), (2, Asked::None)].into_iter()),
+    );
+    let here = asked_here(&mut w);
+    let is_allowed = |name: &String| expected.contains(&name.as_str());
+    assert!(here.iter().all(is_allowed), "{here:?}");
+    assert_eq!(here.is_empty(), expected.is_empty(), "{here:?}");
+}
+
+/// A peer is lost after it asked two of a part's three replicas, and the VM that had asked the peer asks
+/// the third: which ones ran the part cannot be known any more.
+#[rstest]
+#[case::broken(AttemptEnd::Broken)]
+#[case::late(AttemptEnd::Late(ms(100)))]
+#[case::garbled(AttemptEnd::Garbled)]
+fn a_part_that_a_lost_peer_may_have_asked_for_anywhere_goes_nowhere(#[case] end: AttemptEnd) {
+    let mut w = with_three_replicas();
+    w.ask("/page/x", ms(2500));
+    w.end("s0-near", good(b'a'));
     w.end("vm-2", end);
-    assert_eq!(w.busy(), ["s0-near", "s1-far", "s2-far"]);
-    // Hedges too.
-    w.pass(ms(1000));
-    let is_third = |s: &&&str| s.ends_with("-other");
-    assert_eq!(w.busy().iter().find(is_third), None);
+    assert_eq!(asked_here(&mut w), Vec::<String>::new());
+}
+
+/// A VM asks for parts and its own peer is lost: what it says of them must not pass for all that ran.
+#[test]
+fn a_page_says_that_any_server_may_have_run_what_a_lost_peer_was_asked_for() {
+    let mut w = with_three_replicas();
+    w.tell(opened("vm-2", 16));
+    let seq = arrive(&mut w, handed(&route(), &[0, 1, 2], 1));
+    w.end("s0-near", good(b'a'));
+    w.pass(ms(101));
+    let p = whole_page(&w, seq);
+    let told: Vec<_> = p.missing.iter().map(|m| (m.shard, &m.asked)).collect();
+    assert_eq!(told, [(1, &Asked::Unknown), (2, &Asked::Unknown)]);
 }
 
 /// A page counts a shard twice or not at all: the peer tells of other shards than it was asked for.
@@ -208,7 +284,7 @@
     let seq = w.ask("/page/x", ms(2500));
     w.end("s0-near", good(b'a'));
     w.pass(ms(150));
-    assert_eq!(whole_page(&w, seq).missing.as_slice(), [1, 2]);
+    assert_eq!(shards_missing(whole_page(&w, seq)), [1, 2]);
     assert!(w.sent[0].give_up <= ms(210), "{:?}", w.sent[0].give_up);
     w.end("vm-2", AttemptEnd::Late(ms(202)));
     w.ask("/page/y", ms(2500));
@@ -280,7 +356,11 @@
     w.end("s2-near", good(b'c'));
     w.pass(ms(101));
     let p = whole_page(&w, seq);
-    assert_eq!((p.stamps.len(), p.missing.as_slice()), (1, &[0][..]));
+    let missing = Missing {
+        shard: 0,
+        asked: asked(&["s0-near", "s0-far"]),
+    };
+    assert_eq!((p.stamps.len(), p.missing.as_slice()), (1, &[missing][..]));
 }
 
 #[test]
