feat(relay, edge): a VM that is lost without a word leaves the list of VMs

Each one that loses power or is replaced stayed listed for ever, with its part of the servers' connections and of the extra attempts, and pages were left to it.

Change: a lease. Each VM renews its announcement once a minute, less often from 300 VMs on, so that all together write five times a second at the most. One that is seen unchanged for 3.5 renewals is left out of plans and shares, and removed, at its last revision, by the first live VM in the order of names; the next waits ten seconds more. What a VM did not see (store away, this process paused: over 30 s between two looks) does not count. A VM that was cut off announces itself again. The decision is `relay::Leases`, without I/O.

Ruled out: removal by those that cannot connect (only strong VMs are connected to); heartbeats through the store at a rate that would tell a death within seconds (peers notice that by themselves).

Tests: `leases::*` (the outage fails with the gap not recognised); process `a_vm_that_is_lost_without_a_word_is_taken_out_of_the_list_and_a_paused_one_comes_back`.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -70,6 +70,19 @@
     pub items: Vec<Item>,
 }
 
+/// Tells one renewal of an announcement from the one before, over restarts too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Renewal(pub u64);
+
+/// The announcement of a VM.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Announced {
+    /// The VM.
+    pub vm: PeerVm,
+    /// The state in which it was renewed last.
+    pub at: Revision,
+}
+
 /// Where routes are declared and servers registered.
 #[async_trait]
 pub trait Directory: Send + Sync + 'static {
@@ -87,12 +100,19 @@
     /// As for [`Directory::list`], and [`ErrorKind::NotFound`] if the revision is forgotten: list again.
     async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes>;
 
-    /// Announces a VM of ours to the others, or what has changed of it.
+    /// Announces a VM of ours to the others, in place of what an earlier process of it said.
     ///
     /// # Errors
     ///
     /// As for [`Directory::list`]; it may have been done all the same, and may be done again.
-    async fn announce(&self, vm: &PeerVm) -> Result<()>;
+    async fn announce(&self, vm: &PeerVm, renewal: Renewal) -> Result<()>;
+
+    /// Says that a VM that is announced still lives.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::announce`], also if it is not announced.
+    async fn renew(&self, vm: &PeerVm, renewal: Renewal) -> Result<()>;
 
     /// The requests that any VM found to crash servers; the list may be seconds old. There are few or none,
     /// so that it also serves as a sign that the directory is in reach.
@@ -128,5 +148,12 @@
     /// # Errors
     ///
     /// As for [`Directory::list`].
-    async fn vms(&self) -> Result<Vec<PeerVm>>;
+    async fn vms(&self) -> Result<Vec<Announced>>;
+
+    /// Removes the announcement of a VM that is gone, unless it has been renewed since this revision.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Directory::announce`].
+    async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()>;
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,11 +28,13 @@
 mod state;
 
 pub use callers::CallerCodec;
+pub use directory::Announced;
 pub use directory::Changes;
 pub use directory::Directory;
 pub use directory::DirectoryKind;
 pub use directory::Item;
 pub use directory::Listing;
+pub use directory::Renewal;
 pub use directory::Revision;
 pub use directory::Thing;
 pub use serve::Protocols;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -96,6 +96,7 @@
             feed: this.feed.clone(),
             contact,
             first_start: this.settings.vm.first_start,
+            renew_every: this.settings.platform.renew_every,
             seed,
         };
         tokio::spawn(keeper.run());
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -5,12 +5,18 @@
 
 use gs_actor::Feed;
 use gs_relay::Event;
+use gs_relay::Leases;
+use gs_relay::Listed;
 use gs_relay::PeerVm;
+use gs_relay::renew_every;
 use gs_store::Backoff;
 use tokio::time::Instant;
 
 use crate::contact::Contact;
+use crate::directory::Announced;
 use crate::directory::Directory;
+use crate::directory::Renewal;
+use crate::directory::Revision;
 
 /// The times of the first looks, each after the one before. All VMs of a fleet that starts together have
 /// announced themselves by the second; those of one that starts again are listed from before.
@@ -42,13 +48,37 @@
     pub(crate) contact: Arc<Contact>,
     /// Whether the whole fleet starts for the first time.
     pub(crate) first_start: bool,
+    /// The time between two renewals of the announcement, if the VMs are few.
+    pub(crate) renew_every: Duration,
     pub(crate) seed: u64,
 }
 
+/// What the keeper knows of announcements.
+struct Known {
+    leases: Leases,
+    /// Announcements and renewals written by this process.
+    renewals: u64,
+    /// When the next renewal is due.
+    renew_at: Instant,
+}
+
+impl Known {
+    /// Differs from all before, those of an earlier process of this VM too.
+    fn next_renewal(&mut self, seed: u64) -> Renewal {
+        self.renewals += 1;
+        Renewal(seed.wrapping_add(self.renewals))
+    }
+}
+
 impl RosterKeeper {
     /// Announces this VM, then looks who is there until the process ends.
     pub(crate) async fn run(self) {
-        self.announce().await;
+        let mut known = Known {
+            leases: Leases::new(self.renew_every),
+            renewals: 0,
+            renew_at: Instant::now() + self.renew_every,
+        };
+        self.announce(&mut known).await;
         // At the first start of all, a look at once would show few of many.
         let mut looks = FIRST_LOOKS.into_iter().skip(usize::from(self.first_start));
         let mut next_look = Instant::now();
@@ -56,8 +86,8 @@
             let first = looks.next();
             tokio::time::sleep(first.unwrap_or(HEARTBEAT)).await;
             if first.is_some() || Instant::now() >= next_look {
-                self.look().await;
-                next_look = Instant::now() + LOOK_EVERY;
+                self.look(&mut known).await;
+                next_look = Instant::now() + LOOK_EVERY.min(self.renew_every);
             }
             // Also after a look: it tells nothing of requests that crash servers, and a VM that only looks
             // runs one of them for 3 s more.
@@ -65,27 +95,70 @@
         }
     }
 
-    async fn announce(&self) {
+    /// Looks who is there, and sees to it that this VM stays listed.
+    async fn look(&self, known: &mut Known) {
+        let listed = match self.directory.vms().await {
+            Ok(listed) => listed,
+            Err(e) => {
+                self.contact.lost("vms", &e);
+                return;
+            }
+        };
+        self.contact.seen("vms");
+        let is_listed = listed.iter().any(|a| a.vm.name == self.me.name);
+        let vms = listed.len();
+        self.take(known, listed).await;
+        if !is_listed {
+            log::info!("event=announcement-missing");
+            self.announce(known).await;
+        } else if Instant::now() >= known.renew_at {
+            self.renew(known, vms).await;
+        }
+    }
+
+    /// Tells of the VMs that live, and removes those that are gone.
+    async fn take(&self, known: &mut Known, listed: Vec<Announced>) {
+        let names: Vec<Listed> = listed.iter().map(as_listed).collect();
+        let now = Instant::now().into_std();
+        let look = known.leases.look(now, &self.me.name, &names);
+        let live = listed.into_iter().map(|a| a.vm);
+        self.tell(live.filter(|vm| !look.gone.contains(&vm.name)).collect());
+        for l in look.remove {
+            self.remove(&l).await;
+        }
+    }
+
+    async fn announce(&self, known: &mut Known) {
+        let renewal = known.next_renewal(self.seed);
         let mut backoff = Backoff::new(BACKOFF, BACKOFF_MAX, self.seed);
-        while let Err(e) = self.directory.announce(&self.me).await {
+        while let Err(e) = self.directory.announce(&self.me, renewal).await {
             self.contact.lost("announcement", &e);
             tokio::time::sleep(backoff.wait()).await;
         }
         self.contact.seen("announcement");
+        known.renew_at = Instant::now() + self.renew_every;
     }
 
-    async fn look(&self) {
-        match self.directory.vms().await {
-            Ok(vms) => {
-                self.contact.seen("vms");
-                let is_listed = vms.iter().any(|vm| vm.name == self.me.name);
-                self.tell(vms);
-                if !is_listed {
-                    log::info!("event=announcement-missing");
-                    self.announce().await;
-                }
-            }
-            Err(e) => self.contact.lost("vms", &e),
+    async fn renew(&self, known: &mut Known, vms: usize) {
+        let renewal = known.next_renewal(self.seed);
+        match self.directory.renew(&self.me, renewal).await {
+            Ok(()) => known.renew_at = Instant::now() + renew_every(self.renew_every, vms),
+            // The next look is soon enough: three more are allowed to fail.
+            Err(e) => log::info!("event=renewal-failed error=\"{e}\""),
+        }
+    }
+
+    /// Removes the announcement of a VM that is gone.
+    async fn remove(&self, l: &Listed) {
+        let removed = self.directory.remove_vm(&l.vm, Revision(l.revision)).await;
+        match removed {
+            Ok(()) => log::info!(
+                "event=vm-removed vm={} revision={} reason=not-renewed",
+                l.vm,
+                l.revision
+            ),
+            // Whoever looks next removes it.
+            Err(e) => log::info!("event=vm-not-removed vm={} error=\"{e}\"", l.vm),
         }
     }
 
@@ -112,3 +185,10 @@
         self.feed.push(Event::Roster(vms));
     }
 }
+
+fn as_listed(a: &Announced) -> Listed {
+    Listed {
+        vm: a.vm.name.clone(),
+        revision: a.at.0,
+    }
+}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -21,6 +21,9 @@
 /// The longest time before the end of an objective: beyond it a unit has been mistaken.
 const MARGIN_MAX: Duration = Duration::from_secs(10);
 
+/// The least time between two renewals: an answer of a slow platform takes as long.
+const RENEW_MIN: Duration = Duration::from_secs(1);
+
 /// The least part of a core that is reckoned with.
 const CORES_MIN: f64 = 0.05;
 
@@ -95,6 +98,15 @@
 pub struct Platform {
     /// The address of the platform's store.
     pub addr: SocketAddr,
+    /// The time between two renewals of this VM's announcement there; longer if the VMs are many. One that
+    /// has missed three and a half is gone.
+    #[serde(default = "renew_usual", with = "humantime_serde")]
+    pub renew_every: Duration,
+}
+
+/// A write a minute from each VM is far below what the platform takes.
+fn renew_usual() -> Duration {
+    Duration::from_secs(60)
 }
 
 /// When answers leave.
@@ -257,6 +269,9 @@
         if self.budget.window < Duration::from_millis(100) {
             return bad("budget.window", "at least 100ms");
         }
+        if self.platform.renew_every < RENEW_MIN {
+            return bad("platform.renew-every", "at least 1s");
+        }
         if self.answers.margin > MARGIN_MAX {
             return bad("answers.margin", "at most 10s");
         }
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -55,6 +55,7 @@
 #[case("[budget]\nslack = -1.0", "budget.slack")]
 #[case("[budget]\npeers = 0", "budget.peers")]
 #[case("[budget]\nwindow = \"1ms\"", "budget.window")]
+#[case("renew-every = \"10ms\"", "platform.renew-every")]
 #[case("[answers]\nmargin = \"11s\"", "answers.margin")]
 #[case("[shutdown]\nlag = \"9s\"", "shutdown.lag")]
 fn what_is_out_of_range(#[case] more: &str, #[case] key: &str) {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod handover;
 mod hedges;
+mod leases;
 mod once;
 mod overload;
 mod pages;
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -176,9 +176,8 @@
             Method::POST => self.create(kind, req.body()),
             Method::PUT => self.replace(kind, name, req.body()),
             Method::DELETE => {
-                let found = lock(&self.objects).delete(kind, name);
-                self.changed.notify_waiters();
-                plain(if found { 200 } else { 404 }, "{}")
+                let wanted = asked("revision").and_then(|r| r.parse().ok());
+                self.remove(kind, name, wanted)
             }
             _ => plain(405, ""),
         }
@@ -215,6 +214,20 @@
         json(&made)
     }
 
+    fn remove(&self, kind: &str, name: &str, wanted: Option<u64>) -> Response<Full<Bytes>> {
+        let mut objects = lock(&self.objects);
+        let Some(object) = objects.get(kind, name) else {
+            return plain(404, "{}");
+        };
+        if wanted.is_some_and(|r| object["meta"]["revision"] != r) {
+            return plain(409, "{}");
+        }
+        objects.delete(kind, name);
+        drop(objects);
+        self.changed.notify_waiters();
+        plain(200, "{}")
+    }
+
     fn replace(&self, kind: &str, name: &str, body: &Bytes) -> Response<Full<Bytes>> {
         let Ok(object) = serde_json::from_slice::<Value>(body) else {
             return plain(400, "");
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -158,7 +158,7 @@
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
          [listen]\ncallers = \"{callers}\"\nstatus = \"{status}\"\npeers = \"{peers}\"\n\n\
-         [platform]\naddr = \"{store}\"\n\n\
+         [platform]\naddr = \"{store}\"\nrenew-every = \"1s\"\n\n\
          [budget]\nslack = 400.0\n\n\
          [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
          [log]\nlevel = \"debug\"\n"
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -17,6 +17,12 @@
 /// Sites that run at the same time; more would only wait for the machine.
 static ROOM: Semaphore = Semaphore::const_new(3);
 
+/// The longest that a test waits for something that takes a few seconds.
+const UNTIL_MAX: Duration = Duration::from_secs(20);
+
+/// The time between two looks whether it has come.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// A site, its folder and its room.
 pub struct Running {
     pub site: Site,
@@ -77,6 +83,15 @@
         }
     }
 
+    /// Waits until something holds; fails after [`UNTIL_MAX`].
+    pub async fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = tokio::time::Instant::now() + UNTIL_MAX;
+        while !holds(self) {
+            assert!(tokio::time::Instant::now() < end, "not in time: {what}");
+            tokio::time::sleep(LOOK_AGAIN).await;
+        }
+    }
+
     /// The logs of all VMs.
     pub fn logs(&self) -> String {
         let files = std::fs::read_dir(self.dir.path()).expect("the folder");
--- a/tests/relay/vms.rs
+++ b/tests/relay/vms.rs
@@ -5,6 +5,7 @@
 use gs_rig::site::Verdict;
 use rustix::process::Signal;
 
+use crate::support::Running;
 use crate::support::all;
 use crate::support::is_right;
 use crate::support::is_whole;
@@ -57,6 +58,22 @@
     }
 }
 
+/// A VM loses power and stays in the list of VMs for good: pages are left to it, and its part of what
+/// servers accept is never used again. The others see that it no longer renews, and take it out.
+#[tokio::test]
+async fn a_vm_that_is_lost_without_a_word_is_taken_out_of_the_list_and_a_paused_one_comes_back() {
+    let r = site().await;
+    let listed = |r: &Running| r.site.store.names("gentiansill-vms").len();
+    r.until("all are listed", |r| listed(r) == 3).await;
+    r.site.vms[2].signal(Signal::STOP);
+    r.until("one is taken out", |r| listed(r) == 2).await;
+    r.site.vms[2].signal(Signal::CONT);
+    r.until("it is back", |r| listed(r) == 3).await;
+    r.site.vms[1].signal(Signal::KILL);
+    r.until("one is taken out", |r| listed(r) == 2).await;
+    assert!(r.logs().contains("event=vm-removed"));
+}
+
 /// A VM stands still with bundles of others: nothing tells of it but silence.
 #[tokio::test]
 async fn pages_go_on_beside_a_vm_that_stands_still() {
