feat(edge, relay): a VM that starts while the store is away serves what its peers know

Change: from half a second after its start without a word from the store, a VM asks the peers that its settings name for what they know: routes, servers, VMs. What a peer told of and the first list of the store does not name counts as gone from then on. Not at the first start of a fleet, when nobody knows more.

Ruled out: waiting for the store alone (before); asking VMs in the register (it is what is away).

Tests: process `a_vm_that_starts_while_the_store_is_away_serves_what_its_peers_know`, store busy and silent (both fail if the servers told of are not noted: one that left keeps its work).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -149,6 +149,9 @@
 
     async fn list(&self, known: &mut Known) -> Result<()> {
         let listing = self.directory.list(self.kind).await?;
+        if self.kind == DirectoryKind::Servers {
+            known.names.extend(self.state.set_listed());
+        }
         let found: BTreeSet<String> = listing.items.iter().map(|i| i.name.clone()).collect();
         let gone: Vec<String> = known.names.difference(&found).cloned().collect();
         log::info!(
@@ -171,9 +174,6 @@
             self.take(known, item);
         }
         known.at = Some(listing.at);
-        if self.kind == DirectoryKind::Servers {
-            self.state.set_has_servers();
-        }
         Ok(())
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod readiness;
 mod reload;
 mod roster;
+mod seed;
 mod serve;
 mod servers;
 mod settings;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,6 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gs_actor::Shared;
+use gs_actor::lock;
 use gs_http::Handler;
 use gs_http::Whole;
 use gs_relay::Asked;
@@ -22,6 +24,7 @@
 use gs_relay::Outcome;
 use gs_relay::Page;
 use gs_relay::RefuseReason;
+use gs_relay::Relay;
 use gs_types::prelude::*;
 use http::HeaderMap;
 use http::HeaderName;
@@ -59,6 +62,8 @@
 /// The shards that a page leaves out, with semicolons: the number, `=`, and the servers that may have run
 /// the part, with commas, or `*` for any.
 const LEFT_OUT: HeaderName = HeaderName::from_static("gs-left-out");
+/// Where a VM that starts asks what a peer knows.
+pub(crate) const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Stands for servers that are not known.
 const ANY: &str = "*";
 /// When a request for which there is no room may come again, in milliseconds.
@@ -154,13 +159,18 @@
     }
 }
 
-/// Runs what peers hand over.
+/// Runs what peers hand over, and tells those that start what is known here.
 pub(crate) struct Peers {
     pub(crate) desk: Desk,
+    pub(crate) relay: Shared<Relay>,
 }
 
 impl Peers {
     async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        // A hand-over has the caller's id beside the caller's own path.
+        if req.uri().path() == KNOWLEDGE_PATH && !req.headers().contains_key(ID) {
+            return self.knowledge();
+        }
         let (head, body) = req.into_parts();
         let body = read_body(body, self.desk.body_max()).await;
         let (req, handed) = match body.and_then(|body| read(head, body)) {
@@ -187,6 +197,23 @@
     }
 }
 
+impl Peers {
+    /// Everything that a VM must know to serve, for one that starts.
+    fn knowledge(&self) -> Response<Full<Bytes>> {
+        let known = lock(&self.relay).knowledge();
+        let Some(known) = known.filter(|_| self.desk.is_ready()) else {
+            return said(StatusCode::SERVICE_UNAVAILABLE, "not-ready");
+        };
+        match serde_json::to_vec(&known) {
+            Ok(body) => Response::new(Full::new(Bytes::from(body))),
+            Err(e) => {
+                log::error!("event=knowledge-unwritable error=\"{e}\"");
+                said(StatusCode::INTERNAL_SERVER_ERROR, "unwritable")
+            }
+        }
+    }
+}
+
 impl Handler for Peers {
     fn handle(
         self: Arc<Self>,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -28,6 +28,7 @@
 use crate::peers::Peers;
 use crate::readiness::Status;
 use crate::roster::RosterKeeper;
+use crate::seed::Seeder;
 use crate::serve::Protocols;
 use crate::settings::EdgeSettings;
 use crate::shell::RelayShell;
@@ -100,6 +101,17 @@
             seed,
         };
         tokio::spawn(keeper.run());
+        // At the first start of all nobody knows more.
+        if !this.settings.vm.first_start {
+            let seeder = Seeder {
+                seeds: this.settings.seeds(),
+                opts,
+                state: Arc::clone(&this.state),
+                feed: this.feed.clone(),
+                seed,
+            };
+            tokio::spawn(seeder.run());
+        }
         Ok(this)
     }
 
@@ -123,7 +135,10 @@
             callers: Arc::clone(&counts),
             metrics: Arc::clone(&self.metrics),
         };
-        let handed = Peers { desk: self.desk() };
+        let handed = Peers {
+            desk: self.desk(),
+            relay: Arc::clone(&self.relay),
+        };
         tokio::spawn(peers.run(Arc::new(handed), stopped.clone()));
         // It answers until the process is gone, so that the balancer is told `not ready` to the end.
         let (forever, never) = watch::channel(false);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -40,6 +40,9 @@
     pub listen: Listen,
     /// Where routes are declared and servers registered.
     pub platform: Platform,
+    /// Other VMs.
+    #[serde(default)]
+    pub peers: Peers,
     /// When answers leave.
     #[serde(default)]
     pub answers: Answers,
@@ -109,6 +112,15 @@
     Duration::from_secs(60)
 }
 
+/// Other VMs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Peers {
+    /// Where some of them listen for peers; a VM that starts while the platform is away asks them what they
+    /// know.
+    pub seeds: Vec<SocketAddr>,
+}
+
 /// When answers leave.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
@@ -293,6 +305,13 @@
         }
     }
 
+    /// The VMs to ask at the start, this one aside.
+    #[must_use]
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let seeds = self.peers.seeds.iter().copied();
+        seeds.filter(|addr| *addr != self.listen.peers).collect()
+    }
+
     /// How long before the end of its objective an answer leaves: its way, and the work on it here.
     fn answer_margin(&self) -> Duration {
         let cores = self.vm.capacity.cores.clamp(CORES_MIN, 1.0);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -27,6 +27,8 @@
     /// Where callers are held to the bounds of the routes in force.
     callers: Mutex<Option<LiveLimits>>,
     has_servers: AtomicBool,
+    /// Servers that a peer told of before they were listed.
+    told: Mutex<Vec<String>>,
     is_leaving: AtomicBool,
 }
 
@@ -68,9 +70,31 @@
         lock(&self.table).as_ref().map(|t| t.limits().clone())
     }
 
-    /// The servers were listed once.
-    pub(crate) fn set_has_servers(&self) {
+    /// The servers were listed; gives those that a peer had told of before.
+    pub(crate) fn set_listed(&self) -> Vec<String> {
+        let mut told = lock(&self.told);
         self.has_servers.store(true, Ordering::Relaxed);
+        std::mem::take(&mut *told)
+    }
+
+    /// Takes in what a peer tells of by `take`, unless the servers have been listed; `true` if so.
+    ///
+    /// Guards against a server that left while the directory was away: the first list after it does not
+    /// name the server, and it is known to be gone only if it was noted here.
+    pub(crate) fn take_told(&self, servers: Vec<String>, take: impl FnOnce()) -> bool {
+        let mut told = lock(&self.told);
+        if self.has_servers.load(Ordering::Relaxed) {
+            return false;
+        }
+        take();
+        *told = servers;
+        self.has_servers.store(true, Ordering::Relaxed);
+        true
+    }
+
+    /// Whether routes and servers are known.
+    pub(crate) fn knows_all(&self) -> bool {
+        self.has_servers.load(Ordering::Relaxed) && lock(&self.table).is_some()
     }
 
     /// The process has been told to leave.
@@ -80,8 +104,6 @@
 
     /// Whether new callers are welcome: routes and servers are known and the process stays.
     pub(crate) fn is_ready(&self) -> bool {
-        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-        let has_servers = self.has_servers.load(Ordering::Relaxed);
-        !is_leaving && has_servers && lock(&self.table).is_some()
+        !self.is_leaving.load(Ordering::Relaxed) && self.knows_all()
     }
 }
--- a/crates/relay/src/entry.rs
+++ b/crates/relay/src/entry.rs
@@ -4,10 +4,13 @@
 use std::time::Duration;
 
 use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// Whether a server takes work, by its own word.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Availability {
     /// It takes work.
     Ready,
@@ -16,7 +19,8 @@
 }
 
 /// A backend server as it registers itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct ServerEntry {
     /// Its name.
     pub name: ServerName,
--- a/crates/relay/src/route.rs
+++ b/crates/relay/src/route.rs
@@ -3,11 +3,14 @@
 use std::time::Duration;
 
 use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 use smallvec::SmallVec;
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, Serialize, Deserialize)]
 #[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
 pub enum Repeat {
     /// It may run again, on other servers too.
     Safe,
@@ -16,7 +19,8 @@
 }
 
 /// A service with its part of a split route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Weighted {
     /// The service.
     pub service: ServiceName,
@@ -25,7 +29,8 @@
 }
 
 /// A fan-out to every shard.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Scatter {
     /// The shards, each a service.
     pub shards: Vec<ServiceName>,
@@ -46,7 +51,8 @@
 }
 
 /// Where the requests of a route go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Target {
     /// To one server of one of these services, in proportion to their weights.
     One(SmallVec<[Weighted; 1]>),
@@ -55,7 +61,8 @@
 }
 
 /// A route as operators declare it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct Route {
     /// Its name.
     pub name: LookupName,
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::route::Route;
 
 /// A service as operators declare it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct ServiceDecl {
     /// Its name.
     pub name: ServiceName,
@@ -18,7 +21,8 @@
 }
 
 /// What a caller may send, and how long it may take.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub struct CallerLimits {
     /// The most bytes of a request's line and headers.
     pub headers: usize,
@@ -31,7 +35,8 @@
 }
 
 /// One version of the routes; a lookup is answered by the version in force when it arrived.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "Declared", into = "Declared")]
 pub struct RouteTable {
     version: ConfVersion,
     limits: CallerLimits,
@@ -94,3 +99,30 @@
         routes.iter().find(|r| path.starts_with(&*r.prefix))
     }
 }
+
+/// A version as it is told to another VM.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+struct Declared {
+    version: ConfVersion,
+    limits: CallerLimits,
+    services: Vec<ServiceDecl>,
+    routes: Vec<Route>,
+}
+
+impl From<Declared> for RouteTable {
+    fn from(d: Declared) -> Self {
+        Self::new(d.version, d.routes, d.services, d.limits)
+    }
+}
+
+impl From<RouteTable> for Declared {
+    fn from(t: RouteTable) -> Self {
+        Self {
+            version: t.version,
+            routes: t.routes().map(|r| Route::clone(r)).collect(),
+            limits: t.limits,
+            services: t.services.into_values().collect(),
+        }
+    }
+}
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -32,6 +32,8 @@
     pub status: SocketAddr,
     /// For other VMs.
     pub peers: SocketAddr,
+    /// Where the others listen for it.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// A running process; killed when dropped.
@@ -153,12 +155,16 @@
         callers,
         status,
         peers,
+        seeds,
     } = plan;
+    let seeds: Vec<String> = seeds.iter().map(|addr| format!("\"{addr}\"")).collect();
+    let seeds = seeds.join(", ");
     format!(
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
          [listen]\ncallers = \"{callers}\"\nstatus = \"{status}\"\npeers = \"{peers}\"\n\n\
          [platform]\naddr = \"{store}\"\nrenew-every = \"1s\"\n\n\
+         [peers]\nseeds = [{seeds}]\n\n\
          [budget]\nslack = 400.0\n\n\
          [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
          [log]\nlevel = \"debug\"\n"
--- a/crates/rig/src/site/whole.rs
+++ b/crates/rig/src/site/whole.rs
@@ -102,8 +102,14 @@
             options,
         };
         site.store.put("config", "main", site.config.spec());
-        for n in 0..site.options.vms {
-            let plan = plan(n)?;
+        let mut plans = (0..site.options.vms)
+            .map(plan)
+            .collect::<Result<Vec<_>>>()?;
+        let seeds: Vec<SocketAddr> = plans.iter().map(|p| p.peers).collect();
+        for plan in &mut plans {
+            plan.seeds.clone_from(&seeds);
+        }
+        for (n, plan) in plans.into_iter().enumerate() {
             let link = FaultProxy::start(site.store.addr()).await?;
             site.store_links.push(link);
             site.vms.push(site.launch(n, plan)?);
@@ -177,6 +183,7 @@
         callers: free(ip)?,
         status: free(ip)?,
         peers: free(ip)?,
+        seeds: Vec::new(),
     })
 }
 
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -32,6 +32,37 @@
     }
 }
 
+/// A data centre goes dark: its VMs are restarted while the store is away, and know no routes before it is
+/// back. Then a server that left meanwhile gets work for good, as the first list does not name it and the
+/// restarted VM never saw it listed.
+#[rstest]
+#[case::busy(StoreFault::Busy)]
+#[case::silent(StoreFault::Silent)]
+#[tokio::test]
+async fn a_vm_that_starts_while_the_store_is_away_serves_what_its_peers_know(
+    #[case] fault: StoreFault,
+) {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    r.site.store.misbehave(fault);
+    r.kill(2).await;
+    r.start(2).await;
+    r.until_whole(2, &route, Duration::from_secs(5)).await;
+    r.site.store.delete("servers", "i-shard1-1");
+    r.site.store.misbehave(StoreFault::None);
+    r.until("the store is back", |r| {
+        r.logs().contains("event=directory-regained")
+    })
+    .await;
+    // What is missing after an outage is waited for, for two seconds.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    r.clear_runs();
+    for _ in 0..20 {
+        r.ask(2, &route).await;
+    }
+    assert!(!r.busy().contains("i-shard1-1"), "{:?}", r.busy());
+}
+
 /// A change is never seen: it was made in the moment whose history the store has dropped.
 #[tokio::test]
 async fn a_change_in_forgotten_history_is_seen() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -10,6 +10,7 @@
 use gs_rig::site::SiteOptions;
 use gs_rig::site::SiteRoute;
 use gs_rig::site::Verdict;
+use rustix::process::Signal;
 use tempfile::TempDir;
 use tokio::sync::Semaphore;
 use tokio::sync::SemaphorePermit;
@@ -83,6 +84,22 @@
         }
     }
 
+    /// Kills a VM.
+    pub async fn kill(&mut self, vm: usize) {
+        self.site.vms[vm].signal(Signal::KILL);
+        let ended = self.site.vms[vm].until_ended(Duration::from_secs(5)).await;
+        ended.expect("it ends");
+    }
+
+    /// Starts a VM that was killed, and waits until it is ready.
+    pub async fn start(&mut self, vm: usize) {
+        let plan = self.site.vms[vm].plan().clone();
+        let mut again = self.site.launch(vm, plan).expect("it starts again");
+        let ready = again.until_ready(Duration::from_secs(5)).await;
+        ready.expect("it is ready");
+        self.site.vms[vm] = again;
+    }
+
     /// Waits until something holds; fails after [`UNTIL_MAX`].
     pub async fn until(&self, what: &str, holds: impl Fn(&Self) -> bool) {
         let end = tokio::time::Instant::now() + UNTIL_MAX;
--- a/tests/relay/vms.rs
+++ b/tests/relay/vms.rs
@@ -39,20 +39,12 @@
     let mut r = site().await;
     let route = r.route("/page/");
     all(&r.ask_all(5, &route).await, is_whole);
-    r.site.vms[2].signal(Signal::KILL);
-    let ended = r.site.vms[2].until_ended(Duration::from_secs(5)).await;
-    ended.expect("it ends");
+    r.kill(2).await;
     for n in 0..10 {
         let answer = r.ask(n % 2, &route).await;
         assert!(is_right(&answer.verdict), "{answer:?}");
     }
-    let plan = r.site.vms[2].plan().clone();
-    let mut again = r.site.launch(2, plan).expect("it starts again");
-    again
-        .until_ready(Duration::from_secs(5))
-        .await
-        .expect("it is ready");
-    r.site.vms[2] = again;
+    r.start(2).await;
     for vm in 0..3 {
         r.until_whole(vm, &route, Duration::from_secs(10)).await;
     }
@@ -62,14 +54,14 @@
 /// servers accept is never used again. The others see that it no longer renews, and take it out.
 #[tokio::test]
 async fn a_vm_that_is_lost_without_a_word_is_taken_out_of_the_list_and_a_paused_one_comes_back() {
-    let r = site().await;
+    let mut r = site().await;
     let listed = |r: &Running| r.site.store.names("gentiansill-vms").len();
     r.until("all are listed", |r| listed(r) == 3).await;
     r.site.vms[2].signal(Signal::STOP);
     r.until("one is taken out", |r| listed(r) == 2).await;
     r.site.vms[2].signal(Signal::CONT);
     r.until("it is back", |r| listed(r) == 3).await;
-    r.site.vms[1].signal(Signal::KILL);
+    r.kill(1).await;
     r.until("one is taken out", |r| listed(r) == 2).await;
     assert!(r.logs().contains("event=vm-removed"));
 }
