refactor(scrape, http, rig): one set-up of metrics for both kinds of process; no result dropped in silence

`node` and `edge` each set up registry, exporter and resource, and carried totals over at a scrape, in the same lines: now `gs-scrape`, with tests of its own (totals that grow, that begin anew, the VM's name). Names and labels of all series are unchanged; process test `operators::a_scrape_tells_what_a_vm_did` passes as it was.

Failed `set_nodelay` and ended connections leave a debug line with the reason.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -193,7 +193,10 @@
         handler: &Arc<dyn Handler>,
         graceful: &GracefulShutdown,
     ) -> impl Future<Output = ()> + Send + 'static {
-        let _ = tcp.set_nodelay(true);
+        if let Err(e) = tcp.set_nodelay(true) {
+            // The peer has gone already, which the connection's first read shows; or it is merely slower.
+            log::debug!("event=nodelay-failed peer={peer} error=\"{e}\"");
+        }
         let open = Open::new(&self.state);
         let state = Arc::clone(&self.state);
         let handler = Arc::clone(handler);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,22 +1,17 @@
-//! Metrics by opentelemetry, in the usual scrape format.
+//! Metrics of a serving process.
 
-use std::sync::Mutex;
 use std::time::Duration;
 
+use gs_actor::lock;
+use gs_scrape::Names;
+use gs_scrape::Scrape;
 use gs_types::prelude::*;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
-use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::Meter;
-use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::dumps::Dumps;
-use gs_actor::lock;
 
 /// Upper bounds of the latency histograms, in seconds.
 const LATENCY: [f64; 14] = [
@@ -26,16 +21,18 @@
 /// The label of lookups whose name was found in no configuration.
 const UNDECLARED: &str = "undeclared";
 
+/// The series of totals and states.
+const NAMES: Names = Names {
+    totals: "gentiansill_events",
+    states: "gentiansill_state",
+};
+
 /// The instruments of one process.
 pub(crate) struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    scrape: Scrape,
     latency: Histogram<f64>,
     outcomes: Counter<u64>,
     shards: Counter<u64>,
-    totals: Counter<u64>,
-    states: Gauge<f64>,
-    seen: Mutex<Vec<(&'static str, u64)>>,
 }
 
 impl Metrics {
@@ -45,23 +42,9 @@
     ///
     /// [`ErrorKind::Io`] if the exporter cannot be registered.
     pub(crate) fn new(vm: &Vm<'_>) -> Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("set up metrics"))?;
-        let resource = opentelemetry_sdk::Resource::builder()
-            .with_service_name("gentiansill")
-            .with_attribute(KeyValue::new("vm", vm.name.to_string()))
-            .with_attribute(KeyValue::new("data_centre", vm.data_centre.to_string()))
-            .build();
-        let provider = SdkMeterProvider::builder()
-            .with_reader(exporter)
-            .with_resource(resource)
-            .build();
-        let meter = provider.meter("gentiansill");
+        let scrape = Scrape::new(vm.name, vm.data_centre, NAMES)?;
+        let meter = scrape.meter();
         Ok(Self {
-            registry,
             latency: latency(&meter),
             outcomes: counter(
                 &meter,
@@ -73,17 +56,7 @@
                 "gentiansill_lookup_shards",
                 "Shards of answered lookups, by state.",
             ),
-            totals: counter(
-                &meter,
-                "gentiansill_events",
-                "What the process counted, by kind.",
-            ),
-            states: meter
-                .f64_gauge("gentiansill_state")
-                .with_description("What the process holds now.")
-                .build(),
-            seen: Mutex::default(),
-            _provider: provider,
+            scrape,
         })
     }
 
@@ -132,25 +105,15 @@
         }
     }
 
-    /// The scrape.
+    /// The scrape, with the decisions' own counts as they are now.
     pub(crate) fn text(&self, dumps: &Dumps) -> String {
-        self.sample(dumps);
-        let mut buf = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
-            Err(e) => format!("# {e}\n"),
-        }
-    }
-
-    /// Carries the decisions' own counts over, as they are at the scrape.
-    fn sample(&self, dumps: &Dumps) {
         let engine = lock(&dumps.engine);
         let c = engine.counters().clone();
         let in_flight = engine.in_flight();
         drop(engine);
         let pool = dumps.pool.state();
         let platform = dumps.platform.calls();
-        self.raise(&[
+        let totals = [
             ("attempts", c.attempts),
             ("hedges", c.hedges),
             ("hedges-won", c.hedges_won),
@@ -164,30 +127,19 @@
             ("wrong-snapshot", c.wrong_snapshot),
             ("connections-opened", pool.opened),
             ("platform-calls", platform.total()),
-        ]);
+        ];
         let open: u32 = pool.open.iter().map(|(_, n)| n).sum();
         let view = dumps.board.view();
         let live = view.map_or(0, |v| v.live().count());
         let version = lock(&dumps.book).config().map_or(0, |c| c.version.0);
-        self.hold("lookups-in-flight", in_flight as f64);
-        self.hold("connections-open", f64::from(open));
-        self.hold("members-live", live as f64);
-        self.hold("config-version", version as f64);
-        self.hold("ready", f64::from(u8::from(dumps.ready())));
-    }
-
-    fn raise(&self, totals: &[(&'static str, u64)]) {
-        let mut seen = lock(&self.seen);
-        for (i, (kind, n)) in totals.iter().enumerate() {
-            let before = seen.get(i).map_or(0, |s| s.1);
-            self.totals
-                .add(n.saturating_sub(before), &[KeyValue::new("kind", *kind)]);
-        }
-        *seen = totals.to_vec();
-    }
-
-    fn hold(&self, what: &'static str, n: f64) {
-        self.states.record(n, &[KeyValue::new("of", what)]);
+        let states = [
+            ("lookups-in-flight", in_flight as f64),
+            ("connections-open", f64::from(open)),
+            ("members-live", live as f64),
+            ("config-version", version as f64),
+            ("ready", f64::from(u8::from(dumps.ready()))),
+        ];
+        self.scrape.text(&totals, &states)
     }
 }
 
--- a/crates/rig/src/platform/server.rs
+++ b/crates/rig/src/platform/server.rs
@@ -294,11 +294,16 @@
 }
 
 async fn connection(stream: TcpStream, peer: SocketAddr, shared: Arc<Shared>) {
-    let _ = stream.set_nodelay(true);
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("event=nodelay-failed peer={peer} error=\"{e}\"");
+    }
     let service = service_fn(move |req| http::answer(shared.clone(), peer.ip(), req));
-    // An error here is a caller that hung up or an answer lost on purpose.
-    let _ = http1::Builder::new()
+    let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .serve_connection(TokioIo::new(stream), service)
         .await;
+    if let Err(e) = served {
+        // A caller that hung up, or an answer lost on purpose.
+        log::debug!("event=connection-ended peer={peer} error=\"{e}\"");
+    }
 }
--- a/crates/rig/src/server/listen.rs
+++ b/crates/rig/src/server/listen.rs
@@ -63,12 +63,17 @@
     // The way back of the round trip of opening a connection, then the server's own cost.
     server.net.carry(server.spec.site, site).await;
     tokio::time::sleep(server.spec.handshake).await;
-    // A failure here is the caller's loss of its connection, which it sees itself.
-    let _ = stream.set_nodelay(true);
+    if let Err(e) = stream.set_nodelay(true) {
+        // It is the caller's loss of its connection, which it sees itself.
+        log::debug!("event=nodelay-failed error=\"{e}\"");
+    }
     let handle = service_fn(|req| answer::handle(server.clone(), site, req));
-    let _ = http1::Builder::new()
+    let served = http1::Builder::new()
         .serve_connection(TokioIo::new(stream), handle)
         .await;
+    if let Err(e) = served {
+        log::debug!("event=connection-ended error=\"{e}\"");
+    }
 }
 
 /// Whether the other side has closed the connection.
--- a/crates/rig/src/site/http.rs
+++ b/crates/rig/src/site/http.rs
@@ -46,8 +46,10 @@
             connections.spawn(async move {
                 let service = service_fn(move |req| one(Arc::clone(&answers), req));
                 let conn = hyper::server::conn::http1::Builder::new();
-                // A peer that hangs up is what stand-ins are for.
-                let _ = conn.serve_connection(TokioIo::new(tcp), service).await;
+                if let Err(e) = conn.serve_connection(TokioIo::new(tcp), service).await {
+                    // A peer that hangs up is what stand-ins are for.
+                    log::debug!("event=connection-ended error=\"{e}\"");
+                }
             });
             while connections.try_join_next().is_some() {}
         }
--- /dev/null
+++ b/crates/scrape/src/scrape.rs
@@ -0,0 +1,100 @@
+//! The registry of one process and its scrape.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use gs_types::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Meter;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::names::Names;
+
+/// The name of the program in each scrape.
+const PROGRAM: &str = "gentiansill";
+
+/// The instruments of one process. No label follows what callers send, so that their number is bounded.
+pub struct Scrape {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    totals: Counter<u64>,
+    states: Gauge<f64>,
+    /// The totals as of the last scrape.
+    seen: Mutex<HashMap<&'static str, u64>>,
+}
+
+impl Scrape {
+    /// Sets the registry of a VM's process up.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Io`] if the exporter cannot be registered.
+    pub fn new(vm: &VmId, data_centre: &DataCentre, names: Names) -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()).at("set up metrics"))?;
+        let resource = Resource::builder()
+            .with_service_name(PROGRAM)
+            .with_attribute(KeyValue::new("vm", vm.to_string()))
+            .with_attribute(KeyValue::new("data_centre", data_centre.to_string()))
+            .build();
+        let provider = SdkMeterProvider::builder()
+            .with_reader(exporter)
+            .with_resource(resource)
+            .build();
+        let meter = provider.meter(PROGRAM);
+        let totals = meter.u64_counter(names.totals);
+        let states = meter.f64_gauge(names.states);
+        Ok(Self {
+            registry,
+            provider,
+            totals: totals
+                .with_description("What the process counted, by kind.")
+                .build(),
+            states: states
+                .with_description("What the process holds now.")
+                .build(),
+            seen: Mutex::default(),
+        })
+    }
+
+    /// Makes further instruments.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(PROGRAM)
+    }
+
+    /// The scrape: running totals and present states by name, beside all other instruments.
+    #[must_use]
+    pub fn text(&self, totals: &[(&'static str, u64)], states: &[(&'static str, f64)]) -> String {
+        self.raise(totals);
+        for (of, value) in states {
+            self.states.record(*value, &[KeyValue::new("of", *of)]);
+        }
+        let mut buf = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
+            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+
+    /// Adds what the totals have grown by since the last scrape.
+    fn raise(&self, totals: &[(&'static str, u64)]) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        for (kind, n) in totals {
+            let before = seen.insert(kind, *n).unwrap_or(0);
+            let grown = n.saturating_sub(before);
+            self.totals.add(grown, &[KeyValue::new("kind", *kind)]);
+        }
+    }
+}
