feat(relay, edge): a peer waits for the parts that a page cannot do without

Cause: a peer's page left in time for the objective with whatever was in, as the peer did not know how many of its parts were needed. On its own a VM waits for the first enough, and delivers late.

Change: a bundle says how many of its parts are needed, and until when they are of use. With fewer a peer waits, up to 200 ms beyond the objective (a usual pause is over by then), and leaves with the first enough; a part that cannot come any more ends the wait at once, so that it is asked for elsewhere.

Ruled out: asking for the missing parts from the VM that asked the peer (before): both servers that a route allows were still at work on them.

Tests: `a_bundle_with_too_few_parts_waits_…`, `…leaves_with_what_there_is…`, `a_peer_is_told_how_many…`.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -57,11 +57,27 @@
 const PATIENCE_MS: HeaderName = HeaderName::from_static("gs-patience-ms");
 /// The time in which the page must leave the peer, in milliseconds.
 const ON_TIME_MS: HeaderName = HeaderName::from_static("gs-on-time-ms");
+/// The time in which it must leave to be of any use, in milliseconds.
+const LATEST_MS: HeaderName = HeaderName::from_static("gs-latest-ms");
+/// The fewest parts that are of use in time.
+const LEAST: HeaderName = HeaderName::from_static("gs-least");
 /// The stamps of a page's parts, with commas.
 const STAMPS: HeaderName = HeaderName::from_static("gs-stamps");
 /// The shards that a page leaves out, with semicolons: the number, `=`, and the servers that may have run
 /// the part, with commas, or `*` for any.
 const LEFT_OUT: HeaderName = HeaderName::from_static("gs-left-out");
+/// The headers beside the caller's own.
+const OWN_HEADERS: [HeaderName; 9] = [
+    ID,
+    HOST,
+    PATIENCE_MS,
+    ON_TIME_MS,
+    LATEST_MS,
+    LEAST,
+    ROUTE,
+    SHARDS,
+    HOPS,
+];
 /// Where a VM that starts asks what a peer knows.
 pub(crate) const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Stands for servers that are not known.
@@ -88,6 +104,8 @@
             headers.insert(SHARDS, text_value(&join(&h.shards))?);
             headers.insert(HOPS, HeaderValue::from(u16::from(h.hops)));
             headers.insert(ON_TIME_MS, millis(h.on_time));
+            headers.insert(LATEST_MS, millis(h.latest));
+            headers.insert(LEAST, HeaderValue::from(h.least));
         }
         Ok(req)
     }
@@ -234,10 +252,12 @@
     let host: Box<str> = text(&HOST).ok_or_else(|| missing(&HOST))?.into();
     let patience = number(h, &PATIENCE_MS).ok_or_else(|| missing(&PATIENCE_MS))?;
     let on_time = number(h, &ON_TIME_MS).ok_or_else(|| missing(&ON_TIME_MS))?;
+    let latest = number(h, &LATEST_MS).ok_or_else(|| missing(&LATEST_MS))?;
+    let least = number(h, &LEAST).ok_or_else(|| missing(&LEAST))?;
     let route = number(h, &ROUTE).ok_or_else(|| missing(&ROUTE))?;
     let shards = numbers(h, &SHARDS).ok_or_else(|| missing(&SHARDS))?;
     let hops = number(h, &HOPS).ok_or_else(|| missing(&HOPS))?;
-    for name in [ID, HOST, PATIENCE_MS, ON_TIME_MS, ROUTE, SHARDS, HOPS] {
+    for name in OWN_HEADERS {
         head.headers.remove(name);
     }
     // The length is set anew for each server.
@@ -258,6 +278,8 @@
     let handed = Handed {
         route: Fingerprint(route),
         on_time: Duration::from_millis(on_time),
+        latest: Duration::from_millis(latest),
+        least,
         shards,
         hops,
     };
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -40,6 +40,10 @@
     pub route: Fingerprint,
     /// The time in which its page must leave there to be in time here.
     pub on_time: Duration,
+    /// The time in which it must leave there to be of any use.
+    pub latest: Duration,
+    /// The fewest parts that are of use in time.
+    pub least: usize,
     /// The shards wanted, by their number in the route.
     pub shards: Vec<u16>,
     /// VMs that the request has passed.
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -77,7 +77,9 @@
         run.objective_at = (now + handed.on_time).min(run.answer_by);
         run.only = Some(handed.shards);
         run.hops = handed.hops;
+        run.answer_by = run.answer_by.min(now + handed.latest);
         run.parts_min = 0;
+        run.parts_wanted = handed.least.min(run.only.as_ref().map_or(0, Vec::len));
         Ok(run)
     }
 
@@ -111,6 +113,7 @@
             only: None,
             hops: 0,
             parts_min: route.parts_min(),
+            parts_wanted: route.parts_min(),
             bundles: SmallVec::new(),
             parts: Vec::new(),
             arrived: now,
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -23,10 +23,13 @@
 /// The part number of a bundle; a fan-out has far fewer parts.
 pub(crate) const BUNDLE: u16 = u16::MAX;
 
-/// How long after the objective a peer may still answer: it sends what it has in time for the
-/// objective, so one that has not answered then is out of reach.
+/// How long after the objective a peer may still answer whose parts are not needed for an answer: it sends what
+/// it has in time for the objective, so one that has not answered then is out of reach.
 const GRACE: Duration = Duration::from_millis(60);
 
+/// The same where its parts are needed: it waits for them, and a usual pause of a server is over by then.
+const LATE_WAIT: Duration = Duration::from_millis(200);
+
 /// How much longer than its least time the way to a peer and back may take; links vary by a third.
 const WAY_JITTER: f64 = 1.3;
 
@@ -88,18 +91,25 @@
             run.parts[*at].state = PartState::Bundled;
         }
         let on_time = run.objective_at.saturating_duration_since(now);
+        let others = run.parts.len() - parts.len();
+        let least = run.parts_wanted.saturating_sub(others);
+        let grace = if least > 0 { LATE_WAIT } else { GRACE };
+        let give_up = (on_time + grace).min(run.left(now));
+        let back = way.mul_f64(WAY_JITTER) + MERGE;
         out.push(Action::Send(Dispatch {
             run: id,
             server: Arc::clone(&view.entry),
             id: Arc::clone(&run.req.id),
             content: Arc::clone(&run.req.content),
             time_left: run.patience.saturating_sub(now - run.arrived),
-            give_up: (on_time + GRACE).min(run.left(now)),
+            give_up,
             once: false,
             hand_over: Some(HandOver {
                 host: run.req.host.clone(),
                 route: run.route.fingerprint(),
-                on_time: on_time.saturating_sub(way.mul_f64(WAY_JITTER) + MERGE),
+                on_time: on_time.saturating_sub(back),
+                latest: give_up.saturating_sub(back),
+                least,
                 shards: parts.iter().map(|at| run.parts[*at].shard).collect(),
                 hops: run.hops + 1,
             }),
@@ -192,8 +202,8 @@
             }
         }
         run.bundles[n].page = Some(page);
-        // The peer has waited for them until the objective; they are of use only below the least coverage.
-        let is_enough = run.whole >= run.parts_min;
+        // The peer has waited for them; they are of use only below the least coverage.
+        let is_enough = run.whole >= run.parts_wanted;
         for at in missing {
             if is_enough {
                 self.give_up(run, at);
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -45,6 +45,7 @@
             whole: run.whole,
             missing: run.missing,
             parts_min: run.parts_min,
+            parts_wanted: run.parts_wanted,
             objective_at: run.objective_at,
             answer_by: run.answer_by,
         };
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -31,6 +31,10 @@
     pub route: Fingerprint,
     /// The time in which the page must leave to be in time.
     pub on_time: Duration,
+    /// The time in which it must leave to be of any use.
+    pub latest: Duration,
+    /// The fewest parts that are of use in time; with fewer the page waits.
+    pub least: usize,
     /// The shards wanted, by their number in the route.
     pub shards: Vec<u16>,
     /// VMs that the request has passed.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -88,6 +88,8 @@
     pub(crate) hops: u8,
     /// The fewest parts that make an answer.
     pub(crate) parts_min: usize,
+    /// The fewest parts that are of use to whoever asks.
+    pub(crate) parts_wanted: usize,
     /// Parts that peers ask for.
     pub(crate) bundles: SmallVec<[Bundle; 2]>,
     pub(crate) parts: Vec<Part>,
--- a/crates/relay/src/timers.rs
+++ b/crates/relay/src/timers.rs
@@ -72,7 +72,7 @@
             return;
         };
         let is_late = now + expected > run.objective_at;
-        if is_late && run.whole >= run.parts_min {
+        if is_late && run.whole >= run.parts_wanted {
             // The page goes out without it at the objective.
             return;
         }
--- a/crates/relay/src/verdict.rs
+++ b/crates/relay/src/verdict.rs
@@ -17,6 +17,8 @@
     pub missing: usize,
     /// The fewest parts that make an answer.
     pub parts_min: usize,
+    /// The fewest parts that are of use to whoever asks; with fewer it waits beyond the objective.
+    pub parts_wanted: usize,
     /// When an answer within the objective must leave.
     pub objective_at: Instant,
     /// When the final word leaves at the latest.
@@ -37,23 +39,26 @@
 /// Decides whether to wait, to answer or to fail.
 ///
 /// Fails as soon as too many parts are given up, rather than when the time is up: whoever asked can
-/// then ask again while there is time.
+/// then ask again while there is time. A peer, to which fewer parts than it wants are of little use but never
+/// none, then gets those that are in.
 #[must_use]
 pub fn verdict(now: Instant, p: &Progress) -> Verdict {
     let open = p.parts - p.whole - p.missing;
-    if p.whole + open < p.parts_min {
+    let can_come = p.whole + open;
+    if can_come < p.parts_min {
         return Verdict::Fail;
     }
-    let is_enough = p.whole >= p.parts_min;
-    if is_enough && (open == 0 || now >= p.objective_at) {
+    let is_all = open == 0 || can_come < p.parts_wanted;
+    let is_enough = p.whole >= p.parts_wanted && now >= p.objective_at;
+    if is_all || is_enough {
         return Verdict::Deliver;
     }
-    if now >= p.answer_by {
-        return if is_enough {
-            Verdict::Deliver
-        } else {
-            Verdict::Fail
-        };
+    if now < p.answer_by {
+        return Verdict::Wait;
+    }
+    if p.whole >= p.parts_min {
+        Verdict::Deliver
+    } else {
+        Verdict::Fail
     }
-    Verdict::Wait
 }
--- a/crates/relay/tests/relay/handover.rs
+++ b/crates/relay/tests/relay/handover.rs
@@ -333,6 +333,8 @@
     Some(Handed {
         route: route.fingerprint(),
         on_time: ms(100),
+        latest: ms(300),
+        least: 0,
         shards: shards.to_vec(),
         hops,
     })
@@ -363,6 +365,45 @@
     assert_eq!((p.stamps.len(), p.missing.as_slice()), (1, &[missing][..]));
 }
 
+/// A reader's page fails, and the 90 parts of it that were there are thrown away: a peer sent its page at the
+/// objective with one part too few, which was held up by a server's pause and came 60 ms later.
+#[test]
+fn a_bundle_with_too_few_parts_waits_beyond_the_objective_and_leaves_with_the_first_enough() {
+    let mut w = World::new(table(1, vec![route()])).with_pairs(&SHARDS);
+    let all = handed(&route(), &[0, 1, 2], 1);
+    let seq = arrive(&mut w, all.map(|h| Handed { least: 2, ..h }));
+    w.end("s0-near", good(b'a'));
+    w.pass(ms(160));
+    assert!(w.ending(seq).is_none());
+    w.end("s1-near", good(b'b'));
+    let p = whole_page(&w, seq);
+    assert_eq!((p.stamps.len(), shards_missing(p)), (2, vec![2]));
+}
+
+#[test]
+fn a_bundle_with_too_few_parts_leaves_with_what_there_is_while_it_is_of_use() {
+    let mut w = World::new(table(1, vec![route()])).with_pairs(&SHARDS);
+    let all = handed(&route(), &[0, 1, 2], 1);
+    let seq = arrive(&mut w, all.map(|h| Handed { least: 2, ..h }));
+    w.end("s0-near", good(b'a'));
+    w.pass(ms(299));
+    assert!(w.ending(seq).is_none());
+    w.pass(ms(2));
+    assert_eq!(shards_missing(whole_page(&w, seq)), [1, 2]);
+}
+
+/// What is told to the peer: a page of three shards needs two, so that of two parts one is needed.
+#[test]
+fn a_peer_is_told_how_many_of_its_parts_are_needed_and_how_long_they_are_waited_for() {
+    let mut w = world();
+    w.tell(opened("vm-2", 16));
+    w.ask("/page/x", ms(2500));
+    let over = w.sent[0].hand_over.clone().expect("a bundle");
+    assert_eq!(over.least, 1);
+    assert_eq!((over.latest - over.on_time), ms(200));
+    assert_eq!(w.sent[0].give_up, ms(150 - 14 + 200));
+}
+
 #[test]
 fn a_bundle_is_passed_on_once_and_not_twice() {
     for (hops, expected) in [
