fix(edge): a hand-over that a peer cannot read counts as not run; routes are taken from a peer by themselves

A peer of another version that refuses a hand-over as unreadable (400) has run nothing, but counted as lost: with three replicas its parts would be asked of nobody while VMs are upgraded in turn. A VM whose list of servers came from the store and whose routes did not would not have taken a peer's routes.

Test: process `a_hand_over_that_cannot_be_read_runs_nothing` (400 and no server runs anything).

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -119,8 +119,9 @@
                 let retry_ms = number(&whole.headers, &RETRY_MS).unwrap_or(RETRY_UNTOLD_MS);
                 AttemptEnd::Overloaded(Duration::from_millis(retry_ms))
             }
-            // Nothing was run there: it leaves, has no routes yet, or others than this VM.
-            StatusCode::SERVICE_UNAVAILABLE => AttemptEnd::Shed(None),
+            // Nothing was run there: it leaves, has no routes yet, or others than this VM, or it cannot read
+            // what another version of the program says.
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::BAD_REQUEST => AttemptEnd::Shed(None),
             _ => AttemptEnd::Garbled,
         };
         Judged {
--- a/crates/edge/src/seed.rs
+++ b/crates/edge/src/seed.rs
@@ -86,9 +86,10 @@
     fn take(&self, addr: SocketAddr, known: Knowledge) {
         let names = known.servers.iter().map(|s| s.name.to_string()).collect();
         let (version, servers) = (known.table.version(), known.servers.len());
-        let is_taken = self.state.take_told(names, || {
-            self.state.take_table(&known.table);
+        if self.state.take_table(&known.table) {
             self.feed.push(Event::Table(known.table));
+        }
+        let is_taken = self.state.take_told(names, || {
             for entry in known.servers {
                 self.feed.push(Event::Server(Arc::new(entry)));
             }
--- a/tests/relay/bad_input.rs
+++ b/tests/relay/bad_input.rs
@@ -5,6 +5,9 @@
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::support::all;
 use crate::support::is_whole;
@@ -45,3 +48,27 @@
     let route = r.route("/page/");
     all(&r.ask_all(3, &route).await, is_whole);
 }
+
+/// A VM of another version of the program asks for parts in words that this one does not know; told that
+/// nothing ran, it asks for them itself.
+#[rstest]
+#[case::no_headers("GET /page/x HTTP/1.1\r\nhost: x\r\n\r\n")]
+#[case::no_shards(
+    "GET /page/x HTTP/1.1\r\nhost: x\r\ngs-id: a\r\ngs-host: x\r\ngs-hops: 1\r\n\r\n"
+)]
+#[case::numbers_that_are_none(
+    "GET /page/x HTTP/1.1\r\nhost: x\r\ngs-id: a\r\ngs-host: x\r\ngs-patience-ms: y\r\n\r\n"
+)]
+#[tokio::test]
+async fn a_hand_over_that_cannot_be_read_runs_nothing(#[case] text: &str) {
+    let r = site().await;
+    r.clear_runs();
+    let mut tcp = TcpStream::connect(r.site.vms[0].plan().peers)
+        .await
+        .expect("a connection");
+    tcp.write_all(text.as_bytes()).await.expect("it is sent");
+    let mut answer = [0; 12];
+    tcp.read_exact(&mut answer).await.expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 400");
+    assert!(r.busy().is_empty(), "{:?}", r.busy());
+}
