--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -30,9 +30,9 @@
 /// for which a vanished server is kept it stays within that.
 const SETTLE_PART: f64 = 0.4;
 
-/// Each such pause while a fleet starts for the first time and all servers register within seconds; there
-/// are no callers yet. With pauses that double up to it as later on, a VM made 14.7 calls in its first 14 s,
-/// and 12.7 with this.
+/// The longest such pause while a fleet starts for the first time and all servers register at once; there
+/// are no callers yet. Were the first pause as long, all VMs would learn of all servers in the same moment and
+/// connect to them: with 300 VMs and servers that accept 26 connections 1% of the requests of a quiet day failed.
 const SETTLE_FIRST: Duration = Duration::from_millis(2500);
 
 /// So many changes at once are a page, and more may be waiting: a pause before each of them would leave
@@ -58,8 +58,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Settle {
     usual: Duration,
-    /// The pause while a fleet starts for the first time, if it does.
-    first: Option<Duration>,
+    first: Duration,
 }
 
 impl Settle {
@@ -68,17 +67,21 @@
         let usual = drain.mul_f64(SETTLE_PART).max(SETTLE);
         Self {
             usual,
-            first: first_start.then_some(SETTLE_FIRST),
+            first: if first_start { SETTLE_FIRST } else { usual },
         }
     }
 
     /// The pause after a watch that waited so long and brought something, by the pause before.
     fn after(self, before: Duration, waited: Duration, since_start: Duration) -> Duration {
-        match self.first {
-            Some(first) if since_start < FIRST_TIME => first,
-            _ if waited >= QUIET => SETTLE,
-            _ => (before * 2).clamp(SETTLE, self.usual),
+        let longest = if since_start < FIRST_TIME {
+            self.first
+        } else {
+            self.usual
+        };
+        if waited >= QUIET {
+            return SETTLE;
         }
+        (before * 2).clamp(SETTLE, longest)
     }
 }
 
