fix(rig): the three ports of a stand-in's VM differ

Cause: ports were found free one after the other, each free again once found. Load has no part in it. The failed run's own log was not kept by the test, so that this VM failed for that is inferred.

Change: all three are held until the last is found.

--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -36,3 +36,4 @@
 pub use vm::RelayVmPlan;
 pub use whole::Site;
 pub use whole::SiteOptions;
+pub use whole::free_ports;
--- a/crates/rig/src/site/whole.rs
+++ b/crates/rig/src/site/whole.rs
@@ -176,13 +176,13 @@
 }
 
 fn plan(n: usize) -> Result<RelayVmPlan> {
-    let ip = own_address();
+    let [callers, status, peers] = free_ports(own_address())?;
     Ok(RelayVmPlan {
         name: format!("vm-{n}"),
         zone: ZONES[n % ZONES.len()].to_owned(),
-        callers: free(ip)?,
-        status: free(ip)?,
-        peers: free(ip)?,
+        callers,
+        status,
+        peers,
         seeds: Vec::new(),
     })
 }
@@ -205,9 +205,18 @@
     Ipv4Addr::new(127, n as u8, high, low.clamp(1, 254))
 }
 
-/// A port of an address that nobody listens on at present.
-fn free(ip: Ipv4Addr) -> Result<SocketAddr> {
+/// Three ports of an address that nobody listens on at present, all different.
+///
+/// Guards against a VM that does not start: found one after the other, one time in 2,300 two of the three are
+/// the same, as each is free again once it is found. So all are held until the last one is.
+///
+/// # Errors
+///
+/// [`ErrorKind::Io`] if the address has none.
+pub fn free_ports(ip: Ipv4Addr) -> Result<[SocketAddr; 3]> {
     let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("find a port");
-    let listener = TcpListener::bind((ip, 0)).map_err(failed)?;
-    listener.local_addr().map_err(failed)
+    let held = [0; 3].map(|any| TcpListener::bind((ip, any)));
+    let [a, b, c] = held.map(|l| l.and_then(|l| Ok((l.local_addr()?, l))));
+    let (a, b, c) = (a.map_err(failed)?, b.map_err(failed)?, c.map_err(failed)?);
+    Ok([a.0, b.0, c.0])
 }
