--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -32,7 +32,7 @@
 
 /// The longest such pause while a fleet starts for the first time and all servers register at once; there
 /// are no callers yet. Were the first pause as long, all VMs would learn of all servers in the same moment and
-/// connect to them: with 300 VMs and servers that accept 26 connections 1% of the requests of a quiet day failed.
+/// connect to them: with 300 VMs and 381 servers 1% of the requests of a quiet day failed.
 const SETTLE_FIRST: Duration = Duration::from_millis(2500);
 
 /// So many changes at once are a page, and more may be waiting: a pause before each of them would leave
