--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -130,7 +130,7 @@
             if self.is_elsewhere(&run.route, n) {
                 continue;
             }
-            let waiting = self.waiting(shard);
+            let waiting = self.services.get(shard).map_or(0, |s| s.waiting.len());
             known.extend(scene.outlook(shard, waiting));
         }
         if known.is_empty() {
@@ -149,7 +149,7 @@
         let mut reached = 0;
         let mut back_at: Option<Instant> = None;
         for part in self.parts_of(&route, run.only.as_deref()) {
-            match self.scene(now, run).place(&part, 0) {
+            match self.scene(now, run).place(&part) {
                 Place::Now(..) | Place::Wait => reached += 1,
                 Place::Nowhere(until) => back_at = soonest(back_at, until),
             }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -36,27 +36,12 @@
         at: usize,
         cause: Cause,
         out: &mut Vec<Action>,
-    ) {
-        let waiting = self.waiting(&run.parts[at].service);
-        let place = self.scene(now, run).place(&run.parts[at], waiting);
-        self.follow(now, run, at, cause, place, out);
-    }
-
-    /// Makes an attempt at a part where it was placed, if the budget allows it.
-    pub(crate) fn follow(
-        &mut self,
-        now: Instant,
-        run: &mut Run,
-        at: usize,
-        cause: Cause,
-        place: Place,
-        out: &mut Vec<Action>,
     ) {
         if run.parts[at].attempts.len() >= ATTEMPTS_MAX || now >= run.answer_by {
             self.give_up(run, at);
             return;
         }
-        match place {
+        match self.scene(now, run).place(&run.parts[at]) {
             Place::Now(server, _) => {
                 if cause != Cause::First && !self.take_extra(now, run, at, false) {
                     self.give_up(run, at);
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -66,20 +66,17 @@
     /// Finds the server that is expected to answer first.
     ///
     /// A server that already failed the part is asked again only if no other is left.
-    /// It may be one all of whose connections are busy, behind `waiting` other parts: a short wait for a
-    /// server nearby is sooner, and takes fewer bytes, than a free one elsewhere.
-    pub(crate) fn place(&self, part: &Part, waiting: usize) -> Place {
-        let waiting = Some(waiting);
-        let fresh = self.among(part, waiting, |tried| tried.is_none());
+    pub(crate) fn place(&self, part: &Part) -> Place {
+        let fresh = self.among(part, |tried| tried.is_none());
         if matches!(fresh, Place::Nowhere(_)) && !part.attempts.is_empty() {
-            return self.among(part, waiting, |tried| tried.is_some_and(|a| !a.is_live()));
+            return self.among(part, |tried| tried.is_some_and(|a| !a.is_live()));
         }
         fresh
     }
 
     /// Finds a server for a second attempt beside a slow one: untried and free.
     pub(crate) fn place_hedge(&self, part: &Part) -> Option<(ServerKey, Duration)> {
-        match self.among(part, None, |tried| tried.is_none()) {
+        match self.among(part, |tried| tried.is_none()) {
             Place::Now(key, expected) => Some((key, expected)),
             Place::Wait | Place::Nowhere(_) => None,
         }
@@ -121,20 +118,14 @@
         open.iter().map(of).min()
     }
 
-    /// The best of the servers that are wanted; without `waiting`, of those with a connection free.
-    fn among(
-        &self,
-        part: &Part,
-        waiting: Option<usize>,
-        wanted: impl Fn(Option<&Attempt>) -> bool,
-    ) -> Place {
+    fn among(&self, part: &Part, wanted: impl Fn(Option<&Attempt>) -> bool) -> Place {
         let servers = self.servers.of(&part.service);
         let may_all_have_run = part.elsewhere == Asked::Unknown;
         if may_all_have_run && servers.len() > usize::from(self.servers_max) {
             return Place::Nowhere(None);
         }
         let ran = Ran::of(part, self.servers);
-        let mut best: Option<(Place, Duration)> = None;
+        let mut best: Option<(ServerKey, Duration, Duration)> = None;
         let mut must_wait = false;
         let mut back_at: Option<Instant> = None;
         for key in servers {
@@ -150,25 +141,18 @@
                 back_at = Some(back_at.map_or(until, |b| b.min(until)));
                 continue;
             }
-            let is_free = view.has_connection();
-            must_wait |= !is_free;
-            let behind = if is_free { Some(0) } else { waiting };
-            let Some(behind) = behind else {
+            if !view.has_connection() {
+                must_wait = true;
                 continue;
-            };
-            let expected = self.expected_behind(view, behind as f64);
+            }
+            let expected = self.expected(view);
             let cost = expected + self.penalty(view, expected);
-            if best.is_none_or(|(_, least)| cost < least) {
-                let place = if is_free {
-                    Place::Now(*key, expected)
-                } else {
-                    Place::Wait
-                };
-                best = Some((place, cost));
+            if best.is_none_or(|(_, _, least)| cost < least) {
+                best = Some((*key, expected, cost));
             }
         }
         match best {
-            Some((place, _)) => place,
+            Some((key, expected, _)) => Place::Now(key, expected),
             None if must_wait => Place::Wait,
             None => Place::Nowhere(back_at),
         }
--- a/crates/relay/src/queue.rs
+++ b/crates/relay/src/queue.rs
@@ -5,8 +5,6 @@
 
 use std::time::Instant;
 
-use gs_types::prelude::*;
-
 use crate::action::Action;
 use crate::attempt::Cause;
 use crate::placement::Place;
@@ -25,11 +23,6 @@
         self.service(&service).waiting.insert(waiter);
     }
 
-    /// Parts that wait for a connection to a service's servers.
-    pub(crate) fn waiting(&self, service: &ServiceName) -> usize {
-        self.services.get(service).map_or(0, |s| s.waiting.len())
-    }
-
     /// Takes a part out of its service's queue.
     pub(crate) fn unqueue(&mut self, run: &Run, at: usize) {
         if let Some(s) = self.services.get_mut(&run.parts[at].service) {
@@ -50,7 +43,7 @@
         }
     }
 
-    fn first_waiting(&self, service: &ServiceName) -> Option<Waiter> {
+    fn first_waiting(&self, service: &gs_types::prelude::ServiceName) -> Option<Waiter> {
         let s = self.core.services.get(service)?;
         s.waiting.first().copied()
     }
@@ -69,14 +62,12 @@
                 core.unqueue(run, at);
                 return false;
             };
-            // It is the first in its queue, so nothing waits before it.
-            let place = core.scene(now, run).place(&run.parts[at], 0);
-            if place == Place::Wait {
+            if core.scene(now, run).place(&run.parts[at]) == Place::Wait {
                 is_placed = false;
                 return false;
             }
             core.unqueue(run, at);
-            core.follow(now, run, at, cause, place, out);
+            core.try_part(now, run, at, cause, out);
             core.settle(now, run, out)
         });
         is_placed
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -209,8 +209,6 @@
         let Some(view) = self.core.servers.get(server) else {
             return;
         };
-        // Those that wait for one of its connections are placed anew.
-        self.core.freed.push(view.entry.service.clone());
         let waiting: Vec<RunId> = view.outstanding.iter().map(|(id, _)| *id).collect();
         for id in waiting {
             self.with(id.lookup, |core, run| {
