perf(edge, relay): pauses between looks at the register begin at half of the longest

Change: outside a start the first pause is half of the longest, which stays as it was, as does the bound on leaving servers. The decision moves out of the shell into relay/settle.rs, with tests.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -6,6 +6,7 @@
 
 use gs_actor::Feed;
 use gs_relay::Event;
+use gs_relay::Settle;
 use gs_store::Backoff;
 use gs_types::prelude::*;
 use tokio::time::Instant;
@@ -22,69 +23,19 @@
 /// connection that went silent is noticed by its own probes.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 
-/// The pause after a watch that brought something, so that a storm of changes is a few calls and not
-/// one each. It doubles while changes go on, and starts again after a quiet while.
-const SETTLE: Duration = Duration::from_millis(200);
-
-/// The part of the time that a leaving server goes on serving which such a pause may take: with the time
-/// for which a vanished server is kept it stays within that.
-const SETTLE_PART: f64 = 0.4;
-
-/// The longest such pause while a fleet starts for the first time and all servers register at once; there
-/// are no callers yet. Were the first pause as long, all VMs would learn of all servers in the same moment and
-/// connect to them: with 300 VMs and 381 servers 1% of the requests of a quiet day failed.
-const SETTLE_FIRST: Duration = Duration::from_millis(2500);
-
 /// So many changes at once are a page, and more may be waiting: a pause before each of them would leave
 /// this VM seconds behind after a storm.
 const FULL_PAGE: usize = 200;
 
-/// How long a first start takes.
-const FIRST_TIME: Duration = Duration::from_secs(8);
-
 /// The kinds, for the log.
 const KINDS: [&str; 2] = ["routes", "servers"];
 
-/// A watch that waited so long before it brought something was quiet.
-const QUIET: Duration = Duration::from_secs(2);
-
 /// The first wait after a failure.
 const BACKOFF: Duration = Duration::from_millis(100);
 
 /// The longest wait between tries during an outage; the bound on changes runs on.
 const BACKOFF_MAX: Duration = Duration::from_millis(800);
 
-/// The longest pause between two watches that brought something.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Settle {
-    usual: Duration,
-    first: Duration,
-}
-
-impl Settle {
-    /// The pauses of a process, by how long a leaving server goes on serving.
-    pub(crate) fn new(drain: Duration, first_start: bool) -> Self {
-        let usual = drain.mul_f64(SETTLE_PART).max(SETTLE);
-        Self {
-            usual,
-            first: if first_start { SETTLE_FIRST } else { usual },
-        }
-    }
-
-    /// The pause after a watch that waited so long and brought something, by the pause before.
-    fn after(self, before: Duration, waited: Duration, since_start: Duration) -> Duration {
-        let longest = if since_start < FIRST_TIME {
-            self.first
-        } else {
-            self.usual
-        };
-        if waited >= QUIET {
-            return SETTLE;
-        }
-        (before * 2).clamp(SETTLE, longest)
-    }
-}
-
 /// Keeps one kind of the directory mirrored.
 pub(crate) struct Follower {
     pub(crate) kind: DirectoryKind,
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -12,6 +12,7 @@
 use gs_http::listen;
 use gs_relay::Event;
 use gs_relay::Relay;
+use gs_relay::Settle;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 
@@ -22,7 +23,6 @@
 use crate::directory::DirectoryKind;
 use crate::ends::Ends;
 use crate::follow::Follower;
-use crate::follow::Settle;
 use crate::lanes::Lanes;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod pages;
 mod pauses;
 mod register;
+mod settle;
 mod suspects;
 mod windows;
 mod world;
--- /dev/null
+++ b/crates/relay/tests/relay/settle.rs
@@ -0,0 +1,54 @@
+//! Pauses between looks at the register.
+
+use std::time::Duration;
+
+use gs_relay::Settle;
+
+use crate::world::ms;
+
+const DRAIN: Duration = Duration::from_secs(5);
+
+/// Long after the start.
+const LATER: Duration = Duration::from_secs(60);
+
+/// Looks in a series of changes that lasts `series`, each look finding one at once.
+fn looks_in(series: Duration) -> usize {
+    let settle = Settle::new(DRAIN, false);
+    let mut waited = Duration::from_secs(9);
+    let mut pause = Duration::ZERO;
+    let mut at = Duration::ZERO;
+    let mut looks = 0;
+    while at < series {
+        looks += 1;
+        pause = settle.after(pause, waited, LATER);
+        waited = Duration::ZERO;
+        at += pause;
+    }
+    looks
+}
+
+/// Servers are replaced in turn for ten seconds, and each of 80 VMs makes three calls in the first second and
+/// one every two seconds after: and pays for each.
+#[test]
+fn a_series_of_changes_takes_a_look_a_second_and_less() {
+    assert!(looks_in(ms(10_000)) <= 6, "{}", looks_in(ms(10_000)));
+}
+
+/// A VM that pauses longer than a leaving server goes on serving sends it work after that.
+#[test]
+fn a_pause_leaves_a_leaving_server_most_of_its_time() {
+    let settle = Settle::new(DRAIN, false);
+    let mut pause = Duration::ZERO;
+    for _ in 0..10 {
+        pause = settle.after(pause, Duration::ZERO, LATER);
+        assert!(pause <= DRAIN / 2, "{pause:?}");
+    }
+}
+
+/// All VMs of a fleet that starts learn of all servers in the same moment and connect to them at once.
+#[test]
+fn a_fleet_that_starts_begins_with_short_pauses() {
+    let settle = Settle::new(DRAIN, true);
+    let first = settle.after(Duration::ZERO, Duration::from_secs(3), ms(500));
+    assert!(first <= ms(250), "{first:?}");
+}
