--- a/crates/relay/tests/relay/hedges.rs
+++ b/crates/relay/tests/relay/hedges.rs
@@ -7,32 +7,11 @@
 use crate::world::World;
 use crate::world::good;
 use crate::world::ms;
-use crate::world::page_route;
-use crate::world::table;
-
-const SHARDS: [&str; 1] = ["s0"];
-
-/// A world that has learned that its near server answers in 10 ms and the far one in 20 ms.
-fn learned() -> World {
-    let mut w = World::new(table(1, vec![page_route(&SHARDS, 1.0)])).with_pairs(&SHARDS);
-    for _ in 0..200 {
-        w.ask("/page/x", ms(2500));
-        w.pass(ms(10));
-        if w.busy() == ["s0-near"] {
-            w.end("s0-near", good(b'a'));
-        }
-        w.pass(ms(10));
-        if w.busy() == ["s0-far"] {
-            w.end("s0-far", good(b'a'));
-        }
-    }
-    w
-}
 
 /// A page misses its objective because one server paused for 200 ms as the request came in.
 #[test]
 fn a_slow_attempt_is_made_again_elsewhere_well_before_the_objective() {
-    let mut w = learned();
+    let mut w = World::learned();
     let seq = w.ask("/page/x", ms(2500));
     w.pass(ms(44));
     assert_eq!(w.busy(), ["s0-near"]);
@@ -47,7 +26,7 @@
 /// Every page of the next 150 ms waits its own hedge delay out at a server that is known to pause.
 #[test]
 fn once_a_server_is_found_to_pause_the_next_requests_go_elsewhere() {
-    let mut w = learned();
+    let mut w = World::learned();
     w.ask("/page/x", ms(2500));
     w.pass(ms(46));
     w.ask("/page/y", ms(2500));
@@ -58,7 +37,7 @@
 /// The attempts sent to a server just before its pause was noticed each wait their own delay out.
 #[test]
 fn what_waits_at_a_server_found_to_pause_is_made_again_at_once() {
-    let mut w = learned();
+    let mut w = World::learned();
     w.ask("/page/x", ms(2500));
     w.pass(ms(20));
     w.ask("/page/y", ms(2500));
@@ -70,7 +49,7 @@
 /// Servers that are slow everywhere get every request twice, and stay slow for it.
 #[test]
 fn hedges_stop_at_the_budget() {
-    let mut w = learned();
+    let mut w = World::learned();
     let before = w.relay.counters().hedges;
     for _ in 0..500 {
         w.ask("/page/x", ms(2500));
