--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -23,7 +23,7 @@
 
 /// How many times its expected time an answer takes that was held up: work varies by a third, and one run
 /// in a hundred takes five times as long.
-const HELD_UP: f64 = 3.0;
+const HELD_UP_RATIO: f64 = 3.0;
 
 /// How long a held-up answer is kept in mind: a server that is slow is asked again within it.
 const HELD_UP_MEMORY: Duration = Duration::from_secs(4);
@@ -231,7 +231,7 @@
         self.heard = Some(now);
         self.rests = 0;
         self.rest_until = None;
-        if self.is_of_its_own(now, begun, ratio) {
+        if self.tells_slowness(now, begun, ratio) {
             self.note_slowness(now, ratio);
         }
         self.note_failure(now, !is_good);
@@ -243,11 +243,11 @@
     /// A pause holds up every run that is there, and each would pass for slow work: the server would be
     /// passed by for seconds after a pause of a fraction of one, while its replicas do its work. One that
     /// is slow shows it again with the first answer begun after the one that was held up.
-    fn is_of_its_own(&mut self, now: Instant, begun: Instant, ratio: f64) -> bool {
+    fn tells_slowness(&mut self, now: Instant, begun: Instant, ratio: f64) -> bool {
         let held_up = self
             .held_up
             .filter(|at| now.saturating_duration_since(*at) < HELD_UP_MEMORY);
-        if ratio < HELD_UP {
+        if ratio < HELD_UP_RATIO {
             if held_up.is_some_and(|at| begun >= at) {
                 self.held_up = None;
             }
--- a/crates/relay/src/settle.rs
+++ b/crates/relay/src/settle.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// The shortest pause after a look that brought something.
-const SHORTEST: Duration = Duration::from_millis(200);
+const SHORTEST_PAUSE: Duration = Duration::from_millis(200);
 
 /// The part of the time that a leaving server goes on serving which a pause may take: together with the time
 /// for which a vanished server is kept it stays within that.
@@ -23,10 +23,10 @@
 const LONGEST_AT_START: Duration = Duration::from_millis(2500);
 
 /// How long a start takes.
-const START: Duration = Duration::from_secs(8);
+const START_TIME: Duration = Duration::from_secs(8);
 
 /// A look that waited so long before it brought something ends a series of changes.
-const QUIET: Duration = Duration::from_secs(2);
+const QUIET_AFTER: Duration = Duration::from_secs(2);
 
 /// The pauses between looks that bring something: they double while a series of changes goes on.
 #[derive(Clone, Copy, Debug)]
@@ -39,7 +39,7 @@
     /// The pauses of a process, by how long a leaving server goes on serving.
     #[must_use]
     pub fn new(drain: Duration, first_start: bool) -> Self {
-        let longest = drain.mul_f64(LONGEST_PART).max(SHORTEST);
+        let longest = drain.mul_f64(LONGEST_PART).max(SHORTEST_PAUSE);
         Self {
             longest,
             longest_at_start: if first_start {
@@ -53,12 +53,12 @@
     /// The pause after a look that waited so long and brought something, by the pause before it.
     #[must_use]
     pub fn after(self, before: Duration, waited: Duration, since_start: Duration) -> Duration {
-        let (begin, longest) = if since_start < START {
-            (SHORTEST, self.longest_at_start)
+        let (begin, longest) = if since_start < START_TIME {
+            (SHORTEST_PAUSE, self.longest_at_start)
         } else {
             (self.longest.mul_f64(BEGIN_PART), self.longest)
         };
-        if waited >= QUIET {
+        if waited >= QUIET_AFTER {
             return begin;
         }
         (before * 2).clamp(begin, longest)
--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -37,27 +37,27 @@
     /// Whether this VM runs fan-outs.
     runs: bool,
     /// VMs that run fan-outs.
-    runners: Head,
+    runners: Headcount,
     /// All VMs.
-    all: Head,
-}
-
-impl Default for Head {
-    fn default() -> Self {
-        Self::of(1)
-    }
+    all: Headcount,
 }
 
 /// How many VMs there are.
 #[derive(Clone, Copy, Debug, PartialEq)]
-struct Head {
+struct Headcount {
     /// Those that are listed.
     listed: u32,
     /// Those that may be there, some that have just been added included.
     at_most: u32,
 }
 
-impl Head {
+impl Default for Headcount {
+    fn default() -> Self {
+        Self::of(1)
+    }
+}
+
+impl Headcount {
     fn of(listed: usize) -> Self {
         Self {
             // There are far fewer VMs than 2^32.
@@ -87,8 +87,8 @@
                 shards,
                 knows_vms: false,
                 runs: true,
-                runners: Head::of(core.options.peers as usize),
-                all: Head::of(core.options.peers as usize),
+                runners: Headcount::of(core.options.peers as usize),
+                all: Headcount::of(core.options.peers as usize),
             };
         }
         let vms = core.roster.vms().iter();
@@ -98,8 +98,8 @@
             shards,
             knows_vms: true,
             runs: runners.iter().any(is_me),
-            runners: Head::of(runners.len()),
-            all: Head::of(core.roster.vms().len()),
+            runners: Headcount::of(runners.len()),
+            all: Headcount::of(core.roster.vms().len()),
         }
     }
 
--- a/crates/relay/src/transit.rs
+++ b/crates/relay/src/transit.rs
@@ -9,10 +9,10 @@
 use gs_types::prelude::*;
 
 /// How much of a new sample goes into the mean (RFC 6298).
-const WEIGHT: f64 = 1.0 / 8.0;
+const SAMPLE_WEIGHT: f64 = 1.0 / 8.0;
 
 /// How much longer than the least time seen a way is, before any hand-over was: links vary by a third.
-const FIRST: f64 = 1.15;
+const FIRST_FACTOR: f64 = 1.15;
 
 /// The mean time on the way to the peers of each data centre and back, in seconds.
 ///
@@ -26,7 +26,7 @@
     pub(crate) fn observe(&mut self, from: &DataCentre, took: Duration, held: Duration) {
         let secs = took.saturating_sub(held).as_secs_f64();
         match self.0.get_mut(from) {
-            Some(mean) => *mean += (secs - *mean) * WEIGHT,
+            Some(mean) => *mean += (secs - *mean) * SAMPLE_WEIGHT,
             None => {
                 self.0.insert(from.clone(), secs);
             }
@@ -36,6 +36,6 @@
     /// The time on the way there and back, where the least seen is `way`.
     pub(crate) fn to(&self, data_centre: &DataCentre, way: Duration) -> Duration {
         let mean = self.0.get(data_centre).copied();
-        mean.map_or(way.mul_f64(FIRST), Duration::from_secs_f64)
+        mean.map_or(way.mul_f64(FIRST_FACTOR), Duration::from_secs_f64)
     }
 }
