--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -29,8 +29,7 @@
 const IN_FLIGHT_FREE: usize = 2;
 
 /// How many times its expected time the last part that is needed takes: work varies by a third, and of many
-/// parts nearly all must be in. Of what answers on time would have earned, with 1.0, 1.2 and 1.4: 55%, 62% and
-/// 63% at four times the load, and 64%, 63% and 62% on a day of trouble at a usual one.
+/// parts nearly all must be in.
 const SPREAD: f64 = 1.2;
 
 /// The part of the time to the objective that each rank below the highest may be expected to take: where there
@@ -89,8 +88,7 @@
     ///
     /// The load it answers: callers that come several times as often as the servers can serve, and come again.
     /// Taken on, each page would be late, and make the next ones late; turned away at once, those that are
-    /// taken on are on time and the others may come back. Replayed at twice the capacity, over 60% of the pages that
-    /// are possible come on time, and 6% without it.
+    /// taken on are on time and the others may come back.
     pub(crate) fn check_room(
         &mut self,
         now: Instant,
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -109,8 +109,8 @@
     /// Refuses a request from now on that broke servers and was answered by none, now that it ends.
     ///
     /// Guards against a search that is refused everywhere because some servers lost connections under it:
-    /// they do so at once, and the others answer only after their work. Decided at each break, 5 of 2,268
-    /// requests were set aside on a day on which servers lost connections; 1 is now.
+    /// they do so at once, and the others answer only after their work. Decided at each break, it would be set
+    /// aside before those have had the time to.
     pub(crate) fn judge_run(&mut self, now: Instant, run: &Run, out: &mut Vec<Action>) {
         if run.survived || self.suspects.is_calm() {
             return;
--- a/crates/relay/src/hedge.rs
+++ b/crates/relay/src/hedge.rs
@@ -24,8 +24,7 @@
 
 /// The part of the objective that an attempt may take before it is hedged, if most are faster: what is
 /// left is enough for a second one, and fewer of those that are slow by then would still come by
-/// themselves. Best of 0, 0.2, 0.3 and 0.4: on a day of trouble 3% more is earned than without it, for 7% fewer
-/// bytes between regions.
+/// themselves.
 const LATEST_PART: f64 = 0.3;
 
 /// What is learned of one route's attempts.
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -6,14 +6,11 @@
 use gs_types::prelude::*;
 
 /// The way of a request from its caller and of the answer back, where callers are up to 3 ms away, with the
-/// delays of timers and links. Of 8 and 10 ms beside [`ANSWER_WORK`] the second earns 3% more there with
-/// many shards slow, and as much on a quiet day.
+/// delays of timers and links.
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(10);
 
 /// The time of a whole core in which a request is read and its page put together and sent; a VM with a
-/// part of a core takes as many times longer. Of what answers on time would have earned with many shards
-/// slow, where most VMs have 0.12 of a core and the others 0.5: 85%, and 80% with 14 ms before the objective
-/// at all of them.
+/// part of a core takes as many times longer.
 pub const ANSWER_WORK: Duration = Duration::from_micros(1200);
 
 /// The relay's settings; the defaults are docs/DESIGN-platform.md's.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -26,8 +26,7 @@
 const REMOTE_HANDICAP: Duration = Duration::from_millis(6);
 
 /// How many times longer a queue takes than the mean of its work says, as others join it elsewhere before
-/// their load is told here. With a larger factor on all of the time instead, a twentieth of what a day of trouble
-/// earns was lost to refusals that were not needed.
+/// their load is told here.
 const QUEUE_FACTOR: f64 = 2.0;
 
 /// The most that a server's slowness counts for the outlook of a page: a slow server is passed by, and a page
