--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -48,21 +48,24 @@
 }
 
 /// What is known of a kind.
-#[derive(Default)]
 struct Known {
     /// The names of the objects that are there.
     names: BTreeSet<String>,
     /// The state to watch from; `None` to list first.
     at: Option<Revision>,
-    /// The pause after the last watch.
-    settle: Duration,
+    /// The pauses between watches.
+    settle: Settle,
 }
 
 impl Follower {
     /// Follows until the process ends.
     pub(crate) async fn run(self) {
         let mut backoff = Backoff::new(BACKOFF, BACKOFF_MAX, self.seed);
-        let mut known = Known::default();
+        let mut known = Known {
+            names: BTreeSet::new(),
+            at: None,
+            settle: self.settle,
+        };
         let mut outage_ends = self.contact.ends();
         let begun = Instant::now();
         loop {
@@ -80,7 +83,7 @@
                 Ok(()) => {
                     self.contact.seen(KINDS[self.kind as usize]);
                     backoff.reset();
-                    tokio::time::sleep(known.settle).await;
+                    tokio::time::sleep(known.settle.pause()).await;
                 }
                 Err(e) if e.kind() == ErrorKind::NotFound => {
                     log::info!("event=directory-forgot kind={} error=\"{e}\"", self.kind);
@@ -128,6 +131,7 @@
             self.take(known, item);
         }
         known.at = Some(listing.at);
+        known.settle.restart();
         Ok(())
     }
 
@@ -135,12 +139,11 @@
         let begun = Instant::now();
         let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
         let is_page = changes.items.len() >= FULL_PAGE;
-        known.settle = if changes.items.is_empty() || is_page {
-            Duration::ZERO
+        if changes.items.is_empty() || is_page {
+            known.settle.restart();
         } else {
-            self.settle
-                .after(known.settle, begun.elapsed(), started.elapsed())
-        };
+            known.settle.changed(begun.elapsed(), started.elapsed());
+        }
         for item in changes.items {
             self.take(known, item);
         }
--- a/crates/relay/src/settle.rs
+++ b/crates/relay/src/settle.rs
@@ -33,6 +33,7 @@
 pub struct Settle {
     longest: Duration,
     longest_at_start: Duration,
+    pause: Duration,
 }
 
 impl Settle {
@@ -47,20 +48,36 @@
             } else {
                 longest
             },
+            pause: Duration::ZERO,
         }
     }
 
-    /// The pause after a look that waited so long and brought something, by the pause before it.
+    /// The pause before the next look.
     #[must_use]
-    pub fn after(self, before: Duration, waited: Duration, since_start: Duration) -> Duration {
+    pub fn pause(&self) -> Duration {
+        self.pause
+    }
+
+    /// Everything was listed, or a look brought nothing or a part of what there is: the next one follows at
+    /// once.
+    ///
+    /// Kept over an outage, a pause of before it would delay the first look after it, and a server that left
+    /// meanwhile would get work for that much longer.
+    pub fn restart(&mut self) {
+        self.pause = Duration::ZERO;
+    }
+
+    /// A look that waited so long brought something.
+    pub fn changed(&mut self, waited: Duration, since_start: Duration) {
         let (begin, longest) = if since_start < START_TIME {
             (SHORTEST_PAUSE, self.longest_at_start)
         } else {
             (self.longest.mul_f64(BEGIN_PART), self.longest)
         };
-        if waited >= QUIET_AFTER {
-            return begin;
-        }
-        (before * 2).clamp(begin, longest)
+        self.pause = if waited >= QUIET_AFTER {
+            begin
+        } else {
+            (self.pause * 2).clamp(begin, longest)
+        };
     }
 }
--- a/crates/relay/tests/relay/settle.rs
+++ b/crates/relay/tests/relay/settle.rs
@@ -13,16 +13,15 @@
 
 /// Looks in a series of changes that lasts `series`, each look finding one at once.
 fn looks_in(series: Duration) -> usize {
-    let settle = Settle::new(DRAIN, false);
+    let mut settle = Settle::new(DRAIN, false);
     let mut waited = Duration::from_secs(9);
-    let mut pause = Duration::ZERO;
     let mut at = Duration::ZERO;
     let mut looks = 0;
     while at < series {
         looks += 1;
-        pause = settle.after(pause, waited, LATER);
+        settle.changed(waited, LATER);
         waited = Duration::ZERO;
-        at += pause;
+        at += settle.pause();
     }
     looks
 }
@@ -37,18 +36,30 @@
 /// A VM that pauses longer than a leaving server goes on serving sends it work after that.
 #[test]
 fn a_pause_leaves_a_leaving_server_most_of_its_time() {
-    let settle = Settle::new(DRAIN, false);
-    let mut pause = Duration::ZERO;
+    let mut settle = Settle::new(DRAIN, false);
     for _ in 0..10 {
-        pause = settle.after(pause, Duration::ZERO, LATER);
-        assert!(pause <= DRAIN / 2, "{pause:?}");
+        settle.changed(Duration::ZERO, LATER);
+        assert!(settle.pause() <= DRAIN / 2, "{:?}", settle.pause());
     }
 }
 
 /// All VMs of a fleet that starts learn of all servers in the same moment and connect to them at once.
 #[test]
 fn a_fleet_that_starts_begins_with_short_pauses() {
-    let settle = Settle::new(DRAIN, true);
-    let first = settle.after(Duration::ZERO, Duration::from_secs(3), ms(500));
-    assert!(first <= ms(250), "{first:?}");
+    let mut settle = Settle::new(DRAIN, true);
+    settle.changed(Duration::from_secs(3), ms(500));
+    assert!(settle.pause() <= ms(250), "{:?}", settle.pause());
+}
+
+/// Guards against work sent to a server that left: a pause of the start, taken after the end of an outage.
+#[test]
+fn a_list_after_an_outage_is_followed_by_a_look_at_once() {
+    let mut settle = Settle::new(DRAIN, true);
+    for at in [500, 1000, 2000, 4000] {
+        settle.changed(Duration::ZERO, ms(at));
+    }
+    settle.restart();
+    assert_eq!(settle.pause(), Duration::ZERO);
+    settle.changed(Duration::ZERO, LATER);
+    assert!(settle.pause() <= DRAIN.mul_f64(0.2), "{:?}", settle.pause());
 }
