--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -61,6 +61,16 @@
     pub items: Vec<Item>,
 }
 
+/// Who told of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Origin {
+    /// The platform, for which each answer is a call that is paid for.
+    #[default]
+    Platform,
+    /// Another VM.
+    Peer,
+}
+
 /// What changed since a revision.
 #[derive(Clone, Debug, Default)]
 pub struct Changes {
@@ -68,6 +78,8 @@
     pub at: Revision,
     /// What changed, in order; empty if nothing did in the time given.
     pub items: Vec<Item>,
+    /// Who told.
+    pub origin: Origin,
 }
 
 /// Tells one renewal of an announcement from the one before, over restarts too.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -15,6 +15,7 @@
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::directory::Item;
+use crate::directory::Origin;
 use crate::directory::Revision;
 use crate::directory::Thing;
 use crate::state::State;
@@ -139,7 +140,8 @@
         let begun = Instant::now();
         let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
         let is_page = changes.items.len() >= FULL_PAGE;
-        if changes.items.is_empty() || is_page {
+        let is_free = changes.origin == Origin::Peer;
+        if changes.items.is_empty() || is_page || is_free {
             known.settle.restart();
         } else {
             known.settle.changed(begun.elapsed(), started.elapsed());
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -40,6 +40,8 @@
 
 use crate::body::read_body;
 use crate::desk::Desk;
+use crate::register::REGISTER_PATH;
+use crate::register::Register;
 use crate::servers::Judged;
 use crate::servers::ServerCodec;
 use crate::servers::opaque_request;
@@ -188,6 +190,7 @@
 pub(crate) struct Peers {
     pub(crate) desk: Desk,
     pub(crate) relay: Shared<Relay>,
+    pub(crate) register: Arc<Register>,
 }
 
 impl Peers {
@@ -196,6 +199,9 @@
         if req.uri().path() == KNOWLEDGE_PATH && !req.headers().contains_key(ID) {
             return self.knowledge();
         }
+        if req.uri().path().starts_with(REGISTER_PATH) && !req.headers().contains_key(ID) {
+            return self.register.answer(req.uri()).await;
+        }
         let begun = Instant::now();
         let (head, body) = req.into_parts();
         let body = read_body(body, self.desk.body_max()).await;
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -20,6 +20,7 @@
 use crate::contact::Contact;
 use crate::desk::Desk;
 use crate::desk::Pending;
+use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::ends::Ends;
 use crate::follow::Follower;
@@ -27,6 +28,9 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::readiness::Status;
+use crate::register::PeerClient;
+use crate::register::Register;
+use crate::register::RegisterOptions;
 use crate::roster::RosterKeeper;
 use crate::seed::Seeder;
 use crate::serve::Protocols;
@@ -47,6 +51,7 @@
     state: Arc<State>,
     ends: Arc<Ends>,
     metrics: Arc<Metrics>,
+    register: Arc<Register>,
 }
 
 impl Process {
@@ -70,6 +75,18 @@
             connect_timeout: settings.servers.connect_timeout,
         };
         let codec = Arc::clone(&protocols.servers);
+        let peers = Arc::new(PeerClient::new(opts));
+        let register = Arc::new(Register::new(
+            Arc::clone(&protocols.directory),
+            Arc::clone(&peers),
+            RegisterOptions {
+                vm: vm.name.clone(),
+                data_centre: vm.data_centre.clone(),
+                first_start: vm.first_start,
+                drain: settings.servers.drain,
+                may_follow: settings.peers.follow,
+            },
+        ));
         let this = Self {
             relay: Arc::new(Mutex::new(Relay::new(settings.relay(), seed))),
             lanes: Arc::new(Lanes::new(codec, feed.clone(), opts)),
@@ -77,6 +94,7 @@
             state: Arc::default(),
             ends: Arc::new(Ends::new(Arc::clone(&metrics))),
             metrics,
+            register,
             settings,
             protocols,
             feed,
@@ -84,7 +102,7 @@
         let shell = RelayShell {
             lanes: Arc::clone(&this.lanes),
             pending: Arc::clone(&this.pending),
-            directory: Arc::clone(&this.protocols.directory),
+            directory: this.directory(),
         };
         slot.start(Arc::clone(&this.relay), shell, clock);
         let contact = Contact::new(this.feed.clone());
@@ -93,7 +111,8 @@
         }
         let keeper = RosterKeeper {
             me: this.settings.as_peer(),
-            directory: Arc::clone(&this.protocols.directory),
+            directory: this.directory(),
+            register: Arc::clone(&this.register),
             feed: this.feed.clone(),
             contact,
             first_start: this.settings.vm.first_start,
@@ -105,7 +124,8 @@
         if !this.settings.vm.first_start {
             let seeder = Seeder {
                 seeds: this.settings.seeds(),
-                opts,
+                peers,
+                register: Arc::clone(&this.register),
                 state: Arc::clone(&this.state),
                 feed: this.feed.clone(),
                 seed,
@@ -134,10 +154,12 @@
             lanes: Arc::clone(&self.lanes),
             callers: Arc::clone(&counts),
             metrics: Arc::clone(&self.metrics),
+            register: Arc::clone(&self.register),
         };
         let handed = Peers {
             desk: self.desk(),
             relay: Arc::clone(&self.relay),
+            register: Arc::clone(&self.register),
         };
         tokio::spawn(peers.run(Arc::new(handed), stopped.clone()));
         // It answers until the process is gone, so that the balancer is told `not ready` to the end.
@@ -157,7 +179,7 @@
         };
         Ok(Leaver {
             vm: self.settings.vm.name.clone(),
-            directory: Arc::clone(&self.protocols.directory),
+            directory: self.directory(),
             cfg: self.settings.shutdown.clone(),
             state: Arc::clone(&self.state),
             relay: Arc::clone(&self.relay),
@@ -176,10 +198,14 @@
         }
     }
 
+    fn directory(&self) -> Arc<dyn Directory> {
+        Arc::<Register>::clone(&self.register)
+    }
+
     fn follower(&self, kind: DirectoryKind, contact: &Arc<Contact>, seed: u64) -> Follower {
         Follower {
             kind,
-            directory: Arc::clone(&self.protocols.directory),
+            directory: self.directory(),
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
             contact: Arc::clone(contact),
--- a/crates/edge/src/readiness.rs
+++ b/crates/edge/src/readiness.rs
@@ -21,6 +21,7 @@
 
 use crate::lanes::Lanes;
 use crate::metrics::Metrics;
+use crate::register::Register;
 use crate::state::State;
 
 /// Answers `/ready`, `/metrics` and `/dump`.
@@ -30,6 +31,7 @@
     pub(crate) lanes: Arc<Lanes>,
     pub(crate) callers: Arc<ServerState>,
     pub(crate) metrics: Arc<Metrics>,
+    pub(crate) register: Arc<Register>,
 }
 
 impl Status {
@@ -54,6 +56,7 @@
         let version = relay.version().unwrap_or_default();
         drop(relay);
         let counts = &self.lanes.counts;
+        let register = self.register.counts();
         let totals = [
             ("requests", c.arrivals),
             ("requests-refused", c.refused),
@@ -73,6 +76,8 @@
             ("connections-opened", counts.opened.load(Ordering::Relaxed)),
             ("connections-lost", counts.lost.load(Ordering::Relaxed)),
             ("callers-accepted", self.callers.accepted()),
+            ("register-calls", register.calls),
+            ("register-questions", register.questions),
         ];
         let states = [
             ("requests-in-flight", in_flight as f64),
@@ -80,6 +85,7 @@
             ("callers-open", self.callers.open() as f64),
             ("routes-version", version.0 as f64),
             ("ready", f64::from(u8::from(self.state.is_ready()))),
+            ("register-asked", f64::from(u8::from(register.asks))),
         ];
         self.metrics.text(&totals, &states)
     }
@@ -92,6 +98,7 @@
             "attempts": self.lanes.running(),
             "callers": self.callers.open(),
             "counters": relay.counters(),
+            "register": self.register.dump(),
             "servers": relay.servers(Instant::now()),
         });
         format!("{dump:#}\n")
--- /dev/null
+++ b/crates/edge/src/register/book.rs
@@ -0,0 +1,121 @@
+//! What this VM knows of the register, as it tells others.
+
+use std::sync::Mutex;
+
+use gs_actor::lock;
+use gs_follow::Mirror;
+use gs_types::prelude::*;
+use tokio::sync::watch;
+
+use crate::directory::Announced;
+use crate::directory::Changes;
+use crate::directory::DirectoryKind;
+use crate::directory::Listing;
+use crate::register::wire::Named;
+use crate::register::wire::Object;
+use crate::register::wire::Told;
+
+/// What this VM knows of the register.
+#[derive(Default)]
+pub(crate) struct Book {
+    routes: Page,
+    servers: Page,
+    vms: Mutex<Option<Vec<Announced>>>,
+    quarantined: Mutex<Vec<Fingerprint>>,
+}
+
+/// The objects of a kind, and the revisions up to which they are known as they become so.
+struct Page {
+    mirror: Mutex<Mirror<Object>>,
+    at: watch::Sender<u64>,
+}
+
+impl Default for Page {
+    fn default() -> Self {
+        Self {
+            mirror: Mutex::default(),
+            at: watch::channel(0).0,
+        }
+    }
+}
+
+impl Book {
+    fn page(&self, kind: DirectoryKind) -> &Page {
+        match kind {
+            DirectoryKind::Routes => &self.routes,
+            DirectoryKind::Servers => &self.servers,
+        }
+    }
+
+    /// The revision up to which a kind is known.
+    pub(crate) fn at(&self, kind: DirectoryKind) -> u64 {
+        *self.page(kind).at.borrow()
+    }
+
+    /// Tells of each new revision of a kind.
+    pub(crate) fn changes(&self, kind: DirectoryKind) -> watch::Receiver<u64> {
+        self.page(kind).at.subscribe()
+    }
+
+    /// Takes in everything of a kind.
+    pub(crate) fn note_list(&self, kind: DirectoryKind, listing: &Listing) {
+        let objects = listing.items.iter();
+        let objects = objects.filter_map(|i| Some((i.name.clone(), Object::of(&i.thing)?)));
+        let mut mirror = lock(&self.page(kind).mirror);
+        mirror.list(listing.at.0, objects.collect());
+        self.page(kind).at.send_replace(mirror.at());
+    }
+
+    /// Takes in what changed of a kind.
+    pub(crate) fn note_changes(&self, kind: DirectoryKind, changes: &Changes) {
+        let objects = changes.items.iter();
+        let objects = objects.map(|i| (i.name.clone(), Object::of(&i.thing)));
+        let mut mirror = lock(&self.page(kind).mirror);
+        mirror.change(changes.at.0, objects.collect());
+        self.page(kind).at.send_replace(mirror.at());
+    }
+
+    /// Everything of a kind; `None` before it was listed.
+    pub(crate) fn all(&self, kind: DirectoryKind) -> Option<Told> {
+        let mirror = lock(&self.page(kind).mirror);
+        if !mirror.is_listed() {
+            return None;
+        }
+        let items = mirror.live().map(|(name, object)| Named {
+            name: name.clone(),
+            object: Some(object.clone()),
+        });
+        Some(Told {
+            at: mirror.at(),
+            items: items.collect(),
+        })
+    }
+
+    /// What changed of a kind after a revision; `None` if that is forgotten.
+    pub(crate) fn since(&self, kind: DirectoryKind, after: u64) -> Option<Told> {
+        let mirror = lock(&self.page(kind).mirror);
+        let changed = mirror.since(after)?;
+        let items = changed.into_iter();
+        Some(Told {
+            at: mirror.at().max(after),
+            items: items.map(|(name, object)| Named { name, object }).collect(),
+        })
+    }
+
+    pub(crate) fn note_vms(&self, vms: &[Announced]) {
+        *lock(&self.vms) = Some(vms.to_vec());
+    }
+
+    /// The VMs as they were listed last; `None` before that.
+    pub(crate) fn vms(&self) -> Option<Vec<Announced>> {
+        lock(&self.vms).clone()
+    }
+
+    pub(crate) fn note_quarantined(&self, requests: &[Fingerprint]) {
+        *lock(&self.quarantined) = requests.to_vec();
+    }
+
+    pub(crate) fn quarantined(&self) -> Vec<Fingerprint> {
+        lock(&self.quarantined).clone()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/register/wire.rs
@@ -0,0 +1,118 @@
+//! What VMs tell each other of the register.
+
+use std::sync::Arc;
+
+use gs_relay::PeerVm;
+use gs_relay::RouteTable;
+use gs_relay::ServerEntry;
+use gs_types::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::directory::Announced;
+use crate::directory::Item;
+use crate::directory::Revision;
+use crate::directory::Thing;
+
+/// Where a peer is asked what the register says; the kind follows.
+pub(crate) const REGISTER_PATH: &str = "/register/";
+/// In place of a kind: the VMs that are announced.
+pub(crate) const VMS: &str = "vms";
+/// In place of a kind: whether the peer is in touch with the register.
+pub(crate) const TOUCH: &str = "touch";
+
+/// An object.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Object {
+    /// A version of the routes.
+    Routes(Arc<RouteTable>),
+    /// A backend server.
+    Server(Arc<ServerEntry>),
+}
+
+impl PartialEq for Object {
+    fn eq(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Routes(a), Self::Routes(b)) => a.version() == b.version(),
+            (Self::Server(a), Self::Server(b)) => a == b,
+            _ => false,
+        }
+    }
+}
+
+impl Object {
+    /// What an item says; `None` if it names nothing to use.
+    pub(crate) fn of(thing: &Thing) -> Option<Self> {
+        match thing {
+            Thing::Routes(table) => Some(Self::Routes(Arc::clone(table))),
+            Thing::Server(entry) => Some(Self::Server(Arc::clone(entry))),
+            Thing::Unreadable(_) | Thing::Gone => None,
+        }
+    }
+}
+
+/// An object by its name; without it, it is gone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct Named {
+    pub(crate) name: String,
+    #[serde(default)]
+    pub(crate) object: Option<Object>,
+}
+
+impl From<Named> for Item {
+    fn from(n: Named) -> Self {
+        let thing = match n.object {
+            None => Thing::Gone,
+            Some(Object::Routes(table)) => Thing::Routes(table),
+            Some(Object::Server(entry)) => Thing::Server(entry),
+        };
+        Self {
+            name: n.name,
+            thing,
+        }
+    }
+}
+
+/// Objects up to a revision: all of a kind, or those that changed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct Told {
+    pub(crate) at: u64,
+    pub(crate) items: Vec<Named>,
+}
+
+/// Whether a peer is in touch with the register, and which requests crash servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct Touch {
+    pub(crate) is_in_touch: bool,
+    pub(crate) quarantined: Vec<Fingerprint>,
+}
+
+/// A VM that is announced.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) struct ToldVm {
+    pub(crate) vm: PeerVm,
+    pub(crate) at: u64,
+}
+
+impl From<ToldVm> for Announced {
+    fn from(t: ToldVm) -> Self {
+        Self {
+            vm: t.vm,
+            at: Revision(t.at),
+        }
+    }
+}
+
+impl From<&Announced> for ToldVm {
+    fn from(a: &Announced) -> Self {
+        Self {
+            vm: a.vm.clone(),
+            at: a.at.0,
+        }
+    }
+}
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -17,6 +17,7 @@
 use crate::directory::Directory;
 use crate::directory::Renewal;
 use crate::directory::Revision;
+use crate::register::Register;
 
 /// The times of the first looks, each after the one before. All VMs of a fleet that starts together have
 /// announced themselves by the second; those of one that starts again are listed from before.
@@ -44,6 +45,7 @@
 pub(crate) struct RosterKeeper {
     pub(crate) me: PeerVm,
     pub(crate) directory: Arc<dyn Directory>,
+    pub(crate) register: Arc<Register>,
     pub(crate) feed: Feed<Event>,
     pub(crate) contact: Arc<Contact>,
     /// Whether the whole fleet starts for the first time.
@@ -76,9 +78,13 @@
         let mut known = Known {
             leases: Leases::new(self.renew_every),
             renewals: 0,
-            renew_at: Instant::now() + self.renew_every,
+            // An announcement that stands from before is renewed soon: it may be about to lapse.
+            renew_at: Instant::now() + self.renew_every / 2,
         };
-        self.announce(&mut known).await;
+        // A VM that starts again is mostly listed as it is; its first look shows.
+        if self.first_start {
+            self.announce(&mut known).await;
+        }
         // At the first start of all, a look at once would show few of many.
         let mut looks = FIRST_LOOKS.into_iter().skip(usize::from(self.first_start));
         let mut next_look = Instant::now();
@@ -105,7 +111,7 @@
             }
         };
         self.contact.seen("vms");
-        let is_listed = listed.iter().any(|a| a.vm.name == self.me.name);
+        let is_listed = listed.iter().any(|a| a.vm == self.me);
         let vms = listed.len();
         self.take(known, listed).await;
         if !is_listed {
@@ -182,6 +188,7 @@
             vms.push(self.me.clone());
         }
         log::debug!("event=vms listed={}", vms.len());
+        self.register.set_vms(&vms);
         self.feed.push(Event::Roster(vms));
     }
 }
--- a/crates/edge/src/seed.rs
+++ b/crates/edge/src/seed.rs
@@ -8,22 +8,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gs_actor::Feed;
-use gs_http::ConnectionSink;
-use gs_http::Lane;
-use gs_http::LaneOptions;
-use gs_http::Whole;
-use gs_http::exchange;
 use gs_relay::Event;
 use gs_relay::Knowledge;
 use gs_store::Backoff;
 use gs_types::prelude::*;
-use http_body_util::Full;
-use hyper::Request;
-use hyper::StatusCode;
 
 use crate::peers::KNOWLEDGE_PATH;
+use crate::register::PeerClient;
+use crate::register::Register;
 use crate::state::State;
 
 /// How long the directory is waited for first: it answers in milliseconds if it is there.
@@ -32,12 +25,6 @@
 /// The longest that a peer may take.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The most bytes of its answer: some 250 a server, so that of tens of thousands there is room.
-const ANSWER_MAX: usize = 32 << 20;
-
-/// What a seed is called in errors; its own name is not known.
-const SEED_NAME: &str = "seed";
-
 /// The first wait after all peers were asked in vain.
 const BACKOFF: Duration = Duration::from_millis(500);
 
@@ -48,7 +35,8 @@
 pub(crate) struct Seeder {
     /// Peers by their address.
     pub(crate) seeds: Vec<SocketAddr>,
-    pub(crate) opts: LaneOptions,
+    pub(crate) peers: Arc<PeerClient>,
+    pub(crate) register: Arc<Register>,
     pub(crate) state: Arc<State>,
     pub(crate) feed: Feed<Event>,
     pub(crate) seed: u64,
@@ -89,6 +77,7 @@
         if self.state.take_table(&known.table) {
             self.feed.push(Event::Table(known.table));
         }
+        self.register.set_vms(&known.vms);
         let is_taken = self.state.take_told(names, || {
             for entry in known.servers {
                 self.feed.push(Event::Server(Arc::new(entry)));
@@ -99,43 +88,6 @@
     }
 
     async fn ask(&self, addr: SocketAddr) -> Result<Knowledge> {
-        let failed = |kind, text: String| {
-            Error::new(kind, text)
-                .at("ask for what it knows")
-                .from_peer(addr.to_string())
-        };
-        let whole = tokio::time::timeout(ASK_TIMEOUT, self.fetch(addr))
-            .await
-            .map_err(|_| failed(ErrorKind::Unavailable, "no answer in time".into()))?
-            .map_err(|text| failed(ErrorKind::Unavailable, text))?;
-        if whole.status != StatusCode::OK {
-            let text = format!("answered {}", whole.status);
-            return Err(failed(ErrorKind::Unavailable, text));
-        }
-        serde_json::from_slice(&whole.body)
-            .map_err(|e| failed(ErrorKind::BadInput, format!("unreadable: {e}")))
-    }
-
-    /// Gives the peer's answer, or says what kept it away.
-    async fn fetch(&self, addr: SocketAddr) -> std::result::Result<Whole, String> {
-        let name = SEED_NAME.parse().map_err(|e: Error| e.to_string())?;
-        let lane = Lane::new(name, addr, self.opts, Arc::new(Unwatched));
-        lane.set_share(Connections(1));
-        let mut lent = lane.take(ASK_TIMEOUT).await.map_err(|e| e.to_string())?;
-        let req = Request::get(KNOWLEDGE_PATH)
-            .body(Full::new(Bytes::new()))
-            .map_err(|e| e.to_string())?;
-        exchange(&mut lent, req, ANSWER_MAX)
-            .await
-            .map_err(|e| format!("{e:?}"))
+        self.peers.get(addr, KNOWLEDGE_PATH, ASK_TIMEOUT).await
     }
 }
-
-/// Nobody counts the connections to seeds.
-struct Unwatched;
-
-impl ConnectionSink for Unwatched {
-    fn opened(&self, _: &ServerName, _: Duration) {}
-
-    fn closed(&self, _: &ServerName, _: bool) {}
-}
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -113,12 +113,24 @@
 }
 
 /// Other VMs.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Peers {
     /// Where some of them listen for peers; a VM that starts while the platform is away asks them what they
     /// know.
     pub seeds: Vec<SocketAddr>,
+    /// Whether this VM may hear of routes, servers and VMs from others of its data centre that ask the
+    /// platform.
+    pub follow: bool,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            follow: true,
+        }
+    }
 }
 
 /// When answers leave.
--- /dev/null
+++ b/crates/follow/tests/follow/main.rs
@@ -0,0 +1,6 @@
+//! Whom VMs ask for the register, and what they are told.
+
+mod candidates;
+mod mirror;
+mod sources;
+mod world;
--- /dev/null
+++ b/crates/follow/tests/follow/mirror.rs
@@ -0,0 +1,104 @@
+//! What is told of changes.
+
+use std::collections::BTreeMap;
+
+use gs_follow::Mirror;
+use proptest::prelude::*;
+
+fn named(name: &str, value: u32) -> (String, u32) {
+    (name.to_owned(), value)
+}
+
+#[test]
+fn a_list_removes_what_it_does_not_name() {
+    let mut m = Mirror::default();
+    m.list(5, vec![named("a", 1), named("b", 1)]);
+    m.list(9, vec![named("b", 1), named("c", 1)]);
+    let since = m.since(5).expect("known");
+    assert_eq!(since, [("a".into(), None), ("c".into(), Some(1))]);
+}
+
+/// Guards against a follower that is told older things than it knows, by one that lies behind.
+#[test]
+fn a_list_or_change_of_before_changes_nothing() {
+    let mut m = Mirror::default();
+    m.list(9, vec![named("a", 2)]);
+    m.list(5, vec![named("a", 1)]);
+    m.change(8, vec![("a".into(), None)]);
+    assert_eq!(m.at(), 9);
+    assert_eq!(m.since(0), None);
+    assert_eq!(m.live().collect::<Vec<_>>(), [(&"a".to_owned(), &2)]);
+}
+
+/// Guards against a follower that misses what changed before the first list of the one that it follows.
+#[test]
+fn what_lies_before_the_first_list_is_forgotten() {
+    let mut m = Mirror::default();
+    assert_eq!(m.since(0), None);
+    m.list(5, vec![named("a", 1)]);
+    assert_eq!(m.since(4), None);
+    assert_eq!(m.since(5), Some(Vec::new()));
+}
+
+/// Guards against memory that grows with every server that ever was there.
+#[test]
+fn removed_objects_are_forgotten_once_they_are_many() {
+    let mut m = Mirror::default();
+    m.list(1, Vec::new());
+    for n in 0..20_000_u64 {
+        m.change(2 * n + 2, vec![(format!("s{n}"), Some(1_u32))]);
+        m.change(2 * n + 3, vec![(format!("s{n}"), None)]);
+    }
+    assert_eq!(m.since(1), None);
+    let known = m.since(39_000).expect("recent");
+    assert!(known.len() <= 4096, "{}", known.len());
+}
+
+/// What the register holds over time, by a series of sets and removals.
+fn history() -> impl Strategy<Value = Vec<(u8, Option<u32>)>> {
+    let change = (0_u8..6, proptest::option::of(0_u32..3));
+    proptest::collection::vec(change, 1..60)
+}
+
+proptest! {
+    /// Guards against a follower that ends with other objects than the register, from whichever revision it
+    /// begins and however the changes are cut into batches.
+    #[test]
+    fn a_follower_ends_with_what_the_register_holds(
+        history in history(),
+        cuts in proptest::collection::vec(any::<bool>(), 60),
+        listed in 0_usize..60,
+        from in 0_usize..60,
+    ) {
+        let mut register: Vec<BTreeMap<String, u32>> = vec![BTreeMap::new()];
+        for (key, value) in &history {
+            let mut next = register.last().cloned().unwrap_or_default();
+            let name = format!("o{key}");
+            match value {
+                Some(v) => next.insert(name, *v),
+                None => next.remove(&name),
+            };
+            register.push(next);
+        }
+        let end = history.len();
+        let listed = listed.min(end);
+        let from = from.clamp(listed, end);
+        let mut m = Mirror::default();
+        m.list(listed as u64, register[listed].clone().into_iter().collect());
+        let mut batch = Vec::new();
+        for (n, (key, value)) in history.iter().enumerate().skip(listed) {
+            batch.push((format!("o{key}"), *value));
+            if cuts[n] || n + 1 == end {
+                m.change(n as u64 + 1, std::mem::take(&mut batch));
+            }
+        }
+        let mut follower = register[from].clone();
+        for (name, value) in m.since(from as u64).expect("known") {
+            match value {
+                Some(v) => follower.insert(name, v),
+                None => follower.remove(&name),
+            };
+        }
+        prop_assert_eq!(&follower, &register[end]);
+    }
+}
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod once;
 mod pages;
+mod register;
 mod servers;
 mod soak;
 mod store;
--- /dev/null
+++ b/tests/relay/register.rs
@@ -0,0 +1,170 @@
+//! What the store says spreads between VMs: in each data centre two ask, the others follow them.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_rig::site::Harm;
+use gs_rig::site::SiteRoute;
+use gs_rig::site::StoreFault;
+use gs_rig::site::Verdict;
+use rustix::process::Signal;
+
+use crate::support::Running;
+use crate::support::site_of;
+
+/// Six VMs in each of three data centres.
+const VMS: usize = 18;
+
+/// The data centres, between which VMs are dealt in turn.
+const DATA_CENTRES: usize = 3;
+
+/// The VMs of the first data centre that ask: equals rank by their names.
+const ASKERS: [usize; 2] = [0, 12];
+
+/// A VM of the first data centre that follows them.
+const FOLLOWER: usize = 3;
+
+/// The longest that a configuration may take: what the users' sites allow at the least, 3 s.
+const APPLY: Duration = Duration::from_secs(3);
+
+/// A site of [`VMS`] VMs, four of six in each data centre following another.
+async fn settled() -> Running {
+    let r = site_of(VMS).await;
+    r.until("two ask and the others follow", |r| {
+        let asking = (0..VMS).filter(|vm| r.source(*vm).as_deref() == Some("register"));
+        let following = (0..VMS).filter(|vm| r.source(*vm).is_some_and(|s| s.starts_with("vm-")));
+        asking.count() == 2 * DATA_CENTRES && following.count() == 4 * DATA_CENTRES
+    })
+    .await;
+    r
+}
+
+/// Adds a route for one more version of the configuration.
+fn add_route(r: &mut Running, prefix: &str) -> SiteRoute {
+    let mut route = r.route("/one/");
+    prefix.clone_into(&mut route.prefix);
+    let added = route.clone();
+    r.site.configure(|cfg| cfg.routes.push(added));
+    route
+}
+
+/// Waits until these VMs answer on a route that was just added.
+async fn until_in_force(r: &mut Running, vms: &[usize], route: &SiteRoute) -> Duration {
+    let begun = Instant::now();
+    for vm in vms {
+        while !matches!(r.ask(*vm, route).await.verdict, Verdict::Right(_)) {
+            assert!(begun.elapsed() < APPLY, "VM {vm} does not know the route");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    begun.elapsed()
+}
+
+fn calls(r: &Running, kind: &str) -> u64 {
+    let calls = r.site.store.calls();
+    let of_kind = calls.iter().filter(|(call, _)| call.starts_with(kind));
+    of_kind.map(|(_, n)| n).sum()
+}
+
+fn all_but(left_out: &[usize]) -> Vec<usize> {
+    (0..VMS).filter(|vm| !left_out.contains(vm)).collect()
+}
+
+/// Guards against calls to the store that grow with the number of VMs.
+#[tokio::test]
+async fn a_change_costs_calls_by_data_centre_and_not_by_vm() {
+    let mut r = settled().await;
+    let before = calls(&r, "GET /api/objects/config");
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&[]), &route).await;
+    let made = calls(&r, "GET /api/objects/config") - before;
+    // A watch that brings the change is followed by one that waits on.
+    assert!(made <= 2 * 2 * DATA_CENTRES as u64, "{made} calls");
+}
+
+/// Guards against followers that hear of nothing more once those that they followed are killed.
+#[tokio::test]
+async fn a_change_comes_to_the_followers_of_killed_askers() {
+    let mut r = settled().await;
+    for vm in ASKERS {
+        r.kill(vm).await;
+    }
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&ASKERS), &route).await;
+}
+
+/// Guards against followers that wait for an asker which stands still: nothing tells of it but silence.
+#[tokio::test]
+async fn a_change_comes_to_the_followers_of_a_frozen_asker() {
+    let mut r = settled().await;
+    for vm in ASKERS {
+        r.site.vms[vm].signal(Signal::STOP);
+    }
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&ASKERS), &route).await;
+    for vm in ASKERS {
+        r.site.vms[vm].signal(Signal::CONT);
+    }
+    until_in_force(&mut r, &ASKERS, &route).await;
+}
+
+/// Guards against followers of an asker that the store no longer answers, while it answers others.
+#[tokio::test]
+async fn a_change_comes_to_the_followers_of_askers_that_are_cut_from_the_store() {
+    let mut r = settled().await;
+    for vm in ASKERS {
+        r.site.store_links[vm].harm(Harm::Reset);
+    }
+    r.until("the followers have turned to another", |r| {
+        let asker_names = ASKERS.map(|vm| r.site.vms[vm].plan().name.clone());
+        let source = r.source(FOLLOWER).unwrap_or_default();
+        !asker_names.contains(&source)
+    })
+    .await;
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&ASKERS), &route).await;
+}
+
+/// Guards against a VM that falls behind because it is cut from the store, though its peers know better.
+#[tokio::test]
+async fn a_follower_that_is_cut_from_the_store_stays_in_step() {
+    let mut r = settled().await;
+    r.site.store_links[FOLLOWER].harm(Harm::Silent);
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &[FOLLOWER], &route).await;
+}
+
+/// Guards against a fleet whose VMs all turn to the store at the end of an outage, and against VMs that
+/// never do again.
+#[tokio::test]
+async fn the_end_of_an_outage_costs_calls_by_data_centre_and_not_by_vm() {
+    let mut r = settled().await;
+    r.site.store.misbehave(StoreFault::Busy);
+    r.until("all know of the outage", |r| {
+        r.logs().matches("event=directory-lost").count() >= VMS
+    })
+    .await;
+    let sources: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
+    let before = calls(&r, "GET /api/objects/servers");
+    r.site.store.misbehave(StoreFault::None);
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&[]), &route).await;
+    r.until("all know that it is over", |r| {
+        r.logs().matches("event=directory-regained").count() >= VMS
+    })
+    .await;
+    let sources_after: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
+    assert_eq!(sources_after, sources);
+    // Of each asker: a try under way, a watch, and up to two lists, each followed by a watch.
+    let made = calls(&r, "GET /api/objects/servers") - before;
+    assert!(made <= 6 * 2 * DATA_CENTRES as u64, "{made} calls");
+}
+
+/// Guards against followers that stay behind when the store forgets its history.
+#[tokio::test]
+async fn a_change_comes_to_all_after_history_is_lost() {
+    let mut r = settled().await;
+    r.site.store.forget();
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&[]), &route).await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -35,11 +35,17 @@
 
 /// Starts three VMs, one in each data centre, over six shards of two servers.
 pub async fn site() -> Running {
+    site_of(3).await
+}
+
+/// Starts so many VMs, one after the other in three data centres, over six shards of two servers.
+pub async fn site_of(vms: usize) -> Running {
     let room = ROOM.acquire().await.expect("the semaphore stays open");
     let dir = tempfile::tempdir().expect("a folder");
     let options = SiteOptions::builder()
         .bin(PathBuf::from(env!("CARGO_BIN_EXE_gentiansill")))
         .dir(dir.path().to_owned())
+        .vms(vms)
         .build();
     Running {
         site: Site::start(options).await.expect("the site starts"),
@@ -109,6 +115,15 @@
         }
     }
 
+    /// Whom the `vm`-th VM hears of the register from, by the last line of its log that says so.
+    pub fn source(&self, vm: usize) -> Option<String> {
+        let name = &self.site.vms[vm].plan().name;
+        let log = std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).ok()?;
+        let lines = log.lines().rev();
+        let mut sources = lines.filter_map(|line| line.split_once("event=register-source source="));
+        sources.next().map(|(_, source)| source.to_owned())
+    }
+
     /// The logs of all VMs.
     pub fn logs(&self) -> String {
         let files = std::fs::read_dir(self.dir.path()).expect("the folder");
