--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -31,6 +31,8 @@
 pub(crate) struct Sharing {
     /// Services that are shards of a fan-out.
     shards: HashSet<ServiceName>,
+    /// All services that a route names.
+    routed: HashSet<ServiceName>,
     /// Whether the VMs are known; before, each VM keeps to one connection to a server, as all of a
     /// fleet that starts together would else open more than the servers accept.
     knows_vms: bool,
@@ -79,12 +81,17 @@
 
 impl Sharing {
     pub(crate) fn new(core: &Core) -> Self {
-        let routes = core.table.iter().flat_map(|t| t.routes());
-        let scatters = routes.filter(|r| r.is_scatter());
-        let shards = scatters.flat_map(|r| r.services().cloned()).collect();
+        let (mut routed, mut shards) = (HashSet::new(), HashSet::new());
+        for route in core.table.iter().flat_map(|t| t.routes()) {
+            routed.extend(route.services().cloned());
+            if route.is_scatter() {
+                shards.extend(route.services().cloned());
+            }
+        }
         if core.roster.is_empty() {
             return Self {
                 shards,
+                routed,
                 knows_vms: false,
                 runs: true,
                 runners: Headcount::of(core.options.peers as usize),
@@ -96,6 +103,7 @@
         let is_me = |vm: &&PeerVm| vm.name == core.options.vm;
         Self {
             shards,
+            routed,
             knows_vms: true,
             runs: runners.iter().any(is_me),
             runners: Headcount::of(runners.len()),
@@ -153,8 +161,13 @@
     }
 
     /// Connections to hold open to a server of a service.
+    ///
+    /// The servers of a new cut of an index register before routes name them. All VMs connected to them then
+    /// are more than they accept, and each connection takes a slot for a moment; those that will run fan-outs
+    /// are enough.
     pub(crate) fn warm(&self, service: &ServiceName, is_near: bool) -> Connections {
-        let is_idle = !self.knows_vms || (self.shards.contains(service) && !self.runs);
+        let is_for_runners = self.shards.contains(service) || !self.routed.contains(service);
+        let is_idle = !self.knows_vms || (is_for_runners && !self.runs);
         Connections(match is_near {
             _ if is_idle => 0,
             true => WARM_NEAR,
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,5 +1,6 @@
 //! The relay's decisions, driven without I/O.
 
+mod connections;
 mod handover;
 mod hedges;
 mod leases;
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -1,5 +1,6 @@
 //! A relay with servers that answer as a test says, and a clock that the test moves.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -52,6 +53,8 @@
     pub cancelled: Vec<RunId>,
     /// Servers and peers that connections were asked for to.
     pub connects: Vec<ServerName>,
+    /// Connections to be held open to each, as last asked for.
+    pub warm: HashMap<ServerName, u32>,
     /// Requests that other VMs were told of.
     pub quarantined: Vec<Fingerprint>,
     /// Requests that have ended.
@@ -218,6 +221,7 @@
             sent: VecDeque::new(),
             cancelled: Vec::new(),
             connects: Vec::new(),
+            warm: HashMap::new(),
             quarantined: Vec::new(),
             ended: Vec::new(),
             wake_at: None,
@@ -280,7 +284,10 @@
                     let at = self.now + after;
                     self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
                 }
-                Action::Connect { server, .. } => self.connects.push(server.name.clone()),
+                Action::Connect { server, warm, .. } => {
+                    self.connects.push(server.name.clone());
+                    self.warm.insert(server.name.clone(), warm.0);
+                }
                 Action::Disconnect(_) => {}
             }
         }
