--- a/crates/follow/src/candidates.rs
+++ b/crates/follow/src/candidates.rs
@@ -23,9 +23,8 @@
     if here.len() <= FEW {
         return Vec::new();
     }
-    let strength = |vm: &PeerVm| vm.capacity.cores * vm.capacity.megabits;
     here.sort_by(|a, b| {
-        let by_strength = strength(b).total_cmp(&strength(a));
+        let by_strength = b.capacity.strength().total_cmp(&a.capacity.strength());
         by_strength.then_with(|| a.name.cmp(&b.name))
     });
     here.into_iter().take(CANDIDATES).cloned().collect()
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -188,7 +188,7 @@
             .roster
             .vms()
             .iter()
-            .filter(|vm| self.roster.is_strong(vm));
+            .filter(|vm| self.sharing.is_runner(vm));
         let near = strong.filter(|vm| vm.region == self.options.region);
         let places: BTreeSet<&DataCentre> = near.map(|vm| &vm.data_centre).collect();
         let mine = &self.options.data_centre;
@@ -228,7 +228,7 @@
     fn strong_in(&self, place: &DataCentre) -> Vec<ServerName> {
         let vms = self.roster.vms().iter();
         let there = vms.filter(|vm| vm.data_centre == *place && vm.name != self.options.vm);
-        let strong = there.filter(|vm| self.roster.is_strong(vm));
+        let strong = there.filter(|vm| self.sharing.is_runner(vm));
         strong.filter_map(peer_name).collect()
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod roster;
 mod route;
 mod run;
+mod runners;
 mod server;
 mod servers;
 mod service;
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -26,6 +26,14 @@
     pub megabits: f64,
 }
 
+impl Capacity {
+    /// Orders VMs by what they can do: none is strong by its cores or its link alone.
+    #[must_use]
+    pub fn strength(&self) -> f64 {
+        self.cores * self.megabits
+    }
+}
+
 /// A VM as it announces itself to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -11,6 +11,8 @@
 use crate::relay::Core;
 use crate::roster::PeerVm;
 use crate::roster::Roster;
+use crate::runners::RUNNERS_PART;
+use crate::runners::runners;
 use crate::table::ServiceDecl;
 
 /// Connections to a server whose service no route names.
@@ -22,10 +24,6 @@
 /// Connections held open to each server elsewhere.
 const WARM_FAR: u32 = 1;
 
-/// The part of a shard's connections that the VMs which run fan-outs share where there are others; the rest
-/// is for those when their peers are away.
-const RUNNERS_PART: f64 = 0.8;
-
 /// Who shares the connections to servers with this VM.
 #[derive(Debug, Default)]
 pub(crate) struct Sharing {
@@ -38,6 +36,8 @@
     knows_vms: bool,
     /// Whether this VM runs fan-outs.
     runs: bool,
+    /// The names of those that do.
+    names: HashSet<VmId>,
     /// VMs that run fan-outs.
     runners: Headcount,
     /// All VMs.
@@ -94,18 +94,21 @@
                 routed,
                 knows_vms: false,
                 runs: true,
+                names: HashSet::new(),
                 runners: Headcount::of(core.options.peers as usize),
                 all: Headcount::of(core.options.peers as usize),
             };
         }
-        let vms = core.roster.vms().iter();
-        let runners: Vec<_> = vms.filter(|vm| core.roster.is_strong(vm)).collect();
-        let is_me = |vm: &&PeerVm| vm.name == core.options.vm;
+        let declared = core.table.iter().flat_map(|t| t.services_of(&shards));
+        let least = declared.map(|s| s.connections).min();
+        let runners = runners(&core.roster, least);
+        let names: HashSet<VmId> = runners.iter().map(|vm| vm.name.clone()).collect();
         Self {
             shards,
             routed,
             knows_vms: true,
-            runs: runners.iter().any(is_me),
+            runs: names.contains(&core.options.vm),
+            names,
             runners: Headcount::of(runners.len()),
             all: Headcount::of(core.roster.vms().len()),
         }
@@ -116,6 +119,11 @@
         self.runs
     }
 
+    /// Whether a VM runs fan-outs.
+    pub(crate) fn is_runner(&self, vm: &PeerVm) -> bool {
+        !self.knows_vms || self.names.contains(&vm.name)
+    }
+
     /// The VMs that send to the servers of a route.
     pub(crate) fn sharers(&self, is_scatter: bool) -> u32 {
         let head = if is_scatter { self.runners } else { self.all };
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -1,6 +1,7 @@
 //! One version of the routes, whole.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -87,6 +88,14 @@
         self.services.get(name)
     }
 
+    /// Those of these services that are declared.
+    pub(crate) fn services_of<'a>(
+        &'a self,
+        names: &'a HashSet<ServiceName>,
+    ) -> impl Iterator<Item = &'a ServiceDecl> {
+        names.iter().filter_map(|name| self.services.get(name))
+    }
+
     /// Every route.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.by_host.values().flatten()
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -10,6 +10,7 @@
 mod pages;
 mod pauses;
 mod register;
+mod runners;
 mod settle;
 mod suspects;
 mod windows;
