--- /dev/null
+++ b/crates/edge/src/register/directory.rs
@@ -0,0 +1,133 @@
+//! The register as a directory: each call goes to the platform or to the peer that is followed.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use gs_follow::Source;
+use gs_relay::PeerVm;
+use gs_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::directory::Announced;
+use crate::directory::Changes;
+use crate::directory::Directory;
+use crate::directory::DirectoryKind;
+use crate::directory::Listing;
+use crate::directory::Origin;
+use crate::directory::Renewal;
+use crate::directory::Revision;
+use crate::register::Register;
+use crate::register::wire::ToldVm;
+use crate::register::wire::VMS;
+
+#[async_trait]
+impl Directory for Register {
+    async fn list(&self, kind: DirectoryKind) -> Result<Listing> {
+        loop {
+            let listing = match self.decided().await {
+                Source::Undecided | Source::Register => {
+                    self.note(self.platform.list(kind).await)?
+                }
+                Source::Peer(vm) => match self.list_at(&vm, kind).await {
+                    Ok(listing) => listing,
+                    Err(e) => {
+                        self.not_listed(&vm, &e).await;
+                        continue;
+                    }
+                },
+            };
+            self.book.note_list(kind, &listing);
+            return Ok(listing);
+        }
+    }
+
+    async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes> {
+        let until = Instant::now() + wait;
+        let mut after = after;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let source = self.source.borrow().clone();
+            let changes = match source {
+                Source::Undecided | Source::Register => {
+                    match self.watch_platform(kind, after, left).await {
+                        Some(result) => result?,
+                        None => continue,
+                    }
+                }
+                Source::Peer(vm) => match self.watch_at(&vm, kind, after, self.wait).await {
+                    Ok(changes) => changes,
+                    Err(e) if e.kind() == ErrorKind::NotFound => return Err(e),
+                    Err(e) => {
+                        self.failed(&vm, &e);
+                        continue;
+                    }
+                },
+            };
+            self.book.note_changes(kind, &changes);
+            // A peer's word that nothing changed is free, and no sign that the platform is in reach.
+            let is_over = changes.origin == Origin::Platform && Instant::now() >= until;
+            if !changes.items.is_empty() || is_over {
+                return Ok(changes);
+            }
+            after = changes.at;
+        }
+    }
+
+    async fn announce(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
+        self.note(self.platform.announce(vm, renewal).await)
+    }
+
+    async fn renew(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
+        self.note(self.platform.renew(vm, renewal).await)
+    }
+
+    async fn quarantined(&self) -> Result<Vec<Fingerprint>> {
+        let out_of_touch = match self.touch_peers().await {
+            Ok(requests) => {
+                self.book.note_quarantined(&requests);
+                return Ok(requests);
+            }
+            Err(out_of_touch) => out_of_touch,
+        };
+        let requests = self.note(self.platform.quarantined().await)?;
+        if !self.may_turn_to_platform(&out_of_touch) {
+            let text = "the peers that are followed are out of touch";
+            return Err(Error::new(ErrorKind::Unavailable, text).at("look for a source"));
+        }
+        self.book.note_quarantined(&requests);
+        Ok(requests)
+    }
+
+    async fn quarantine(&self, request: Fingerprint) -> Result<()> {
+        self.note(self.platform.quarantine(request).await)
+    }
+
+    async fn release(&self, request: Fingerprint) -> Result<()> {
+        self.note(self.platform.release(request).await)
+    }
+
+    async fn withdraw(&self, vm: &VmId) -> Result<()> {
+        self.note(self.platform.withdraw(vm).await)
+    }
+
+    async fn vms(&self) -> Result<Vec<Announced>> {
+        let source = self.source.borrow().clone();
+        if let Source::Peer(vm) = source {
+            match self.ask::<Vec<ToldVm>>(&vm, VMS, Duration::ZERO).await {
+                Ok(told) => {
+                    let vms: Vec<Announced> = told.into_iter().map(Announced::from).collect();
+                    self.book.note_vms(&vms);
+                    return Ok(vms);
+                }
+                Err(e) => self.failed(&vm, &e),
+            }
+        }
+        let vms = self.note(self.platform.vms().await)?;
+        self.book.note_vms(&vms);
+        Ok(vms)
+    }
+
+    async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()> {
+        self.note(self.platform.remove_vm(vm, unless_after).await)
+    }
+}
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -3,9 +3,13 @@
 //! [`Register`] stands where the platform's directory stood and is one itself, so that who follows it need
 //! not know from whom it hears. Whom it asks is decided by [`gs_follow::Sources`].
 
+mod ask;
 mod book;
 mod client;
 mod desk;
+mod directory;
+mod options;
+mod report;
 mod wire;
 
 use std::sync::Arc;
@@ -15,40 +19,26 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use gs_actor::lock;
 use gs_follow::Source;
 use gs_follow::Sources;
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
-use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 pub(crate) use client::PeerClient;
+pub(crate) use options::RegisterOptions;
 pub(crate) use wire::REGISTER_PATH;
 
-use crate::directory::Announced;
 use crate::directory::Changes;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
-use crate::directory::Item;
-use crate::directory::Listing;
-use crate::directory::Origin;
-use crate::directory::Renewal;
 use crate::directory::Revision;
 use crate::register::book::Book;
-use crate::register::wire::TOUCH;
-use crate::register::wire::Told;
-use crate::register::wire::ToldVm;
-use crate::register::wire::Touch;
-use crate::register::wire::VMS;
-
-/// The longest that a peer may take for an answer that it has; it stands in the same data centre.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The part of the time that a leaving server goes on serving for which a question to a peer waits. A peer
-/// that fell silent is noticed after that and [`ANSWER_TIMEOUT`].
+/// that fell silent is noticed soon after that.
 const WAIT_PART: f64 = 0.1;
 
 /// The bounds of that wait.
@@ -61,21 +51,6 @@
 /// The same at the first start of all, when nobody is listed yet and there are no callers.
 const FIRST_START_PATIENCE: Duration = Duration::from_millis(4000);
 
-/// The time between two tries of a peer that starts.
-const START_RETRY: Duration = Duration::from_millis(50);
-
-/// How a register is set up.
-pub(crate) struct RegisterOptions {
-    pub(crate) vm: VmId,
-    pub(crate) data_centre: DataCentre,
-    /// Whether the whole fleet starts for the first time.
-    pub(crate) first_start: bool,
-    /// How long a server that is gone from the register goes on serving.
-    pub(crate) drain: Duration,
-    /// Whether this VM may hear of the register from a peer.
-    pub(crate) may_follow: bool,
-}
-
 /// The register as this VM knows it.
 pub(crate) struct Register {
     platform: Arc<dyn Directory>,
@@ -86,37 +61,18 @@
     /// Whether the platform answered when it was last asked.
     is_in_touch: AtomicBool,
     book: Book,
+    /// How long a question to a peer waits for a change.
     wait: Duration,
     may_follow: bool,
     begun: Instant,
+    /// How long after `begun` the first source is waited for.
     patience: Duration,
+    /// Calls to the platform so far.
     calls: AtomicU64,
+    /// Questions to peers so far.
     questions: AtomicU64,
 }
 
-/// From whom the register is known, and how far, for dumps.
-#[derive(Debug, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) struct RegisterDump {
-    /// The VM that is followed, if any.
-    follows: Option<VmId>,
-    /// Whether this VM asks the platform and is answered.
-    is_in_touch: bool,
-    routes_at: u64,
-    servers_at: u64,
-}
-
-/// What a register has asked, for metrics.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RegisterCounts {
-    /// Calls to the platform.
-    pub(crate) calls: u64,
-    /// Questions to peers.
-    pub(crate) questions: u64,
-    /// Whether this VM asks the platform itself.
-    pub(crate) asks: bool,
-}
-
 impl Register {
     pub(crate) fn new(
         platform: Arc<dyn Directory>,
@@ -148,27 +104,6 @@
         }
     }
 
-    pub(crate) fn dump(&self) -> RegisterDump {
-        let follows = match &*self.source.borrow() {
-            Source::Peer(vm) => Some(vm.name.clone()),
-            Source::Undecided | Source::Register => None,
-        };
-        RegisterDump {
-            follows,
-            is_in_touch: self.is_in_touch.load(Ordering::Relaxed),
-            routes_at: self.book.at(DirectoryKind::Routes),
-            servers_at: self.book.at(DirectoryKind::Servers),
-        }
-    }
-
-    pub(crate) fn counts(&self) -> RegisterCounts {
-        RegisterCounts {
-            calls: self.calls.load(Ordering::Relaxed),
-            questions: self.questions.load(Ordering::Relaxed),
-            asks: *self.source.borrow() == Source::Register,
-        }
-    }
-
     /// Takes in the VMs that are there, from wherever they are known.
     pub(crate) fn set_vms(&self, vms: &[PeerVm]) {
         if self.may_follow {
@@ -212,17 +147,6 @@
         result
     }
 
-    async fn ask<T: serde::de::DeserializeOwned>(
-        &self,
-        vm: &PeerVm,
-        what: &str,
-        wait: Duration,
-    ) -> Result<T> {
-        self.questions.fetch_add(1, Ordering::Relaxed);
-        let path = format!("{REGISTER_PATH}{what}");
-        self.peers.get(vm.addr, &path, wait + ANSWER_TIMEOUT).await
-    }
-
     fn is_starting(&self) -> bool {
         self.begun.elapsed() < self.patience
     }
@@ -239,44 +163,6 @@
         self.source.borrow().clone()
     }
 
-    /// A peer did not list: one that starts together with this VM is asked again, any other given up.
-    async fn not_listed(&self, vm: &PeerVm, e: &Error) {
-        if self.is_starting() {
-            tokio::time::sleep(START_RETRY).await;
-        } else {
-            self.failed(vm, e);
-        }
-    }
-
-    async fn list_at(&self, vm: &PeerVm, kind: DirectoryKind) -> Result<Listing> {
-        let told: Told = self.ask(vm, &kind.to_string(), Duration::ZERO).await?;
-        if told.at < self.book.at(kind) {
-            let text = "it knows less than this VM";
-            return Err(Error::new(ErrorKind::Unavailable, text).from_peer(vm.name.to_string()));
-        }
-        Ok(Listing {
-            at: Revision(told.at),
-            items: told.items.into_iter().map(Item::from).collect(),
-        })
-    }
-
-    async fn watch_at(
-        &self,
-        vm: &PeerVm,
-        kind: DirectoryKind,
-        after: Revision,
-        wait: Duration,
-    ) -> Result<Changes> {
-        let wait_ms = wait.as_millis();
-        let what = format!("{kind}?after={after}&wait-ms={wait_ms}");
-        let told: Told = self.ask(vm, &what, wait).await?;
-        Ok(Changes {
-            at: Revision(told.at).max(after),
-            items: told.items.into_iter().map(Item::from).collect(),
-            origin: Origin::Peer,
-        })
-    }
-
     /// Watches at the platform until something changed, or there is a peer to hear from.
     async fn watch_platform(
         &self,
@@ -292,142 +178,12 @@
         }
     }
 
-    /// Asks peers whether they are in touch with the platform; gives those that answer and are not.
-    async fn touch_peers(&self) -> std::result::Result<Vec<Fingerprint>, Vec<PeerVm>> {
-        let to_ask = lock(&self.sources).to_ask(now());
-        let mut out_of_touch = Vec::new();
-        for vm in to_ask {
-            match self.ask::<Touch>(&vm, TOUCH, Duration::ZERO).await {
-                Ok(touch) if touch.is_in_touch => {
-                    self.change(|sources| sources.in_touch(&vm));
-                    return Ok(touch.quarantined);
-                }
-                Ok(_) => out_of_touch.push(vm),
-                Err(_) if self.is_starting() => {}
-                Err(e) => self.failed(&vm, &e),
-            }
-        }
-        Err(out_of_touch)
-    }
-
     /// Whether this VM's own look at the platform counts; not at first while peers have yet to regain it.
     fn may_turn_to_platform(&self, out_of_touch: &[PeerVm]) -> bool {
         out_of_touch.is_empty() || self.change(|s| s.in_touch_alone(now(), out_of_touch))
     }
 }
 
-#[async_trait]
-impl Directory for Register {
-    async fn list(&self, kind: DirectoryKind) -> Result<Listing> {
-        loop {
-            let listing = match self.decided().await {
-                Source::Undecided | Source::Register => {
-                    self.note(self.platform.list(kind).await)?
-                }
-                Source::Peer(vm) => match self.list_at(&vm, kind).await {
-                    Ok(listing) => listing,
-                    Err(e) => {
-                        self.not_listed(&vm, &e).await;
-                        continue;
-                    }
-                },
-            };
-            self.book.note_list(kind, &listing);
-            return Ok(listing);
-        }
-    }
-
-    async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes> {
-        let until = Instant::now() + wait;
-        let mut after = after;
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            let source = self.source.borrow().clone();
-            let changes = match source {
-                Source::Undecided | Source::Register => {
-                    match self.watch_platform(kind, after, left).await {
-                        Some(result) => result?,
-                        None => continue,
-                    }
-                }
-                Source::Peer(vm) => match self.watch_at(&vm, kind, after, self.wait).await {
-                    Ok(changes) => changes,
-                    Err(e) if e.kind() == ErrorKind::NotFound => return Err(e),
-                    Err(e) => {
-                        self.failed(&vm, &e);
-                        continue;
-                    }
-                },
-            };
-            self.book.note_changes(kind, &changes);
-            // A peer's word that nothing changed is free, and no sign that the platform is in reach.
-            let is_over = changes.origin == Origin::Platform && Instant::now() >= until;
-            if !changes.items.is_empty() || is_over {
-                return Ok(changes);
-            }
-            after = changes.at;
-        }
-    }
-
-    async fn announce(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
-        self.note(self.platform.announce(vm, renewal).await)
-    }
-
-    async fn renew(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
-        self.note(self.platform.renew(vm, renewal).await)
-    }
-
-    async fn quarantined(&self) -> Result<Vec<Fingerprint>> {
-        let out_of_touch = match self.touch_peers().await {
-            Ok(requests) => {
-                self.book.note_quarantined(&requests);
-                return Ok(requests);
-            }
-            Err(out_of_touch) => out_of_touch,
-        };
-        let requests = self.note(self.platform.quarantined().await)?;
-        if !self.may_turn_to_platform(&out_of_touch) {
-            let text = "the peers that are followed are out of touch";
-            return Err(Error::new(ErrorKind::Unavailable, text).at("look for a source"));
-        }
-        self.book.note_quarantined(&requests);
-        Ok(requests)
-    }
-
-    async fn quarantine(&self, request: Fingerprint) -> Result<()> {
-        self.note(self.platform.quarantine(request).await)
-    }
-
-    async fn release(&self, request: Fingerprint) -> Result<()> {
-        self.note(self.platform.release(request).await)
-    }
-
-    async fn withdraw(&self, vm: &VmId) -> Result<()> {
-        self.note(self.platform.withdraw(vm).await)
-    }
-
-    async fn vms(&self) -> Result<Vec<Announced>> {
-        let source = self.source.borrow().clone();
-        if let Source::Peer(vm) = source {
-            match self.ask::<Vec<ToldVm>>(&vm, VMS, Duration::ZERO).await {
-                Ok(told) => {
-                    let vms: Vec<Announced> = told.into_iter().map(Announced::from).collect();
-                    self.book.note_vms(&vms);
-                    return Ok(vms);
-                }
-                Err(e) => self.failed(&vm, &e),
-            }
-        }
-        let vms = self.note(self.platform.vms().await)?;
-        self.book.note_vms(&vms);
-        Ok(vms)
-    }
-
-    async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()> {
-        self.note(self.platform.remove_vm(vm, unless_after).await)
-    }
-}
-
 /// The time as decisions take it.
 fn now() -> std::time::Instant {
     Instant::now().into_std()
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -91,8 +91,8 @@
         loop {
             let first = looks.next();
             tokio::time::sleep(first.unwrap_or(HEARTBEAT)).await;
-            if first.is_some() || Instant::now() >= next_look {
-                self.look(&mut known).await;
+            // After a failure the next look follows soon: this VM may not be announced yet.
+            if (first.is_some() || Instant::now() >= next_look) && self.look(&mut known).await {
                 next_look = Instant::now() + LOOK_EVERY.min(self.renew_every);
             }
             // Also after a look: it tells nothing of requests that crash servers, and a VM that only looks
@@ -101,13 +101,13 @@
         }
     }
 
-    /// Looks who is there, and sees to it that this VM stays listed.
-    async fn look(&self, known: &mut Known) {
+    /// Looks who is there, and sees to it that this VM stays listed; `false` if that is not to be seen.
+    async fn look(&self, known: &mut Known) -> bool {
         let listed = match self.directory.vms().await {
             Ok(listed) => listed,
             Err(e) => {
                 self.contact.lost("vms", &e);
-                return;
+                return false;
             }
         };
         self.contact.seen("vms");
@@ -120,6 +120,7 @@
         } else if Instant::now() >= known.renew_at {
             self.renew(known, vms).await;
         }
+        true
     }
 
     /// Tells of the VMs that live, and removes those that are gone.
--- a/crates/follow/src/candidates.rs
+++ b/crates/follow/src/candidates.rs
@@ -23,9 +23,6 @@
     if here.len() <= FEW {
         return Vec::new();
     }
-    here.sort_by(|a, b| {
-        let by_strength = b.capacity.strength().total_cmp(&a.capacity.strength());
-        by_strength.then_with(|| a.name.cmp(&b.name))
-    });
+    here.sort_by(|a, b| PeerVm::strongest_first(a, b));
     here.into_iter().take(CANDIDATES).cloned().collect()
 }
--- a/crates/relay/src/roster.rs
+++ b/crates/relay/src/roster.rs
@@ -2,6 +2,7 @@
 //!
 //! Every VM works the same out from the same list, so nothing has to be agreed on.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -26,14 +27,6 @@
     pub megabits: f64,
 }
 
-impl Capacity {
-    /// Orders VMs by what they can do: none is strong by its cores or its link alone.
-    #[must_use]
-    pub fn strength(&self) -> f64 {
-        self.cores * self.megabits
-    }
-}
-
 /// A VM as it announces itself to the others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -50,6 +43,18 @@
     pub capacity: Capacity,
 }
 
+impl PeerVm {
+    /// Orders VMs by what they can do, the strongest first, and equal ones by their names.
+    ///
+    /// None is strong by its cores or its link alone.
+    #[must_use]
+    pub fn strongest_first(a: &Self, b: &Self) -> Ordering {
+        let strength = |vm: &Self| vm.capacity.cores * vm.capacity.megabits;
+        let by_strength = strength(b).total_cmp(&strength(a));
+        by_strength.then_with(|| a.name.cmp(&b.name))
+    }
+}
+
 /// The VMs that are there, this one included.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Roster {
--- a/crates/relay/src/runners.rs
+++ b/crates/relay/src/runners.rs
@@ -36,10 +36,7 @@
     let mut chosen = Vec::with_capacity(strong);
     for mut here in by_place.into_values() {
         let count = (here.len() as f64 * part) as usize;
-        here.sort_by(|a, b| {
-            let by_strength = b.capacity.strength().total_cmp(&a.capacity.strength());
-            by_strength.then_with(|| a.name.cmp(&b.name))
-        });
+        here.sort_by(|a, b| PeerVm::strongest_first(a, b));
         here.truncate(count.max(IN_EACH_MIN));
         chosen.extend(here);
     }
