--- a/crates/edge/src/register/ask.rs
+++ b/crates/edge/src/register/ask.rs
@@ -7,6 +7,7 @@
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
@@ -24,8 +25,11 @@
 /// The longest that a peer may take for an answer that it has; it stands in the same data centre.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The time between two tries of a peer that starts.
-const START_RETRY: Duration = Duration::from_millis(50);
+/// The time between two tries of a peer that has yet to list.
+const LIST_RETRY: Duration = Duration::from_millis(50);
+
+/// How long a peer is given to list: at the end of an outage it may hear of that later than this VM.
+const LIST_PATIENCE: Duration = Duration::from_millis(500);
 
 impl Register {
     /// Asks a peer, which may wait so long for something to tell.
@@ -71,10 +75,11 @@
         })
     }
 
-    /// A peer did not list: one that starts together with this VM is asked again, any other given up.
-    pub(super) async fn not_listed(&self, vm: &PeerVm, e: &Error) {
-        if self.is_starting() {
-            tokio::time::sleep(START_RETRY).await;
+    /// A peer did not list: one that starts together with this VM, or was asked first a moment ago, is asked
+    /// again, any other given up.
+    pub(super) async fn not_listed(&self, vm: &PeerVm, begun: Instant, e: &Error) {
+        if self.is_starting() || begun.elapsed() < LIST_PATIENCE {
+            tokio::time::sleep(LIST_RETRY).await;
         } else {
             self.failed(vm, e);
         }
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -23,6 +23,7 @@
 #[async_trait]
 impl Directory for Register {
     async fn list(&self, kind: DirectoryKind) -> Result<Listing> {
+        let begun = Instant::now();
         loop {
             let listing = match self.decided().await {
                 Source::Undecided | Source::Register => {
@@ -31,7 +32,7 @@
                 Source::Peer(vm) => match self.list_at(&vm, kind).await {
                     Ok(listing) => listing,
                     Err(e) => {
-                        self.not_listed(&vm, &e).await;
+                        self.not_listed(&vm, begun, &e).await;
                         continue;
                     }
                 },
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -154,7 +154,7 @@
     })
     .await;
     let sources_after: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
-    assert_eq!(sources_after, sources);
+    assert_eq!(sources_after, sources, "{}", r.lines("event=register-"));
     // Of each asker: a try under way, a watch, and up to two lists, each followed by a watch.
     let made = calls(&r, "GET /api/objects/servers") - before;
     assert!(made <= 6 * 2 * DATA_CENTRES as u64, "{made} calls");
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -135,6 +135,13 @@
         logs.collect()
     }
 
+    /// The lines of all logs that hold a text.
+    pub fn lines(&self, text: &str) -> String {
+        let logs = self.logs();
+        let lines = logs.lines().filter(|line| line.contains(text));
+        lines.map(|line| format!("{line}\n")).collect()
+    }
+
     /// How often a request ran, on all servers together.
     pub fn ran(&self, id: &str) -> u32 {
         let runs = self.site.runs.lock().expect("the runs");
