refactor: one pace of log lines

`ends.rs` counted the lines of a second by itself, and `serve` is about to need the same. The interval is unchanged.

--- a/crates/edge/src/ends.rs
+++ b/crates/edge/src/ends.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::time::Duration;
 use std::time::Instant;
 
 use gs_actor::lock;
 use gs_relay::Ending;
 use gs_relay::Outcome;
+use gs_types::pace::Pace;
 use gs_types::prelude::*;
 
 use crate::metrics::Metrics;
@@ -22,17 +22,10 @@
     metrics: Arc<Metrics>,
 }
 
-#[derive(Default)]
-struct Pace {
-    second: Option<Instant>,
-    lines: u32,
-    left_out: u64,
-}
-
 impl Ends {
     pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
         Self {
-            pace: Mutex::default(),
+            pace: Mutex::new(Pace::new(REQUESTS_PER_SECOND)),
             metrics,
         }
     }
@@ -44,7 +37,7 @@
         if outcome == WHOLE {
             return;
         }
-        let Some(left_out) = self.may_write() else {
+        let Some(left_out) = lock(&self.pace).take(Instant::now()) else {
             return;
         };
         let (whole, parts) = e.parts;
@@ -72,25 +65,6 @@
             );
         }
     }
-
-    /// Whether a request may be told of now, and how many were left out since the last.
-    fn may_write(&self) -> Option<u64> {
-        let mut pace = lock(&self.pace);
-        let now = Instant::now();
-        let is_new = pace
-            .second
-            .is_none_or(|s| now.saturating_duration_since(s) >= Duration::from_secs(1));
-        if is_new {
-            pace.second = Some(now);
-            pace.lines = 0;
-        }
-        if pace.lines >= REQUESTS_PER_SECOND {
-            pace.left_out += 1;
-            return None;
-        }
-        pace.lines += 1;
-        Some(std::mem::take(&mut pace.left_out))
-    }
 }
 
 /// The outcome of a request that was whole and on time.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod ids;
 pub mod lookup;
 pub mod model;
+pub mod pace;
 pub mod prelude;
 pub mod size;
 pub mod stored;
