fix(rig): stand-ins send the cut-short answer that tests ask for

Seen: process test `servers::a_server_that_spoils_…::case_2_cut_short` failed at times: the first page held 3 of 6 shards.

Cause: hyper asserts that a content-length header fits its body, so the stand-in panicked and looking the backtrace up held all servers up beyond the objective. The body now announces the false length and ends early. The check is unchanged; the same fault in `serve`'s stand-in is mended too.

--- /dev/null
+++ b/crates/rig/src/body.rs
@@ -0,0 +1,34 @@
+//! The bodies of the stand-ins' replies, whole and cut short.
+
+use std::io;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use http_body_util::combinators::BoxBody;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header::CONTENT_LENGTH;
+
+/// The body of a reply.
+pub(crate) type Body = BoxBody<Bytes, io::Error>;
+
+/// A body that is sent whole.
+pub(crate) fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).map_err(|e| match e {}).boxed()
+}
+
+/// Makes a reply announce a body of `length`, send only `bytes` of it, and end its connection.
+pub(crate) fn cut_short(res: &mut Response<Body>, length: usize, bytes: Bytes) {
+    res.headers_mut().insert(CONTENT_LENGTH, length.into());
+    let sent = stream::once(async move { Ok(Frame::data(bytes)) });
+    let end = stream::once(async {
+        // hyper drops what it has not written out yet when a body fails; it does so while it waits.
+        tokio::task::yield_now().await;
+        Err(io::Error::from(io::ErrorKind::BrokenPipe))
+    });
+    *res.body_mut() = BodyExt::boxed(StreamBody::new(sent.chain(end)));
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`site`]: the users' platform with its store, backend servers and relaying VMs;
 //! - [`load`]: open-loop arrivals, checks of every answer, tables and plots.
 
+mod body;
 pub mod control;
 pub mod corpus;
 pub mod deploy;
--- a/crates/rig/src/server/answer.rs
+++ b/crates/rig/src/server/answer.rs
@@ -18,10 +18,10 @@
 use tokio::sync::oneshot;
 
 use super::reply;
-use super::reply::Body;
 use super::state::Held;
 use super::state::Server;
 use super::state::lock;
+use crate::body::Body;
 use crate::net::Site;
 
 /// The longest query accepted, in bytes.
--- a/crates/rig/src/server/reply.rs
+++ b/crates/rig/src/server/reply.rs
@@ -1,27 +1,19 @@
 //! The replies of a server, whole and spoilt.
 
-use std::io;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::stream;
 use gs_types::prelude::*;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::StreamBody;
-use http_body_util::combinators::BoxBody;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Frame;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::state::Server;
 use super::state::lock;
+use crate::body::Body;
+use crate::body::cut_short;
+use crate::body::whole;
 use crate::control::Spoilage;
 
-/// The body of a reply.
-pub(super) type Body = BoxBody<Bytes, io::Error>;
-
 /// When a server that sheds wants to be asked again.
 const SHED_RETRY: Duration = Duration::from_millis(50);
 
@@ -36,7 +28,7 @@
     headers: &[(&'static str, &str)],
     body: Vec<u8>,
 ) -> Response<Body> {
-    let mut resp = Response::new(whole(body.into()));
+    let mut resp = Response::new(whole(body));
     *resp.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_REQUEST);
     for (name, value) in headers {
         if let Ok(value) = value.parse() {
@@ -120,7 +112,7 @@
     let length = body.len();
     let mut resp = with_body(200, &headers, body);
     if how == Spoilage::Truncated {
-        truncate(&mut resp, length);
+        cut_short(&mut resp, length, vec![b'['; length / 2].into());
     }
     resp
 }
@@ -140,18 +132,3 @@
         *b += 1;
     }
 }
-
-fn truncate(resp: &mut Response<Body>, length: usize) {
-    resp.headers_mut()
-        .insert(hyper::header::CONTENT_LENGTH, length.into());
-    let half = Bytes::from(vec![b'['; length / 2]);
-    let frames = [
-        Ok(Frame::data(half)),
-        Err(io::Error::from(io::ErrorKind::BrokenPipe)),
-    ];
-    *resp.body_mut() = BodyExt::boxed(StreamBody::new(stream::iter(frames)));
-}
-
-fn whole(body: Bytes) -> Body {
-    Full::new(body).map_err(|e| match e {}).boxed()
-}
--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use gs_types::prelude::*;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use serde_json::json;
@@ -24,6 +23,8 @@
 use super::proxy::FaultProxy;
 use super::records::part;
 use super::store::Store;
+use crate::body::Body;
+use crate::body::cut_short;
 
 /// Requests that a server runs at the same time.
 const SLOTS: usize = 2;
@@ -31,6 +32,9 @@
 /// Requests that wait for a slot before the next is refused.
 const QUEUE: usize = 12;
 
+/// The length that an answer cut short announces, longer than any part.
+const TRUNCATED: usize = 100_000;
+
 /// How a server misbehaves.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BackendFaults {
@@ -173,7 +177,7 @@
 
 #[async_trait::async_trait]
 impl Answers for Inner {
-    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Full<Bytes>>> {
+    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Body>> {
         let header = |name: &str| {
             let value = req.headers().get(name).and_then(|v| v.to_str().ok());
             value.unwrap_or("").to_owned()
@@ -205,23 +209,21 @@
         }
         let target = req.uri().path_and_query().map_or("/", |t| t.as_str());
         let stamp = format!("{}.{}.{id}", self.service, self.id);
-        let mut res = plain(
-            if faults.fails { 500 } else { 200 },
-            part(&self.service, target),
-        );
+        let body = part(&self.service, target);
+        let mut res = plain(if faults.fails { 500 } else { 200 }, body.clone());
         res = with(res, "answer-stamp", &stamp);
         let echoed = if faults.crosses { "another" } else { &id };
         res = with(res, "attempt-id", echoed);
         res = with(res, "server-load", &self.load());
         if faults.truncates {
-            res = with(res, "content-length", "100000");
+            cut_short(&mut res, TRUNCATED, body);
         }
         Some(res)
     }
 }
 
 impl Inner {
-    fn shed(&self) -> Response<Full<Bytes>> {
+    fn shed(&self) -> Response<Body> {
         let res = with(plain(503, ""), "not-executed", "1");
         with(res, "server-load", &self.load())
     }
@@ -233,7 +235,7 @@
     }
 }
 
-fn with(mut res: Response<Full<Bytes>>, name: &'static str, value: &str) -> Response<Full<Bytes>> {
+fn with(mut res: Response<Body>, name: &'static str, value: &str) -> Response<Body> {
     if let Ok(value) = hyper::header::HeaderValue::from_str(value) {
         res.headers_mut().insert(name, value);
     }
--- a/crates/rig/src/site/http.rs
+++ b/crates/rig/src/site/http.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use gs_types::prelude::*;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -15,10 +14,13 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use crate::body::Body;
+use crate::body::whole;
+
 /// What a stand-in does with a request; `None` ends the connection without an answer.
 #[async_trait::async_trait]
 pub(super) trait Answers: Send + Sync + 'static {
-    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Full<Bytes>>>;
+    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Body>>;
 }
 
 /// Listens, on the address of an earlier run if there is one.
@@ -68,10 +70,7 @@
 
 impl std::error::Error for Cut {}
 
-async fn one(
-    answers: Arc<dyn Answers>,
-    req: Request<Incoming>,
-) -> Result<Response<Full<Bytes>>, Cut> {
+async fn one(answers: Arc<dyn Answers>, req: Request<Incoming>) -> Result<Response<Body>, Cut> {
     let (head, body) = req.into_parts();
     let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
     let answer = answers.answer(Request::from_parts(head, body)).await;
@@ -79,8 +78,8 @@
 }
 
 /// A response with a status and a body.
-pub(super) fn plain(status: u16, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
-    let mut res = Response::new(Full::new(body.into()));
+pub(super) fn plain(status: u16, body: impl Into<Bytes>) -> Response<Body> {
+    let mut res = Response::new(whole(body));
     *res.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
     res
 }
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -10,7 +10,6 @@
 
 use bytes::Bytes;
 use gs_types::prelude::*;
-use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -24,6 +23,7 @@
 use super::http::plain;
 use super::http::serve;
 use super::objects::Objects;
+use crate::body::Body;
 
 /// How the store misbehaves towards all.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -132,7 +132,7 @@
 
 #[async_trait::async_trait]
 impl Answers for Inner {
-    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Full<Bytes>>> {
+    async fn answer(&self, req: Request<Bytes>) -> Option<Response<Body>> {
         let call = format!("{} {}", req.method(), req.uri().path());
         *lock(&self.calls).entry(call).or_default() += 1;
         let fault = *lock(&self.fault);
@@ -151,7 +151,7 @@
 }
 
 impl Inner {
-    async fn handle(&self, req: &Request<Bytes>) -> Response<Full<Bytes>> {
+    async fn handle(&self, req: &Request<Bytes>) -> Response<Body> {
         let path = req.uri().path().trim_start_matches("/api/objects/");
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         let query = req.uri().query().unwrap_or("");
@@ -183,7 +183,7 @@
         }
     }
 
-    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Full<Bytes>> {
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
         let until = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
@@ -199,7 +199,7 @@
         }
     }
 
-    fn create(&self, kind: &str, body: &Bytes) -> Response<Full<Bytes>> {
+    fn create(&self, kind: &str, body: &Bytes) -> Response<Body> {
         let Ok(object) = serde_json::from_slice::<Value>(body) else {
             return plain(400, "");
         };
@@ -214,7 +214,7 @@
         json(&made)
     }
 
-    fn remove(&self, kind: &str, name: &str, wanted: Option<u64>) -> Response<Full<Bytes>> {
+    fn remove(&self, kind: &str, name: &str, wanted: Option<u64>) -> Response<Body> {
         let mut objects = lock(&self.objects);
         let Some(object) = objects.get(kind, name) else {
             return plain(404, "{}");
@@ -228,7 +228,7 @@
         plain(200, "{}")
     }
 
-    fn replace(&self, kind: &str, name: &str, body: &Bytes) -> Response<Full<Bytes>> {
+    fn replace(&self, kind: &str, name: &str, body: &Bytes) -> Response<Body> {
         let Ok(object) = serde_json::from_slice::<Value>(body) else {
             return plain(400, "");
         };
@@ -243,7 +243,7 @@
     }
 }
 
-fn json(value: &Value) -> Response<Full<Bytes>> {
+fn json(value: &Value) -> Response<Body> {
     plain(200, value.to_string())
 }
 
--- /dev/null
+++ b/crates/rig/tests/backend.rs
@@ -0,0 +1,40 @@
+//! The stand-in backend servers of a site answer as badly as they are told to.
+
+use std::time::Duration;
+
+use gs_rig::site::Backend;
+use gs_rig::site::BackendFaults;
+use gs_rig::site::Runs;
+use gs_rig::site::Store;
+use gs_rig::site::part;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+const REQUEST: &[u8] = b"GET /page/q HTTP/1.1\r\nhost: a.example\r\nattempt-id: q\r\n\r\n";
+
+/// A test of answers that are cut short meets connections that end without an answer.
+#[tokio::test]
+async fn an_answer_cut_short_sends_its_head_and_some_of_its_body() {
+    let store = Store::start().await.expect("a free port");
+    let work = Duration::from_millis(1);
+    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let server = server.await.expect("a free port");
+    server.misbehave(BackendFaults {
+        truncates: true,
+        ..BackendFaults::default()
+    });
+    let mut tcp = TcpStream::connect(server.link().addr())
+        .await
+        .expect("it listens");
+    tcp.write_all(REQUEST).await.expect("a request");
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(5), tcp.read_to_end(&mut answer));
+    read.await.expect("the connection ends").expect("by an end");
+    let end = answer.windows(4).position(|w| w == b"\r\n\r\n");
+    let end = end.expect("a whole head") + 4;
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    assert!(head.starts_with("http/1.1 200"), "{head}");
+    assert!(head.contains("content-length: 100000\r\n"), "{head}");
+    assert_eq!(answer[end..], part("s", "/page/q")[..]);
+}
--- a/crates/rig/tests/servers.rs
+++ b/crates/rig/tests/servers.rs
@@ -18,6 +18,8 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::io::AsyncReadExt;
@@ -50,6 +52,12 @@
 type Exchange = std::result::Result<(u16, HeaderMap, Bytes), hyper::Error>;
 
 async fn search(servers: &Servers, query: &str, attempt: &str) -> Exchange {
+    let (head, body) = send(servers, query, attempt).await?.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok((head.status.as_u16(), head.headers, body))
+}
+
+async fn send(servers: &Servers, query: &str, attempt: &str) -> hyper::Result<Response<Incoming>> {
     let addr = servers.addr(&name()).expect("the server");
     let io = TcpStream::connect(addr).await.expect("it listens");
     let (mut tx, driver) = http1::handshake(TokioIo::new(io)).await?;
@@ -62,9 +70,7 @@
         .header("x-idempotency-key", "1-abcdefgh")
         .body(Full::new(Bytes::from(query.to_owned())))
         .expect("a request");
-    let (head, body) = tx.send_request(req).await?.into_parts();
-    let body = body.collect().await?.to_bytes();
-    Ok((head.status.as_u16(), head.headers, body))
+    tx.send_request(req).await
 }
 
 fn digest_fits(headers: &HeaderMap, body: &[u8]) -> bool {
@@ -127,6 +133,29 @@
     assert!(!digest_fits(&headers, &body));
 }
 
+/// A test of truncated parts meets connections that end without a reply.
+#[tokio::test]
+async fn a_truncated_part_sends_its_head_and_some_of_its_body() {
+    let servers = one_server(&Corpus::sample(50)).await;
+    let command = Command::Spoil {
+        server: None,
+        how: Spoilage::Truncated,
+        share: 1.0,
+    };
+    servers.apply(command).await.expect("applied");
+    let res = send(&servers, "larch", "v/1/2/0/0").await.expect("a head");
+    let length: usize = res.headers()["content-length"]
+        .to_str()
+        .ok()
+        .and_then(|l| l.parse().ok())
+        .expect("a length");
+    let mut body = res.into_body();
+    let first = body.frame().await.expect("a frame").expect("some bytes");
+    let first = first.into_data().expect("data");
+    assert!(!first.is_empty() && first.len() < length, "{first:?}");
+    assert!(body.frame().await.is_some_and(|f| f.is_err()));
+}
+
 #[tokio::test]
 async fn a_drained_server_runs_nothing() {
     let servers = one_server(&Corpus::sample(50)).await;
