--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -10,6 +10,7 @@
 mod objects;
 mod proxy;
 mod records;
+mod recovery;
 mod soak;
 mod soak_load;
 mod store;
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -20,18 +20,15 @@
 use tokio::time::Instant;
 
 use super::backend::BackendFaults;
-use super::caller::SiteCaller;
 use super::caller::Verdict;
 use super::proxy::Harm;
+use super::recovery;
 use super::soak_load::Load;
 use super::soak_load::Seen;
 use super::store::StoreFault;
 use super::whole::Site;
 use super::whole::SiteOptions;
 
-/// The time within which every VM serves whole pages again once the faults are over.
-const RECOVERY: Duration = Duration::from_secs(15);
-
 /// The most violations that are told of.
 const TOLD_MAX: usize = 20;
 
@@ -129,7 +126,8 @@
         run.strike().await?;
     }
     run.calm().await?;
-    run.recover().await;
+    let late = recovery::late(&run.site).await;
+    run.report.violations.extend(late);
     let seen = load.stop().await;
     run.check(&seen);
     Ok(run.report)
@@ -322,30 +320,6 @@
         Ok(())
     }
 
-    /// Waits until every VM serves whole pages again.
-    async fn recover(&mut self) {
-        let caller = SiteCaller::new();
-        let end = Instant::now() + RECOVERY;
-        let route = self.site.config.routes[0].clone();
-        for vm in 0..self.site.vms.len() {
-            let addr = self.site.vms[vm].plan().callers;
-            let mut n = 0;
-            loop {
-                n += 1;
-                let answer = caller.ask(addr, &route, &format!("recover-{vm}-{n}")).await;
-                if answer.verdict == Verdict::Right(0) {
-                    break;
-                }
-                if Instant::now() > end {
-                    let text = format!("vm {vm} has not recovered: {answer:?}");
-                    self.report.violations.push(text);
-                    break;
-                }
-                tokio::time::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
-
     /// Checks what callers saw against what ran.
     fn check(&mut self, seen: &[Seen]) {
         let runs = self
