fix(rig): a server that crashes twice is started once

Cause: two crashes of one server overlapped, and the second restart found it running. Taken first for a connection that had its port, which is possible too; servers listen on an address of their own, but the seed failed again with that alone. A server that runs now goes on. `backend::a_server_that_crashes_twice_…` and `…a_server_starts_again_…` failed before.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
+use super::address::own_address;
 use super::http::Answers;
 use super::http::listen;
 use super::http::plain;
@@ -64,6 +67,8 @@
     link: FaultProxy,
     inner: Arc<Inner>,
     task: JoinHandle<()>,
+    /// Whether it has crashed and was not started again.
+    is_down: AtomicBool,
 }
 
 struct Inner {
@@ -90,7 +95,7 @@
         work: Duration,
         runs: Runs,
     ) -> Result<Self> {
-        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let listener = listen(SocketAddr::from((own_address(), 0))).await?;
         let addr = listener
             .local_addr()
             .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
@@ -110,6 +115,7 @@
             addr,
             link: FaultProxy::start(addr).await?,
             task: serve(listener, Arc::<Inner>::clone(&inner)),
+            is_down: AtomicBool::new(false),
             inner,
         };
         this.register(store, "ready");
@@ -128,6 +134,12 @@
         &self.service
     }
 
+    /// Where it listens itself, behind the proxy.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// The proxy that everybody reaches it through.
     #[must_use]
     pub fn link(&self) -> &FaultProxy {
@@ -154,15 +166,21 @@
 
     /// Crashes it: its connections are reset and nothing listens any more.
     pub fn crash(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
         self.task.abort();
     }
 
-    /// Starts a crashed server again, at its old address.
+    /// Starts a crashed server again, at its old address; one that runs goes on.
     ///
     /// # Errors
     ///
     /// If the address is taken.
     pub async fn restart(&mut self) -> Result<()> {
+        if !self.is_down.swap(false, Ordering::Relaxed) {
+            return Ok(());
+        }
+        // Its listener is closed once the aborted task has ended, which is all that its end says.
+        drop((&mut self.task).await);
         let listener = listen(self.addr).await?;
         self.task = serve(listener, Arc::<Inner>::clone(&self.inner));
         Ok(())
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! Backend servers answer with records that follow from the service and the request, so that every page
 //! can be compared with a brute-force merge of the parts that it says it holds.
 
+mod address;
 mod backend;
 mod caller;
 mod config;
--- a/crates/rig/src/site/whole.rs
+++ b/crates/rig/src/site/whole.rs
@@ -4,13 +4,12 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bon::Builder;
 use gs_types::prelude::*;
 
+use super::address::own_address;
 use super::backend::Backend;
 use super::backend::Runs;
 use super::config::SiteConfig;
@@ -187,24 +186,6 @@
     })
 }
 
-/// Addresses given out by this process.
-static GIVEN: AtomicU32 = AtomicU32::new(0);
-
-/// A loopback address that no other VM has, of this process or of another one.
-///
-/// On a shared address a connection of somebody else may take a port between the moment in which it was
-/// found free and that in which the VM listens on it, and the VM does not start.
-fn own_address() -> Ipv4Addr {
-    /// Addresses below this belong to other stand-ins.
-    const FIRST: u32 = 64;
-    /// How many addresses a process has before it begins anew.
-    const COUNT: u32 = 128;
-    let n = FIRST + GIVEN.fetch_add(1, Ordering::Relaxed) % COUNT;
-    let [_, _, high, low] = std::process::id().to_be_bytes();
-    // The last number may be neither 0 nor 255.
-    Ipv4Addr::new(127, n as u8, high, low.clamp(1, 254))
-}
-
 /// Three ports of an address that nobody listens on at present, all different.
 ///
 /// Guards against a VM that does not start: found one after the other, one time in 2,300 two of the three are
--- a/crates/rig/tests/backend.rs
+++ b/crates/rig/tests/backend.rs
@@ -1,5 +1,6 @@
 //! The stand-in backend servers of a site answer as badly as they are told to.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use gs_rig::site::Backend;
@@ -9,6 +10,8 @@
 use gs_rig::site::part;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 const REQUEST: &[u8] = b"GET /page/q HTTP/1.1\r\nhost: a.example\r\nattempt-id: q\r\n\r\n";
@@ -38,3 +41,42 @@
     assert!(head.contains("content-length: 100000\r\n"), "{head}");
     assert_eq!(answer[end..], part("s", "/page/q")[..]);
 }
+
+/// Guards against a soak that ends early: while a server is down, a connection of somebody else takes its port.
+#[tokio::test]
+async fn a_server_starts_again_though_a_connection_has_its_port() {
+    let store = Store::start().await.expect("a free port");
+    let work = Duration::from_millis(1);
+    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let mut server = server.await.expect("a free port");
+    server.crash();
+    let elsewhere = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let from = SocketAddr::from(([127, 0, 0, 1], server.addr().port()));
+    let socket = loop {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        match socket.bind(from) {
+            Ok(()) => break socket,
+            // The server has yet to let go of it.
+            Err(_) => tokio::task::yield_now().await,
+        }
+    };
+    let target = elsewhere.local_addr().expect("an address");
+    let connection = socket.connect(target).await.expect("it listens");
+    server.restart().await.expect("its address is free");
+    drop(connection);
+}
+
+/// Guards against a soak that ends early: two crashes of a server overlap, and the second restart finds it running.
+#[tokio::test]
+async fn a_server_that_crashes_twice_is_started_once() {
+    let store = Store::start().await.expect("a free port");
+    let work = Duration::from_millis(1);
+    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let mut server = server.await.expect("a free port");
+    server.crash();
+    server.crash();
+    server.restart().await.expect("it starts again");
+    server.restart().await.expect("it runs");
+    let tcp = TcpStream::connect(server.addr()).await;
+    tcp.expect("it listens");
+}
