fix(query): a silent replica leaves time for another

Cause: no hedge is made before sixteen parts were seen, nor with a delay learned beyond the deadline. Evidence: the new `event=lookup-short`, with which the hypotheses could be told apart. An attempt that is silent for a quarter of its lookup's time now counts as lost, and another is made, from what is kept for retries if need be. `hedge::a_silent_server_*` failed before.

--- a/crates/query/src/attempt.rs
+++ b/crates/query/src/attempt.rs
@@ -76,7 +76,8 @@
 }
 
 /// Why an attempt was made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum Kind {
     /// The first at its shard.
     First,
--- a/crates/query/src/core.rs
+++ b/crates/query/src/core.rs
@@ -15,6 +15,7 @@
 use gs_route::RouteOptions;
 use gs_route::ServerIdx;
 use gs_route::Servers;
+use gs_types::pace::Pace;
 use gs_types::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -29,6 +30,7 @@
 use crate::losses::Losses;
 use crate::options::EngineOptions;
 use crate::policies;
+use crate::shortfall::LOOKUPS_PER_SECOND;
 use crate::suspects::Suspects;
 use crate::waiting::Waiting;
 
@@ -94,6 +96,8 @@
     /// Lookups in flight.
     pub(crate) in_flight: usize,
     pub(crate) counters: Counters,
+    /// Paces the log lines of lookups that end short.
+    pub(crate) shortfalls: Pace,
     /// Servers with a connection freed since the last look at their queues.
     pub(crate) freed: Vec<ServerIdx>,
     /// Servers whose queues must be placed anew, as they take nothing or hold other snapshots now.
@@ -138,6 +142,7 @@
             is_leaving: false,
             in_flight: 0,
             counters: Counters::default(),
+            shortfalls: Pace::new(LOOKUPS_PER_SECOND),
             freed: Vec::new(),
             changed: Vec::new(),
             options,
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -58,6 +58,9 @@
         out: &mut Vec<Action>,
     ) {
         let is_full = lk.whole as usize == lk.shards.len();
+        if !is_full && !ended_early {
+            self.log_shortfall(now, lk);
+        }
         let outcome = match lk.decl.promise {
             _ if is_full => Outcome::Answered(merge::answer(lk, ended_early)),
             // A page without a single shard behind it would read as "nothing matches".
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -26,6 +26,7 @@
 mod policies;
 mod queue;
 mod reply;
+mod shortfall;
 mod signs;
 mod suspects;
 mod timers;
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -29,7 +29,8 @@
 }
 
 /// What one shard of a lookup is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
 pub(crate) enum ShardState {
     /// Not begun, or held back under suspicion.
     Held,
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -21,6 +21,10 @@
 /// The least time between two looks at a lookup whose hedge could not be made.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
+/// The part of a lookup's time, as a divisor, after which a silent attempt counts as lost; most of the time is
+/// then left for another.
+const LOST_AFTER_PART: u32 = 4;
+
 impl Core {
     /// The time after an attempt's begin at which it is looked at; `None` for never.
     pub(crate) fn look_after(&self, lk: &LookupRun, server: ServerIdx) -> Option<Duration> {
@@ -29,7 +33,11 @@
         }
         match self.options.policy {
             PolicyName::Baseline => Some(self.options.attempt_timeout),
-            PolicyName::Chosen => self.groups[lk.group].hedge.delay(self.distance(server)),
+            PolicyName::Chosen => {
+                let learned = self.groups[lk.group].hedge.delay(self.distance(server));
+                let lost = lost_after(lk);
+                Some(learned.map_or(lost, |delay| delay.min(lost)))
+            }
         }
     }
 
@@ -90,21 +98,28 @@
             let Some(after) = self.look_after(lk, server) else {
                 continue;
             };
+            let lost_at = begun + lost_after(lk);
             if begun + after > now {
                 next = next.min(begun + after);
-            } else if !self.overtake(now, lk, at, out) {
-                next = next.min(now + after.max(LOOK_AGAIN));
+            } else if !self.overtake(now, lk, at, lost_at <= now, out) {
+                let again = now + after.max(LOOK_AGAIN);
+                let is_ahead = lost_at > now;
+                next = next.min(if is_ahead { again.min(lost_at) } else { again });
             }
         }
         self.arm(lk, next);
     }
 
     /// Makes a second attempt beside a slow one, or in its place; `false` if it could not be made.
+    ///
+    /// One beside an attempt that counts as lost may use what the budget keeps for retries: a server that went
+    /// silent would else cost its shard while a replica is idle.
     fn overtake(
         &mut self,
         now: Instant,
         lk: &mut LookupRun,
         at: usize,
+        is_lost: bool,
         out: &mut Vec<Action>,
     ) -> bool {
         if self.options.policy == PolicyName::Baseline {
@@ -118,7 +133,11 @@
         let Some(server) = self.place_hedge(now, lk, at) else {
             return false;
         };
-        if !self.budget.take_hedge(now) {
+        let is_taken = match is_lost {
+            true => self.budget.take_retries(now, 1),
+            false => self.budget.take_hedge(now),
+        };
+        if !is_taken {
             self.counters.extra_refused += 1;
             return false;
         }
@@ -150,6 +169,11 @@
     }
 }
 
+/// The time after which a silent attempt of this lookup counts as lost.
+fn lost_after(lk: &LookupRun) -> Duration {
+    lk.answer_by.saturating_duration_since(lk.arrived) / LOST_AFTER_PART
+}
+
 /// When and where the shard's one attempt under way began; `None` if there is not exactly one, or if it was
 /// hedged before.
 fn slow_candidate(lk: &LookupRun, at: usize) -> Option<(Instant, ServerIdx)> {
--- a/crates/query/tests/engine/hedge.rs
+++ b/crates/query/tests/engine/hedge.rs
@@ -6,7 +6,9 @@
 use gs_query::PartReply;
 use gs_query::PolicyName;
 use gs_types::prelude::*;
+use rstest::rstest;
 
+use crate::world::DEADLINE;
 use crate::world::World;
 use crate::world::brute_force;
 use crate::world::group;
@@ -159,3 +161,60 @@
     };
     assert_eq!(run(), run());
 }
+
+/// How a server that stays silent is known, before the test of it.
+#[derive(Clone, Copy)]
+enum Learned {
+    /// Nothing is known of the group yet.
+    Nothing,
+    /// Parts are known to take longer than any lookup has.
+    LongTimes,
+}
+
+/// A fresh VM, or one that has seen a cut, waits out the whole deadline for servers that went silent.
+#[rstest]
+#[case::of_a_fresh_vm(Learned::Nothing)]
+#[case::after_a_cut(Learned::LongTimes)]
+fn a_silent_server_leaves_time_for_its_replica(#[case] learned: Learned) {
+    let mut w = World::new(2, 2);
+    if matches!(learned, Learned::LongTimes) {
+        for _ in 0..40 {
+            w.arrive("urgent");
+            let silent = std::mem::take(&mut w.open);
+            w.pass(DEADLINE);
+            for d in silent.iter().chain(&std::mem::take(&mut w.open)) {
+                w.reply(d, PartReply::Failed);
+            }
+        }
+        w.pass(Duration::from_secs(20));
+    }
+    let seq = w.arrive("urgent");
+    let silent = w.take(0);
+    w.sent(&silent);
+    w.serve_all();
+    w.pass(DEADLINE / 2);
+    let other = w.take(0);
+    assert_ne!(other.server.name, silent.server.name);
+    w.sent(&other);
+    w.reply(&other, whole(&other));
+    assert!(w.answer(seq).coverage.is_full());
+}
+
+/// A few slow parts use up what hedges may, and the next server that goes silent costs its shard.
+#[test]
+fn a_silent_server_is_asked_around_from_what_is_kept_for_retries() {
+    let options = EngineOptions {
+        extra_ratio: 0.0,
+        extra_burst: 10,
+        extra_floor: 0.0,
+        ..EngineOptions::default()
+    };
+    let mut w = taught(options);
+    let seq = w.arrive("urgent");
+    let silent = w.take(3);
+    w.sent(&silent);
+    w.serve_all();
+    w.pass(DEADLINE / 2);
+    w.serve_all();
+    assert!(w.answer(seq).coverage.is_full());
+}
