fix(relay): a page after a stand-still holds every answer that had come

Callers saw: a page that leaves after its VM stood still lacks parts though every server had answered: 3 of 6 shards, with a VM stopped for 600 ms.

Cause: when the process goes on, timers were taken before the answers that lay unread, each answer was settled by itself, and a bundle was given up as late in the moment in which it could be read. Queued events now go before a tick, requests are settled once a batch, and what fell due in a stand-still is put off by 20 ms. The core test and the process test failed before.

--- a/crates/actor/src/driver.rs
+++ b/crates/actor/src/driver.rs
@@ -47,6 +47,11 @@
 
     /// The event that says that a timer is due.
     fn tick() -> Self::Event;
+
+    /// The event that says that everything that had come by now was told; `None` if that is of no use.
+    fn caught_up() -> Option<Self::Event> {
+        None
+    }
 }
 
 /// Carries out a decision's actions.
@@ -144,6 +149,21 @@
     }
 }
 
+impl<M: Machine<S>, S: Shell<M>> Driver<M, S> {
+    /// Hands over everything that is queued.
+    fn catch_up(&mut self) {
+        let mut batch = std::mem::take(&mut self.batch);
+        self.feed.take(&mut batch);
+        for ev in batch.drain(..) {
+            self.step(ev);
+        }
+        self.batch = batch;
+        if let Some(ev) = <M as Machine<S>>::caught_up() {
+            self.step(ev);
+        }
+    }
+}
+
 impl<M: Machine<S>, S: Shell<M>> Actor for Driver<M, S> {
     type Stop = ();
 
@@ -154,12 +174,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: Ready, _: &mut Context<Self>) {
-        let mut batch = std::mem::take(&mut self.batch);
-        self.feed.take(&mut batch);
-        for ev in batch.drain(..) {
-            self.step(ev);
-        }
-        self.batch = batch;
+        self.catch_up();
     }
 }
 
@@ -168,6 +183,9 @@
 
     async fn handle(&mut self, _: Due, _: &mut Context<Self>) {
         self.timer.fired();
+        // After a stand-still of the process a timer is due together with the answers that came meanwhile, which a
+        // page that leaves at its objective would lack.
+        self.catch_up();
         self.step(<M as Machine<S>>::tick());
     }
 }
--- a/crates/edge/src/lanes.rs
+++ b/crates/edge/src/lanes.rs
@@ -20,6 +20,7 @@
 use gs_relay::Event;
 use gs_relay::RunId;
 use gs_relay::ServerEntry;
+use gs_relay::catch_up;
 use gs_types::prelude::*;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -189,7 +190,7 @@
         let done = tokio::select! {
             biased;
             done = exchange(&mut lent, req, ANSWER_MAX) => done,
-            () = tokio::time::sleep_until(begun + self.d.give_up) => {
+            () = past(begun + self.d.give_up) => {
                 return AttemptEnd::Late(self.d.give_up);
             }
             _ = &mut cancelled => return AttemptEnd::Cancelled,
@@ -219,3 +220,12 @@
         self.lane.put_back(lent);
     }
 }
+
+/// Waits until this time has passed, and after a stand-still of the process a little longer, so that an answer which
+/// came meanwhile is read.
+async fn past(due: Instant) {
+    tokio::time::sleep_until(due).await;
+    if let Some(more) = catch_up(due.into_std(), Instant::now().into_std()) {
+        tokio::time::sleep(more).await;
+    }
+}
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -27,6 +27,10 @@
     fn tick() -> Event {
         Event::Tick
     }
+
+    fn caught_up() -> Option<Event> {
+        Some(Event::CaughtUp)
+    }
 }
 
 /// Carries out what the relay asks for.
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -37,8 +37,9 @@
             } else {
                 core.attempt_ended(now, run, id, end, out);
             }
-            core.settle(now, run, out)
+            false
         });
+        self.unsettled.insert(id.lookup);
     }
 }
 
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -52,7 +52,7 @@
             missing: run.missing,
             parts_min: run.parts_min,
             parts_wanted: run.parts_wanted,
-            objective_at: run.objective_at,
+            objective_at: self.put_off(run.objective_at),
             answer_by: run.answer_by,
         };
         let outcome = match verdict(now, &progress) {
@@ -64,6 +64,10 @@
         true
     }
 
+    fn put_off(&self, at: Instant) -> Instant {
+        self.standstill.map_or(at, |s| s.put_off(at))
+    }
+
     /// Gives a request's caller its only answer.
     pub(crate) fn answer(
         &mut self,
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -68,6 +68,8 @@
     Ended(RunId, AttemptEnd),
     /// The caller of this request hung up.
     Gone(LookupSeq),
+    /// Everything that had come by now was told; requests whose attempts have ended are looked at.
+    CaughtUp,
     /// A timer asked for by [`crate::Action::Wake`] is due.
     Tick,
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::servers::Servers;
 use crate::service::Service;
 use crate::sharing::Sharing;
+use crate::standstill::Standstill;
 use crate::suspects::Suspects;
 use crate::table::RouteTable;
 use crate::transit::Transits;
@@ -39,6 +40,8 @@
 pub struct Relay {
     pub(crate) core: Core,
     pub(crate) runs: HashMap<LookupSeq, Box<Run>>,
+    /// Requests of which attempts have ended since they were last looked at.
+    pub(crate) unsettled: BTreeSet<LookupSeq>,
     woken_at: Option<Instant>,
 }
 
@@ -80,6 +83,8 @@
     /// Servers with a connection freed, or with more reach, since their queue was last looked at.
     pub(crate) freed: Vec<ServiceName>,
     pub(crate) in_flight: usize,
+    /// The last time that this process stood still.
+    pub(crate) standstill: Option<Standstill>,
     pub(crate) counters: Counters,
     pub(crate) rng: ChaCha8Rng,
 }
@@ -111,10 +116,12 @@
                 missing: HashMap::new(),
                 freed: Vec::new(),
                 in_flight: 0,
+                standstill: None,
                 counters: Counters::default(),
                 rng: ChaCha8Rng::seed_from_u64(seed),
             },
             runs: HashMap::new(),
+            unsettled: BTreeSet::new(),
             woken_at: None,
         }
     }
@@ -143,6 +150,7 @@
             }
             Event::Ended(id, end) => self.ended(now, id, end, out),
             Event::Gone(seq) => self.with(seq, |core, run| core.caller_gone(now, run, out)),
+            Event::CaughtUp => self.settle_all(now, out),
             Event::Tick => self.tick(now, out),
         }
         self.serve_queues(now, out);
@@ -184,8 +192,21 @@
         }
     }
 
+    /// Looks at the requests whose attempts have ended since the last time.
+    ///
+    /// Guards against a page that leaves with some of the answers that came together: after a stand-still of the
+    /// process all are behind their objective, and the first ones would make the page up.
+    fn settle_all(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for seq in std::mem::take(&mut self.unsettled) {
+            self.with(seq, |core, run| core.settle(now, run, out));
+        }
+    }
+
     fn tick(&mut self, now: Instant, out: &mut Vec<Action>) {
-        self.woken_at = None;
+        let asked = self.woken_at.take();
+        if let Some(standstill) = Standstill::shown_by(asked, now) {
+            self.put_off(now, standstill);
+        }
         self.core.drop_missing(now, out);
         self.core.replan(now, out);
         while let Some((at, seq)) = self.core.timers.first().copied() {
@@ -205,6 +226,22 @@
         }
     }
 
+    /// Puts off what fell due in a stand-still of this process.
+    fn put_off(&mut self, now: Instant, standstill: Standstill) {
+        self.core.standstill = Some(standstill);
+        let due = self.core.timers.iter().take_while(|(at, _)| *at <= now);
+        let due: Vec<LookupSeq> = due.map(|(_, seq)| *seq).collect();
+        for seq in due {
+            self.with(seq, |core, run| {
+                core.disarm(run);
+                let at = standstill.put_off(now);
+                run.timer = Some(at);
+                core.timers.insert((at, run.seq));
+                false
+            });
+        }
+    }
+
     /// Hedges the other attempts that wait for a server that was found to have stopped answering.
     ///
     /// A pause holds up everything sent to a server. The first attempt to outlast its delay tells of
--- /dev/null
+++ b/crates/relay/src/standstill.rs
@@ -0,0 +1,46 @@
+//! Whether this process stood still, and what is left alone for a moment afterwards.
+//!
+//! The load it answers: a VM that is frozen, or whose share of a core is used up, while answers come. All timers
+//! are due then, and the answers have yet to be read: its pages would leave without them, and everything under way be
+//! asked for a second time.
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// How late a wake-up is that shows a stand-still.
+const LATE: Duration = Duration::from_millis(50);
+
+/// How long what fell due in a stand-still is left alone, in which the answers that came are read.
+const CATCH_UP: Duration = Duration::from_millis(20);
+
+/// How long to go on reading after a wake-up at `now` that was due at `due`; `None` if it was on time.
+///
+/// Use it where a timer and an answer race: after a stand-still both are there, and the timer is seen first.
+#[must_use]
+pub fn catch_up(due: Instant, now: Instant) -> Option<Duration> {
+    let late = now.saturating_duration_since(due);
+    (late > LATE).then_some(CATCH_UP)
+}
+
+/// A stand-still of this process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Standstill {
+    /// When the process went on.
+    over: Instant,
+}
+
+impl Standstill {
+    /// The stand-still that a wake-up at `now` shows that was asked for `asked`; `None` if it shows none.
+    pub(crate) fn shown_by(asked: Option<Instant>, now: Instant) -> Option<Self> {
+        catch_up(asked?, now).map(|_| Self { over: now })
+    }
+
+    /// When something is due that was due at `at`: what fell due in the stand-still is put off a little.
+    pub(crate) fn put_off(&self, at: Instant) -> Instant {
+        if at <= self.over {
+            self.over + CATCH_UP
+        } else {
+            at
+        }
+    }
+}
--- a/crates/relay/tests/relay/pages.rs
+++ b/crates/relay/tests/relay/pages.rs
@@ -1,6 +1,7 @@
 //! Fan-outs: what a page holds, and when it goes out.
 
 use gs_relay::AttemptEnd;
+use gs_relay::Event;
 use gs_relay::FailReason;
 use gs_relay::Outcome;
 use gs_relay::Page;
@@ -106,3 +107,17 @@
     let expected = [[b'c'; 16], [b'b'; 16], [b'a'; 16]].concat();
     assert_eq!(&page(&w, seq).body[..], expected);
 }
+
+/// A page lacks shards whose answers had come: the VM stood still beyond the objective, and the first answers that it
+/// looked at afterwards made the page up.
+#[test]
+fn a_page_after_a_stand_still_holds_every_answer_that_had_come() {
+    let mut w = world(0.6);
+    let seq = w.ask("/page/x", ms(2500));
+    let attempts = std::mem::take(&mut w.sent);
+    w.now += ms(400);
+    let ends = attempts.iter().map(|d| Event::Ended(d.run, good(b'a')));
+    w.tell_together(ends);
+    w.tell(Event::Tick);
+    assert_eq!(page(&w, seq).missing.len(), 0);
+}
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -272,8 +272,15 @@
     }
 
     pub fn tell(&mut self, ev: Event) {
+        self.tell_together([ev]);
+    }
+
+    /// Tells events that came at the same time.
+    pub fn tell_together(&mut self, evs: impl IntoIterator<Item = Event>) {
         let mut out = Vec::new();
-        self.relay.on(self.now, ev, &mut out);
+        for ev in evs.into_iter().chain([Event::CaughtUp]) {
+            self.relay.on(self.now, ev, &mut out);
+        }
         for action in out {
             match action {
                 Action::Send(d) => self.sent.push_back(d),
--- a/tests/relay/vms.rs
+++ b/tests/relay/vms.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gs_rig::site::BackendFaults;
 use gs_rig::site::Verdict;
 use rustix::process::Signal;
 
@@ -100,3 +101,28 @@
     let route = r.route("/page/");
     all(&r.ask_all(2, &route).await, is_whole);
 }
+
+/// A page lacks shards whose answers had come to its VM while that stood still.
+#[tokio::test]
+async fn a_page_after_a_stand_still_of_its_vm_is_whole() {
+    let mut r = site().await;
+    let route = r.route("/page/");
+    all(&r.ask_all(5, &route).await, is_whole);
+    let pauses = BackendFaults {
+        pause: Some(Duration::from_millis(150)),
+        ..BackendFaults::default()
+    };
+    r.site.backends.iter().for_each(|b| b.misbehave(pauses));
+    for round in 0..5 {
+        let (caller, route) = (r.caller.clone(), route.clone());
+        let vm = &r.site.vms[round % 3];
+        let addr = vm.plan().callers;
+        let id = format!("frozen-{round}");
+        let asked = tokio::spawn(async move { caller.ask(addr, &route, &id).await });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        vm.signal(Signal::STOP);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        vm.signal(Signal::CONT);
+        all(&[asked.await.expect("it does not panic")], is_whole);
+    }
+}
