fix(relay): each VM uses its part of the servers where connections are short

Cause: each VM held a connection to each server, which resets what is over its cap with the request on it. Where a service's servers accept fewer connections than there are VMs, each VM uses its part of them and the others only while its own are away. `portions::*` failed before.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod options;
 mod outcome;
 mod placement;
+mod portion;
 mod queue;
 mod reach;
 mod relay;
--- a/crates/relay/src/listing.rs
+++ b/crates/relay/src/listing.rs
@@ -89,10 +89,19 @@
             return;
         }
         let is_near = entry.data_centre == self.options.data_centre;
+        let is_used = self.sharing.uses(&entry);
         let warm = self.sharing.warm(&entry.service, is_near).min(most);
         let Some(view) = self.servers.by_name_mut(&entry.name) else {
             return;
         };
+        view.is_used = is_used;
+        if !is_used {
+            // Connections of before would stay with the server, which resets another VM's for them.
+            if view.told.take().is_some() {
+                out.push(Action::Disconnect(entry.name.clone()));
+            }
+            return;
+        }
         // Told again at each change of anything, the shell would open again what a server has just reset.
         let told = Some((entry.addr, warm, most));
         if view.told == told {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -71,18 +71,23 @@
 impl Scene<'_> {
     /// Finds the server that is expected to answer first.
     ///
-    /// A server that already failed the part is asked again only if no other is left.
+    /// A server that is left to other VMs is asked only if none of this VM's is left, and one that already failed
+    /// the part only if no other is.
     pub(crate) fn place(&self, part: &Part) -> Place {
-        let fresh = self.among(part, |tried| tried.is_none());
+        let own = self.among(part, |view, tried| view.is_used && tried.is_none());
+        if !matches!(own, Place::Nowhere(_)) {
+            return own;
+        }
+        let fresh = self.among(part, |_, tried| tried.is_none());
         if matches!(fresh, Place::Nowhere(_)) && !part.attempts.is_empty() {
-            return self.among(part, |tried| tried.is_some_and(|a| !a.is_live()));
+            return self.among(part, |_, tried| tried.is_some_and(|a| !a.is_live()));
         }
         fresh
     }
 
     /// Finds a server for a second attempt beside a slow one: untried and free.
     pub(crate) fn place_hedge(&self, part: &Part) -> Option<(ServerKey, Duration)> {
-        match self.among(part, |tried| tried.is_none()) {
+        match self.among(part, |view, tried| view.is_used && tried.is_none()) {
             Place::Now(key, expected) => Some((key, expected)),
             Place::Wait | Place::Nowhere(_) => None,
         }
@@ -124,7 +129,7 @@
         open.iter().map(of).min()
     }
 
-    fn among(&self, part: &Part, wanted: impl Fn(Option<&Attempt>) -> bool) -> Place {
+    fn among(&self, part: &Part, wanted: impl Fn(&ServerView, Option<&Attempt>) -> bool) -> Place {
         let servers = self.servers.of(&part.service);
         let may_all_have_run = part.elsewhere == Asked::Unknown;
         if may_all_have_run && servers.len() > usize::from(self.servers_max) {
@@ -140,7 +145,7 @@
             };
             let tried = part.attempts.iter().rfind(|a| a.server == *key);
             let is_new = !ran.contains(*key, view);
-            if !wanted(tried) || (is_new && ran.count() >= usize::from(self.servers_max)) {
+            if !wanted(view, tried) || (is_new && ran.count() >= usize::from(self.servers_max)) {
                 continue;
             }
             if let Some(until) = view.rests_until(self.now) {
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -55,6 +55,8 @@
     pub service: ServiceName,
     /// Whether it takes new work, as far as is known.
     pub is_open: bool,
+    /// Whether this VM sends to it while others of its service are there.
+    pub is_used: bool,
     /// Whether it rests, as it could not be reached.
     pub is_resting: bool,
     /// This VM's attempts there.
@@ -71,6 +73,8 @@
     pub(crate) entry: Arc<ServerEntry>,
     /// Whether it takes no work any more: gone from the register, or its address is another's.
     pub(crate) is_gone: bool,
+    /// Whether this VM sends to it while others of its service are there.
+    pub(crate) is_used: bool,
     /// Attempts of this VM that have not ended, with the times at which they were handed over.
     pub(crate) outstanding: SmallVec<[(RunId, Instant); 4]>,
     /// Connections of this VM that are open.
@@ -96,6 +100,7 @@
             warm_at: now + entry.warming,
             entry,
             is_gone: false,
+            is_used: true,
             outstanding: SmallVec::new(),
             open: 0,
             connections: 0,
@@ -131,6 +136,7 @@
             name: self.entry.name.clone(),
             service: self.entry.service.clone(),
             is_open: self.is_open(),
+            is_used: self.is_used,
             is_resting: self.rests_until(now).is_some(),
             outstanding: self.outstanding.len(),
             slowness: self.slowness(now),
--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -4,10 +4,14 @@
 //! so with tens of VMs and hundreds of servers not every VM can hold one to each. Those that run
 //! fan-outs share most of what the shards accept; all others keep to one, for when no peer is there.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 
 use gs_types::prelude::*;
 
+use crate::entry::ServerEntry;
+use crate::portion::is_scarce;
+use crate::portion::portion;
 use crate::relay::Core;
 use crate::roster::PeerVm;
 use crate::roster::Roster;
@@ -42,6 +46,10 @@
     runners: Headcount,
     /// All VMs.
     all: Headcount,
+    /// The servers that this VM uses of services that accept fewer connections than there are VMs.
+    portions: HashMap<ServiceName, HashSet<ServerName>>,
+    /// Services, other than shards, that accept fewer connections in all than there are VMs.
+    scarce: HashSet<ServiceName>,
 }
 
 /// How many VMs there are.
@@ -97,12 +105,15 @@
                 names: HashSet::new(),
                 runners: Headcount::of(core.options.peers as usize),
                 all: Headcount::of(core.options.peers as usize),
+                portions: HashMap::new(),
+                scarce: HashSet::new(),
             };
         }
         let declared = core.table.iter().flat_map(|t| t.services_of(&shards));
         let least = declared.map(|s| s.connections).min();
         let runners = runners(&core.roster, least);
         let names: HashSet<VmId> = runners.iter().map(|vm| vm.name.clone()).collect();
+        let (portions, scarce) = portions(core, routed.difference(&shards));
         Self {
             shards,
             routed,
@@ -111,6 +122,8 @@
             names,
             runners: Headcount::of(runners.len()),
             all: Headcount::of(core.roster.vms().len()),
+            portions,
+            scarce,
         }
     }
 
@@ -130,6 +143,12 @@
         head.listed
     }
 
+    /// Whether this VM sends to a server while others of its service are there.
+    pub(crate) fn uses(&self, server: &ServerEntry) -> bool {
+        let portion = self.portions.get(&server.service);
+        portion.is_none_or(|names| names.contains(&server.name))
+    }
+
     /// The most connections to a server of a service.
     pub(crate) fn most(&self, decl: Option<&ServiceDecl>, service: &ServiceName) -> Connections {
         let Some(limit) = decl.map(|s| f64::from(s.connections.0)) else {
@@ -177,9 +196,37 @@
         let is_for_runners = self.shards.contains(service) || !self.routed.contains(service);
         let is_idle = !self.knows_vms || (is_for_runners && !self.runs);
         Connections(match is_near {
-            _ if is_idle => 0,
+            _ if is_idle || self.scarce.contains(service) => 0,
             true => WARM_NEAR,
             false => WARM_FAR,
         })
     }
 }
+
+/// The servers that this VM uses of each of these services that has too few connections for all VMs, and the
+/// services whose servers have too few together.
+fn portions<'a>(
+    core: &Core,
+    services: impl Iterator<Item = &'a ServiceName>,
+) -> (
+    HashMap<ServiceName, HashSet<ServerName>>,
+    HashSet<ServiceName>,
+) {
+    let (mut portions, mut scarce) = (HashMap::new(), HashSet::new());
+    for service in services {
+        let Some(decl) = core.table.as_ref().and_then(|t| t.service(service)) else {
+            continue;
+        };
+        let views = core.servers.of(service).iter();
+        let views = views.filter_map(|key| core.servers.get(*key));
+        let open: Vec<&ServerEntry> = views.filter(|v| v.is_open()).map(|v| &*v.entry).collect();
+        let vms = core.roster.vms();
+        if is_scarce(vms.len(), open.len(), decl.connections) {
+            scarce.insert(service.clone());
+        }
+        if let Some(names) = portion(&core.options.vm, vms, &open, decl.connections) {
+            portions.insert(service.clone(), names);
+        }
+    }
+    (portions, scarce)
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -9,6 +9,7 @@
 mod overload;
 mod pages;
 mod pauses;
+mod portions;
 mod register;
 mod runners;
 mod settle;
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -295,7 +295,9 @@
                     self.connects.push(server.name.clone());
                     self.warm.insert(server.name.clone(), warm.0);
                 }
-                Action::Disconnect(_) => {}
+                Action::Disconnect(name) => {
+                    self.warm.remove(&name);
+                }
             }
         }
     }
