--- a/crates/edge/src/ends.rs
+++ b/crates/edge/src/ends.rs
@@ -44,11 +44,12 @@
         log::info!(
             "event=request-end id={id} path={path} route={} version={} handed={is_handed} \
              outcome={outcome} reason={reason} took_ms={} objective_ms={} parts={whole}/{parts} \
-             extra={} left_out={left_out}",
+             given_up={} extra={} left_out={left_out}",
             e.route.as_ref().map_or("", LookupName::as_str),
             e.version.unwrap_or_default(),
             e.took.as_millis(),
             e.objective.as_millis(),
+            e.given_up,
             e.extra,
         );
         for s in &e.trail {
--- a/crates/relay/src/arrive.rs
+++ b/crates/relay/src/arrive.rs
@@ -10,6 +10,7 @@
 use crate::action::Action;
 use crate::event::Arrival;
 use crate::event::Handed;
+use crate::gave_up::GivenUp;
 use crate::outcome::Ending;
 use crate::outcome::Outcome;
 use crate::outcome::RefuseReason;
@@ -163,6 +164,7 @@
             took: Duration::ZERO,
             objective: Duration::ZERO,
             parts: (0, 0),
+            given_up: GivenUp::default(),
             extra: 0,
             route: None,
             version: self.table.as_ref().map(|t| t.version()),
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -9,6 +9,7 @@
 use crate::attempt::Doing;
 use crate::attempt::RunId;
 use crate::bundle::BUNDLE;
+use crate::gave_up::GaveUp;
 use crate::relay::Core;
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
@@ -137,7 +138,7 @@
         }
         let failed = &run.parts[at].attempts[usize::from(id.attempt)];
         if run.is_once() && failed.may_have_run() {
-            self.give_up(run, at);
+            self.give_up(run, at, GaveUp::Once);
             return;
         }
         // An attempt that never reached a server is not counted there, so its repeat is no extra.
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -12,6 +12,7 @@
 use crate::attempt::Cause;
 use crate::attempt::Doing;
 use crate::attempt::RunId;
+use crate::gave_up::GaveUp;
 use crate::outcome::Missing;
 use crate::outcome::Page;
 use crate::relay::Core;
@@ -159,7 +160,7 @@
                 // the load that they were refused for.
                 run.retry_after = Some(retry);
                 for at in parts {
-                    self.give_up(run, at);
+                    self.give_up(run, at, GaveUp::PeerFull);
                 }
             }
             // Nothing of it has reached a server.
@@ -212,7 +213,7 @@
         let is_enough = run.whole >= run.parts_wanted;
         for at in missing {
             if is_enough {
-                self.give_up(run, at);
+                self.give_up(run, at, GaveUp::Enough);
             } else {
                 self.try_part(now, run, at, Cause::Retry, out);
             }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -10,6 +10,7 @@
 use crate::attempt::Cause;
 use crate::attempt::Doing;
 use crate::attempt::RunId;
+use crate::gave_up::GaveUp;
 use crate::placement::Place;
 use crate::placement::Scene;
 use crate::relay::Core;
@@ -38,19 +39,19 @@
         out: &mut Vec<Action>,
     ) {
         if run.parts[at].attempts.len() >= ATTEMPTS_MAX || now >= run.answer_by {
-            self.give_up(run, at);
+            self.give_up(run, at, GaveUp::UsedUp);
             return;
         }
         match self.scene(now, run).place(&run.parts[at]) {
             Place::Now(server, _) => {
                 if cause != Cause::First && !self.take_extra(now, run, at, false) {
-                    self.give_up(run, at);
+                    self.give_up(run, at, GaveUp::Budget);
                     return;
                 }
                 self.send(now, run, at, server, cause, out);
             }
             Place::Wait => self.queue(run, at, cause),
-            Place::Nowhere(_) => self.give_up(run, at),
+            Place::Nowhere(_) => self.give_up(run, at, GaveUp::NoServer),
         }
     }
 
@@ -79,8 +80,9 @@
     }
 
     /// Gives a part up.
-    pub(crate) fn give_up(&mut self, run: &mut Run, at: usize) {
+    pub(crate) fn give_up(&mut self, run: &mut Run, at: usize, why: GaveUp) {
         run.parts[at].state = PartState::Missing;
+        run.parts[at].gave_up = Some(why);
         run.missing += 1;
     }
 
--- a/crates/relay/src/end.rs
+++ b/crates/relay/src/end.rs
@@ -7,6 +7,7 @@
 
 use crate::action::Action;
 use crate::asked::Asked;
+use crate::gave_up::GivenUp;
 use crate::merge::best_records;
 use crate::outcome::Ending;
 use crate::outcome::FailReason;
@@ -96,6 +97,7 @@
             took,
             objective: run.route.objective,
             parts: (run.whole, run.parts.len()),
+            given_up: GivenUp::of(run.parts.iter().filter_map(|p| p.gave_up)),
             extra: run.extra,
         };
         out.push(Action::Answer(run.seq, Box::new(ending)));
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::asked::Asked;
+use crate::gave_up::GivenUp;
 use crate::reply::ServerAnswer;
 use crate::trail::Step;
 
@@ -82,6 +83,8 @@
     pub objective: Duration,
     /// Parts that were in, and parts asked for.
     pub parts: (usize, usize),
+    /// Parts that were given up, by reason.
+    pub given_up: GivenUp,
     /// Attempts made beyond the first of each part.
     pub extra: u32,
     /// The route, if one took it.
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -13,6 +13,7 @@
 use crate::attempt::RunId;
 use crate::bundle::BUNDLE;
 use crate::bundle::Bundle;
+use crate::gave_up::GaveUp;
 use crate::reply::ServerAnswer;
 use crate::request::CallerRequest;
 use crate::route::Repeat;
@@ -43,6 +44,8 @@
     pub(crate) attempts: SmallVec<[Attempt; 2]>,
     /// The servers that may have run it for a peer.
     pub(crate) elsewhere: Asked,
+    /// Why it was given up, if it was.
+    pub(crate) gave_up: Option<GaveUp>,
     /// The answer that counts, or the last failure that a server answered with.
     pub(crate) answer: Option<Box<ServerAnswer>>,
 }
@@ -55,6 +58,7 @@
             state: PartState::Waiting(Cause::First),
             attempts: SmallVec::new(),
             elsewhere: Asked::None,
+            gave_up: None,
             answer: None,
         }
     }
