--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -76,16 +76,17 @@
         };
         let codec = Arc::clone(&protocols.servers);
         let peers = Arc::new(PeerClient::new(opts));
+        let register_opts = RegisterOptions::builder()
+            .vm(vm.name.clone())
+            .data_centre(vm.data_centre.clone())
+            .first_start(vm.first_start)
+            .drain(settings.servers.drain)
+            .may_follow(settings.peers.follow)
+            .build();
         let register = Arc::new(Register::new(
             Arc::clone(&protocols.directory),
             Arc::clone(&peers),
-            RegisterOptions {
-                vm: vm.name.clone(),
-                data_centre: vm.data_centre.clone(),
-                first_start: vm.first_start,
-                drain: settings.servers.drain,
-                may_follow: settings.peers.follow,
-            },
+            register_opts,
         ));
         let this = Self {
             relay: Arc::new(Mutex::new(Relay::new(settings.relay(), seed))),
--- a/crates/edge/src/register/options.rs
+++ b/crates/edge/src/register/options.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use bon::Builder;
 use gs_types::prelude::*;
 
 /// How a register is set up.
+#[derive(Builder)]
 pub(crate) struct RegisterOptions {
     pub(crate) vm: VmId,
     pub(crate) data_centre: DataCentre,
