fix(edge): followers keep their peer through an outage of the store

A peer's list of VMs of before an outage counted as news of the store. Lists now carry the store's revision; only the heartbeat shows whether the store is in reach. 2. A peer that the store does not answer was given up for a list that it could not have. It now says so, and is kept. 3. The first asker to regain the store took all followers. The one that is followed has until the next look.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -95,6 +95,15 @@
     pub at: Revision,
 }
 
+/// The VMs that are announced.
+#[derive(Clone, Debug, Default)]
+pub struct VmListing {
+    /// The state in which they were listed.
+    pub at: Revision,
+    /// The announcements.
+    pub vms: Vec<Announced>,
+}
+
 /// Where routes are declared and servers registered.
 #[async_trait]
 pub trait Directory: Send + Sync + 'static {
@@ -160,7 +169,7 @@
     /// # Errors
     ///
     /// As for [`Directory::list`].
-    async fn vms(&self) -> Result<Vec<Announced>>;
+    async fn vms(&self) -> Result<VmListing>;
 
     /// Removes the announcement of a VM that is gone, unless it has been renewed since this revision.
     ///
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 pub use directory::Renewal;
 pub use directory::Revision;
 pub use directory::Thing;
+pub use directory::VmListing;
 pub use serve::Protocols;
 pub use serve::serve;
 pub use servers::Judged;
--- a/crates/edge/src/register/book.rs
+++ b/crates/edge/src/register/book.rs
@@ -1,29 +1,38 @@
 //! What this VM knows of the register, as it tells others.
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use gs_actor::lock;
 use gs_follow::Mirror;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 
-use crate::directory::Announced;
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
 use crate::directory::Listing;
+use crate::directory::VmListing;
 use crate::register::wire::Named;
 use crate::register::wire::Object;
-use crate::register::wire::Told;
 
 /// What this VM knows of the register.
 #[derive(Default)]
 pub(crate) struct Book {
     routes: Page,
     servers: Page,
-    vms: Mutex<Option<Vec<Announced>>>,
+    vms: Mutex<Option<VmListing>>,
+    /// The state in which VMs were listed last.
+    vms_at: AtomicU64,
     quarantined: Mutex<Vec<Fingerprint>>,
 }
 
+/// Objects up to a revision: all of a kind, or those that changed.
+pub(crate) struct Objects {
+    pub(crate) at: u64,
+    pub(crate) items: Vec<Named>,
+}
+
 /// The objects of a kind, and the revisions up to which they are known as they become so.
 struct Page {
     mirror: Mutex<Mirror<Object>>,
@@ -76,7 +85,7 @@
     }
 
     /// Everything of a kind; `None` before it was listed.
-    pub(crate) fn all(&self, kind: DirectoryKind) -> Option<Told> {
+    pub(crate) fn all(&self, kind: DirectoryKind) -> Option<Objects> {
         let mirror = lock(&self.page(kind).mirror);
         if !mirror.is_listed() {
             return None;
@@ -85,29 +94,39 @@
             name: name.clone(),
             object: Some(object.clone()),
         });
-        Some(Told {
+        Some(Objects {
             at: mirror.at(),
             items: items.collect(),
         })
     }
 
     /// What changed of a kind after a revision; `None` if that is forgotten.
-    pub(crate) fn since(&self, kind: DirectoryKind, after: u64) -> Option<Told> {
+    pub(crate) fn since(&self, kind: DirectoryKind, after: u64) -> Option<Objects> {
         let mirror = lock(&self.page(kind).mirror);
         let changed = mirror.since(after)?;
         let items = changed.into_iter();
-        Some(Told {
+        Some(Objects {
             at: mirror.at().max(after),
             items: items.map(|(name, object)| Named { name, object }).collect(),
         })
     }
 
-    pub(crate) fn note_vms(&self, vms: &[Announced]) {
-        *lock(&self.vms) = Some(vms.to_vec());
+    /// Takes in a list of the VMs; `false` and nothing taken in if a later one is known.
+    pub(crate) fn note_vms(&self, listing: &VmListing) -> bool {
+        let is_later = self.vms_at.fetch_max(listing.at.0, Ordering::Relaxed) <= listing.at.0;
+        if is_later {
+            *lock(&self.vms) = Some(listing.clone());
+        }
+        is_later
+    }
+
+    /// Tells of the VMs no more: what is known of them is as old as an outage.
+    pub(crate) fn withhold_vms(&self) {
+        *lock(&self.vms) = None;
     }
 
-    /// The VMs as they were listed last; `None` before that.
-    pub(crate) fn vms(&self) -> Option<Vec<Announced>> {
+    /// The VMs as they were listed last; `None` before that and in an outage.
+    pub(crate) fn vms(&self) -> Option<VmListing> {
         lock(&self.vms).clone()
     }
 
--- a/crates/edge/src/register/desk.rs
+++ b/crates/edge/src/register/desk.rs
@@ -14,10 +14,12 @@
 
 use crate::directory::DirectoryKind;
 use crate::register::Register;
+use crate::register::book::Objects;
 use crate::register::wire::REGISTER_PATH;
 use crate::register::wire::TOUCH;
 use crate::register::wire::Told;
-use crate::register::wire::ToldVm;
+use crate::register::wire::ToldList;
+use crate::register::wire::ToldVms;
 use crate::register::wire::Touch;
 use crate::register::wire::VMS;
 
@@ -74,12 +76,12 @@
             Question::List(kind) => self.answer_list(kind),
             Question::Changes(kind, after, wait) => self.answer_changes(kind, after, wait).await,
             Question::Vms => {
-                let vms = self.book.vms();
-                let told = vms.map(|vms| vms.iter().map(ToldVm::from).collect::<Vec<_>>());
-                told.map_or_else(|| bare(StatusCode::SERVICE_UNAVAILABLE), |vms| whole(&vms))
+                let told = self.in_touch(self.book.vms());
+                whole(&told.map_or(ToldVms::NotYet, ToldVms::from))
             }
             Question::Touch => whole(&Touch {
                 is_in_touch: self.is_in_touch.load(Ordering::Relaxed),
+                heard_ms: self.heard_ms(),
                 quarantined: self.book.quarantined(),
             }),
         }
@@ -87,13 +89,23 @@
 
     /// Lists only what the platform says now: a peer that lists has lost the thread.
     fn answer_list(&self, kind: DirectoryKind) -> Response<Full<Bytes>> {
-        let told = self.book.all(kind);
-        match told.filter(|_| self.is_in_touch.load(Ordering::Relaxed)) {
-            Some(told) => whole(&told),
-            None => bare(StatusCode::SERVICE_UNAVAILABLE),
+        let known = self.in_touch(self.book.all(kind));
+        whole(&known.map_or(ToldList::NotYet, |o| ToldList::All(self.told(o))))
+    }
+
+    fn told(&self, objects: Objects) -> Told {
+        Told {
+            at: objects.at,
+            items: objects.items,
+            heard_ms: self.heard_ms(),
         }
     }
 
+    /// What is known, if the platform answered when it was last asked.
+    fn in_touch<T>(&self, known: Option<T>) -> Option<T> {
+        known.filter(|_| self.is_in_touch.load(Ordering::Relaxed))
+    }
+
     async fn answer_changes(
         &self,
         kind: DirectoryKind,
@@ -104,11 +116,11 @@
         let mut at = self.book.changes(kind);
         loop {
             at.mark_unchanged();
-            let Some(told) = self.book.since(kind, after) else {
+            let Some(changed) = self.book.since(kind, after) else {
                 return bare(StatusCode::GONE);
             };
-            if !told.items.is_empty() || Instant::now() >= until {
-                return whole::<Told>(&told);
+            if !changed.items.is_empty() || Instant::now() >= until {
+                return whole(&self.told(changed));
             }
             // Past the time the answer is empty.
             drop(tokio::time::timeout_at(until, at.changed()).await);
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -8,7 +8,6 @@
 use gs_types::prelude::*;
 use tokio::time::Instant;
 
-use crate::directory::Announced;
 use crate::directory::Changes;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
@@ -16,9 +15,10 @@
 use crate::directory::Origin;
 use crate::directory::Renewal;
 use crate::directory::Revision;
+use crate::directory::VmListing;
 use crate::register::Register;
-use crate::register::wire::ToldVm;
-use crate::register::wire::VMS;
+use crate::register::ask::Touched;
+use crate::register::ask::out_of_touch;
 
 #[async_trait]
 impl Directory for Register {
@@ -30,9 +30,12 @@
                     self.note(self.platform.list(kind).await)?
                 }
                 Source::Peer(vm) => match self.list_at(&vm, kind).await {
-                    Ok(listing) => listing,
+                    Ok(Some(listing)) => listing,
+                    _ if self.may_list_yet(begun).await => continue,
+                    // Whether another one is in touch with the platform, or this VM alone, shows the heartbeat.
+                    Ok(None) => return Err(out_of_touch(vm.name.as_str())),
                     Err(e) => {
-                        self.not_listed(&vm, begun, &e).await;
+                        self.failed(&vm, &e);
                         continue;
                     }
                 },
@@ -83,17 +86,17 @@
     }
 
     async fn quarantined(&self) -> Result<Vec<Fingerprint>> {
-        let out_of_touch = match self.touch_peers().await {
-            Ok(requests) => {
+        let peers = match self.touch_peers().await {
+            Touched::InTouch(requests) => {
                 self.book.note_quarantined(&requests);
                 return Ok(requests);
             }
-            Err(out_of_touch) => out_of_touch,
+            Touched::NotYet => return Err(out_of_touch("the peer that is followed")),
+            Touched::OutOfTouch(peers) => peers,
         };
         let requests = self.note(self.platform.quarantined().await)?;
-        if !self.may_turn_to_platform(&out_of_touch) {
-            let text = "the peers that are followed are out of touch";
-            return Err(Error::new(ErrorKind::Unavailable, text).at("look for a source"));
+        if !self.may_turn_to_platform(&peers) {
+            return Err(out_of_touch("all peers that may be followed"));
         }
         self.book.note_quarantined(&requests);
         Ok(requests)
@@ -111,21 +114,20 @@
         self.note(self.platform.withdraw(vm).await)
     }
 
-    async fn vms(&self) -> Result<Vec<Announced>> {
+    async fn vms(&self) -> Result<VmListing> {
         let source = self.source.borrow().clone();
-        if let Source::Peer(vm) = source {
-            match self.ask::<Vec<ToldVm>>(&vm, VMS, Duration::ZERO).await {
-                Ok(told) => {
-                    let vms: Vec<Announced> = told.into_iter().map(Announced::from).collect();
-                    self.book.note_vms(&vms);
-                    return Ok(vms);
-                }
-                Err(e) => self.failed(&vm, &e),
+        let listing = match source {
+            Source::Peer(vm) => self.vms_at(&vm).await?,
+            Source::Undecided | Source::Register => {
+                let result = self.note(self.platform.vms().await);
+                result.inspect_err(|_| self.book.withhold_vms())?
             }
+        };
+        if !self.book.note_vms(&listing) {
+            let text = format!("listed at {}, before what is known", listing.at);
+            return Err(Error::new(ErrorKind::Unavailable, text).at("list the VMs"));
         }
-        let vms = self.note(self.platform.vms().await)?;
-        self.book.note_vms(&vms);
-        Ok(vms)
+        Ok(listing)
     }
 
     async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()> {
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -60,6 +60,8 @@
     source: watch::Sender<Source>,
     /// Whether the platform answered when it was last asked.
     is_in_touch: AtomicBool,
+    /// When it answered last.
+    heard: Mutex<Instant>,
     book: Book,
     /// How long a question to a peer waits for a change.
     wait: Duration,
@@ -90,6 +92,7 @@
             source: watch::channel(sources.source().clone()).0,
             sources: Mutex::new(sources),
             is_in_touch: AtomicBool::new(false),
+            heard: Mutex::new(Instant::now()),
             book: Book::default(),
             wait: opts.drain.mul_f64(WAIT_PART).clamp(least, most),
             may_follow: opts.may_follow,
@@ -144,9 +147,18 @@
             .as_ref()
             .is_err_and(|e| e.kind() != ErrorKind::NotFound);
         self.is_in_touch.store(!is_away, Ordering::Relaxed);
+        if !is_away {
+            *lock(&self.heard) = Instant::now();
+        }
         result
     }
 
+    /// How long ago, in ms, the platform answered.
+    fn heard_ms(&self) -> u64 {
+        // A process runs for far less than 2^64 ms.
+        lock(&self.heard).elapsed().as_millis() as u64
+    }
+
     fn is_starting(&self) -> bool {
         self.begun.elapsed() < self.patience
     }
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -13,6 +13,7 @@
 use crate::directory::Item;
 use crate::directory::Revision;
 use crate::directory::Thing;
+use crate::directory::VmListing;
 
 /// Where a peer is asked what the register says; the kind follows.
 pub(crate) const REGISTER_PATH: &str = "/register/";
@@ -81,6 +82,18 @@
 pub(crate) struct Told {
     pub(crate) at: u64,
     pub(crate) items: Vec<Named>,
+    /// How long ago, in ms, the register answered the peer.
+    pub(crate) heard_ms: u64,
+}
+
+/// The answer to a question for everything of a kind.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum ToldList {
+    /// What the register says.
+    All(Told),
+    /// The peer asks the register, and has not been answered of late.
+    NotYet,
 }
 
 /// Whether a peer is in touch with the register, and which requests crash servers.
@@ -88,9 +101,30 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct Touch {
     pub(crate) is_in_touch: bool,
+    /// How long ago, in ms, the register answered it.
+    pub(crate) heard_ms: u64,
     pub(crate) quarantined: Vec<Fingerprint>,
 }
 
+/// The answer to a question for the VMs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum ToldVms {
+    /// As they were listed in this state of the register.
+    Listed { at: u64, vms: Vec<ToldVm> },
+    /// The peer asks the register, and has not been answered of late.
+    NotYet,
+}
+
+impl From<VmListing> for ToldVms {
+    fn from(l: VmListing) -> Self {
+        Self::Listed {
+            at: l.at.0,
+            vms: l.vms.into_iter().map(ToldVm::from).collect(),
+        }
+    }
+}
+
 /// A VM that is announced.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -108,10 +142,10 @@
     }
 }
 
-impl From<&Announced> for ToldVm {
-    fn from(a: &Announced) -> Self {
+impl From<Announced> for ToldVm {
+    fn from(a: Announced) -> Self {
         Self {
-            vm: a.vm.clone(),
+            vm: a.vm,
             at: a.at.0,
         }
     }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -31,6 +31,9 @@
 /// The time between two looks later on; a VM that was added waits so long for its share at the most.
 const LOOK_EVERY: Duration = Duration::from_secs(10);
 
+/// The greatest age of a list: a peer tells its own until it looks again, and the directory's may be seconds old.
+const LIST_AGE_MAX: Duration = Duration::from_secs(15);
+
 /// The time between two looks whether the directory is in reach. A watch that an outage has silenced is
 /// begun again after it; without this it would hear of nothing to the end of its time.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
@@ -62,9 +65,19 @@
     renewals: u64,
     /// When the next renewal is due.
     renew_at: Instant,
+    /// When this process announced this VM last.
+    announced_at: Option<Instant>,
+    /// How many VMs there were at the last look.
+    vms: usize,
 }
 
 impl Known {
+    /// Whether a list may still be of before this VM announced itself.
+    fn is_just_announced(&self) -> bool {
+        self.announced_at
+            .is_some_and(|at| at.elapsed() < LIST_AGE_MAX)
+    }
+
     /// Differs from all before, those of an earlier process of this VM too.
     fn next_renewal(&mut self, seed: u64) -> Renewal {
         self.renewals += 1;
@@ -80,6 +93,8 @@
             renewals: 0,
             // An announcement that stands from before is renewed soon: it may be about to lapse.
             renew_at: Instant::now() + self.renew_every / 2,
+            announced_at: None,
+            vms: 0,
         };
         // A VM that starts again is mostly listed as it is; its first look shows.
         if self.first_start {
@@ -102,18 +117,27 @@
     }
 
     /// Looks who is there, and sees to it that this VM stays listed; `false` if that is not to be seen.
+    ///
+    /// Whether the directory is in reach shows the heartbeat, which follows each look: a list may be told by a
+    /// peer.
     async fn look(&self, known: &mut Known) -> bool {
         let listed = match self.directory.vms().await {
-            Ok(listed) => listed,
+            Ok(listing) => listing.vms,
             Err(e) => {
-                self.contact.lost("vms", &e);
+                log::info!("event=vms-not-listed error=\"{e}\"");
                 return false;
             }
         };
-        self.contact.seen("vms");
         let is_listed = listed.iter().any(|a| a.vm == self.me);
+        let is_old = !is_listed && known.is_just_announced();
         let vms = listed.len();
-        self.take(known, listed).await;
+        if !is_old || known.vms == 0 {
+            self.take(known, listed).await;
+        }
+        if is_old {
+            log::info!("event=vms-not-listed error=\"listed before this VM announced itself\"");
+            return false;
+        }
         if !is_listed {
             log::info!("event=announcement-missing");
             self.announce(known).await;
@@ -129,7 +153,12 @@
         let now = Instant::now().into_std();
         let look = known.leases.look(now, &self.me.name, &names);
         let live = listed.into_iter().map(|a| a.vm);
-        self.tell(live.filter(|vm| !look.gone.contains(&vm.name)).collect());
+        let live: Vec<PeerVm> = live.filter(|vm| !look.gone.contains(&vm.name)).collect();
+        if live.len() != known.vms {
+            log::info!("event=vms listed={} before={}", live.len(), known.vms);
+            known.vms = live.len();
+        }
+        self.tell(live);
         for l in look.remove {
             self.remove(&l).await;
         }
@@ -143,6 +172,7 @@
             tokio::time::sleep(backoff.wait()).await;
         }
         self.contact.seen("announcement");
+        known.announced_at = Some(Instant::now());
         known.renew_at = Instant::now() + self.renew_every;
     }
 
@@ -188,7 +218,6 @@
         if !vms.iter().any(|vm| vm.name == self.me.name) {
             vms.push(self.me.clone());
         }
-        log::debug!("event=vms listed={}", vms.len());
         self.register.set_vms(&vms);
         self.feed.push(Event::Roster(vms));
     }
--- a/crates/follow/src/sources.rs
+++ b/crates/follow/src/sources.rs
@@ -49,6 +49,8 @@
     left_alone: HashMap<VmId, LeftAlone>,
     /// How many times in a row the register answered while the peers were out of touch with it.
     alone: u32,
+    /// Whether no peer was in touch with the register at the last look.
+    is_outage: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -68,6 +70,7 @@
             candidates: Vec::new(),
             left_alone: HashMap::new(),
             alone: 0,
+            is_outage: false,
         }
     }
 
@@ -92,7 +95,7 @@
             first.rotate_left(turn);
         }
         self.left_alone
-            .retain(|name, _| ranked_has(&self.candidates, name));
+            .retain(|name, _| has(&self.candidates, name));
         self.choose(now);
     }
 
@@ -130,13 +133,33 @@
         self.choose(now);
     }
 
-    /// A peer says that it is in touch with the register.
-    pub fn in_touch(&mut self, vm: &PeerVm) {
+    /// A peer says that it is in touch with the register, and these say that they are not; `false` if one of
+    /// these is followed on and the register is not in reach before the next look.
+    ///
+    /// At the end of an outage the peers regain the register one after the other. The one that is followed has
+    /// until the next look: were it left at once, all followers would gather at the first to regain.
+    pub fn in_touch(&mut self, vm: &PeerVm, out_of_touch: &[PeerVm]) -> bool {
         self.alone = 0;
-        if ranked_has(&self.candidates, &vm.name) {
+        let was_outage = std::mem::take(&mut self.is_outage);
+        if was_outage && self.follows_one_of(out_of_touch) {
+            return false;
+        }
+        if has(&self.candidates, &vm.name) {
             self.left_alone.remove(&vm.name);
             self.source = Source::Peer(vm.clone());
         }
+        true
+    }
+
+    /// No peer is in touch with the register.
+    pub fn none_in_touch(&mut self) {
+        self.is_outage = true;
+    }
+
+    /// Whether no peer was in touch with the register at the last look.
+    #[must_use]
+    pub fn is_outage(&self) -> bool {
+        self.is_outage
     }
 
     /// The register answered this VM, while these peers say that they are out of touch with it; `true` if
@@ -165,11 +188,15 @@
         self.source = chosen.map_or(Source::Register, |vm| Source::Peer(vm.clone()));
     }
 
+    fn follows_one_of(&self, vms: &[PeerVm]) -> bool {
+        matches!(&self.source, Source::Peer(vm) if has(vms, &vm.name))
+    }
+
     fn is_left_alone(&self, now: Instant, name: &VmId) -> bool {
         self.left_alone.get(name).is_some_and(|l| l.until > now)
     }
 }
 
-fn ranked_has(vms: &[PeerVm], name: &VmId) -> bool {
+fn has(vms: &[PeerVm], name: &VmId) -> bool {
     vms.iter().any(|vm| vm.name == *name)
 }
--- a/crates/follow/tests/follow/sources.rs
+++ b/crates/follow/tests/follow/sources.rs
@@ -144,7 +144,7 @@
     let first = peer(&s);
     s.failed(now, &first.name);
     assert_ne!(peer(&s), first);
-    s.in_touch(&first);
+    assert!(s.in_touch(&first, &[]));
     assert_eq!(peer(&s), first);
 }
 
@@ -154,7 +154,7 @@
     let now = Instant::now();
     let mut s = among("vm-08", 9, now);
     let before = peer(&s);
-    s.in_touch(&equals(9)[7]);
+    s.in_touch(&equals(9)[7], &[]);
     assert_eq!(peer(&s), before);
 }
 
@@ -167,3 +167,54 @@
     s.set_vms(now, &equals(30));
     assert_eq!(peer(&s), before);
 }
+
+/// The two askers of a VM that follows the first.
+fn askers_of(s: &Sources) -> [PeerVm; ASKERS] {
+    let all = s.to_ask(Instant::now());
+    [all[0].clone(), all[1].clone()]
+}
+
+/// Guards against followers that gather at the first asker to regain the register after an outage.
+#[test]
+fn an_asker_has_until_the_next_look_to_regain_the_register() {
+    let mut s = among("vm-08", 9, Instant::now());
+    let [followed, other] = askers_of(&s);
+    s.none_in_touch();
+    assert!(!s.in_touch(&other, std::slice::from_ref(&followed)));
+    assert_eq!(peer(&s), followed);
+    assert!(s.in_touch(&followed, &[]));
+    assert_eq!(peer(&s), followed);
+}
+
+/// Guards against followers of an asker that stays cut from the register after an outage.
+#[test]
+fn an_asker_that_stays_out_of_touch_after_an_outage_is_left() {
+    let mut s = among("vm-08", 9, Instant::now());
+    let [followed, other] = askers_of(&s);
+    s.none_in_touch();
+    assert!(!s.in_touch(&other, std::slice::from_ref(&followed)));
+    assert!(s.in_touch(&other, &[followed]));
+    assert_eq!(peer(&s), other);
+}
+
+/// Guards against changes that come late to the followers of an asker which alone is cut from the register.
+#[test]
+fn an_asker_that_alone_is_out_of_touch_is_left_at_once() {
+    let mut s = among("vm-08", 9, Instant::now());
+    let [followed, other] = askers_of(&s);
+    assert!(s.in_touch(&other, &[followed]));
+    assert_eq!(peer(&s), other);
+}
+
+/// Guards against a VM without a source that waits for peers which it does not follow.
+#[test]
+fn a_vm_that_asks_by_itself_follows_the_first_peer_in_touch() {
+    let now = Instant::now();
+    let mut s = among("vm-08", 9, now);
+    let [first, second] = askers_of(&s);
+    let all = s.to_ask(now);
+    all.iter().for_each(|vm| s.failed(now, &vm.name));
+    s.none_in_touch();
+    assert!(s.in_touch(&second, &[first]));
+    assert_eq!(peer(&s), second);
+}
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -27,6 +27,12 @@
 /// The longest that a configuration may take: what the users' sites allow at the least, 3 s.
 const APPLY: Duration = Duration::from_secs(3);
 
+/// Longer than the lease of a VM among so many that renews every second.
+const LEASE: Duration = Duration::from_secs(14);
+
+/// The time within which a VM that starts looks at the list of VMs at the store, and twice at a peer.
+const FIRST_LOOKS: Duration = Duration::from_secs(4);
+
 /// A site of [`VMS`] VMs, four of six in each data centre following another.
 async fn settled() -> Running {
     let r = site_of(VMS).await;
@@ -39,6 +45,15 @@
     r
 }
 
+/// Begins an outage of the store, and waits until all VMs know of it.
+async fn begin_outage(r: &Running) {
+    r.site.store.misbehave(StoreFault::Busy);
+    r.until("all know of the outage", |r| {
+        r.logs().matches("event=directory-lost").count() >= VMS
+    })
+    .await;
+}
+
 /// Adds a route for one more version of the configuration.
 fn add_route(r: &mut Running, prefix: &str) -> SiteRoute {
     let mut route = r.route("/one/");
@@ -139,11 +154,7 @@
 #[tokio::test]
 async fn the_end_of_an_outage_costs_calls_by_data_centre_and_not_by_vm() {
     let mut r = settled().await;
-    r.site.store.misbehave(StoreFault::Busy);
-    r.until("all know of the outage", |r| {
-        r.logs().matches("event=directory-lost").count() >= VMS
-    })
-    .await;
+    begin_outage(&r).await;
     let sources: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
     let before = calls(&r, "GET /api/objects/servers");
     r.site.store.misbehave(StoreFault::None);
@@ -154,10 +165,77 @@
     })
     .await;
     let sources_after: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
-    assert_eq!(sources_after, sources, "{}", r.lines("event=register-"));
-    // Of each asker: a try under way, a watch, and up to two lists, each followed by a watch.
+    assert_eq!(
+        sources_after,
+        sources,
+        "{}",
+        r.lines(&["event=register-", "event=directory-", "event=vms"])
+    );
+    // Of each asker: a try under way, a list, and the watch that follows it.
     let made = calls(&r, "GET /api/objects/servers") - before;
-    assert!(made <= 6 * 2 * DATA_CENTRES as u64, "{made} calls");
+    assert!(made <= 3 * 2 * DATA_CENTRES as u64, "{made} calls");
+}
+
+/// Guards against followers that take a peer's list of VMs for the end of an outage, and against VMs that count
+/// as gone since nobody can renew an announcement.
+#[tokio::test]
+async fn a_list_of_vms_of_before_an_outage_is_not_news() {
+    let r = settled().await;
+    begin_outage(&r).await;
+    tokio::time::sleep(LEASE).await;
+    let lines = r.lines(&["event=register-", "event=directory-", "event=vms"]);
+    assert!(!lines.contains("event=directory-regained"), "{lines}");
+    assert!(!lines.contains(&format!("before={VMS}")), "{lines}");
+    let asking = (0..VMS).filter(|vm| r.source(*vm).as_deref() == Some("register"));
+    assert_eq!(asking.count(), 2 * DATA_CENTRES, "{lines}");
+}
+
+/// Guards against a VM that starts in an outage and turns to the store for good, as no peer can list anew.
+#[tokio::test]
+async fn a_vm_that_starts_in_an_outage_follows_its_peers() {
+    let mut r = settled().await;
+    begin_outage(&r).await;
+    r.kill(FOLLOWER).await;
+    r.start(FOLLOWER).await;
+    let name = r.site.vms[FOLLOWER].plan().name.clone();
+    r.until("it knows what its peers know", |r| {
+        r.log(&name).contains("event=seeded")
+    })
+    .await;
+    tokio::time::sleep(FIRST_LOOKS).await;
+    let source = r.source(FOLLOWER).expect("it has one");
+    let lines = r.log(&name);
+    assert!(source.starts_with("vm-"), "{lines}");
+}
+
+/// Guards against VMs that believe an older list of a peer: one announces itself again and again, another knows of
+/// fewer VMs than before.
+#[tokio::test]
+async fn an_older_list_of_vms_changes_nothing() {
+    let mut r = settled().await;
+    let [added, restarted] = [FOLLOWER, 6];
+    let names = [added, restarted].map(|vm| r.site.vms[vm].plan().name.clone());
+    let asker = r.source(restarted).expect("it follows one");
+    r.kill(added).await;
+    r.kill(restarted).await;
+    r.site.store.delete("gentiansill-vms", &names[0]);
+    let known_gone = format!("event=vms listed={} before={VMS}", VMS - 1);
+    r.until("the asker knows that it is gone", |r| {
+        r.log(&asker).contains(&known_gone)
+    })
+    .await;
+    let missing = |r: &Running| r.log(&names[0]).matches("-missing").count();
+    let missing_before = missing(&r);
+    r.start(added).await;
+    r.until("it is announced", |r| {
+        r.site.store.names("gentiansill-vms").contains(&names[0])
+    })
+    .await;
+    r.start(restarted).await;
+    tokio::time::sleep(FIRST_LOOKS).await;
+    let lines = r.lines(&["event=vms", "-missing"]);
+    assert_eq!(missing(&r) - missing_before, 1, "{lines}");
+    assert!(!r.log(&names[1]).contains(&known_gone), "{lines}");
 }
 
 /// Guards against followers that stay behind when the store forgets its history.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -117,8 +117,7 @@
 
     /// Whom the `vm`-th VM hears of the register from, by the last line of its log that says so.
     pub fn source(&self, vm: usize) -> Option<String> {
-        let name = &self.site.vms[vm].plan().name;
-        let log = std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).ok()?;
+        let log = self.log(&self.site.vms[vm].plan().name);
         let lines = log.lines().rev();
         let mut sources = lines.filter_map(|line| line.split_once("event=register-source source="));
         sources.next().map(|(_, source)| source.to_owned())
@@ -135,11 +134,28 @@
         logs.collect()
     }
 
-    /// The lines of all logs that hold a text.
-    pub fn lines(&self, text: &str) -> String {
-        let logs = self.logs();
-        let lines = logs.lines().filter(|line| line.contains(text));
-        lines.map(|line| format!("{line}\n")).collect()
+    /// The lines of all logs that hold one of these texts, each after the name of its VM, in the order of time.
+    pub fn lines(&self, texts: &[&str]) -> String {
+        let names = self.site.vms.iter().map(|vm| vm.plan().name.clone());
+        let logs: Vec<_> = names.map(|name| (self.log(&name), name)).collect();
+        let lines = logs.iter().flat_map(|(log, name)| {
+            let wanted = log
+                .lines()
+                .filter(|line| texts.iter().any(|text| line.contains(text)));
+            wanted.map(move |line| (line, name))
+        });
+        let mut lines: Vec<_> = lines.collect();
+        // Each line begins with its time.
+        lines.sort();
+        lines
+            .iter()
+            .map(|(line, name)| format!("{name} {line}\n"))
+            .collect()
+    }
+
+    /// The log of a VM; empty before its first line.
+    pub fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.dir.path().join(format!("{name}.log"))).unwrap_or_default()
     }
 
     /// How often a request ran, on all servers together.
