fix(relay): no idle connection to a shard where they do not suffice

Such a VM now closes it where there are fewer than VMs, as it does for services that accept fewer in all. `runners::a_vm_without_fan_outs_keeps_no_…` and `portions::a_connection_is_kept_…::case_2` fail with the rule taken out.

--- a/crates/edge/src/lanes.rs
+++ b/crates/edge/src/lanes.rs
@@ -211,7 +211,7 @@
     }
 
     fn give_back(&self, mut lent: Lent, judged: &Judged) {
-        if !judged.is_clean {
+        if !judged.is_clean || !self.d.keep {
             return;
         }
         if let Some(idle) = judged.idle_max {
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -27,6 +27,8 @@
     pub give_up: Duration,
     /// Whether it may run at most once, so that a connection that may be stale is not used.
     pub once: bool,
+    /// Whether its connection is kept for later attempts.
+    pub keep: bool,
     /// Set if the server is another VM, which is to ask for parts.
     pub hand_over: Option<HandOver>,
 }
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -99,6 +99,7 @@
             time_left: run.patience.saturating_sub(now - run.arrived),
             give_up,
             once: false,
+            keep: true,
             hand_over: Some(HandOver {
                 host: run.req.host.clone(),
                 route: run.route.fingerprint(),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_types::prelude::*;
+
 use crate::action::Action;
 use crate::action::Dispatch;
 use crate::attempt::Attempt;
@@ -104,6 +106,7 @@
         } else {
             left
         };
+        let keep = run.route.is_scatter() || self.keeps_connections(&run.parts[at].service);
         let part = &mut run.parts[at];
         let id = RunId {
             lookup: run.seq,
@@ -133,6 +136,7 @@
             time_left: run.patience.saturating_sub(now - run.arrived),
             give_up,
             once: run.is_once(),
+            keep,
             hand_over: None,
         }));
         self.count(run, cause);
@@ -143,6 +147,11 @@
         self.arm(run, run.objective_at.max(now));
     }
 
+    fn keeps_connections(&self, service: &ServiceName) -> bool {
+        let decl = self.table.as_ref().and_then(|t| t.service(service));
+        self.sharing.keeps(decl, service)
+    }
+
     fn count(&mut self, run: &mut Run, cause: Cause) {
         self.counters.attempts += 1;
         match cause {
--- a/crates/relay/src/sharing.rs
+++ b/crates/relay/src/sharing.rs
@@ -166,6 +166,23 @@
         Connections((share as u32).max(1))
     }
 
+    /// Whether this VM keeps a connection to a server of a service once its request has ended.
+    ///
+    /// Where there are not enough for one each, a VM that keeps an idle one takes it from another, whose new
+    /// connection the server resets under its request.
+    pub(crate) fn keeps(&self, decl: Option<&ServiceDecl>, service: &ServiceName) -> bool {
+        if !self.knows_vms {
+            return true;
+        }
+        if !self.shards.contains(service) {
+            return !self.scarce.contains(service);
+        }
+        // The servers of a shard leave few to the VMs that run no fan-outs.
+        let left = decl.map_or(0.0, |s| f64::from(s.connections.0) * (1.0 - RUNNERS_PART));
+        let others = self.all.listed.saturating_sub(self.runners.listed);
+        self.runs || f64::from(others) <= left
+    }
+
     /// This VM's part of the extra attempts that a service allows all VMs besides.
     pub(crate) fn slack_part(&self, service: &ServiceName) -> f64 {
         let all = f64::from(self.all.at_most.max(1));
--- a/crates/relay/tests/relay/portions.rs
+++ b/crates/relay/tests/relay/portions.rs
@@ -120,3 +120,15 @@
     w.end(&other, good(b'a'));
     assert!(w.ending(seq).is_some());
 }
+
+/// Guards against VMs that each keep an idle connection to a service which all its servers together cannot give:
+/// the next request of another VM is reset with its connection.
+#[rstest]
+#[case::enough(200, true)]
+#[case::too_few(300, false)]
+fn a_connection_is_kept_where_there_is_one_for_each_vm(#[case] vms: usize, #[case] keeps: bool) {
+    let mut w = world(&fleet(vms), 1);
+    assert_eq!(!held(&w).is_empty(), keeps);
+    w.ask("/one/x", ms(2500));
+    assert_eq!(w.sent[0].keep, keeps);
+}
--- a/crates/relay/tests/relay/runners.rs
+++ b/crates/relay/tests/relay/runners.rs
@@ -2,12 +2,16 @@
 
 use gs_relay::Event;
 use gs_relay::PeerVm;
+use gs_relay::Repeat;
+use gs_relay::Target;
+use gs_relay::Weighted;
 use gs_types::prelude::*;
 
 use crate::world::HERE;
 use crate::world::THERE;
 use crate::world::World;
 use crate::world::ms;
+use crate::world::one_route;
 use crate::world::page_route;
 use crate::world::table;
 use crate::world::vm;
@@ -40,6 +44,43 @@
     w.busy().into_iter().map(str::to_owned).collect()
 }
 
+/// Whether this VM keeps the connection of a request for one shard alone, with these VMs.
+fn keeps(vms: Vec<PeerVm>) -> bool {
+    let mut alone = one_route(Repeat::Safe);
+    alone.target = Target::One([weighted("s0")].into_iter().collect());
+    let routes = vec![page_route(&["s0", "s1"], 1.0), alone];
+    let mut w = World::new(table(1, routes)).with_pairs(&["s0", "s1"]);
+    w.tell(Event::Roster(vms));
+    w.pass(ms(300));
+    w.ask("/one/x", ms(2500));
+    w.sent[0].keep
+}
+
+fn weighted(service: &str) -> Weighted {
+    Weighted {
+        service: service.parse().expect("a name"),
+        weight: 1.0,
+    }
+}
+
+/// Guards against requests for one shard that are reset with their connections: each VM that runs no fan-outs
+/// keeps an idle one, more than the shard's servers accept.
+#[test]
+fn a_vm_without_fan_outs_keeps_no_connection_for_a_shard_alone() {
+    assert!(!keeps(fleet(50, 50, 100)));
+}
+
+#[test]
+fn a_vm_that_runs_fan_outs_keeps_its_connections() {
+    assert!(keeps(fleet(0, 100, 100)));
+}
+
+/// Guards against a new connection for each request where there are enough to keep them.
+#[test]
+fn a_vm_without_fan_outs_keeps_its_connections_where_they_suffice() {
+    assert!(keeps(fleet(20, 0, 9)));
+}
+
 /// Guards against a fleet of equal VMs that all run fan-outs, over servers that accept a connection from a few
 /// of them only: most pages fail.
 #[test]
