fix(query): a lookup behind a cut is refused at once

Callers saw: in a cut-off data centre each lookup that needs a shard across the cut waited its whole deadline, 5.0 s, for a refusal.

Cause: silence was not taken for loss by later lookups.

--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -50,7 +50,7 @@
         tokio::select! {
             biased;
             r = &mut answered => r,
-            () = tokio::time::sleep_until(until) => (PartReply::Failed, false),
+            () = tokio::time::sleep_until(until) => (PartReply::Late, false),
             _ = &mut cancelled => {
                 confirm_cancel(lane, &d, &mut answered).await
             }
--- a/crates/query/src/arrive.rs
+++ b/crates/query/src/arrive.rs
@@ -6,9 +6,9 @@
 
 use gs_limit::Ask;
 use gs_limit::Verdict;
-use gs_route::Holds;
 use gs_route::Pin;
 use gs_route::Readiness;
+use gs_route::ServerIdx;
 use gs_types::prelude::*;
 use rand::RngExt;
 
@@ -116,7 +116,7 @@
             is_done: false,
         };
         lk.pin(Arc::clone(&pin.snapshot));
-        self.check_reach(&lk, &pin)?;
+        self.check_reach(now, &lk, &pin)?;
         self.check_admission(now, &lk)?;
         Ok(lk)
     }
@@ -150,22 +150,23 @@
             .ok_or_else(|| Refusal::new(RefusalReason::NoSnapshot, Some(RETRY_AFTER)))
     }
 
-    /// Refuses a lookup that needs every shard while one has no replica.
-    fn check_reach(&self, lk: &LookupRun, pin: &Pin) -> Result<(), Refused> {
+    /// Refuses a lookup that needs every shard while one has no replica, or none that answers.
+    fn check_reach(&self, now: Instant, lk: &LookupRun, pin: &Pin) -> Result<(), Refused> {
         let needs_all = lk.decl.promise != Promise::Urgent || lk.decl.scope == Scope::Keyed;
-        if !needs_all || pin.readiness != Readiness::Thin {
+        if !needs_all {
             return Ok(());
         }
-        let missing: Vec<MissingShard> = (0..lk.shards.len())
-            .filter(|at| {
-                let views = || lk.replicas(*at).iter().map(|s| self.servers.view(*s));
-                !views().any(|v| !v.is_draining() && v.holds(lk.snapshot.id) != Holds::No)
+        let is_thin = pin.readiness == Readiness::Thin;
+        let shards = lk.shards.iter().enumerate();
+        let missing = shards.filter_map(|(at, shard)| {
+            let reason = self.out_of_reach(now, lk, at)?;
+            let counts = is_thin || reason != MissReason::NoReplica;
+            counts.then_some(MissingShard {
+                shard: shard.id,
+                reason,
             })
-            .map(|at| MissingShard {
-                shard: lk.shards[at].id,
-                reason: MissReason::NoReplica,
-            })
-            .collect();
+        });
+        let missing: Vec<MissingShard> = missing.collect();
         if missing.is_empty() {
             return Ok(());
         }
@@ -175,6 +176,17 @@
         })
     }
 
+    /// Why a shard cannot be answered now; `None` if it may be.
+    fn out_of_reach(&self, now: Instant, lk: &LookupRun, at: usize) -> Option<MissReason> {
+        let is_eligible = |s: &&ServerIdx| self.servers.view(**s).is_eligible(lk.snapshot.id);
+        let mut eligible = lk.replicas(at).iter().filter(is_eligible).peekable();
+        if eligible.peek().is_none() {
+            return Some(MissReason::NoReplica);
+        }
+        let are_lost = eligible.all(|s| self.servers.is_lost(now, *s));
+        are_lost.then_some(MissReason::Late)
+    }
+
     fn check_admission(&mut self, now: Instant, lk: &LookupRun) -> Result<(), Refused> {
         if lk.answer_by <= now {
             return Err(Refusal::new(RefusalReason::TooLate, Some(RETRY_AFTER)));
--- a/crates/query/src/attempt.rs
+++ b/crates/query/src/attempt.rs
@@ -120,9 +120,11 @@
             PartReply::NotSent if self.sent.is_some() => AttemptEvent::Fail,
             PartReply::NotSent => AttemptEvent::NotSent,
             PartReply::Cancelled if self.state == AttemptState::Stopping => AttemptEvent::Settle,
-            PartReply::Broken | PartReply::Garbled | PartReply::Failed | PartReply::Cancelled => {
-                AttemptEvent::Fail
-            }
+            PartReply::Broken
+            | PartReply::Garbled
+            | PartReply::Failed
+            | PartReply::Late
+            | PartReply::Cancelled => AttemptEvent::Fail,
         }
     }
 }
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -105,6 +105,8 @@
     Garbled,
     /// The server answered with an error of its own.
     Failed,
+    /// Nothing came back within the attempt's time.
+    Late,
     /// Stopped by [`crate::Action::Cancel`] after the point of no return; it may have run, and its
     /// connection is closed or free again.
     Cancelled,
--- a/crates/query/src/heard.rs
+++ b/crates/query/src/heard.rs
@@ -27,6 +27,16 @@
 }
 
 impl Core {
+    /// Notes that a server is there, if a reply is its own word.
+    pub(crate) fn hear(&mut self, now: Instant, reply: &PartReply, server: ServerIdx) {
+        if !matches!(
+            reply,
+            PartReply::NotSent | PartReply::Late | PartReply::Cancelled
+        ) {
+            self.servers.heard(now, server);
+        }
+    }
+
     /// Takes in what a whole part says about its server.
     pub(crate) fn answered(
         &mut self,
@@ -64,7 +74,7 @@
             PartReply::NotSent if heard.was_live => {
                 self.servers.failed(now, server, Failure::Unreached);
             }
-            PartReply::Failed | PartReply::Garbled => {
+            PartReply::Failed | PartReply::Garbled | PartReply::Late => {
                 self.servers.failed(now, server, Failure::Error);
             }
             PartReply::Broken => self.servers.failed(now, server, Failure::Broken),
--- a/crates/query/src/orphan.rs
+++ b/crates/query/src/orphan.rs
@@ -35,6 +35,7 @@
             is_current: self.servers.view(o.server).speaks_of_this_run(o.at),
             was_live: false,
         };
+        self.hear(now, reply, o.server);
         self.servers.released(o.server);
         self.freed.push(o.server);
         match reply {
--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -57,12 +57,16 @@
         lk.was_sent |= event != AttemptEvent::NotSent;
         let was_live = a.is_live();
         a.state = next;
-        let server = a.server;
+        let (server, begun) = (a.server, a.at);
+        if reply == PartReply::Late {
+            self.note_unanswered(now, lk, server, begun);
+        }
         let heard = Heard {
             server,
-            is_current: self.servers.view(server).speaks_of_this_run(a.at),
+            is_current: self.servers.view(server).speaks_of_this_run(begun),
             was_live,
         };
+        self.hear(now, &reply, server);
         self.servers.released(server);
         self.freed.push(server);
         if next == AttemptState::NotRun {
--- a/crates/query/src/timers.rs
+++ b/crates/query/src/timers.rs
@@ -82,9 +82,31 @@
             self.finish(now, lk, Outcome::Unknown(refusal), out);
             return;
         }
+        self.note_silence(now, lk);
         self.conclude(now, lk, false, out);
     }
 
+    /// Notes the servers that left this lookup's attempts unanswered.
+    fn note_silence(&mut self, now: Instant, lk: &LookupRun) {
+        let attempts = lk.shards.iter().flat_map(|s| &s.attempts);
+        for a in attempts.filter(|a| a.is_live()) {
+            self.note_unanswered(now, lk, a.server, a.at);
+        }
+    }
+
+    /// Notes that a server left an attempt unanswered, if it had enough of the lookup's time.
+    pub(crate) fn note_unanswered(
+        &mut self,
+        now: Instant,
+        lk: &LookupRun,
+        server: ServerIdx,
+        begun: Instant,
+    ) {
+        if now.saturating_duration_since(begun) >= lost_after(lk) {
+            self.servers.unanswered(now, server, begun);
+        }
+    }
+
     /// Hedges, or times out, the attempts that took too long; plans the next look.
     fn look_at_attempts(&mut self, now: Instant, lk: &mut LookupRun, out: &mut Vec<Action>) {
         let mut next = lk.answer_by;
--- a/crates/query/tests/engine/main.rs
+++ b/crates/query/tests/engine/main.rs
@@ -10,5 +10,6 @@
 mod outcome;
 mod poison;
 mod replies;
+mod silence;
 mod snapshot;
 mod world;
--- /dev/null
+++ b/crates/query/tests/engine/silence.rs
@@ -0,0 +1,110 @@
+//! Shards from whose servers nothing comes back.
+
+use std::time::Duration;
+
+use gs_query::PartReply;
+use gs_types::prelude::*;
+use rstest::rstest;
+
+use crate::world::DEADLINE;
+use crate::world::World;
+use crate::world::whole;
+
+/// How long a caller is told to stay away.
+const AWAY: Duration = Duration::from_secs(1);
+
+/// Who notices first that an attempt has had its time.
+#[derive(Clone, Copy, PartialEq)]
+enum Noticed {
+    ByTimer,
+    ByShell,
+}
+
+/// A world whose shard 1 has left a complete lookup unanswered to its deadline.
+fn cut(replicas: u32, noticed: Noticed) -> World {
+    let mut w = World::new(2, replicas);
+    w.arrive("complete");
+    let answered = w.open[0].clone();
+    w.serve(0, whole(&answered));
+    let mut silent = Vec::new();
+    for _ in 0..3 {
+        for d in std::mem::take(&mut w.open) {
+            w.sent(&d);
+            silent.push(d);
+        }
+        w.pass(DEADLINE / 4);
+    }
+    w.now += DEADLINE / 4;
+    if noticed == Noticed::ByShell {
+        silent.iter().for_each(|d| w.reply(d, PartReply::Late));
+    }
+    w.pass(Duration::ZERO);
+    w
+}
+
+fn refusal(w: &World, seq: LookupSeq) -> Refusal {
+    match w.outcome(seq) {
+        Outcome::NotRun(r) => r,
+        other => panic!("not refused: {other:?}"),
+    }
+}
+
+/// Guards against a cut-off data centre whose callers wait their whole deadline for a refusal that is known.
+#[rstest]
+fn a_lookup_that_needs_a_silent_shard_is_refused_at_once(
+    #[values(1, 2)] replicas: u32,
+    #[values(Noticed::ByTimer, Noticed::ByShell)] noticed: Noticed,
+) {
+    let mut w = cut(replicas, noticed);
+    let seq = w.arrive("complete");
+    let r = refusal(&w, seq);
+    let missing = MissingShard {
+        shard: ShardId(1),
+        reason: MissReason::Late,
+    };
+    assert_eq!(r.reason, RefusalReason::Incomplete);
+    assert_eq!((r.missing, r.retry_after), (vec![missing], Some(AWAY)));
+    assert!(w.open.is_empty(), "{:?}", w.open);
+}
+
+/// Guards against a shard that stays refused once its servers are back: one lookup a second tries them.
+#[test]
+fn one_lookup_a_second_tries_a_silent_shard() {
+    let mut w = cut(1, Noticed::ByTimer);
+    w.pass(AWAY);
+    let tried = w.arrive("complete");
+    assert_eq!(w.open.len(), 2);
+    let meanwhile = w.arrive("complete");
+    refusal(&w, meanwhile);
+    w.serve_all();
+    w.answer(tried);
+    let after = w.arrive("complete");
+    w.serve_all();
+    w.answer(after);
+}
+
+/// Guards against urgent lookups that are refused for a shard which they can do without.
+#[test]
+fn an_urgent_lookup_goes_out_with_the_shards_that_answer() {
+    let mut w = cut(1, Noticed::ByTimer);
+    let seq = w.arrive("urgent");
+    assert_eq!(w.open.len(), 2);
+    w.serve_all();
+    w.answer(seq);
+}
+
+/// Guards against lookups that are refused for a server which is slow and not silent.
+#[test]
+fn a_shard_that_answers_others_is_not_silent() {
+    let mut w = World::new(1, 1);
+    w.arrive("complete");
+    let slow = w.take(0);
+    w.sent(&slow);
+    w.pass(DEADLINE / 2);
+    let other = w.arrive("complete");
+    w.serve_all();
+    w.answer(other);
+    w.pass(DEADLINE / 2);
+    w.arrive("complete");
+    assert_eq!(w.open.len(), 1);
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -15,6 +15,7 @@
 mod runs;
 mod server;
 mod servers;
+mod silence;
 mod state;
 
 pub use dump::ServerDump;
--- a/crates/route/src/runs.rs
+++ b/crates/route/src/runs.rs
@@ -95,6 +95,7 @@
         view.rests = 0;
         view.rest_until = None;
         view.pause_until = None;
+        view.lost_at = None;
         self.changes += 1;
     }
 
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -101,6 +101,10 @@
     /// Whether its health endpoint did not answer when it was last asked.
     pub(crate) is_silent: bool,
     pub(crate) warming_since: Option<Instant>,
+    /// When anything came back from it last.
+    pub(crate) heard_at: Option<Instant>,
+    /// When it was last found to be lost, or tried since.
+    pub(crate) lost_at: Option<Instant>,
 }
 
 impl ServerView {
@@ -127,6 +131,8 @@
             pause_until: None,
             is_silent: false,
             warming_since: None,
+            heard_at: None,
+            lost_at: None,
         }
     }
 
--- a/crates/route/src/servers.rs
+++ b/crates/route/src/servers.rs
@@ -171,6 +171,8 @@
         let warm = self.view(idx).warmth(now, &self.options) >= 1.0;
         let view = &mut self.list[idx.index()];
         view.in_flight += 1;
+        // One attempt at a lost server shows whether it is back; others would wait with it.
+        view.lost_at = view.lost_at.map(|_| now);
         match view.state {
             ServerState::SetAside => self.step(idx, ServerEvent::RestOver),
             ServerState::Warming if warm => self.step(idx, ServerEvent::Warmed),
--- a/tests/process/platform_faults.rs
+++ b/tests/process/platform_faults.rs
@@ -1,6 +1,7 @@
 //! The platform away, losing answers, and cut off, while callers ask.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_rig::load::Caller;
 use gs_rig::platform::Control;
@@ -15,6 +16,9 @@
 use crate::support::tiny;
 use crate::support::until;
 
+/// The longest that a refusal takes which needs nothing to be asked, on a busy machine; deadlines are longer.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
 /// Readers go on searching while the platform is away; renewals are refused, truly.
 /// The platform answers nothing but 503; renewals are sent through every VM; then it comes back
 /// and the same keys are sent again. The cause of a double run or of a false "not run" would be a
@@ -116,3 +120,25 @@
     let key = renewal.idempotency_key.expect("a key");
     assert!(d.servers.counts().runs_of_key(&key) <= 1);
 }
+
+/// Guards against callers in a cut-off data centre that each wait their whole deadline for a refusal that is known.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lookup_of_shards_behind_a_cut_is_refused_at_once() {
+    let d = tiny().await;
+    let cut = 2_usize;
+    let placement = ask(&d, "placement", 50);
+    assert!(ask_vm(&d, cut, &placement).await.page().is_some());
+    d.cut(d.vms[cut].plan().site).expect("a site");
+    let first = ask_vm(&d, cut, &placement).await;
+    assert_eq!(reason(&first).as_deref(), Some("incomplete"), "{first:?}");
+    let begun = Instant::now();
+    let second = ask_vm(&d, cut, &placement).await;
+    let took = begun.elapsed();
+    assert_eq!(reason(&second).as_deref(), Some("incomplete"), "{second:?}");
+    assert!(took < AT_ONCE, "{took:?}");
+    d.heal().expect("healed");
+    until("whole pages again", async || {
+        ask_vm(&d, cut, &placement).await.page().is_some()
+    })
+    .await;
+}
