fix(edge): a peer that the store has not answered for two seconds is left

Cause: a VM follows a peer that is cut from the store without a word; that one's heartbeat, its timeout and the follower's heartbeat come one after the other, 4.5 s at the worst. Peers tell how long ago the store answered them; past 2 s the follower asks the others.

--- a/crates/edge/src/register/ask.rs
+++ b/crates/edge/src/register/ask.rs
@@ -93,6 +93,7 @@
         let wait_ms = wait.as_millis();
         let what = format!("{kind}?after={after}&wait-ms={wait_ms}");
         let told: Told = self.ask(vm, &what, wait).await?;
+        self.check_overdue(vm, told.heard_ms).await;
         Ok(Changes {
             at: Revision(told.at).max(after),
             items: told.items.into_iter().map(Item::from).collect(),
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -9,6 +9,7 @@
 mod desk;
 mod directory;
 mod options;
+mod overdue;
 mod report;
 mod wire;
 
@@ -62,6 +63,8 @@
     is_in_touch: AtomicBool,
     /// When it answered last.
     heard: Mutex<Instant>,
+    /// When the other peers were last asked since the one that is followed is overdue.
+    looked_around: Mutex<Option<Instant>>,
     book: Book,
     /// How long a question to a peer waits for a change.
     wait: Duration,
@@ -93,6 +96,7 @@
             sources: Mutex::new(sources),
             is_in_touch: AtomicBool::new(false),
             heard: Mutex::new(Instant::now()),
+            looked_around: Mutex::default(),
             book: Book::default(),
             wait: opts.drain.mul_f64(WAIT_PART).clamp(least, most),
             may_follow: opts.may_follow,
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -7,6 +7,7 @@
 use gs_rig::site::SiteRoute;
 use gs_rig::site::StoreFault;
 use gs_rig::site::Verdict;
+use rstest::rstest;
 use rustix::process::Signal;
 
 use crate::support::Running;
@@ -140,6 +141,19 @@
     until_in_force(&mut r, &all_but(&ASKERS), &route).await;
 }
 
+/// Guards against followers that hear of a change too late, as their asker is cut from the store without a word and
+/// its heartbeat and theirs have to show it one after the other.
+#[rstest]
+#[tokio::test]
+async fn a_change_comes_in_time_to_the_followers_of_a_silenced_asker(
+    #[values(ASKERS[0], ASKERS[1])] asker: usize,
+) {
+    let mut r = settled().await;
+    r.site.store_links[asker].harm(Harm::Silent);
+    let route = add_route(&mut r, "/new/");
+    until_in_force(&mut r, &all_but(&[asker]), &route).await;
+}
+
 /// Guards against a VM that falls behind because it is cut from the store, though its peers know better.
 #[tokio::test]
 async fn a_follower_that_is_cut_from_the_store_stays_in_step() {
