fix(edge): a look that the store does not answer counts as its loss

Cause: the store swallowed that VM's watch of the routes. The end of an outage begins a watch again, but this outage was not noticed: the VM's look at the list of VMs went unanswered for 1.5 s, which ended after the store was back, and the heartbeat that follows was answered. Since a failed look was logged only, as its answer may come from a peer.

Change: a look that the store itself leaves unanswered is a sign of its loss. So that the error can only be the store's, a peer that fails is given up and the next one asked, as for watches, and a list that is not as new as what is known is no error.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -164,12 +164,13 @@
     /// As for [`Directory::announce`].
     async fn withdraw(&self, vm: &VmId) -> Result<()>;
 
-    /// The VMs announced; the list may be seconds old.
+    /// The VMs announced; the list may be seconds old. `None` if whoever is asked knows of none as new as what
+    /// is known already.
     ///
     /// # Errors
     ///
     /// As for [`Directory::list`].
-    async fn vms(&self) -> Result<VmListing>;
+    async fn vms(&self) -> Result<Option<VmListing>>;
 
     /// Removes the announcement of a VM that is gone, unless it has been renewed since this revision.
     ///
--- a/crates/edge/src/register/ask.rs
+++ b/crates/edge/src/register/ask.rs
@@ -10,7 +10,6 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
-use crate::directory::Announced;
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
 use crate::directory::Item;
@@ -70,16 +69,10 @@
         }))
     }
 
-    /// Asks a peer for the VMs.
-    pub(super) async fn vms_at(&self, vm: &PeerVm) -> Result<VmListing> {
-        let told = self.ask(vm, VMS, Duration::ZERO).await;
-        match told.inspect_err(|e| self.failed(vm, e))? {
-            ToldVms::Listed { at, vms } => Ok(VmListing {
-                at: Revision(at),
-                vms: vms.into_iter().map(Announced::from).collect(),
-            }),
-            ToldVms::NotYet => Err(out_of_touch(vm.name.as_str())),
-        }
+    /// Asks a peer for the VMs; `None` while it is out of touch with the platform itself.
+    pub(super) async fn vms_at(&self, vm: &PeerVm) -> Result<Option<VmListing>> {
+        let told: ToldVms = self.ask(vm, VMS, Duration::ZERO).await?;
+        Ok(told.into())
     }
 
     /// Asks a peer what changed, which may wait so long for a change.
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -114,20 +114,21 @@
         self.note(self.platform.withdraw(vm).await)
     }
 
-    async fn vms(&self) -> Result<VmListing> {
-        let source = self.source.borrow().clone();
-        let listing = match source {
-            Source::Peer(vm) => self.vms_at(&vm).await?,
-            Source::Undecided | Source::Register => {
-                let result = self.note(self.platform.vms().await);
-                result.inspect_err(|_| self.book.withhold_vms())?
+    async fn vms(&self) -> Result<Option<VmListing>> {
+        let listing = loop {
+            let source = self.source.borrow().clone();
+            match source {
+                Source::Peer(vm) => match self.vms_at(&vm).await {
+                    Ok(listing) => break listing,
+                    Err(e) => self.failed(&vm, &e),
+                },
+                Source::Undecided | Source::Register => {
+                    let result = self.note(self.platform.vms().await);
+                    break result.inspect_err(|_| self.book.withhold_vms())?;
+                }
             }
         };
-        if !self.book.note_vms(&listing) {
-            let text = format!("listed at {}, before what is known", listing.at);
-            return Err(Error::new(ErrorKind::Unavailable, text).at("list the VMs"));
-        }
-        Ok(listing)
+        Ok(listing.filter(|l| self.book.note_vms(l)))
     }
 
     async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()> {
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -116,6 +116,18 @@
     NotYet,
 }
 
+impl From<ToldVms> for Option<VmListing> {
+    fn from(told: ToldVms) -> Self {
+        match told {
+            ToldVms::Listed { at, vms } => Some(VmListing {
+                at: Revision(at),
+                vms: vms.into_iter().map(Announced::from).collect(),
+            }),
+            ToldVms::NotYet => None,
+        }
+    }
+}
+
 impl From<VmListing> for ToldVms {
     fn from(l: VmListing) -> Self {
         Self::Listed {
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -118,13 +118,18 @@
 
     /// Looks who is there, and sees to it that this VM stays listed; `false` if that is not to be seen.
     ///
-    /// Whether the directory is in reach shows the heartbeat, which follows each look: a list may be told by a
-    /// peer.
+    /// An answer is no sign that the directory is in reach, as a peer may have given it; the heartbeat, which
+    /// follows each look, shows that. No answer is a sign of the contrary, which the heartbeat may come too late
+    /// to see.
     async fn look(&self, known: &mut Known) -> bool {
         let listed = match self.directory.vms().await {
-            Ok(listing) => listing.vms,
+            Ok(Some(listing)) => listing.vms,
+            Ok(None) => {
+                log::info!("event=vms-not-listed reason=\"no list as new as what is known\"");
+                return false;
+            }
             Err(e) => {
-                log::info!("event=vms-not-listed error=\"{e}\"");
+                self.contact.lost("vms", &e);
                 return false;
             }
         };
@@ -135,7 +140,7 @@
             self.take(known, listed).await;
         }
         if is_old {
-            log::info!("event=vms-not-listed error=\"listed before this VM announced itself\"");
+            log::info!("event=vms-not-listed reason=\"listed before this VM announced itself\"");
             return false;
         }
         if !is_listed {
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -37,6 +37,8 @@
     Limited,
     /// It takes calls and answers none.
     Silent,
+    /// It takes calls for objects of these kinds and answers none.
+    SilentTo(&'static [&'static str]),
     /// It does what is asked and ends the connection without an answer.
     Lost,
     /// It answers so much later.
@@ -139,11 +141,12 @@
         match fault {
             StoreFault::Busy => return Some(plain(503, "busy")),
             StoreFault::Limited => return Some(plain(429, "limited")),
-            StoreFault::Silent => {
-                std::future::pending::<()>().await;
+            StoreFault::Silent => std::future::pending().await,
+            StoreFault::SilentTo(kinds) if kinds.contains(&object_of(&req).0) => {
+                std::future::pending().await
             }
             StoreFault::Slow(by) => tokio::time::sleep(by).await,
-            StoreFault::None | StoreFault::Lost => {}
+            StoreFault::None | StoreFault::SilentTo(_) | StoreFault::Lost => {}
         }
         let res = self.handle(&req).await;
         (fault != StoreFault::Lost).then_some(res)
@@ -152,8 +155,7 @@
 
 impl Inner {
     async fn handle(&self, req: &Request<Bytes>) -> Response<Body> {
-        let path = req.uri().path().trim_start_matches("/api/objects/");
-        let (kind, name) = path.split_once('/').unwrap_or((path, ""));
+        let (kind, name) = object_of(req);
         let query = req.uri().query().unwrap_or("");
         let asked = |key: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
@@ -243,6 +245,12 @@
     }
 }
 
+/// The kind and the name that a call is about; the name is empty for all objects of the kind.
+fn object_of(req: &Request<Bytes>) -> (&str, &str) {
+    let path = req.uri().path().trim_start_matches("/api/objects/");
+    path.split_once('/').unwrap_or((path, ""))
+}
+
 fn json(value: &Value) -> Response<Body> {
     plain(200, value.to_string())
 }
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -10,6 +10,7 @@
 use rstest::rstest;
 use rustix::process::Signal;
 
+use crate::support::APPLY;
 use crate::support::Running;
 use crate::support::site_of;
 
@@ -25,9 +26,6 @@
 /// A VM of the first data centre that follows them.
 const FOLLOWER: usize = 3;
 
-/// The longest that a configuration may take: what the users' sites allow at the least, 3 s.
-const APPLY: Duration = Duration::from_secs(3);
-
 /// Longer than the lease of a VM among so many that renews every second.
 const LEASE: Duration = Duration::from_secs(14);
 
@@ -76,12 +74,6 @@
     begun.elapsed()
 }
 
-fn calls(r: &Running, kind: &str) -> u64 {
-    let calls = r.site.store.calls();
-    let of_kind = calls.iter().filter(|(call, _)| call.starts_with(kind));
-    of_kind.map(|(_, n)| n).sum()
-}
-
 fn all_but(left_out: &[usize]) -> Vec<usize> {
     (0..VMS).filter(|vm| !left_out.contains(vm)).collect()
 }
@@ -90,10 +82,10 @@
 #[tokio::test]
 async fn a_change_costs_calls_by_data_centre_and_not_by_vm() {
     let mut r = settled().await;
-    let before = calls(&r, "GET /api/objects/config");
+    let before = r.calls("GET /api/objects/config");
     let route = add_route(&mut r, "/new/");
     until_in_force(&mut r, &all_but(&[]), &route).await;
-    let made = calls(&r, "GET /api/objects/config") - before;
+    let made = r.calls("GET /api/objects/config") - before;
     // A watch that brings the change is followed by one that waits on.
     assert!(made <= 2 * 2 * DATA_CENTRES as u64, "{made} calls");
 }
@@ -170,7 +162,7 @@
     let mut r = settled().await;
     begin_outage(&r).await;
     let sources: Vec<_> = (0..VMS).map(|vm| r.source(vm)).collect();
-    let before = calls(&r, "GET /api/objects/servers");
+    let before = r.calls("GET /api/objects/servers");
     r.site.store.misbehave(StoreFault::None);
     let route = add_route(&mut r, "/new/");
     until_in_force(&mut r, &all_but(&[]), &route).await;
@@ -186,7 +178,7 @@
         r.lines(&["event=register-", "event=directory-", "event=vms"])
     );
     // Of each asker: a try under way, a list, and the watch that follows it.
-    let made = calls(&r, "GET /api/objects/servers") - before;
+    let made = r.calls("GET /api/objects/servers") - before;
     assert!(made <= 3 * 2 * DATA_CENTRES as u64, "{made} calls");
 }
 
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -5,9 +5,17 @@
 use gs_rig::site::StoreFault;
 use rstest::rstest;
 
+use crate::support::APPLY;
 use crate::support::all;
 use crate::support::is_whole;
 use crate::support::site;
+use crate::support::site_of;
+
+/// A VM's call that watches or lists the routes.
+const WATCH: &str = "GET /api/objects/config";
+
+/// A VM's call that lists the VMs.
+const LOOK: &str = "GET /api/objects/gentiansill-vms";
 
 /// Nothing is served while the platform is away, although every server lives.
 #[rstest]
@@ -63,6 +71,29 @@
     assert!(!r.busy().contains("i-shard1-1"), "{:?}", r.busy());
 }
 
+/// Guards against a VM that hears of no change for the rest of a watch: the store swallowed the watch and a look at
+/// the list of VMs, and has answered everything since.
+#[tokio::test]
+async fn a_look_that_the_store_does_not_answer_shows_an_outage() {
+    let mut r = site_of(1).await;
+    let watches = r.calls(WATCH);
+    r.site
+        .store
+        .misbehave(StoreFault::SilentTo(&["config", "gentiansill-vms"]));
+    let looks = r.calls(LOOK);
+    r.site
+        .configure(|c| c.routes[0].prefix = "/first/".to_owned());
+    r.until("a watch is swallowed", |r| r.calls(WATCH) > watches)
+        .await;
+    r.site
+        .configure(|c| c.routes[0].prefix = "/second/".to_owned());
+    r.until("a look is swallowed", |r| r.calls(LOOK) > looks)
+        .await;
+    r.site.store.misbehave(StoreFault::None);
+    let route = r.route("/second/");
+    r.until_whole(0, &route, APPLY).await;
+}
+
 /// A change is never seen: it was made in the moment whose history the store has dropped.
 #[tokio::test]
 async fn a_change_in_forgotten_history_is_seen() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -18,6 +18,9 @@
 /// Sites that run at the same time; more would only wait for the machine.
 static ROOM: Semaphore = Semaphore::const_new(3);
 
+/// The longest that a configuration may take: what the users' sites allow at the least, 3 s.
+pub const APPLY: Duration = Duration::from_secs(3);
+
 /// The longest that a test waits for something that takes a few seconds.
 const UNTIL_MAX: Duration = Duration::from_secs(20);
 
@@ -86,7 +89,8 @@
             if answer.verdict == Verdict::Right(0) {
                 return;
             }
-            assert!(tokio::time::Instant::now() < end, "{answer:?}");
+            let lines = || self.lines(&["event=directory-", "event=vms", "event=routes "]);
+            assert!(tokio::time::Instant::now() < end, "{answer:?}\n{}", lines());
         }
     }
 
@@ -115,6 +119,13 @@
         }
     }
 
+    /// Calls made to the store whose method and path begin like this.
+    pub fn calls(&self, begin: &str) -> u64 {
+        let calls = self.site.store.calls();
+        let wanted = calls.iter().filter(|(call, _)| call.starts_with(begin));
+        wanted.map(|(_, n)| n).sum()
+    }
+
     /// Whom the `vm`-th VM hears of the register from, by the last line of its log that says so.
     pub fn source(&self, vm: usize) -> Option<String> {
         let log = self.log(&self.site.vms[vm].plan().name);
