fix(edge): rounds of a VM begin 1.5 s apart

Callers would see 404 on an added route for up to 29 s at a VM that started a few seconds ago, after a silence of the store of up to 3 s.

Cause: an outage is noticed by a heartbeat in it. The third and the fourth of the first looks were 3 s apart with no heartbeat between them, and each wait began when the call before had ended, so that a heartbeat which went unanswered for 1.5 s was followed by the next only 3 s after it.

Change: the schedule is a pure state machine in gs-follow (`Rounds`): each round begins 1.5 s after the begin of the last, at the latest, and at once if that took longer. A look of which nothing came is repeated in the next round.

--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -201,6 +201,6 @@
 }
 
 /// The time as decisions take it.
-fn now() -> std::time::Instant {
+pub(crate) fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gs_actor::Feed;
+use gs_follow::Rounds;
 use gs_relay::Event;
 use gs_relay::Leases;
 use gs_relay::Listed;
@@ -18,15 +19,7 @@
 use crate::directory::Renewal;
 use crate::directory::Revision;
 use crate::register::Register;
-
-/// The times of the first looks, each after the one before. All VMs of a fleet that starts together have
-/// announced themselves by the second; those of one that starts again are listed from before.
-const FIRST_LOOKS: [Duration; 4] = [
-    Duration::from_millis(10),
-    Duration::from_millis(1000),
-    Duration::from_millis(1500),
-    Duration::from_millis(3000),
-];
+use crate::register::now;
 
 /// The time between two looks later on; a VM that was added waits so long for its share at the most.
 const LOOK_EVERY: Duration = Duration::from_secs(10);
@@ -34,10 +27,6 @@
 /// The greatest age of a list: a peer tells its own until it looks again, and the directory's may be seconds old.
 const LIST_AGE_MAX: Duration = Duration::from_secs(15);
 
-/// The time between two looks whether the directory is in reach. A watch that an outage has silenced is
-/// begun again after it; without this it would hear of nothing to the end of its time.
-const HEARTBEAT: Duration = Duration::from_millis(1500);
-
 /// The first wait after a failure.
 const BACKOFF: Duration = Duration::from_millis(200);
 
@@ -100,15 +89,12 @@
         if self.first_start {
             self.announce(&mut known).await;
         }
-        // At the first start of all, a look at once would show few of many.
-        let mut looks = FIRST_LOOKS.into_iter().skip(usize::from(self.first_start));
-        let mut next_look = Instant::now();
+        let look_every = LOOK_EVERY.min(self.renew_every);
+        let mut rounds = Rounds::new(now(), self.first_start, look_every);
         loop {
-            let first = looks.next();
-            tokio::time::sleep(first.unwrap_or(HEARTBEAT)).await;
-            // After a failure the next look follows soon: this VM may not be announced yet.
-            if (first.is_some() || Instant::now() >= next_look) && self.look(&mut known).await {
-                next_look = Instant::now() + LOOK_EVERY.min(self.renew_every);
+            tokio::time::sleep(rounds.wait(now())).await;
+            if rounds.begin(now()) {
+                rounds.looked(self.look(&mut known).await);
             }
             // Also after a look: it tells nothing of requests that crash servers, and a VM that only looks
             // runs one of them for 3 s more.
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -4,8 +4,8 @@
 //! Nothing is agreed on: every VM works the same candidates out from the list of VMs, and where two lists
 //! differ, a VM that does not ask says so and the follower turns to the next.
 //!
-//! [`candidates()`] ranks the VMs, [`Sources`] is the state machine that chooses whom to follow, and
-//! [`Mirror`] is what a VM knows of a kind of objects and tells others of.
+//! [`candidates()`] ranks the VMs, [`Sources`] is the state machine that chooses whom to follow, [`Rounds`] says when
+//! to look, and [`Mirror`] is what a VM knows of a kind of objects and tells others of.
 //!
 //! ```
 //! use gs_follow::Mirror;
@@ -19,10 +19,12 @@
 
 mod candidates;
 mod mirror;
+mod rounds;
 mod sources;
 
 pub use candidates::ASKERS;
 pub use candidates::candidates;
 pub use mirror::Mirror;
+pub use rounds::Rounds;
 pub use sources::Source;
 pub use sources::Sources;
--- a/crates/follow/tests/follow/main.rs
+++ b/crates/follow/tests/follow/main.rs
@@ -2,5 +2,6 @@
 
 mod candidates;
 mod mirror;
+mod rounds;
 mod sources;
 mod world;
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store away, slow or forgetful.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_rig::site::StoreFault;
 use rstest::rstest;
@@ -17,6 +18,12 @@
 /// A VM's call that lists the VMs.
 const LOOK: &str = "GET /api/objects/gentiansill-vms";
 
+/// A VM's heartbeat to the store.
+const BEAT: &str = "GET /api/objects/gentiansill-quarantine";
+
+/// Less than the time between the third and the fourth look of a VM.
+const BETWEEN_LOOKS: Duration = Duration::from_millis(2700);
+
 /// Nothing is served while the platform is away, although every server lives.
 #[rstest]
 #[case::busy(StoreFault::Busy)]
@@ -94,6 +101,33 @@
     r.until_whole(0, &route, APPLY).await;
 }
 
+/// Guards against a VM that hears of no change for the rest of a watch, as the store went silent and came back between
+/// two of its first looks.
+#[tokio::test]
+async fn an_outage_between_two_of_the_first_looks_is_noticed() {
+    let mut r = site_of(1).await;
+    r.until("the third look and its heartbeat", |r| {
+        r.calls(LOOK) == 3 && r.calls(BEAT) == 3
+    })
+    .await;
+    let watches = r.calls(WATCH);
+    r.site.store.misbehave(StoreFault::Silent);
+    let begun = Instant::now();
+    r.site
+        .configure(|c| c.routes[0].prefix = "/first/".to_owned());
+    r.until("a watch is swallowed", |r| r.calls(WATCH) > watches)
+        .await;
+    r.site
+        .configure(|c| c.routes[0].prefix = "/second/".to_owned());
+    r.until("a heartbeat is swallowed, or the outage ends", |r| {
+        r.calls(BEAT) > 3 || begun.elapsed() >= BETWEEN_LOOKS
+    })
+    .await;
+    r.site.store.misbehave(StoreFault::None);
+    let route = r.route("/second/");
+    r.until_whole(0, &route, APPLY).await;
+}
+
 /// A change is never seen: it was made in the moment whose history the store has dropped.
 #[tokio::test]
 async fn a_change_in_forgotten_history_is_seen() {
