fix(relay): a fan-out that crashes one shard again is set aside

Cause: breaks were held against the request as a whole, and any answer acquitted it.

Ruled out: counting breaks by shard alone. Servers that crash by themselves break every search that they have, and popular ones would be refused everywhere for half a minute.

Change: breaks are also kept by request and shard with the server's run, until a server of the shard answers the request; three breaks of two servers, one of them in two of its runs, set it aside. Old breaks are forgotten every 20 s, so that a few do not cost every later request a fingerprint.

--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -68,7 +68,7 @@
         let (server, begun, cause) = (attempt.server, attempt.at, attempt.cause);
         let route = run.route.name.clone();
         self.judge_server(now, server, id, (begun, rounds), &route, &end);
-        self.judge_request(now, run, server, &end);
+        self.judge_request(now, run, at, server, &end);
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = run.parts[at].service.clone();
             self.service(&service).extra.give_back();
@@ -92,33 +92,50 @@
     }
 
     /// Learns from how an attempt ended whether its request crashes servers.
-    fn judge_request(&mut self, now: Instant, run: &mut Run, server: ServerKey, end: &AttemptEnd) {
+    fn judge_request(
+        &mut self,
+        now: Instant,
+        run: &mut Run,
+        at: usize,
+        server: ServerKey,
+        end: &AttemptEnd,
+    ) {
+        let service = &run.parts[at].service;
         match end {
-            AttemptEnd::Broken => self.suspects.broke(now, run.req.fingerprint(), server),
-            AttemptEnd::Answered(..) => self.survived(run),
+            AttemptEnd::Broken => {
+                let born = self.servers.get(server).and_then(|view| view.entry.born);
+                let request = run.req.fingerprint();
+                self.suspects.broke(now, request, service, (server, born));
+            }
+            AttemptEnd::Answered(..) => {
+                run.survived = true;
+                if !self.suspects.is_calm() {
+                    self.suspects.answered(run.req.fingerprint(), service);
+                }
+            }
             _ => {}
         }
     }
 
-    /// A server ran the request and lived.
-    pub(crate) fn survived(&mut self, run: &mut Run) {
+    /// Servers that a peer asked ran the request and lived.
+    pub(crate) fn survived_elsewhere(&mut self, run: &mut Run) {
         run.survived = true;
         if !self.suspects.is_calm() {
-            self.suspects.answered(run.req.fingerprint());
+            self.suspects.answered_somewhere(run.req.fingerprint());
         }
     }
 
-    /// Refuses a request from now on that broke servers and was answered by none, now that it ends.
+    /// Refuses a request from now on that broke servers and was answered by none, or by none of a shard, now that it ends.
     ///
     /// Guards against a search that is refused everywhere because some servers lost connections under it:
     /// they do so at once, and the others answer only after their work. Decided at each break, it would be set
     /// aside before those have had the time to.
     pub(crate) fn judge_run(&mut self, now: Instant, run: &Run, out: &mut Vec<Action>) {
-        if run.survived || self.suspects.is_calm() {
+        if self.suspects.is_calm() {
             return;
         }
         let request = run.req.fingerprint();
-        if self.suspects.convict(now, request) {
+        if self.suspects.convict(now, request, run.survived) {
             log::warn!("event=quarantine request={request} id={}", run.req.id);
             out.push(Action::Quarantine(request));
         }
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -207,7 +207,7 @@
             }
         }
         if !page.stamps.is_empty() {
-            self.survived(run);
+            self.survived_elsewhere(run);
         }
         run.bundles[n].page = Some(page);
         // The peer has waited for them; they are of use only below the least coverage.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod servers;
 mod service;
 mod settle;
+mod shard_breaks;
 mod sharing;
 mod split;
 mod stall;
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -2,7 +2,8 @@
 //!
 //! The load it answers: one request that breaks each server that begins it, and a caller that sends it
 //! again, to every VM in turn; each time a whole shard, or with a fan-out all of them, is lost for
-//! seconds. What breaks connections and is never answered is refused for a while, and every VM is told.
+//! seconds. What breaks connections and is never answered is refused for a while, and every VM is told. So is
+//! what one shard never answers, if it broke servers of that shard again once they were back.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,22 +13,23 @@
 use smallvec::SmallVec;
 
 use crate::servers::ServerKey;
+use crate::shard_breaks::ShardBreaks;
 
 /// Broken attempts of one request, none answered, after which it is refused: two may be the bad luck of
 /// connections that a server loses; a route allows no more than a few.
-const BREAKS_MAX: u32 = 3;
+pub(crate) const BREAKS_MAX: u32 = 3;
 
 /// The fewest servers that it must have broken: one server may be broken by itself.
-const SERVERS_MIN: usize = 2;
+pub(crate) const SERVERS_MIN: usize = 2;
 
 /// How long it is refused.
 const QUARANTINE: Duration = Duration::from_secs(30);
 
 /// How long breaks are remembered; callers send again within their deadline of some seconds.
-const REMEMBER: Duration = Duration::from_secs(20);
+pub(crate) const REMEMBER: Duration = Duration::from_secs(20);
 
 /// The most requests remembered, so that a storm of breaks does not grow without bound.
-const SUSPECTS_MAX: usize = 4096;
+pub(crate) const SUSPECTS_MAX: usize = 4096;
 
 /// What is held against one request.
 #[derive(Debug)]
@@ -41,27 +43,40 @@
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     suspects: HashMap<Fingerprint, Suspect>,
+    shards: ShardBreaks,
     refused: HashMap<Fingerprint, Instant>,
+    swept_at: Option<Instant>,
 }
 
 impl Suspects {
     /// Whether anything is held against any request, so that fingerprints are worth their time.
     pub(crate) fn is_calm(&self) -> bool {
-        self.suspects.is_empty() && self.refused.is_empty()
+        self.suspects.is_empty() && self.shards.is_empty() && self.refused.is_empty()
     }
 
     /// How long a request is still refused; `None` if it is not.
     pub(crate) fn refused_for(&mut self, now: Instant, request: Fingerprint) -> Option<Duration> {
+        self.sweep(now);
         self.refused.retain(|_, until| *until > now);
         let until = self.refused.get(&request)?;
         Some(until.saturating_duration_since(now))
     }
 
-    /// A server broke while it had the request.
-    pub(crate) fn broke(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
+    /// A server of a service broke while it had the request, in this run of its own.
+    pub(crate) fn broke(
+        &mut self,
+        now: Instant,
+        request: Fingerprint,
+        service: &ServiceName,
+        server: (ServerKey, Option<Incarnation>),
+    ) {
+        self.count(now, request, server.0);
+        self.shards.broke(now, request, service, server);
+    }
+
+    fn count(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
         if self.suspects.len() >= SUSPECTS_MAX {
-            self.suspects
-                .retain(|_, s| now.saturating_duration_since(s.last) < REMEMBER);
+            self.forget_old(now);
         }
         let fresh = Suspect {
             breaks: 0,
@@ -80,18 +95,43 @@
         }
     }
 
+    /// Forgets old breaks now and then: while anything is held, each request costs the time of a fingerprint.
+    fn sweep(&mut self, now: Instant) {
+        let last = *self.swept_at.get_or_insert(now);
+        if now.saturating_duration_since(last) >= REMEMBER {
+            self.swept_at = Some(now);
+            self.forget_old(now);
+        }
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        self.suspects
+            .retain(|_, s| now.saturating_duration_since(s.last) < REMEMBER);
+        self.shards.forget_old(now);
+    }
+
     /// Refuses a request if it has broken enough; `true` if it was not refused before.
-    pub(crate) fn convict(&mut self, now: Instant, request: Fingerprint) -> bool {
+    ///
+    /// If a server answered it, only what it broke of a single shard counts.
+    pub(crate) fn convict(&mut self, now: Instant, request: Fingerprint, survived: bool) -> bool {
         let is_proved = |s: &Suspect| s.breaks >= BREAKS_MAX && s.servers.len() >= SERVERS_MIN;
-        if !self.suspects.get(&request).is_some_and(is_proved) {
+        let of_all = !survived && self.suspects.get(&request).is_some_and(is_proved);
+        if !of_all && !self.shards.is_proved(now, request) {
             return false;
         }
         self.suspects.remove(&request);
+        self.shards.forget(request);
         self.refuse(now, request)
     }
 
-    /// A server ran the request and lived.
-    pub(crate) fn answered(&mut self, request: Fingerprint) {
+    /// A server of a service ran the request and lived.
+    pub(crate) fn answered(&mut self, request: Fingerprint, service: &ServiceName) {
+        self.suspects.remove(&request);
+        self.shards.answered(request, service);
+    }
+
+    /// A server ran the request and lived, it is not known which.
+    pub(crate) fn answered_somewhere(&mut self, request: Fingerprint) {
         self.suspects.remove(&request);
     }
 
--- a/crates/relay/tests/relay/suspects.rs
+++ b/crates/relay/tests/relay/suspects.rs
@@ -1,5 +1,7 @@
 //! Requests that crash the servers which run them.
 
+use std::sync::Arc;
+
 use gs_relay::AttemptEnd;
 use gs_relay::Event;
 use gs_relay::Outcome;
@@ -7,7 +9,10 @@
 use gs_relay::Repeat;
 use gs_types::prelude::*;
 
+use crate::world::HERE;
+use crate::world::THERE;
 use crate::world::World;
+use crate::world::entry;
 use crate::world::good;
 use crate::world::ms;
 use crate::world::one_route;
@@ -117,3 +122,70 @@
     let again = w.ask("/page/poison", ms(2500));
     assert!(!is_quarantined(&w, again));
 }
+
+/// Starts both servers of a shard again; `run` tells this run of theirs from others.
+fn start_again(w: &mut World, shard: &str, run: u64) {
+    for (name, place) in [("near", HERE), ("far", THERE)] {
+        let mut again = entry(&format!("{shard}-{name}"), shard, place);
+        again.born = Some(Incarnation(run));
+        w.tell(Event::Server(Arc::new(again)));
+    }
+    // Rests after broken connections and warming are over.
+    w.pass(ms(3000));
+}
+
+/// Asks for a page; every attempt at `s0` breaks, the other shards answer.
+fn break_one_shard(w: &mut World, path: &str) -> LookupSeq {
+    let seq = w.ask(path, ms(2500));
+    while w.ending(seq).is_none() {
+        let server = w.sent[0].server.name.to_string();
+        let end = if server.starts_with("s0") {
+            AttemptEnd::Broken
+        } else {
+            good(b'a')
+        };
+        w.end(&server, end);
+    }
+    w.sent.clear();
+    seq
+}
+
+/// Guards against a search that crashes the servers of one shard each time that a caller repeats it, as the other
+/// shards answer it.
+#[test]
+fn a_fan_out_that_breaks_one_shard_again_is_refused() {
+    let mut w = world();
+    break_one_shard(&mut w, "/page/poison");
+    assert_eq!(w.quarantined, []);
+    start_again(&mut w, "s0", 2);
+    break_one_shard(&mut w, "/page/poison");
+    assert_eq!(w.quarantined, [w.fingerprint("/page/poison")]);
+}
+
+/// Guards against a search that is refused since the servers of one shard crashed by themselves, however often
+/// callers ask for it meanwhile.
+#[test]
+fn a_shard_that_crashes_by_itself_makes_no_suspect() {
+    let mut w = world();
+    for _ in 0..5 {
+        break_one_shard(&mut w, "/page/popular");
+    }
+    assert_eq!(w.quarantined, []);
+}
+
+/// Guards against a search that is refused since a shard crashed twice by itself, though it has answered between.
+#[test]
+fn a_shard_that_answers_between_its_crashes_makes_no_suspect() {
+    let mut w = world();
+    break_one_shard(&mut w, "/page/popular");
+    start_again(&mut w, "s0", 2);
+    let seq = w.ask("/page/popular", ms(2500));
+    while w.ending(seq).is_none() {
+        let server = w.sent[0].server.name.to_string();
+        w.end(&server, good(b'a'));
+    }
+    w.sent.clear();
+    start_again(&mut w, "s0", 3);
+    break_one_shard(&mut w, "/page/popular");
+    assert_eq!(w.quarantined, []);
+}
