fix(relay): what is held against requests stays bounded in a storm of breaks

By reading: past 4,096 requests each break looked through all of them, forgot only those of 20 s before, and let the new one in, so a storm of shorter time grew without bound, as the constant's comment says it must not.

--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -125,7 +125,8 @@
         }
     }
 
-    /// Refuses a request from now on that broke servers and was answered by none, or by none of a shard, now that it ends.
+    /// Refuses a request from now on that broke servers and was answered by none, or by none of a shard, as it
+    /// ends.
     ///
     /// Guards against a search that is refused everywhere because some servers lost connections under it:
     /// they do so at once, and the others answer only after their work. Decided at each break, it would be set
--- a/crates/relay/src/shard_breaks.rs
+++ b/crates/relay/src/shard_breaks.rs
@@ -14,6 +14,7 @@
 use crate::suspects::BREAKS_MAX;
 use crate::suspects::REMEMBER;
 use crate::suspects::SERVERS_MIN;
+use crate::suspects::SUSPECTS_MAX;
 
 /// A server, in one run of its own.
 type ServerRun = (ServerKey, Option<Incarnation>);
@@ -55,6 +56,9 @@
         service: &ServiceName,
         server: ServerRun,
     ) {
+        if self.requests.len() >= SUSPECTS_MAX && !self.requests.contains_key(&request) {
+            return;
+        }
         let shards = self.requests.entry(request).or_default();
         let found = shards.iter().position(|b| b.service == *service);
         let at = found.unwrap_or_else(|| {
--- a/crates/relay/src/suspects.rs
+++ b/crates/relay/src/suspects.rs
@@ -70,13 +70,14 @@
         service: &ServiceName,
         server: (ServerKey, Option<Incarnation>),
     ) {
+        self.sweep(now);
         self.count(now, request, server.0);
         self.shards.broke(now, request, service, server);
     }
 
     fn count(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
-        if self.suspects.len() >= SUSPECTS_MAX {
-            self.forget_old(now);
+        if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&request) {
+            return;
         }
         let fresh = Suspect {
             breaks: 0,
@@ -98,13 +99,10 @@
     /// Forgets old breaks now and then: while anything is held, each request costs the time of a fingerprint.
     fn sweep(&mut self, now: Instant) {
         let last = *self.swept_at.get_or_insert(now);
-        if now.saturating_duration_since(last) >= REMEMBER {
-            self.swept_at = Some(now);
-            self.forget_old(now);
+        if now.saturating_duration_since(last) < REMEMBER {
+            return;
         }
-    }
-
-    fn forget_old(&mut self, now: Instant) {
+        self.swept_at = Some(now);
         self.suspects
             .retain(|_, s| now.saturating_duration_since(s.last) < REMEMBER);
         self.shards.forget_old(now);
