--- a/crates/http/tests/fuzz.rs
+++ b/crates/http/tests/fuzz.rs
@@ -2,6 +2,8 @@
 //!
 //! `GS_FUZZ_CASES` sets the number of cases for a longer run; the seed is fixed.
 
+#[path = "fuzz/answer.rs"]
+mod answer;
 #[path = "fuzz/backend.rs"]
 mod backend;
 #[path = "fuzz/bytes.rs"]
--- a/crates/http/tests/fuzz/backend.rs
+++ b/crates/http/tests/fuzz/backend.rs
@@ -14,28 +14,26 @@
 use gs_query::PartReply;
 use gs_types::prelude::*;
 use proptest::collection::vec;
-use proptest::option;
 use proptest::prelude::*;
-use proptest::sample::select;
 use proptest::test_runner::TestRunner;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use xxhash_rust::xxh3::xxh3_64;
 
+use crate::answer::Answer200;
+use crate::answer::Framing;
+use crate::answer::PART;
+use crate::answer::PART_MAX;
+use crate::answer::answer;
+use crate::answer::whole;
 use crate::bytes::Spoil;
 use crate::bytes::spoil;
 use crate::config;
 use crate::panics;
 use crate::runtime;
 
-const PART: &str = r#"{"hits":[{"doc":"d1","score":9,"text":"trout"}],"matched":1}"#;
-
-/// The most bytes that the pool takes of a body.
-const PART_MAX: usize = 2048;
-
 /// The connections that the pool may have open.
 const SHARE: u32 = 8;
 
@@ -47,9 +45,9 @@
 
 /// The bytes of an answer, and whether the server closes the connection behind them.
 #[derive(Clone, Debug)]
-struct Script {
-    bytes: Vec<u8>,
-    close: bool,
+pub struct Script {
+    pub bytes: Vec<u8>,
+    pub close: bool,
 }
 
 async fn serve(scripts: Scripts) -> SocketAddr {
@@ -178,7 +176,7 @@
         let mut last = None;
         for _ in 0..=SHARE {
             let id = self.dispatch(HANGS, |id| Script {
-                bytes: Answer200::good().bytes(id),
+                bytes: Answer200::good(Framing::Length).bytes(id),
                 close: false,
             });
             let (of, reply) = self.replies(1).await.remove(0);
@@ -192,154 +190,6 @@
     }
 }
 
-fn whole() -> PartReply {
-    PartReply::Whole {
-        snapshot: SnapshotId(3),
-        part: Arc::new(serde_json::from_str(PART).expect("a part")),
-        load: 2,
-        draining: false,
-    }
-}
-
-/// How an answer's body is sent.
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Framing {
-    Length,
-    Chunked,
-    UntilClose,
-    /// Shorter than its length says.
-    Short,
-    /// Longer than the pool takes.
-    Long,
-}
-
-/// An answer in its parts, right or wrong.
-#[derive(Clone, Debug)]
-struct Answer200 {
-    status: u16,
-    /// The id echoed: the attempt's own for `Some(true)`, another's for `Some(false)`.
-    id: Option<bool>,
-    digest: Option<bool>,
-    snapshot: Option<&'static str>,
-    body: &'static str,
-    not_run: Option<&'static str>,
-    reason: Option<&'static str>,
-    framing: Framing,
-}
-
-impl Answer200 {
-    const fn good() -> Self {
-        Self {
-            status: 200,
-            id: Some(true),
-            digest: Some(true),
-            snapshot: Some("3"),
-            body: PART,
-            not_run: None,
-            reason: None,
-            framing: Framing::Length,
-        }
-    }
-
-    fn bytes(&self, id: &str) -> Vec<u8> {
-        let mut body = self.body.to_owned();
-        if self.framing == Framing::Long {
-            body.push_str(&" ".repeat(PART_MAX));
-        }
-        let other = format!("{id}1");
-        let digest = xxh3_64(body.as_bytes());
-        let id = self.id.map(|own| if own { id } else { &*other });
-        let digest = self.digest.map(|right| digest ^ u64::from(!right));
-        let digest = digest.map(|d| format!("{d:016x}"));
-        let mut head = format!("HTTP/1.1 {} X\r\nx-load: 2\r\n", self.status);
-        let headers = [
-            ("x-attempt", id),
-            ("x-digest", digest.as_deref()),
-            ("x-snapshot", self.snapshot),
-            ("x-not-run", self.not_run),
-            ("x-reason", self.reason),
-        ];
-        for (name, value) in headers {
-            if let Some(v) = value {
-                head.push_str(&format!("{name}: {v}\r\n"));
-            }
-        }
-        let n = body.len();
-        let rest = match self.framing {
-            Framing::Length | Framing::Long => format!("content-length: {n}\r\n\r\n{body}"),
-            Framing::Short => format!("content-length: {}\r\n\r\n{body}", n + 1),
-            Framing::UntilClose => format!("\r\n{body}"),
-            Framing::Chunked => {
-                let (a, b) = body.split_at(n / 2);
-                let (x, y) = (a.len(), b.len());
-                format!(
-                    "transfer-encoding: chunked\r\n\r\n{x:x}\r\n{a}\r\n{y:x}\r\n{b}\r\n0\r\n\r\n"
-                )
-            }
-        };
-        (head + &rest).into_bytes()
-    }
-
-    fn script(&self, id: &str) -> Script {
-        Script {
-            bytes: self.bytes(id),
-            close: matches!(self.framing, Framing::Short | Framing::UntilClose),
-        }
-    }
-
-    /// What it means by docs/PROTOCOLS.md.
-    fn meaning(&self) -> PartReply {
-        match self.framing {
-            Framing::Short => return PartReply::Broken,
-            Framing::Long => return PartReply::Garbled,
-            _ => {}
-        }
-        let own = self.id == Some(true);
-        let right = self.digest == Some(true) && self.snapshot == Some("3") && self.body == PART;
-        match (own, self.status, self.not_run, self.reason) {
-            (true, 200, ..) if right => whole(),
-            (false, ..) | (true, 200, ..) => PartReply::Garbled,
-            (true, _, Some("1"), Some("draining")) => PartReply::Draining,
-            (true, _, Some("1"), _) => PartReply::NotSent,
-            _ => PartReply::Failed,
-        }
-    }
-}
-
-fn answer() -> impl Strategy<Value = Answer200> {
-    let mostly_right =
-        || prop_oneof![4 => Just(Some(true)), 1 => Just(Some(false)), 1 => Just(None)];
-    let framing = prop_oneof![
-        3 => Just(Framing::Length),
-        2 => Just(Framing::Chunked),
-        1 => Just(Framing::UntilClose),
-        1 => Just(Framing::Short),
-        1 => Just(Framing::Long),
-    ];
-    (
-        select(vec![200, 200, 200, 500, 503, 499]),
-        mostly_right(),
-        mostly_right(),
-        select(vec![Some("3"), Some("3"), Some("3"), None, Some("x")]),
-        select(vec![PART, PART, PART, "{", "[]"]),
-        option::of(select(vec!["1", "1", "0", "yes"])),
-        option::of(select(vec!["draining", "elsewhere"])),
-        framing,
-    )
-        .prop_map(
-            |(status, id, digest, snapshot, body, not_run, reason, framing)| Answer200 {
-                status,
-                id,
-                digest,
-                snapshot,
-                body,
-                not_run,
-                reason,
-                framing,
-            },
-        )
-}
-
 #[test]
 fn an_answer_means_what_the_protocol_says() {
     let rt = runtime();
@@ -392,10 +242,7 @@
             } else {
                 Framing::Length
             };
-            let good = Answer200 {
-                framing,
-                ..Answer200::good()
-            };
+            let good = Answer200::good(framing);
             let mut bytes = Vec::new();
             let id = b.dispatch(Duration::from_millis(150), |id| {
                 bytes = spoil.of(&good.bytes(id));
