test: one way to a change that no watch hears of; reasons for results that are dropped

The two tests of outages in tests/relay/store.rs wrote the same steps. They are in `change_unheard` now; what each waits for and its bound are as before.

Four results that tests and a stand-in drop have their reason beside them. No product code changes.

--- a/crates/http/tests/callers.rs
+++ b/crates/http/tests/callers.rs
@@ -80,8 +80,10 @@
 /// Sends bytes, reads until the server closes.
 async fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
     let mut tcp = TcpStream::connect(addr).await.expect("listening");
+    // A server that refuses may close before it has read everything; what it answered is read below.
     let _ = tcp.write_all(bytes).await;
     let mut buf = Vec::new();
+    // A reset ends what there is to read, as an end does.
     let _ = tcp.read_to_end(&mut buf).await;
     String::from_utf8_lossy(&buf).into_owned()
 }
--- a/crates/http/tests/fuzz/callers.rs
+++ b/crates/http/tests/fuzz/callers.rs
@@ -147,6 +147,7 @@
     // A connection on which nothing was sent may be idle for a minute.
     let half_close = half_close || bytes.is_empty();
     if half_close {
+        // It may be closed already.
         let _ = tcp.shutdown().await;
     }
     let mut buf = Vec::new();
--- a/crates/rig/src/site/proxy.rs
+++ b/crates/rig/src/site/proxy.rs
@@ -125,6 +125,7 @@
                 std::future::pending::<()>().await;
             }
             Harm::OneWay if is_answer => {
+                // A proxy that is gone harms nothing any more.
                 let _ = harm.wait_for(|h| *h != Harm::OneWay).await;
             }
             Harm::None | Harm::Reset | Harm::OneWay => {}
--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -7,6 +7,7 @@
 use rstest::rstest;
 
 use crate::support::APPLY;
+use crate::support::Running;
 use crate::support::all;
 use crate::support::is_whole;
 use crate::support::site;
@@ -78,22 +79,27 @@
     assert!(!r.busy().contains("i-shard1-1"), "{:?}", r.busy());
 }
 
-/// Guards against a VM that hears of no change for the rest of a watch: the store swallowed the watch and a look at
-/// the list of VMs, and has answered everything since.
-#[tokio::test]
-async fn a_look_that_the_store_does_not_answer_shows_an_outage() {
-    let mut r = site_of(1).await;
+/// Begins a fault of the store that swallows a VM's next watch, then moves the first route to `/second/`.
+async fn change_unheard(r: &mut Running, fault: StoreFault) {
     let watches = r.calls(WATCH);
-    r.site
-        .store
-        .misbehave(StoreFault::SilentTo(&["config", "gentiansill-vms"]));
-    let looks = r.calls(LOOK);
+    r.site.store.misbehave(fault);
+    // The watch that is open hears of this change; the one after it is swallowed.
     r.site
         .configure(|c| c.routes[0].prefix = "/first/".to_owned());
     r.until("a watch is swallowed", |r| r.calls(WATCH) > watches)
         .await;
     r.site
         .configure(|c| c.routes[0].prefix = "/second/".to_owned());
+}
+
+/// Guards against a VM that hears of no change for the rest of a watch: the store swallowed the watch and a look at
+/// the list of VMs, and has answered everything since.
+#[tokio::test]
+async fn a_look_that_the_store_does_not_answer_shows_an_outage() {
+    let mut r = site_of(1).await;
+    let looks = r.calls(LOOK);
+    let fault = StoreFault::SilentTo(&["config", "gentiansill-vms"]);
+    change_unheard(&mut r, fault).await;
     r.until("a look is swallowed", |r| r.calls(LOOK) > looks)
         .await;
     r.site.store.misbehave(StoreFault::None);
@@ -110,15 +116,8 @@
         r.calls(LOOK) == 3 && r.calls(BEAT) == 3
     })
     .await;
-    let watches = r.calls(WATCH);
-    r.site.store.misbehave(StoreFault::Silent);
     let begun = Instant::now();
-    r.site
-        .configure(|c| c.routes[0].prefix = "/first/".to_owned());
-    r.until("a watch is swallowed", |r| r.calls(WATCH) > watches)
-        .await;
-    r.site
-        .configure(|c| c.routes[0].prefix = "/second/".to_owned());
+    change_unheard(&mut r, StoreFault::Silent).await;
     r.until("a heartbeat is swallowed, or the outage ends", |r| {
         r.calls(BEAT) > 3 || begun.elapsed() >= BETWEEN_LOOKS
     })
