feat(relay): log what the retry budget allowed and what it did not count

request-end gets resent= (attempts repeated without the budget) and rejected= (attempts that reached a server and were not run), request-attempt gets budget= (use and allowance when an extra attempt was taken). event=slack-shares tells between how many VMs the slack is divided; /dump has each service's budget; /metrics attempts-resent and attempts-misdirected. No decision changes. An unused accessor of the budget (used_fraction) makes room for usage().

--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -44,18 +44,20 @@
         log::info!(
             "event=request-end id={id} path={path} route={} version={} handed={is_delegated} \
              outcome={outcome} reason={reason} took_ms={} objective_ms={} parts={complete}/{parts} \
-             given_up={} extra={} left_out={suppressed}",
+             given_up={} extra={} resent={} rejected={} left_out={suppressed}",
             e.route.as_ref().map_or("", LookupName::as_str),
             e.version.unwrap_or_default(),
             e.took.as_millis(),
             e.objective.as_millis(),
             e.abandoned,
             e.extra,
+            e.resent,
+            e.rejected,
         );
         for s in &e.attempt_log {
             log::info!(
                 "event=request-attempt id={id} shard={} service={} server={} cause={} at_ms={} \
-                 took_ms={} end={}",
+                 took_ms={} end={} budget={}",
                 s.shard,
                 s.service,
                 s.server.as_ref().map_or("", ServerName::as_str),
@@ -63,6 +65,7 @@
                 s.at.as_millis(),
                 s.took.map_or(-1, |t| t.as_millis() as i64),
                 s.end,
+                s.budget_use.map_or_else(String::new, |b| b.to_string()),
             );
         }
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -71,7 +71,9 @@
             ("hedges-won", c.hedges_won),
             ("attempts-retried", c.retries),
             ("attempts-shed", c.sheds),
+            ("attempts-misdirected", c.misdirected),
             ("attempts-broken", c.broken),
+            ("attempts-resent", c.resent),
             ("extra-attempts-refused", c.extra_refused),
             ("connections-opened", counts.opened.load(Ordering::Relaxed)),
             ("connections-lost", counts.lost.load(Ordering::Relaxed)),
@@ -106,6 +108,7 @@
             "callers": self.callers.open(),
             "counters": relay.counters(),
             "register": self.register.dump(),
+            "budgets": relay.budgets(),
             "servers": relay.servers(Instant::now()),
         });
         format!("{dump:#}\n")
--- a/crates/relay/src/active_request.rs
+++ b/crates/relay/src/active_request.rs
@@ -103,6 +103,10 @@
     pub(crate) abandoned: usize,
     /// Hedges and retries of its parts so far.
     pub(crate) extra_attempts: u32,
+    /// Attempts at its parts so far that were repeated without the budget.
+    pub(crate) resent_attempts: u32,
+    /// Attempts at its parts so far that reached a server and were rejected.
+    pub(crate) rejected_attempts: u32,
     /// Whether a server has answered an attempt at one of its parts, and so executed it without
     /// crashing.
     pub(crate) executed_without_crash: bool,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,8 @@
 
 use gs_types::prelude::*;
 
+use crate::budget::BudgetUse;
+
 use crate::servers::ServerKey;
 
 /// Identifies an attempt within this process: one at a part, or the delegation of a bundle of parts
@@ -57,6 +59,8 @@
     pub(crate) cause: Cause,
     /// Rounds of work ahead of it in its server's queue when it was dispatched, as far as known.
     pub(crate) rounds_ahead: f64,
+    /// The budget's use after an extra attempt was taken from it; `None` for an initial attempt.
+    pub(crate) budget_use: Option<BudgetUse>,
     /// When and how it ended.
     pub(crate) ended: Option<(Instant, &'static str)>,
 }
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -69,6 +69,9 @@
             }
             _ => AttemptState::MayHaveRun,
         };
+        if matches!(end, AttemptEnd::Shed(_) | AttemptEnd::WrongServer) {
+            request.rejected_attempts += 1;
+        }
         let rounds_ahead = attempt.rounds_ahead;
         attempt.ended = Some((now, (&end).into()));
         let (server, dispatched_at, cause) = (attempt.server, attempt.dispatched_at, attempt.cause);
@@ -234,6 +237,7 @@
                 view.on_shed(now, *load);
             }
             AttemptEnd::WrongServer => {
+                self.counters.misdirected += 1;
                 log::info!("event=server-replaced server={}", view.entry.name);
                 view.is_removed = true;
             }
--- a/crates/relay/src/attempt_log.rs
+++ b/crates/relay/src/attempt_log.rs
@@ -9,6 +9,7 @@
 use crate::active_request::PartState;
 use crate::attempt::Attempt;
 use crate::attempt::Cause;
+use crate::budget::BudgetUse;
 use crate::servers::Servers;
 
 /// The most records of one request; parts that were complete after their initial attempt explain
@@ -32,6 +33,8 @@
     pub took: Option<Duration>,
     /// How it ended; `under-way` if it had not.
     pub end: &'static str,
+    /// The budget's use after it was taken from it; `None` for an initial attempt.
+    pub budget_use: Option<BudgetUse>,
 }
 
 /// Returns the attempts that explain how a request ended.
@@ -88,5 +91,6 @@
             .ended
             .map(|(at, _)| at.saturating_duration_since(a.dispatched_at)),
         end: a.ended.map_or("under-way", |(_, how)| how),
+        budget_use: a.budget_use,
     }
 }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -6,9 +6,12 @@
 //! without coordination. A few more are allowed for a VM that has just started.
 
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Serialize;
+
 /// Number of buckets in a window, which is the resolution at which counts leave it.
 const BUCKETS_PER_WINDOW: u32 = 20;
 
@@ -23,6 +26,26 @@
     extra_attempts: u32,
 }
 
+/// Use of a budget at one moment.
+///
+/// Displays as `3/4.8`: the extra attempts made in the window, and those allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct BudgetUse {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Extra attempts in the window.
+    pub extra_attempts: u32,
+    /// The most extra attempts allowed in the window.
+    pub allowed: f64,
+}
+
+impl fmt::Display for BudgetUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:.1}", self.extra_attempts, self.allowed)
+    }
+}
+
 /// Requests and extra attempts of one service in a sliding window.
 #[derive(Clone, Debug)]
 pub struct ExtraAttemptBudget {
@@ -86,10 +109,14 @@
         }
     }
 
-    /// Returns the used fraction of the budget, from 0 upwards.
+    /// Returns the current use of the budget.
     #[must_use]
-    pub fn used_fraction(&self) -> f64 {
-        f64::from(self.extra_attempts) / self.extra_max().max(1.0)
+    pub fn usage(&self) -> BudgetUse {
+        BudgetUse {
+            requests: self.requests,
+            extra_attempts: self.extra_attempts,
+            allowed: self.extra_max(),
+        }
     }
 
     fn extra_max(&self) -> f64 {
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -143,6 +143,7 @@
             state: AttemptState::InFlight,
             cause: Cause::First,
             rounds_ahead: 0.0,
+            budget_use: None,
             ended: None,
         };
         request.bundles.push(Bundle {
--- a/crates/relay/src/connection_shares.rs
+++ b/crates/relay/src/connection_shares.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
 
 use gs_types::prelude::*;
 
@@ -55,6 +56,27 @@
     scarce_services: HashSet<ServiceName>,
 }
 
+/// The numbers of VMs that this VM's share of the extra attempts is computed from, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SlackDivisors {
+    are_vms_known: bool,
+    /// All VMs that may exist.
+    vms: u32,
+    /// VMs that may exist and run fan-outs.
+    fan_out_vms: u32,
+    runs_fan_outs: bool,
+}
+
+impl fmt::Display for SlackDivisors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "vms_known={} vms_max={} fan_out_vms_max={} runs_fan_outs={}",
+            self.are_vms_known, self.vms, self.fan_out_vms, self.runs_fan_outs
+        )
+    }
+}
+
 /// A number of VMs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct VmCount {
@@ -145,6 +167,16 @@
         !self.are_vms_known || self.fan_out_vm_names.contains(&vm.name)
     }
 
+    /// Returns what this VM's share of the extra attempts depends on.
+    pub(crate) fn slack_divisors(&self) -> SlackDivisors {
+        SlackDivisors {
+            are_vms_known: self.are_vms_known,
+            vms: self.all_vms.vms_max,
+            fan_out_vms: self.fan_out_vms.vms_max,
+            runs_fan_outs: self.runs_fan_outs,
+        }
+    }
+
     /// Returns the number of VMs that send to the servers of a route.
     pub(crate) fn sending_vms(&self, is_scatter: bool) -> u32 {
         let count = if is_scatter {
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -30,10 +30,14 @@
     pub hedges_won: u64,
     /// Attempts made after one that failed.
     pub retries: u64,
+    /// Attempts repeated without the budget, as the one before had not reached its server.
+    pub resent: u64,
     /// Extra attempts not made because the budget was used up.
     pub extra_refused: u64,
     /// Attempts that servers refused for load.
     pub sheds: u64,
+    /// Attempts rejected by another server that has the address.
+    pub misdirected: u64,
     /// Attempts that ended with a broken connection, a malformed answer or a timeout.
     pub broken: u64,
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::attempt::AttemptKey;
 use crate::attempt::AttemptState;
 use crate::attempt::Cause;
+use crate::budget::BudgetUse;
 use crate::placement::Placement;
 use crate::placement::PlacementContext;
 use crate::relay::Core;
@@ -132,6 +133,7 @@
         };
         let keep_connection =
             request.route.is_scatter() || self.keeps_idle_connection(&request.parts[index].service);
+        let budget_use = self.budget_use(&request.parts[index].service, cause);
         let part = &mut request.parts[index];
         let id = AttemptKey {
             lookup: request.seq,
@@ -139,6 +141,7 @@
             part: index as u16,
             attempt: part.attempts.len() as u16,
         };
+        let is_resent = cause == Cause::First && !part.attempts.is_empty();
         part.state = PartState::Running;
         part.attempts.push(Attempt {
             server,
@@ -149,6 +152,7 @@
                 .servers
                 .get(server)
                 .map_or(0.0, |v| v.rounds_ahead(now, 0.0)),
+            budget_use,
             ended: None,
         });
         let Some(view) = self.servers.get_mut(server) else {
@@ -169,7 +173,7 @@
             keep_connection,
             delegation: None,
         }));
-        self.count_attempt(request, cause);
+        self.count_attempt(request, cause, is_resent);
         if !request.is_once() {
             let delay = self.route_times[&request.route.name].hedge_delay(is_same_data_centre);
             self.schedule_check(request, now + delay);
@@ -182,8 +186,21 @@
         self.connection_shares.keeps_idle_connection(decl, service)
     }
 
-    fn count_attempt(&mut self, request: &mut ActiveRequest, cause: Cause) {
+    /// Returns the use of a service's budget, for an attempt that was just taken from it.
+    fn budget_use(&self, service: &ServiceName, cause: Cause) -> Option<BudgetUse> {
+        if cause == Cause::First {
+            return None;
+        }
+        let state = self.services.get(service)?;
+        Some(state.extra_budget.usage())
+    }
+
+    fn count_attempt(&mut self, request: &mut ActiveRequest, cause: Cause, is_resent: bool) {
         self.counters.attempts += 1;
+        if is_resent {
+            self.counters.resent += 1;
+            request.resent_attempts += 1;
+        }
         match cause {
             Cause::First => return,
             Cause::Hedge => self.counters.hedges += 1,
--- a/crates/relay/src/finish.rs
+++ b/crates/relay/src/finish.rs
@@ -105,6 +105,8 @@
             parts: (request.complete, request.parts.len()),
             abandoned: AbandonCounts::of(request.parts.iter().filter_map(|p| p.abandon_reason)),
             extra: request.extra_attempts,
+            resent: request.resent_attempts,
+            rejected: request.rejected_attempts,
         };
         out.push(Action::Answer(request.seq, Box::new(report)));
         self.release(request);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -72,6 +72,7 @@
 pub use attempt::AttemptKey;
 pub use attempt::Cause;
 pub use attempt_log::AttemptRecord;
+pub use budget::BudgetUse;
 pub use budget::ExtraAttemptBudget;
 pub use coalesce_delay::CoalesceDelay;
 pub use completion::CompletionDecision;
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -88,6 +88,10 @@
     pub abandoned: AbandonCounts,
     /// Attempts made in addition to the initial one of each part.
     pub extra: u32,
+    /// Attempts that were repeated without the budget.
+    pub resent: u32,
+    /// Attempts that reached a server and were rejected.
+    pub rejected: u32,
     /// The matching route, if there is one.
     pub route: Option<LookupName>,
     /// The version of the routes in force; `None` before the first.
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -32,7 +32,11 @@
 
     /// Recomputes the connections to hold to each backend server.
     pub(crate) fn assign_connections(&mut self, out: &mut Vec<Action>) {
-        self.connection_shares = ConnectionShares::new(self);
+        let shares = ConnectionShares::new(self);
+        if shares.slack_divisors() != self.connection_shares.slack_divisors() {
+            log::info!("event=slack-shares {}", shares.slack_divisors());
+        }
+        self.connection_shares = shares;
         let slack = self.options.extra_slack;
         for (name, service) in &mut self.services {
             service
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,5 +1,6 @@
 //! The relay: the state of all requests in flight and the state that they share.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use crate::action::Action;
 use crate::active_request::ActiveRequest;
 use crate::attempt::AttemptKey;
+use crate::budget::BudgetUse;
 use crate::budget::ExtraAttemptBudget;
 use crate::connection_shares::ConnectionShares;
 use crate::counters::Counters;
@@ -184,6 +186,15 @@
         self.core.servers.all().map(|v| v.dump(now)).collect()
     }
 
+    /// Returns the use of each service's budget of extra attempts, for dumps.
+    #[must_use]
+    pub fn budgets(&self) -> BTreeMap<&ServiceName, BudgetUse> {
+        let services = self.core.services.iter();
+        services
+            .map(|(name, s)| (name, s.extra_budget.usage()))
+            .collect()
+    }
+
     /// Returns the version of the routes in force; `None` before the first.
     #[must_use]
     pub fn version(&self) -> Option<ConfVersion> {
