test(rig): count repeats at the stand-in servers against the shared budget, failing

The stand-in site records what callers send and what arrives, rejections included, and compares each sliding window with the budget that all VMs share. Neither tests, soak nor stand-ins counted this before. event=slack-shares shows in the first that each life has the whole slack again, and in the second that VMs divide it by 5 while six run; at the fleet's start some divide it by 2.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -26,6 +26,7 @@
 use super::proxy::FaultProxy;
 use super::records::part;
 use super::store::Store;
+use super::traffic::Traffic;
 use crate::body::Body;
 use crate::body::cut_short;
 
@@ -58,6 +59,15 @@
 /// How often each server ran each request, by server id and request id.
 pub type Runs = Arc<Mutex<HashMap<(String, String), u32>>>;
 
+/// What the servers of a site record.
+#[derive(Clone, Default)]
+pub struct ServerRecords {
+    /// How often each server ran each request.
+    pub runs: Runs,
+    /// The arrivals of requests.
+    pub traffic: Arc<Traffic>,
+}
+
 /// A backend server that is registered in the store; stops when dropped.
 pub struct Backend {
     id: String,
@@ -78,7 +88,7 @@
     slots: Semaphore,
     queued: Semaphore,
     faults: Mutex<BackendFaults>,
-    runs: Runs,
+    records: ServerRecords,
 }
 
 impl Backend {
@@ -93,7 +103,7 @@
         service: &str,
         zone: &str,
         work: Duration,
-        runs: Runs,
+        records: ServerRecords,
     ) -> Result<Self> {
         let listener = listen(SocketAddr::from((allocate_address(), 0))).await?;
         let addr = listener
@@ -106,7 +116,7 @@
             slots: Semaphore::new(SLOTS),
             queued: Semaphore::new(SLOTS + QUEUE_MAX),
             faults: Mutex::default(),
-            runs,
+            records,
         });
         let this = Self {
             id: id.to_owned(),
@@ -200,11 +210,12 @@
             let value = req.headers().get(name).and_then(|v| v.to_str().ok());
             value.unwrap_or("").to_owned()
         };
+        let id = header("attempt-id");
+        self.records.traffic.record_arrival(&self.service, &id);
         let expected = header("expect-instance");
         if !expected.is_empty() && expected != self.id {
             return Some(with_header(response(421, ""), "instance-id", &self.id));
         }
-        let id = header("attempt-id");
         let faults = *lock(&self.faults);
         let Ok(_queued) = self.queued.try_acquire() else {
             return Some(self.shed());
@@ -218,7 +229,7 @@
         if let Some(pause) = faults.pause {
             tokio::time::sleep(pause).await;
         }
-        *lock(&self.runs)
+        *lock(&self.records.runs)
             .entry((self.id.clone(), id.clone()))
             .or_default() += 1;
         tokio::time::sleep(self.work).await;
--- a/crates/rig/src/site/caller.rs
+++ b/crates/rig/src/site/caller.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 
 use super::config::SiteRoute;
 use super::records::part;
+use super::traffic::Traffic;
 
 /// The outcome of a request, as checked by the caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +47,7 @@
 #[derive(Clone)]
 pub struct SiteCaller {
     client: Client<HttpConnector, Full<Bytes>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Default for SiteCaller {
@@ -57,16 +60,23 @@
     /// Creates a caller without connections.
     #[must_use]
     pub fn new() -> Self {
+        Self::recording(Arc::default())
+    }
+
+    /// Creates a caller without connections that records its requests.
+    pub(super) fn recording(traffic: Arc<Traffic>) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
+            traffic,
         }
     }
 
     /// Sends a request for a route to a VM and checks the answer.
     pub async fn request(&self, vm: SocketAddr, route: &SiteRoute, id: &str) -> Answer {
         let target = format!("{}{id}", route.prefix);
+        self.traffic.record_sent(&route.services);
         let timeout_after = Duration::from_millis(3500);
         let response = tokio::time::timeout(timeout_after, self.send(vm, &target, id)).await;
         let outcome = match response {
--- a/crates/rig/src/site/recovery.rs
+++ b/crates/rig/src/site/recovery.rs
@@ -21,7 +21,7 @@
 ///
 /// All VMs are queried concurrently: one after the other, the last of sixty would have no time left.
 pub(super) async fn unrecovered_vms(site: &Site) -> Vec<String> {
-    let caller = SiteCaller::new();
+    let caller = site.caller();
     let end = Instant::now() + RECOVERY_TIMEOUT;
     let route = &site.config.routes[0];
     let vms = site.vms.iter().enumerate();
--- a/crates/rig/src/site/setup.rs
+++ b/crates/rig/src/site/setup.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bon::Builder;
@@ -12,16 +13,27 @@
 use super::address::allocate_address;
 use super::backend::Backend;
 use super::backend::Runs;
+use super::backend::ServerRecords;
+use super::caller::SiteCaller;
 use super::config::SiteConfig;
 use super::config::SiteRoute;
 use super::proxy::FaultProxy;
 use super::store::Store;
+use super::traffic::RepeatBudget;
+use super::traffic::Traffic;
 use super::vm::RelayVm;
 use super::vm::RelayVmPlan;
 
 /// The data centres of a site.
 const ZONES: [&str; 3] = ["east", "west", "south"];
 
+/// A budget of repeats that is not used up by the faults of a few servers.
+pub const DEFAULT_REPEAT_BUDGET: RepeatBudget = RepeatBudget {
+    window: Duration::from_secs(2),
+    ratio: 0.2,
+    slack: 400.0,
+};
+
 /// The options of a site.
 #[derive(Builder)]
 pub struct SiteOptions {
@@ -38,6 +50,9 @@
     /// The time for which a server executes a request.
     #[builder(default = Duration::from_millis(4))]
     pub work: Duration,
+    /// The budget of repeats that all VMs share.
+    #[builder(default = DEFAULT_REPEAT_BUDGET)]
+    pub repeats: RepeatBudget,
 }
 
 /// A running site: store, backend servers and VMs.
@@ -52,6 +67,8 @@
     pub store_links: Vec<FaultProxy>,
     /// How often each server ran each request.
     pub runs: Runs,
+    /// The requests of the callers made by [`Site::caller`], and all arrivals at the servers.
+    pub traffic: Arc<Traffic>,
     /// The configuration in force.
     pub config: SiteConfig,
     options: SiteOptions,
@@ -65,7 +82,7 @@
     /// If a component does not start.
     pub async fn start(options: SiteOptions) -> Result<Self> {
         let store = Store::start().await?;
-        let runs = Runs::default();
+        let records = ServerRecords::default();
         let shards: Vec<String> = (0..options.shards).map(|n| format!("shard{n}")).collect();
         let mut backends = Vec::new();
         for (n, shard) in shards.iter().enumerate() {
@@ -73,14 +90,14 @@
                 let id = format!("i-{shard}-{copy}");
                 let zone = ZONES[(n + copy) % ZONES.len()];
                 let work = options.work;
-                let b = Backend::start(&store, &id, shard, zone, work, Runs::clone(&runs)).await?;
+                let b = Backend::start(&store, &id, shard, zone, work, records.clone()).await?;
                 backends.push(b);
             }
         }
         for (n, zone) in ZONES.iter().enumerate() {
             let id = format!("i-desk-{n}");
             let work = options.work;
-            let b = Backend::start(&store, &id, "desk", zone, work, Runs::clone(&runs)).await?;
+            let b = Backend::start(&store, &id, "desk", zone, work, records.clone()).await?;
             backends.push(b);
         }
         let config = SiteConfig {
@@ -96,7 +113,8 @@
             backends,
             vms: Vec::new(),
             store_links: Vec::new(),
-            runs,
+            runs: records.runs,
+            traffic: records.traffic,
             config,
             options,
         };
@@ -107,6 +125,7 @@
         let seeds: Vec<SocketAddr> = plans.iter().map(|p| p.peers).collect();
         for plan in &mut plans {
             plan.seeds.clone_from(&seeds);
+            plan.repeats = site.options.repeats;
         }
         for (n, plan) in plans.into_iter().enumerate() {
             let link = FaultProxy::start(site.store.addr()).await?;
@@ -129,6 +148,12 @@
         RelayVm::start(&self.options.bin, &self.options.dir, store, plan)
     }
 
+    /// Creates a caller whose requests are recorded.
+    #[must_use]
+    pub fn caller(&self) -> SiteCaller {
+        SiteCaller::recording(Arc::clone(&self.traffic))
+    }
+
     /// Returns the route with this path prefix.
     ///
     /// # Errors
@@ -183,6 +208,7 @@
         status,
         peers,
         seeds: Vec::new(),
+        repeats: DEFAULT_REPEAT_BUDGET,
     })
 }
 
--- a/crates/rig/src/site/soak_load.rs
+++ b/crates/rig/src/site/soak_load.rs
@@ -11,7 +11,6 @@
 use tokio::time::Instant;
 
 use super::caller::CallOutcome;
-use super::caller::SiteCaller;
 use super::config::SiteRoute;
 use super::setup::Site;
 
@@ -47,8 +46,8 @@
                     (Arc::clone(&stop), Arc::clone(&requests), Arc::clone(&next));
                 let addr = process.plan().callers;
                 let routes = site.config.routes.clone();
+                let caller = site.caller();
                 tasks.push(tokio::spawn(async move {
-                    let caller = SiteCaller::new();
                     while !stop.load(Ordering::Relaxed) {
                         let n = next.fetch_add(1, Ordering::Relaxed);
                         let route: &SiteRoute = &routes[n as usize % routes.len()];
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -14,6 +14,7 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 
+use super::traffic::RepeatBudget;
 use crate::load::Caller;
 
 /// The interval between two checks of a process's state.
@@ -34,6 +35,8 @@
     pub peers: SocketAddr,
     /// The peer addresses of the VMs that it contacts first.
     pub seeds: Vec<SocketAddr>,
+    /// The budget of repeats that all VMs share.
+    pub repeats: RepeatBudget,
 }
 
 /// A running VM process; killed when dropped.
@@ -159,16 +162,19 @@
         status,
         peers,
         seeds,
+        repeats,
     } = plan;
     let seeds: Vec<String> = seeds.iter().map(|addr| format!("\"{addr}\"")).collect();
     let seeds = seeds.join(", ");
+    let RepeatBudget { ratio, slack, .. } = repeats;
+    let window_ms = repeats.window.as_millis();
     format!(
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
          [listen]\ncallers = \"{callers}\"\nstatus = \"{status}\"\npeers = \"{peers}\"\n\n\
          [platform]\naddr = \"{store}\"\nrenew-every = \"1s\"\n\n\
          [peers]\nseeds = [{seeds}]\n\n\
-         [budget]\nslack = 400.0\n\n\
+         [budget]\nextra-ratio = {ratio:?}\nwindow = \"{window_ms}ms\"\nslack = {slack:?}\n\n\
          [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
          [log]\nlevel = \"debug\"\n"
     )
--- a/crates/rig/tests/backend.rs
+++ b/crates/rig/tests/backend.rs
@@ -5,7 +5,7 @@
 
 use gs_rig::site::Backend;
 use gs_rig::site::BackendFaults;
-use gs_rig::site::Runs;
+use gs_rig::site::ServerRecords;
 use gs_rig::site::Store;
 use gs_rig::site::part;
 use tokio::io::AsyncReadExt;
@@ -21,7 +21,7 @@
 async fn a_truncated_answer_sends_its_headers_and_some_of_its_body() {
     let store = Store::start().await.expect("a free port");
     let work = Duration::from_millis(1);
-    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let server = Backend::start(&store, "i-0", "s", "east", work, ServerRecords::default());
     let server = server.await.expect("a free port");
     server.set_faults(BackendFaults {
         truncates: true,
@@ -48,7 +48,7 @@
 async fn a_server_restarts_while_a_connection_uses_its_port() {
     let store = Store::start().await.expect("a free port");
     let work = Duration::from_millis(1);
-    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let server = Backend::start(&store, "i-0", "s", "east", work, ServerRecords::default());
     let mut server = server.await.expect("a free port");
     server.crash();
     let elsewhere = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -73,7 +73,7 @@
 async fn a_server_that_crashes_twice_is_started_once() {
     let store = Store::start().await.expect("a free port");
     let work = Duration::from_millis(1);
-    let server = Backend::start(&store, "i-0", "s", "east", work, Runs::default());
+    let server = Backend::start(&store, "i-0", "s", "east", work, ServerRecords::default());
     let mut server = server.await.expect("a free port");
     server.crash();
     server.crash();
--- /dev/null
+++ b/tests/relay/retry_budget.rs
@@ -0,0 +1,101 @@
+//! The budget of repeats that all VMs share, counted by what arrives at the backend servers.
+
+use std::time::Duration;
+
+use gs_rig::site::BackendFaults;
+use gs_rig::site::RepeatBudget;
+use rustix::process::Signal;
+
+use crate::support::TestSite;
+use crate::support::start_site_with_budget;
+
+/// The number of VMs.
+const VMS: usize = 6;
+
+/// A budget that six VMs use up with a few requests each.
+const BUDGET: RepeatBudget = RepeatBudget {
+    window: Duration::from_secs(6),
+    ratio: 0.2,
+    slack: 30.0,
+};
+
+/// Starts a site whose VMs all know each other and have been running for more than a window.
+async fn start_warm_site() -> TestSite {
+    let r = start_site_with_budget(VMS, BUDGET).await;
+    r.wait_until("all VMs to be known", |r| {
+        let all_known = format!("event=vms listed={VMS} ");
+        r.logs().matches(&all_known).count() >= VMS
+    })
+    .await;
+    tokio::time::sleep(BUDGET.window).await;
+    r
+}
+
+/// Makes all servers of the service `desk` fail every request.
+fn fail_desk(r: &TestSite) {
+    let fails = BackendFaults {
+        fails: true,
+        ..BackendFaults::default()
+    };
+    let desk = r.site.backends.iter().filter(|b| b.service() == "desk");
+    desk.for_each(|b| b.set_faults(fails));
+}
+
+/// Kills all VMs at once and restarts them.
+async fn kill_and_restart_all(r: &mut TestSite) {
+    for vm in 0..VMS {
+        r.site.vms[vm].signal(Signal::KILL);
+    }
+    for vm in 0..VMS {
+        let ended = r.site.vms[vm].wait_for_exit(Duration::from_secs(5)).await;
+        ended.expect("it ends");
+        let plan = r.site.vms[vm].plan().clone();
+        r.site.vms[vm] = r.site.launch(vm, plan).expect("it starts again");
+    }
+    for vm in &mut r.site.vms {
+        let ready = vm.wait_until_ready(Duration::from_secs(5)).await;
+        ready.expect("it is ready");
+    }
+}
+
+/// Guards against processes that each use the whole slack within one window.
+#[tokio::test]
+async fn repeats_keep_within_the_budget_while_all_vms_are_killed_again_and_again() {
+    let mut r = start_warm_site().await;
+    let route = r.route("/one/");
+    fail_desk(&r);
+    for round in 0..4 {
+        if round > 0 {
+            kill_and_restart_all(&mut r).await;
+        }
+        r.request_all(8, &route).await;
+    }
+    let excesses = r.site.traffic.excesses(&BUDGET);
+    let lines = || r.log_lines(&["event=slack-shares", "event=vms"]);
+    assert!(excesses.is_empty(), "{excesses:#?}\n{}", lines());
+    assert!(r.site.traffic.repeats("desk") > 0);
+}
+
+/// Guards against VMs that each use a larger share of the slack while others restart.
+#[tokio::test]
+async fn repeats_keep_within_the_budget_while_vms_are_restarted_in_turn() {
+    let mut r = start_warm_site().await;
+    let route = r.route("/one/");
+    fail_desk(&r);
+    for pair in 0..VMS / 2 {
+        r.request_all(6, &route).await;
+        for vm in [2 * pair, 2 * pair + 1] {
+            r.site.vms[vm].signal(Signal::TERM);
+        }
+        for vm in [2 * pair, 2 * pair + 1] {
+            let ended = r.site.vms[vm].wait_for_exit(Duration::from_secs(8)).await;
+            ended.expect("it ends");
+            r.restart(vm).await;
+        }
+    }
+    r.request_all(6, &route).await;
+    let excesses = r.site.traffic.excesses(&BUDGET);
+    let lines = || r.log_lines(&["event=slack-shares", "event=vms"]);
+    assert!(excesses.is_empty(), "{excesses:#?}\n{}", lines());
+    assert!(r.site.traffic.repeats("desk") > 0);
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -6,6 +6,8 @@
 
 use gs_rig::site::Answer;
 use gs_rig::site::CallOutcome;
+use gs_rig::site::DEFAULT_REPEAT_BUDGET;
+use gs_rig::site::RepeatBudget;
 use gs_rig::site::Site;
 use gs_rig::site::SiteCaller;
 use gs_rig::site::SiteOptions;
@@ -43,6 +45,11 @@
 
 /// Starts the given number of VMs, distributed in turn over three data centres, over six shards with two servers each.
 pub async fn start_site_with(vms: usize) -> TestSite {
+    start_site_with_budget(vms, DEFAULT_REPEAT_BUDGET).await
+}
+
+/// Starts the same with the given budget of repeats that all VMs share.
+pub async fn start_site_with_budget(vms: usize, repeats: RepeatBudget) -> TestSite {
     let permit = SITE_PERMITS
         .acquire()
         .await
@@ -52,10 +59,12 @@
         .bin(PathBuf::from(env!("CARGO_BIN_EXE_gentiansill")))
         .dir(dir.path().to_owned())
         .vms(vms)
+        .repeats(repeats)
         .build();
+    let site = Site::start(options).await.expect("the site starts");
     TestSite {
-        site: Site::start(options).await.expect("the site starts"),
-        caller: SiteCaller::new(),
+        caller: site.caller(),
+        site,
         dir,
         requests: 0,
         _permit: permit,
