fix(relay): count an attempt that a server rejected against the retry budget

Cause: the repeat of an attempt that was not executed stayed an initial one, free of the budget, if its server's view said «unreachable», which held from a refused connection until the next answer, and for a view that was gone. A rejection does not end it, although it shows that the attempt arrived.

An attempt's state now tells «not sent» from «rejected», and only the first is repeated without the budget; what the server's view says no longer matters.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -46,8 +46,10 @@
     InFlight,
     /// It ended and may have been executed.
     MayHaveRun,
-    /// It ended and was not executed.
-    NotRun,
+    /// It ended without having been sent.
+    NotSent,
+    /// It reached a server, which rejected it without executing it.
+    Rejected,
 }
 
 /// An attempt at one part, or the delegation of a bundle.
@@ -72,6 +74,6 @@
 
     /// Returns whether its server has executed it or may have.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.state != AttemptState::NotRun
+        !matches!(self.state, AttemptState::NotSent | AttemptState::Rejected)
     }
 }
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -64,9 +64,8 @@
             return;
         };
         attempt.state = match end {
-            AttemptEnd::Shed(_) | AttemptEnd::WrongServer | AttemptEnd::NotSent => {
-                AttemptState::NotRun
-            }
+            AttemptEnd::NotSent => AttemptState::NotSent,
+            AttemptEnd::Shed(_) | AttemptEnd::WrongServer => AttemptState::Rejected,
             _ => AttemptState::MayHaveRun,
         };
         if matches!(end, AttemptEnd::Shed(_) | AttemptEnd::WrongServer) {
@@ -186,25 +185,14 @@
             self.abandon_part(request, index, AbandonReason::Once);
             return;
         }
-        // An initial attempt that did not reach its server does not count there, so its repetition
-        // is no extra attempt.
-        let cause = match failed.cause {
-            Cause::First
-                if failed.state == AttemptState::NotRun && !self.was_reachable(failed.server) =>
-            {
-                Cause::First
-            }
+        // Only what was never sent does not arrive at a server; a rejected attempt does.
+        let cause = match (failed.cause, failed.state) {
+            (Cause::First, AttemptState::NotSent) => Cause::First,
             _ => Cause::Retry,
         };
         self.try_part(now, request, index, cause, out);
     }
 
-    /// Returns whether a server is known and was not unreachable at the last contact.
-    fn was_reachable(&self, server: ServerKey) -> bool {
-        let view = self.servers.get(server);
-        view.is_some_and(|v| !v.was_unreachable())
-    }
-
     /// Updates the health and load of a server, and the times of the route, after an attempt ended.
     pub(crate) fn update_server_health(
         &mut self,
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -175,9 +175,8 @@
             return;
         };
         bundle.attempt.state = match &end {
-            AttemptEnd::NotSent | AttemptEnd::Shed(_) | AttemptEnd::Overloaded(_) => {
-                AttemptState::NotRun
-            }
+            AttemptEnd::NotSent => AttemptState::NotSent,
+            AttemptEnd::Shed(_) | AttemptEnd::Overloaded(_) => AttemptState::Rejected,
             _ => AttemptState::MayHaveRun,
         };
         bundle.attempt.ended = Some((now, (&end).into()));
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -170,12 +170,6 @@
         self.backoff_until.filter(|until| *until > now)
     }
 
-    /// Returns whether it was unreachable or silent at the last contact, also after the backoff has
-    /// ended.
-    pub(crate) fn was_unreachable(&self) -> bool {
-        self.backoff_until.is_some()
-    }
-
     /// Returns whether nothing was received from it since the given time.
     pub(crate) fn is_silent_since(&self, since: Instant) -> bool {
         self.last_contact
