fix(relay): let a larger share of the retry slack count only after a window

Cause: the slack is divided by the list of VMs as it is at the moment. A process that has just started has its whole share, though its predecessor used its own in the same window. While VMs restart in turn they are not listed, and the others divide by what is left (event=slack-shares: 43 to 47 where 72 run), while those that restart come back with full shares. A VM that takes over fan-outs has the larger share beside the one that it takes over from.

A share is now the least that was in force at any time of the last window, 0 before the first. So in any window each VM uses at most its share at the window's beginning, and these add up to the slack. A smaller share counts at once.

Ruled out: half of a share at once, or one that grows with the process's age. The shares of a fleet that is killed once may then add up to nearly twice the slack. Handing the use over to the successor needs a message at each stop, and a kill sends none.

--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -108,7 +108,8 @@
             "callers": self.callers.open(),
             "counters": relay.counters(),
             "register": self.register.dump(),
-            "budgets": relay.budgets(),
+            "slack": relay.slack(Instant::now()),
+            "budgets": relay.budgets(Instant::now()),
             "servers": relay.servers(Instant::now()),
         });
         format!("{dump:#}\n")
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -3,7 +3,8 @@
 //! If every server of a service is slow or failing, each part would be requested twice, and the
 //! repeats alone would keep the service overloaded. The limit is a fraction of the requests for the
 //! service in a sliding window, which is the same at every VM, so that all VMs together keep to it
-//! without coordination. A few more are allowed for a VM that has just started.
+//! without coordination. A share of the slack that all VMs divide is allowed in addition (see
+//! [`crate::slack_share`]), for services with few requests.
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -18,6 +19,9 @@
 /// Fraction of the budget that hedges leave for retries, as a hedge only saves time.
 const RETRY_RESERVE_FRACTION: f64 = 0.25;
 
+/// Largest rounding error of the attempts allowed, which may otherwise lack one of a whole number.
+const ROUNDING_MAX: f64 = 1e-9;
+
 /// Counts of one bucket.
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
@@ -91,7 +95,7 @@
         } else {
             allowed
         };
-        if f64::from(self.extra_attempts) + 1.0 > allowed {
+        if f64::from(self.extra_attempts) + 1.0 > allowed + ROUNDING_MAX {
             return false;
         }
         self.extra_attempts += 1;
@@ -111,7 +115,8 @@
 
     /// Returns the current use of the budget.
     #[must_use]
-    pub fn usage(&self) -> BudgetUse {
+    pub fn usage(&mut self, now: Instant) -> BudgetUse {
+        self.bucket(now);
         BudgetUse {
             requests: self.requests,
             extra_attempts: self.extra_attempts,
--- a/crates/relay/src/connection_shares.rs
+++ b/crates/relay/src/connection_shares.rs
@@ -240,20 +240,26 @@
         self.runs_fan_outs || f64::from(others) <= left
     }
 
-    /// Returns this VM's share of the extra attempts that a service allows to all VMs in addition
-    /// to the ratio.
-    pub(crate) fn slack_share(&self, service: &ServiceName) -> f64 {
-        let all_vms = f64::from(self.all_vms.vms_max.max(1));
-        if !self.shard_services.contains(service) {
-            return 1.0 / all_vms;
-        }
+    /// Returns this VM's share of the extra attempts that a shard's servers allow to all VMs in
+    /// addition to the ratio.
+    pub(crate) fn shard_slack_share(&self) -> f64 {
         if self.runs_fan_outs {
-            self.fan_out_fraction() / f64::from(self.fan_out_vms.vms_max.max(1))
+            self.fan_out_fraction() / f64::from(self.fan_out_vms.vms_max)
         } else {
-            (1.0 - FAN_OUT_FRACTION) / all_vms
+            (1.0 - FAN_OUT_FRACTION) / f64::from(self.all_vms.vms_max)
         }
     }
 
+    /// Returns the same for a service that is not a shard.
+    pub(crate) fn other_slack_share(&self) -> f64 {
+        1.0 / f64::from(self.all_vms.vms_max)
+    }
+
+    /// Returns whether a service is a shard of a fan-out.
+    pub(crate) fn is_shard(&self, service: &ServiceName) -> bool {
+        self.shard_services.contains(service)
+    }
+
     fn fan_out_fraction(&self) -> f64 {
         if self.fan_out_vms == self.all_vms {
             1.0
--- a/crates/relay/src/delegation.rs
+++ b/crates/relay/src/delegation.rs
@@ -80,7 +80,7 @@
         }
         self.rebuild_plans_at = None;
         if std::mem::take(&mut self.are_plans_stale) {
-            self.assign_connections(out);
+            self.assign_connections(now, out);
             self.build_plans();
         }
         self.connect_peers(now, out);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -91,10 +91,10 @@
         is_hedge: bool,
     ) -> bool {
         let service = request.parts[index].service.clone();
-        let is_taken = self
-            .service_state(&service)
-            .extra_budget
-            .try_take(now, is_hedge);
+        let slack = self.usable_slack(now, &service);
+        let budget = &mut self.service_state(&service).extra_budget;
+        budget.set_slack(slack);
+        let is_taken = budget.try_take(now, is_hedge);
         if !is_taken {
             self.counters.extra_refused += 1;
         }
@@ -133,7 +133,7 @@
         };
         let keep_connection =
             request.route.is_scatter() || self.keeps_idle_connection(&request.parts[index].service);
-        let budget_use = self.budget_use(&request.parts[index].service, cause);
+        let budget_use = self.budget_use(now, &request.parts[index].service, cause);
         let part = &mut request.parts[index];
         let id = AttemptKey {
             lookup: request.seq,
@@ -187,12 +187,17 @@
     }
 
     /// Returns the use of a service's budget, for an attempt that was just taken from it.
-    fn budget_use(&self, service: &ServiceName, cause: Cause) -> Option<BudgetUse> {
+    fn budget_use(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        cause: Cause,
+    ) -> Option<BudgetUse> {
         if cause == Cause::First {
             return None;
         }
-        let state = self.services.get(service)?;
-        Some(state.extra_budget.usage())
+        let state = self.services.get_mut(service)?;
+        Some(state.extra_budget.usage(now))
     }
 
     fn count_attempt(&mut self, request: &mut ActiveRequest, cause: Cause, is_resent: bool) {
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -25,7 +25,7 @@
     /// The data centre of this VM.
     pub data_centre: DataCentre,
     /// Number of VMs assumed to exist until the announced ones are known; each gets an equal share
-    /// of the extra attempts, and of the attempts that a server can execute in time.
+    /// of the attempts that a server can execute in time.
     #[builder(default = 12)]
     pub vms_assumed: u32,
     /// Extra attempts allowed for each request for a service.
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -26,23 +26,23 @@
             return;
         }
         self.table = Some(table);
-        self.assign_connections(out);
+        self.assign_connections(now, out);
         self.mark_plans_stale(now);
     }
 
-    /// Recomputes the connections to hold to each backend server.
-    pub(crate) fn assign_connections(&mut self, out: &mut Vec<Action>) {
+    /// Recomputes the connections to hold to each backend server, and this VM's shares of the slack.
+    pub(crate) fn assign_connections(&mut self, now: Instant, out: &mut Vec<Action>) {
         let shares = ConnectionShares::new(self);
         if shares.slack_divisors() != self.connection_shares.slack_divisors() {
             log::info!("event=slack-shares {}", shares.slack_divisors());
         }
         self.connection_shares = shares;
-        let slack = self.options.extra_slack;
-        for (name, service) in &mut self.services {
-            service
-                .extra_budget
-                .set_slack(slack * self.connection_shares.slack_share(name));
-        }
+        let window = self.options.extra_window;
+        let shares = &self.connection_shares;
+        self.shard_slack
+            .set(now, window, shares.shard_slack_share());
+        self.other_slack
+            .set(now, window, shares.other_slack_share());
         let entries: Vec<_> = self.servers.all().map(|v| Arc::clone(&v.entry)).collect();
         for entry in entries {
             if !self.registered_peers.contains(&entry.name) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -32,6 +32,8 @@
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::service_state::ServiceState;
+use crate::slack_share::SlackDump;
+use crate::slack_share::SlackShare;
 use crate::table::RouteTable;
 
 /// State machine of all requests of one process, without I/O.
@@ -72,6 +74,10 @@
     pub(crate) peer_vms: PeerVms,
     /// Shares of the connections to servers that this VM may hold.
     pub(crate) connection_shares: ConnectionShares,
+    /// This VM's share of the slack of a shard's service.
+    pub(crate) shard_slack: SlackShare,
+    /// This VM's share of the slack of any other service.
+    pub(crate) other_slack: SlackShare,
     /// The fan-out plan of each scatter route.
     pub(crate) plans: HashMap<LookupName, FanOutPlan>,
     /// Peers that are registered as servers in `servers`.
@@ -114,6 +120,8 @@
                 delegation_times: DelegationTimes::default(),
                 peer_vms: PeerVms::default(),
                 connection_shares: ConnectionShares::default(),
+                shard_slack: SlackShare::default(),
+                other_slack: SlackShare::default(),
                 plans: HashMap::new(),
                 registered_peers: BTreeSet::new(),
                 delegation_peers: BTreeSet::new(),
@@ -186,12 +194,28 @@
         self.core.servers.all().map(|v| v.dump(now)).collect()
     }
 
+    /// Returns the extra attempts that this VM may make in a window in addition to the ratio, for
+    /// dumps.
+    #[must_use]
+    pub fn slack(&self, now: Instant) -> SlackDump {
+        let core = &self.core;
+        SlackDump {
+            for_shards: core.slack_of(&core.shard_slack, now),
+            for_others: core.slack_of(&core.other_slack, now),
+        }
+    }
+
     /// Returns the use of each service's budget of extra attempts, for dumps.
     #[must_use]
-    pub fn budgets(&self) -> BTreeMap<&ServiceName, BudgetUse> {
+    pub fn budgets(&self, now: Instant) -> BTreeMap<&ServiceName, BudgetUse> {
+        let usage = |name, state: &ServiceState| {
+            let mut budget = state.extra_budget.clone();
+            budget.set_slack(self.core.usable_slack(now, name));
+            budget.usage(now)
+        };
         let services = self.core.services.iter();
         services
-            .map(|(name, s)| (name, s.extra_budget.usage()))
+            .map(|(name, state)| (name, usage(name, state)))
             .collect()
     }
 
@@ -307,16 +331,30 @@
     /// Returns the state shared by the requests for a service, which is created on first use.
     pub(crate) fn service_state(&mut self, name: &ServiceName) -> &mut ServiceState {
         let options = &self.options;
-        let share = options.extra_slack * self.connection_shares.slack_share(name);
         self.services.entry(name.clone()).or_insert_with(|| {
             ServiceState::new(ExtraAttemptBudget::new(
                 options.extra_window,
                 options.extra_ratio,
-                share,
+                0.0,
             ))
         })
     }
 
+    /// Returns the extra attempts for a service that this VM may make in a window in addition to
+    /// the ratio.
+    pub(crate) fn usable_slack(&self, now: Instant, service: &ServiceName) -> f64 {
+        let share = if self.connection_shares.is_shard(service) {
+            &self.shard_slack
+        } else {
+            &self.other_slack
+        };
+        self.slack_of(share, now)
+    }
+
+    fn slack_of(&self, share: &SlackShare, now: Instant) -> f64 {
+        self.options.extra_slack * share.usable(now, self.options.extra_window)
+    }
+
     /// Returns the attempt times of a route, which are created on first use.
     pub(crate) fn route_times(&mut self, route: &Route) -> &mut RouteTimes {
         let quantile = self.options.hedge_quantile;
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -13,6 +13,7 @@
 use gs_types::prelude::*;
 use rustix::process::Pid;
 use rustix::process::Signal;
+use serde_json::Value;
 
 use super::traffic::RepeatBudget;
 use crate::load::Caller;
@@ -119,6 +120,30 @@
         }
     }
 
+    /// Waits until it may use its share of the repeats that are allowed in addition to the ratio: it knows the
+    /// other VMs and has been running for a window of the budget.
+    ///
+    /// # Errors
+    ///
+    /// If it may not use it within `limit` after a window.
+    pub async fn wait_until_slack_is_usable(&self, limit: Duration) -> Result<()> {
+        let caller = Caller::new();
+        let end = Instant::now() + self.plan.repeats.window + limit;
+        while Instant::now() < end {
+            let (_, text) = caller.get(self.plan.status, "/dump").await?;
+            let dump: Value = serde_json::from_str(&text)
+                .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("read a dump"))?;
+            if dump["slack"]["for-others"].as_f64() > Some(0.0) {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Err(Error::new(
+            ErrorKind::Unavailable,
+            "the share of the repeats was not usable in time",
+        ))
+    }
+
     /// Sends a signal to this process only.
     pub fn signal(&self, signal: Signal) {
         // Fails if the process has ended; then there is nothing to signal.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -38,7 +38,8 @@
     _permit: SemaphorePermit<'static>,
 }
 
-/// Starts three VMs, one in each data centre, over six shards with two servers each.
+/// Starts three VMs, one in each data centre, over six shards with two servers each, and waits until they may repeat
+/// attempts.
 pub async fn start_site() -> TestSite {
     start_site_with(3).await
 }
@@ -62,6 +63,10 @@
         .repeats(repeats)
         .build();
     let site = Site::start(options).await.expect("the site starts");
+    for vm in &site.vms {
+        let usable = vm.wait_until_slack_is_usable(Duration::from_secs(5)).await;
+        usable.expect("it may repeat attempts");
+    }
     TestSite {
         caller: site.caller(),
         site,
