fix(relay): a VM that knows no other VMs uses none of the retry slack

Cause: without a list a VM divided the slack by an assumed 12 VMs (15 with those that may have been added), in fleets of 72 and of 195, so that a fleet that starts while the store is away would use several times the slack. The ratio, which needs no list, still allows repeats.

--- a/crates/relay/src/connection_shares.rs
+++ b/crates/relay/src/connection_shares.rs
@@ -241,8 +241,11 @@
     }
 
     /// Returns this VM's share of the extra attempts that a shard's servers allow to all VMs in
-    /// addition to the ratio.
+    /// addition to the ratio; 0 as long as the VMs are not known.
     pub(crate) fn shard_slack_share(&self) -> f64 {
+        if !self.are_vms_known {
+            return 0.0;
+        }
         if self.runs_fan_outs {
             self.fan_out_fraction() / f64::from(self.fan_out_vms.vms_max)
         } else {
@@ -252,6 +255,9 @@
 
     /// Returns the same for a service that is not a shard.
     pub(crate) fn other_slack_share(&self) -> f64 {
+        if !self.are_vms_known {
+            return 0.0;
+        }
         1.0 / f64::from(self.all_vms.vms_max)
     }
 
