--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! Faults follow each other and overlap. Callers keep using their connections until a process has ended. The
 //! checks cover what callers and backend servers observe: no wrong page, no at-most-once request executed
-//! twice, no refusal as not run of a request that ran, no request cut by a planned shutdown, and complete pages
-//! again once the faults are over.
+//! twice, no refusal as not run of a request that ran, no request cut by a planned shutdown, no more repeats than all
+//! VMs together may make, and complete pages again once the faults are over.
 
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -24,15 +24,20 @@
 use super::caller::CallOutcome;
 use super::proxy::LinkFault;
 use super::recovery;
+use super::setup::DEFAULT_REPEAT_BUDGET;
 use super::setup::Site;
 use super::setup::SiteOptions;
 use super::soak_load::Load;
 use super::soak_load::ObservedRequest;
 use super::store::StoreFault;
+use super::traffic::RepeatBudget;
 
 /// The maximum number of violations that are reported.
 const VIOLATIONS_MAX: usize = 20;
 
+/// The repeats allowed for each VM in addition to the ratio: so few that the faults of a soak use them up.
+const SLACK_PER_VM: f64 = 10.0;
+
 /// The options of a soak.
 #[derive(Builder)]
 pub struct SoakOptions {
@@ -106,14 +111,20 @@
 ///
 /// If the site does not start.
 pub async fn soak(options: SoakOptions) -> Result<SoakReport> {
+    let repeats = RepeatBudget {
+        slack: SLACK_PER_VM * options.vms as f64,
+        ..DEFAULT_REPEAT_BUDGET
+    };
     let site = SiteOptions::builder()
         .bin(options.bin)
         .dir(options.dir)
         .vms(options.vms)
         .shards(options.shards)
+        .repeats(repeats)
         .build();
     let mut active = ActiveSoak {
         site: Site::start(site).await?,
+        repeats,
         rng: ChaCha8Rng::seed_from_u64(options.seed),
         pending_repairs: Vec::new(),
         outages: Vec::new(),
@@ -131,12 +142,14 @@
     active.report.violations.extend(unrecovered);
     let requests = load.stop().await;
     active.check_requests(&requests);
+    active.check_repeats();
     Ok(active.report)
 }
 
 /// A soak in progress.
 struct ActiveSoak {
     site: Site,
+    repeats: RepeatBudget,
     rng: ChaCha8Rng,
     /// The repairs that end the injected faults, with their times.
     pending_repairs: Vec<(Instant, Repair)>,
@@ -374,6 +387,13 @@
         self.report.violations.extend(violations);
     }
 
+    /// Compares the repeats that backend servers got with the budget that all VMs share.
+    fn check_repeats(&mut self) {
+        let excesses = self.site.traffic.excesses(&self.repeats);
+        let messages = excesses.iter().map(ToString::to_string);
+        self.report.violations.extend(messages);
+    }
+
     /// Whether a request may have been cut: its VM was killed or paused, or was not running at all.
     fn is_cut_allowed(&self, s: &ObservedRequest) -> bool {
         let overlaps = |o: &Outage| o.vm == s.vm && s.started < o.until && s.ended > o.from;
