fix(relay): a VM that the others may no longer list uses none of the retry slack

A VM that is cut off from the platform keeps the share of its last list for ever, while the others remove its announcement after 3.5 renewal intervals (210 s with 72 VMs) and divide the slack without it: with more than two fifths of a fleet cut off, all together use more than the slack. The test failed before (10 extra attempts where none is allowed).

A share now ends 2.5 renewal intervals after the last list, before any other VM can have removed this one, and begins anew a window after the next list. The stand-in site renews every 2 s: with one second, the 3 s between two of a VM's first lists are longer than a list is valid, and the shares begin 5.5 s later.

--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -342,6 +342,7 @@
             .regions(regions)
             .data_centre(self.vm.data_centre.clone())
             .vms_assumed(self.budget.peers)
+            .renewal_interval(self.platform.renew_every)
             .answer_margin(self.answer_margin())
             .extra_ratio(self.budget.extra_ratio * ALLOWANCE_FRACTION)
             .extra_window(self.budget.window)
--- a/crates/relay/src/delegation.rs
+++ b/crates/relay/src/delegation.rs
@@ -162,6 +162,7 @@
             }
         }
         self.peer_vms = PeerVms::new(vms);
+        self.renew_slack(now);
         self.mark_plans_stale(now);
     }
 
--- a/crates/relay/src/leases.rs
+++ b/crates/relay/src/leases.rs
@@ -36,6 +36,12 @@
         .max(interval_min)
 }
 
+/// Returns for how long a list of VMs shows that the others list this one: its last renewal may be
+/// an interval older than the list.
+pub(crate) fn listing_validity(interval_min: Duration, vms: usize) -> Duration {
+    renewal_interval(interval_min, vms).mul_f64(LEASE_INTERVALS - 1.0)
+}
+
 /// An announcement as listed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedAnnouncement {
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -28,6 +28,9 @@
     /// of the attempts that a server can execute in time.
     #[builder(default = 12)]
     pub vms_assumed: u32,
+    /// The least time between two renewals of a VM's announcement; longer if there are many VMs.
+    #[builder(default = Duration::from_secs(60))]
+    pub renewal_interval: Duration,
     /// Extra attempts allowed for each request for a service.
     #[builder(default = 0.18)]
     pub extra_ratio: f64,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,6 +22,7 @@
 use crate::delegation_times::DelegationTimes;
 use crate::event::Event;
 use crate::hedge::RouteTimes;
+use crate::leases::listing_validity;
 use crate::options::RelayOptions;
 use crate::peer_vms::PeerVms;
 use crate::process_pause::ProcessPause;
@@ -78,6 +79,9 @@
     pub(crate) shard_slack: SlackShare,
     /// This VM's share of the slack of any other service.
     pub(crate) other_slack: SlackShare,
+    /// Until when the other VMs are sure to list this one, so that its shares are its own; `None`
+    /// before the first list.
+    pub(crate) listed_until: Option<Instant>,
     /// The fan-out plan of each scatter route.
     pub(crate) plans: HashMap<LookupName, FanOutPlan>,
     /// Peers that are registered as servers in `servers`.
@@ -122,6 +126,7 @@
                 connection_shares: ConnectionShares::default(),
                 shard_slack: SlackShare::default(),
                 other_slack: SlackShare::default(),
+                listed_until: None,
                 plans: HashMap::new(),
                 registered_peers: BTreeSet::new(),
                 delegation_peers: BTreeSet::new(),
@@ -352,9 +357,30 @@
     }
 
     fn slack_of(&self, share: &SlackShare, now: Instant) -> f64 {
+        if self.has_listing_expired(now) {
+            return 0.0;
+        }
         self.options.extra_slack * share.usable(now, self.options.extra_window)
     }
 
+    /// Renews this VM's shares of the slack with a new list of VMs.
+    ///
+    /// Once the others may have removed this VM from their lists, they divide the slack without it,
+    /// so it has no share until the next list.
+    pub(crate) fn renew_slack(&mut self, now: Instant) {
+        if self.has_listing_expired(now) {
+            let window = self.options.extra_window;
+            self.shard_slack.set(now, window, 0.0);
+            self.other_slack.set(now, window, 0.0);
+        }
+        let vms = self.peer_vms.vms().len();
+        self.listed_until = Some(now + listing_validity(self.options.renewal_interval, vms));
+    }
+
+    fn has_listing_expired(&self, now: Instant) -> bool {
+        self.listed_until.is_none_or(|until| until <= now)
+    }
+
     /// Returns the attempt times of a route, which are created on first use.
     pub(crate) fn route_times(&mut self, route: &Route) -> &mut RouteTimes {
         let quantile = self.options.hedge_quantile;
--- a/crates/relay/tests/relay/extra_attempts.rs
+++ b/crates/relay/tests/relay/extra_attempts.rs
@@ -156,6 +156,21 @@
     assert_eq!(extra_attempts(&mut w, "/one/x"), 9);
 }
 
+/// Guards against a slack used twice, by a VM that is cut off from the platform and by the others,
+/// which no longer list it.
+#[test]
+fn a_vm_without_a_recent_list_uses_no_slack_until_a_window_after_the_next() {
+    let mut w = desk_world(20.0);
+    // Renewals are a minute apart, and an announcement expires after 3.5 of them.
+    w.advance(ms(150_000));
+    assert_eq!(extra_attempts(&mut w, "/one/x"), 0);
+    set_vms(&mut w, fleet(1));
+    w.advance(ms(9000));
+    assert_eq!(extra_attempts(&mut w, "/one/x"), 0);
+    w.advance(ms(1200));
+    assert_eq!(extra_attempts(&mut w, "/one/x"), 10);
+}
+
 /// Guards against a slack that stays large although VMs have been added.
 #[test]
 fn a_longer_list_of_vms_lowers_the_slack_immediately() {
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -197,7 +197,7 @@
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
          [listen]\ncallers = \"{callers}\"\nstatus = \"{status}\"\npeers = \"{peers}\"\n\n\
-         [platform]\naddr = \"{store}\"\nrenew-every = \"1s\"\n\n\
+         [platform]\naddr = \"{store}\"\nrenew-every = \"2s\"\n\n\
          [peers]\nseeds = [{seeds}]\n\n\
          [budget]\nextra-ratio = {ratio:?}\nwindow = \"{window_ms}ms\"\nslack = {slack:?}\n\n\
          [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
