fix(relay): give an attempt that was not sent back to the time at which it was taken

Cause: an extra attempt that waited for a connection and was not sent was subtracted from the newest bucket of the window, from which another attempt, which did arrive, was thereby forgotten. When the older bucket left the window, more attempts were allowed than the window may have. A request to one service may wait for seconds at a server that has gone silent.

--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -79,7 +79,9 @@
         self.update_suspicion(now, request, index, server, &end);
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = request.parts[index].service.clone();
-            self.service_state(&service).extra_budget.return_last();
+            self.service_state(&service)
+                .extra_budget
+                .give_back(dispatched_at);
         }
         if !request.parts[index].is_unfinished() {
             return;
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -103,9 +103,14 @@
         true
     }
 
-    /// Gives back the extra attempt taken last, which was never sent.
-    pub fn return_last(&mut self) {
-        if let Some(b) = self.buckets.back_mut()
+    /// Gives back an extra attempt that was taken at the given time and never sent.
+    pub fn give_back(&mut self, taken_at: Instant) {
+        let bucket = self
+            .buckets
+            .iter_mut()
+            .rev()
+            .find(|b| b.started_at <= taken_at);
+        if let Some(b) = bucket
             && b.extra_attempts > 0
         {
             b.extra_attempts -= 1;
--- a/crates/relay/tests/relay/extra_attempts.rs
+++ b/crates/relay/tests/relay/extra_attempts.rs
@@ -20,6 +20,7 @@
 use crate::world::options;
 use crate::world::page_route;
 use crate::world::shed;
+use crate::world::success;
 use crate::world::table;
 use crate::world::vm;
 
@@ -119,6 +120,33 @@
     assert_eq!(attempts, SERVERS);
 }
 
+/// Guards against more attempts in a window after one that waited long for an unresponsive server is
+/// given back: those made meanwhile have arrived.
+#[test]
+fn an_attempt_that_was_not_sent_is_given_back_to_the_time_at_which_it_was_taken() {
+    let routes = table(1, vec![one_route(RepeatPolicy::Once)]);
+    let mut w = with_desk_servers(World::with_options(routes, slack_only(4.0)));
+    let reject_last = |w: &mut World| {
+        let d = w.open.pop_back().expect("an attempt");
+        w.on(Event::Ended(d.attempt, shed()));
+    };
+    // Its second attempt waits for a connection.
+    w.arrive("/one/waiting", ms(8000));
+    reject_last(&mut w);
+    w.advance(ms(6000));
+    w.arrive("/one/rejected-twice", ms(8000));
+    reject_last(&mut w);
+    reject_last(&mut w);
+    let waiting = w.open.pop_front().expect("an attempt");
+    w.on(Event::Ended(waiting.attempt, AttemptEnd::NotSent));
+    let third = w.open.pop_front().expect("an attempt");
+    w.on(Event::Ended(third.attempt, success(b'a')));
+    // The first attempt has left the window; the second of one request and the third of the other
+    // are in it.
+    w.advance(ms(5000));
+    assert_eq!(attempts_of_request(&mut w, "/one/x", &shed()), 1);
+}
+
 /// Guards against a slack used twice within a window, by a process and by the one that replaces it.
 #[test]
 fn a_vm_that_has_just_started_uses_no_slack_for_a_window() {
--- a/crates/relay/tests/relay/hedges.rs
+++ b/crates/relay/tests/relay/hedges.rs
@@ -95,7 +95,7 @@
     let mut budget = ExtraAttemptBudget::new(ms(10_000), 0.0, 1.0);
     let now = Instant::now();
     assert!(budget.try_take(now, false));
-    budget.return_last();
+    budget.give_back(now);
     assert!(budget.try_take(now, false));
     assert!(!budget.try_take(now, false));
 }
