--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -6,7 +6,6 @@
 use gs_types::prelude::*;
 
 use crate::budget::BudgetUse;
-
 use crate::servers::ServerKey;
 
 /// Identifies an attempt within this process: one at a part, or the delegation of a bundle of parts
