--- a/tests/relay/retry_budget.rs
+++ b/tests/relay/retry_budget.rs
@@ -31,14 +31,19 @@
     r
 }
 
+/// Injects faults into all servers of the service `desk`.
+fn set_desk_faults(r: &TestSite, faults: BackendFaults) {
+    let desk = r.site.backends.iter().filter(|b| b.service() == "desk");
+    desk.for_each(|b| b.set_faults(faults));
+}
+
 /// Makes all servers of the service `desk` fail every request.
 fn fail_desk(r: &TestSite) {
     let fails = BackendFaults {
         fails: true,
         ..BackendFaults::default()
     };
-    let desk = r.site.backends.iter().filter(|b| b.service() == "desk");
-    desk.for_each(|b| b.set_faults(fails));
+    set_desk_faults(r, fails);
 }
 
 /// Kills all VMs at once and restarts them.
@@ -99,3 +104,31 @@
     assert!(excesses.is_empty(), "{excesses:#?}\n{}", lines());
     assert!(r.site.traffic.repeats("desk") > 0);
 }
+
+/// Guards against unlimited attempts of a request at servers that refused connections before and now reject every
+/// request.
+#[tokio::test]
+async fn repeats_keep_within_the_budget_while_restarted_servers_shed() {
+    let mut r = start_warm_site().await;
+    let route = r.route("/one/");
+    r.request_all(2, &route).await;
+    let sheds = BackendFaults {
+        sheds: true,
+        ..BackendFaults::default()
+    };
+    set_desk_faults(&r, sheds);
+    let is_desk = |n: &usize| r.site.backends[*n].service() == "desk";
+    let desk: Vec<usize> = (0..r.site.backends.len()).filter(is_desk).collect();
+    for n in &desk {
+        r.site.backends[*n].crash();
+    }
+    r.request_all(2, &route).await;
+    for n in &desk {
+        let restarted = r.site.backends[*n].restart().await;
+        restarted.expect("it starts again");
+    }
+    r.request_all(40, &route).await;
+    let excesses = r.site.traffic.excesses(&BUDGET);
+    assert!(excesses.is_empty(), "{excesses:#?}");
+    assert!(r.site.traffic.repeats("desk") > 0);
+}
