perf(edge): VMs that start together poll the list of VMs at different times

Cause: all VMs of a fleet that starts together, or returns together, looked at the list of VMs in the same moment ever after, each at the price of a call and with its processor time, and all divided connections anew together.

Change: the first regular interval after the first polls is shortened to a random fraction of its 10 s.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -11,6 +11,9 @@
 use gs_relay::PeerVm;
 use gs_relay::renewal_interval;
 use gs_store::Backoff;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use crate::directory::Directory;
@@ -91,7 +94,9 @@
             self.announce(&mut state).await;
         }
         let poll_interval = LIST_POLL_INTERVAL.min(self.renewal_interval);
-        let mut schedule = PollSchedule::new(now(), self.first_start, poll_interval);
+        let phase = SmallRng::seed_from_u64(self.seed).random();
+        let mut schedule =
+            PollSchedule::new(now(), self.first_start, poll_interval).with_phase(phase);
         loop {
             tokio::time::sleep(schedule.time_to_next(now())).await;
             if schedule.begin_round(now()) {
