--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -37,12 +37,7 @@
             log::info!("event=slack-shares {}", shares.slack_divisors());
         }
         self.connection_shares = shares;
-        let window = self.options.extra_window;
-        let shares = &self.connection_shares;
-        self.shard_slack
-            .set(now, window, shares.shard_slack_share());
-        self.other_slack
-            .set(now, window, shares.other_slack_share());
+        self.assign_slack(now);
         let entries: Vec<_> = self.servers.all().map(|v| Arc::clone(&v.entry)).collect();
         for entry in entries {
             if !self.registered_peers.contains(&entry.name) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,5 @@
 //! The relay: the state of all requests in flight and the state that they share.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -13,7 +12,6 @@
 use crate::action::Action;
 use crate::active_request::ActiveRequest;
 use crate::attempt::AttemptKey;
-use crate::budget::BudgetUse;
 use crate::budget::ExtraAttemptBudget;
 use crate::connection_shares::ConnectionShares;
 use crate::counters::Counters;
@@ -22,7 +20,6 @@
 use crate::delegation_times::DelegationTimes;
 use crate::event::Event;
 use crate::hedge::RouteTimes;
-use crate::leases::listing_validity;
 use crate::options::RelayOptions;
 use crate::peer_vms::PeerVms;
 use crate::process_pause::ProcessPause;
@@ -33,7 +30,6 @@
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::service_state::ServiceState;
-use crate::slack_share::SlackDump;
 use crate::slack_share::SlackShare;
 use crate::table::RouteTable;
 
@@ -199,31 +195,6 @@
         self.core.servers.all().map(|v| v.dump(now)).collect()
     }
 
-    /// Returns the extra attempts that this VM may make in a window in addition to the ratio, for
-    /// dumps.
-    #[must_use]
-    pub fn slack(&self, now: Instant) -> SlackDump {
-        let core = &self.core;
-        SlackDump {
-            for_shards: core.slack_of(&core.shard_slack, now),
-            for_others: core.slack_of(&core.other_slack, now),
-        }
-    }
-
-    /// Returns the use of each service's budget of extra attempts, for dumps.
-    #[must_use]
-    pub fn budgets(&self, now: Instant) -> BTreeMap<&ServiceName, BudgetUse> {
-        let usage = |name, state: &ServiceState| {
-            let mut budget = state.extra_budget.clone();
-            budget.set_slack(self.core.usable_slack(now, name));
-            budget.usage(now)
-        };
-        let services = self.core.services.iter();
-        services
-            .map(|(name, state)| (name, usage(name, state)))
-            .collect()
-    }
-
     /// Returns the version of the routes in force; `None` before the first.
     #[must_use]
     pub fn version(&self) -> Option<ConfVersion> {
@@ -345,42 +316,6 @@
         })
     }
 
-    /// Returns the extra attempts for a service that this VM may make in a window in addition to
-    /// the ratio.
-    pub(crate) fn usable_slack(&self, now: Instant, service: &ServiceName) -> f64 {
-        let share = if self.connection_shares.is_shard(service) {
-            &self.shard_slack
-        } else {
-            &self.other_slack
-        };
-        self.slack_of(share, now)
-    }
-
-    fn slack_of(&self, share: &SlackShare, now: Instant) -> f64 {
-        if self.has_listing_expired(now) {
-            return 0.0;
-        }
-        self.options.extra_slack * share.usable(now, self.options.extra_window)
-    }
-
-    /// Renews this VM's shares of the slack with a new list of VMs.
-    ///
-    /// Once the others may have removed this VM from their lists, they divide the slack without it,
-    /// so it has no share until the next list.
-    pub(crate) fn renew_slack(&mut self, now: Instant) {
-        if self.has_listing_expired(now) {
-            let window = self.options.extra_window;
-            self.shard_slack.set(now, window, 0.0);
-            self.other_slack.set(now, window, 0.0);
-        }
-        let vms = self.peer_vms.vms().len();
-        self.listed_until = Some(now + listing_validity(self.options.renewal_interval, vms));
-    }
-
-    fn has_listing_expired(&self, now: Instant) -> bool {
-        self.listed_until.is_none_or(|until| until <= now)
-    }
-
     /// Returns the attempt times of a route, which are created on first use.
     pub(crate) fn route_times(&mut self, route: &Route) -> &mut RouteTimes {
         let quantile = self.options.hedge_quantile;
