revert: VMs that start together poll the list of VMs at different times

A share of the slack is confirmed by the list 15.5 s after a start now, by 11.5 to 15.5 s with the phases.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -11,9 +11,6 @@
 use gs_relay::PeerVm;
 use gs_relay::renewal_interval;
 use gs_store::Backoff;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
 use crate::directory::Directory;
@@ -27,10 +24,6 @@
 /// The time between two polls of the list after the first ones; an added VM waits at most this long for its share.
 const LIST_POLL_INTERVAL: Duration = Duration::from_secs(10);
 
-/// The least fraction to which the first regular poll interval is shortened. The list that it brings is then a usual
-/// window of the retry budget younger than the first, and confirms this VM's share of the slack.
-const PHASE_MIN: f64 = 0.6;
-
 /// The greatest age of a list: a peer serves its own list until its next poll, and the directory's list may be
 /// seconds old.
 const LIST_AGE_MAX: Duration = Duration::from_secs(15);
@@ -98,9 +91,7 @@
             self.announce(&mut state).await;
         }
         let poll_interval = LIST_POLL_INTERVAL.min(self.renewal_interval);
-        let phase = SmallRng::seed_from_u64(self.seed).random_range(PHASE_MIN..1.0);
-        let mut schedule =
-            PollSchedule::new(now(), self.first_start, poll_interval).with_phase(phase);
+        let mut schedule = PollSchedule::new(now(), self.first_start, poll_interval);
         loop {
             tokio::time::sleep(schedule.time_to_next(now())).await;
             if schedule.begin_round(now()) {
--- a/crates/follow/src/poll_schedule.rs
+++ b/crates/follow/src/poll_schedule.rs
@@ -30,8 +30,6 @@
 #[derive(Clone, Debug)]
 pub struct PollSchedule {
     first_delays: std::array::IntoIter<Duration, { FIRST_POLL_DELAYS.len() }>,
-    /// The time from the last of the first polls to the next; `None` once that was scheduled.
-    phase: Option<Duration>,
     poll_interval: Duration,
     next_poll: Instant,
     round_start: Instant,
@@ -50,21 +48,12 @@
         let delay = first_delays.next().unwrap_or(poll_interval);
         Self {
             first_delays,
-            phase: None,
             poll_interval,
             next_poll: now + delay,
             round_start: now,
         }
     }
 
-    /// Shortens the first regular poll interval to this fraction of it, from 0 to 1, so that VMs that started together
-    /// do not poll together ever after.
-    #[must_use]
-    pub fn with_phase(mut self, fraction: f64) -> Self {
-        self.phase = Some(self.poll_interval.mul_f64(fraction.clamp(0.0, 1.0)));
-        self
-    }
-
     /// Returns the time until the next round; zero if it is already due, as after a long round.
     #[must_use]
     pub fn time_to_next(&self, now: Instant) -> Duration {
@@ -83,8 +72,7 @@
     /// After a poll that did not succeed, the next round polls again.
     pub fn on_list_polled(&mut self, succeeded: bool) {
         let delay = if succeeded {
-            let regular = || self.phase.take().unwrap_or(self.poll_interval);
-            self.first_delays.next().unwrap_or_else(regular)
+            self.first_delays.next().unwrap_or(self.poll_interval)
         } else {
             HEARTBEAT_INTERVAL
         };
--- a/crates/follow/tests/follow/poll_schedule.rs
+++ b/crates/follow/tests/follow/poll_schedule.rs
@@ -78,26 +78,3 @@
     schedule.on_list_polled(true);
     assert_eq!(schedule.time_to_next(now), Duration::ZERO);
 }
-
-/// Guards against a fleet whose VMs all poll at the same time for as long as they run.
-#[rstest]
-#[case::at_once(0.0, &[5510, 5510, 15_510])]
-#[case::half(0.5, &[5510, 10_510, 20_510])]
-#[case::complete(1.0, &[5510, 15_510, 25_510])]
-fn the_phase_shortens_the_first_regular_interval_only(
-    #[case] fraction: f64,
-    #[case] expected: &[u128],
-) {
-    let start = Instant::now();
-    let mut now = start;
-    let mut schedule = PollSchedule::new(now, false, POLL_INTERVAL).with_phase(fraction);
-    let mut polls = Vec::new();
-    while polls.len() < 6 {
-        now += schedule.time_to_next(now);
-        if schedule.begin_round(now) {
-            schedule.on_list_polled(true);
-            polls.push((now - start).as_millis());
-        }
-    }
-    assert_eq!(&polls[3..], expected);
-}
