fix(relay): leave the peers half of the time, whatever the network seems to take

Cause: the time of a bundle less the time that the peer held it counts as network time. Pages that wait for a paused VM make that seconds; the peers then get no time until the objective, refuse all parts, and no page comes back that would bring the mean down.

The network is left half of the time to the objective at most, so peers answer and the mean follows. The test failed before: the peer got 0 ns of 136 ms.

--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -33,6 +33,11 @@
 /// of a server is over by then.
 const REQUIRED_PEER_GRACE: Duration = Duration::from_millis(200);
 
+/// The largest fraction of the time to the objective that is left for the network. A pause of this
+/// VM counts as network time, and a peer without any time refuses the parts; no page would then come
+/// back that shows how long the network takes.
+const NETWORK_FRACTION_MAX: f64 = 0.5;
+
 /// Parts of a request that are delegated to one peer.
 #[derive(Debug)]
 pub(crate) struct Bundle {
@@ -98,13 +103,14 @@
         };
         view.on_dispatched(now, id);
         let data_centre = &view.entry.data_centre;
+        let on_time = request.objective_at.saturating_duration_since(now);
         let round_trip = self
             .delegation_times
-            .round_trip(data_centre, self.round_trips.round_trip(data_centre));
+            .round_trip(data_centre, self.round_trips.round_trip(data_centre))
+            .min(on_time.mul_f64(NETWORK_FRACTION_MAX));
         for index in &parts {
             request.parts[*index].state = PartState::Bundled;
         }
-        let on_time = request.objective_at.saturating_duration_since(now);
         let others = request.parts.len() - parts.len();
         let parts_wanted = request.parts_wanted.saturating_sub(others);
         let grace = if parts_wanted > 0 {
--- a/crates/relay/tests/relay/delegation.rs
+++ b/crates/relay/tests/relay/delegation.rs
@@ -139,6 +139,24 @@
     assert!(spare >= ms(3) && spare <= ms(10), "{spare:?}");
 }
 
+/// Guards against a VM whose pages all peers refuse after it was paused: they have no time left for
+/// them, and no page comes back that would show how long the network takes.
+#[test]
+fn a_pause_of_this_vm_leaves_its_peers_half_of_the_time() {
+    let mut w = world();
+    w.on(opened("vm-2", 16));
+    w.arrive("/page/x", ms(8000));
+    w.now += ms(2400);
+    w.end_attempt("vm-2", with_held_time(peer_page(&["x", "y"], &[]), ms(50)));
+    w.open.clear();
+    w.advance(ms(5000));
+    w.arrive("/page/y", ms(2500));
+    let bundle = w.open.iter().find_map(|d| d.delegation.as_ref());
+    let on_time = bundle.expect("a bundle").on_time;
+    // Half of 150 ms less the margin of 14 ms.
+    assert!(on_time >= ms(68), "{on_time:?}");
+}
+
 /// Returns the shards whose part is missing from a page.
 pub fn missing_shards(p: &Page) -> Vec<u16> {
     p.missing.iter().map(|m| m.shard).collect()
