--- a/crates/edge/src/register/cache.rs
+++ b/crates/edge/src/register/cache.rs
@@ -71,7 +71,9 @@
         let objects = listing.items.iter();
         let objects = objects.filter_map(|i| Some((i.name.clone(), Object::of(&i.content)?)));
         let mut mirror = lock(&self.kind_cache(kind).mirror);
-        mirror.apply_list(listing.at.0, objects.collect());
+        if !mirror.apply_list(listing.at.0, objects.collect()) {
+            log_older(kind, "list", listing.at.0, mirror.revision());
+        }
         self.kind_cache(kind)
             .revision
             .send_replace(mirror.revision());
@@ -82,7 +84,9 @@
         let objects = changes.items.iter();
         let objects = objects.map(|i| (i.name.clone(), Object::of(&i.content)));
         let mut mirror = lock(&self.kind_cache(kind).mirror);
-        mirror.apply_changes(changes.at.0, objects.collect());
+        if !mirror.apply_changes(changes.at.0, objects.collect()) {
+            log_older(kind, "changes", changes.at.0, mirror.revision());
+        }
         self.kind_cache(kind)
             .revision
             .send_replace(mirror.revision());
@@ -142,3 +146,8 @@
         lock(&self.quarantined).clone()
     }
 }
+
+/// Logs that a list or changes are older than what is known, so that followers do not receive them.
+fn log_older(kind: DirectoryKind, what: &str, at: u64, known: u64) {
+    log::warn!("event=register-older kind={kind} what={what} at={at} known={known}");
+}
--- a/crates/follow/src/mirror.rs
+++ b/crates/follow/src/mirror.rs
@@ -53,10 +53,10 @@
 
     /// Applies a list of all objects at a revision; objects that are not listed are removed.
     ///
-    /// A list that is older than what is known changes nothing.
-    pub fn apply_list(&mut self, revision: u64, items: Vec<(String, T)>) {
+    /// A list that is older than what is known changes nothing; returns whether it was applied.
+    pub fn apply_list(&mut self, revision: u64, items: Vec<(String, T)>) -> bool {
         if revision < self.revision {
-            return;
+            return false;
         }
         if !self.is_listed {
             // What changed before the first list is not known.
@@ -73,20 +73,22 @@
         self.revision = revision;
         self.is_listed = true;
         self.compact();
+        true
     }
 
     /// Applies the changes up to a revision; `None` stands for a removed object.
     ///
-    /// Changes that are older than what is known are ignored.
-    pub fn apply_changes(&mut self, revision: u64, items: Vec<(String, Option<T>)>) {
+    /// Changes that are older than what is known are ignored; returns whether they were applied.
+    pub fn apply_changes(&mut self, revision: u64, items: Vec<(String, Option<T>)>) -> bool {
         if revision < self.revision {
-            return;
+            return false;
         }
         for (name, value) in items {
             self.set(revision, name, value);
         }
         self.revision = revision;
         self.compact();
+        true
     }
 
     /// Iterates over the objects that are not removed.
