--- a/crates/rig/src/site/objects.rs
+++ b/crates/rig/src/site/objects.rs
@@ -9,6 +9,7 @@
 const PAGE_ITEMS_MAX: usize = 500;
 
 /// A change to an object, as returned by a watch.
+#[derive(Clone)]
 struct Change {
     revision: u64,
     kind: String,
@@ -16,8 +17,29 @@
     deleted: bool,
 }
 
+/// A write that a restored store has lost.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LostWrite {
+    /// The object's kind.
+    pub kind: String,
+    /// Its name within its kind.
+    pub name: String,
+    /// Its content; `None` if it was removed.
+    pub spec: Option<Value>,
+}
+
+impl LostWrite {
+    fn new((kind, name): &(String, String), spec: Option<Value>) -> Self {
+        Self {
+            kind: kind.clone(),
+            name: name.clone(),
+            spec,
+        }
+    }
+}
+
 /// The objects of the platform's store and the history of their changes.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(super) struct Objects {
     revision: u64,
     live: BTreeMap<(String, String), Value>,
@@ -65,6 +87,28 @@
         true
     }
 
+    /// Removes all objects of a kind as if they had never been written.
+    pub(super) fn forget(&mut self, kind: &str) {
+        self.live.retain(|(k, _), _| k != kind);
+        self.history.retain(|change| change.kind != kind);
+    }
+
+    /// Returns the objects that differ from those of an earlier state, with their specs; `None` for removed objects.
+    pub(super) fn written_since(&self, earlier: &Self) -> Vec<LostWrite> {
+        let spec = |o: &Value| o["spec"].clone();
+        let written = self.live.iter().filter_map(|(key, object)| {
+            let before = earlier.live.get(key).map(spec);
+            let is_new = before.as_ref() != Some(&object["spec"]);
+            is_new.then(|| LostWrite::new(key, Some(spec(object))))
+        });
+        let removed = earlier
+            .live
+            .keys()
+            .filter(|key| !self.live.contains_key(*key));
+        let removed = removed.map(|key| LostWrite::new(key, None));
+        written.chain(removed).collect()
+    }
+
     /// Drops the history of all changes.
     pub(super) fn drop_history(&mut self) {
         self.compacted = self.revision;
@@ -83,9 +127,10 @@
         json!({ "items": items, "has_more": has_more, "at": self.revision })
     }
 
-    /// Returns the changes of a kind after a revision: `None` if there are none, an error if the history was dropped.
+    /// Returns the changes of a kind after a revision: `None` if there are none, an error if the
+    /// history was dropped or does not reach that revision.
     pub(super) fn changes(&self, kind: &str, after: u64) -> Result<Option<Value>, ()> {
-        if after < self.compacted {
+        if after < self.compacted || after > self.revision {
             return Err(());
         }
         let new = self
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,9 +24,16 @@
 use super::http::listen;
 use super::http::response;
 use super::http::serve;
+use super::objects::LostWrite;
 use super::objects::Objects;
 use crate::body::Body;
 
+/// The header of every answer that counts how often the store was restored from a copy.
+const STORE_ERA: &str = "store-era";
+
+/// The prefix of the kinds that VMs write; all others are written by operators and servers.
+const VM_KINDS_PREFIX: &str = "gentiansill-";
+
 /// An injected fault of the store, the same for every client.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -45,6 +54,17 @@
     Slow(Duration),
 }
 
+/// A copy of the store's objects, from which it can be restored.
+#[derive(Clone)]
+pub struct StoreCopy(Objects);
+
+impl StoreCopy {
+    /// Removes all objects of a kind, as if the copy had been made before they were written.
+    pub fn forget(&mut self, kind: &str) {
+        self.0.forget(kind);
+    }
+}
+
 /// The running stand-in of the platform's store; stops when dropped.
 pub struct Store {
     addr: SocketAddr,
@@ -54,6 +74,7 @@
 
 struct Inner {
     objects: Mutex<Objects>,
+    era: AtomicU64,
     changed: Notify,
     fault: Mutex<StoreFault>,
     calls: Mutex<BTreeMap<String, u64>>,
@@ -72,6 +93,7 @@
             .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
         let inner = Arc::new(Inner {
             objects: Mutex::default(),
+            era: AtomicU64::new(1),
             changed: Notify::new(),
             fault: Mutex::default(),
             calls: Mutex::default(),
@@ -113,6 +135,38 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Copies all objects.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.inner.objects).clone())
+    }
+
+    /// Restores the objects of a copy, in a new era.
+    ///
+    /// A waiting watch gets status 410 unless writes that follow at once give its revision out again.
+    ///
+    /// Returns what operators and servers wrote since the copy, which they write again.
+    pub fn restore(&self, copy: StoreCopy) -> Vec<LostWrite> {
+        let mut objects = lock(&self.inner.objects);
+        let lost = objects.written_since(&copy.0);
+        *objects = copy.0;
+        self.inner.era.fetch_add(1, Ordering::Relaxed);
+        drop(objects);
+        self.inner.changed.notify_waiters();
+        let by_others = |w: &LostWrite| !w.kind.starts_with(VM_KINDS_PREFIX);
+        lost.into_iter().filter(by_others).collect()
+    }
+
+    /// Writes again what a restored store has lost.
+    pub fn rewrite(&self, lost: Vec<LostWrite>) {
+        for LostWrite { kind, name, spec } in lost {
+            match spec {
+                Some(spec) => self.put(&kind, &name, spec),
+                None => self.delete(&kind, &name),
+            }
+        }
+    }
+
     /// Sets the fault that applies from now on.
     pub fn set_fault(&self, fault: StoreFault) {
         *lock(&self.inner.fault) = fault;
@@ -139,8 +193,8 @@
         *lock(&self.calls).entry(call).or_default() += 1;
         let fault = *lock(&self.fault);
         match fault {
-            StoreFault::Busy => return Some(response(503, "busy")),
-            StoreFault::Limited => return Some(response(429, "limited")),
+            StoreFault::Busy => return Some(self.with_era(response(503, "busy"))),
+            StoreFault::Limited => return Some(self.with_era(response(429, "limited"))),
             StoreFault::Silent => std::future::pending().await,
             StoreFault::SilentTo(kinds) if kinds.contains(&kind_and_name(&req).0) => {
                 std::future::pending().await
@@ -149,11 +203,17 @@
             StoreFault::None | StoreFault::SilentTo(_) | StoreFault::Lost => {}
         }
         let res = self.handle(&req).await;
-        (fault != StoreFault::Lost).then_some(res)
+        (fault != StoreFault::Lost).then(|| self.with_era(res))
     }
 }
 
 impl Inner {
+    fn with_era(&self, mut res: Response<Body>) -> Response<Body> {
+        let era = self.era.load(Ordering::Relaxed);
+        res.headers_mut().insert(STORE_ERA, era.into());
+        res
+    }
+
     async fn handle(&self, req: &Request<Bytes>) -> Response<Body> {
         let (kind, name) = kind_and_name(req);
         let query = req.uri().query().unwrap_or("");
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod pages;
 mod register;
+mod restored_store;
 mod retry_budget;
 mod servers;
 mod soak;
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -1,24 +1,18 @@
 //! Distribution of the register: in each data centre two direct VMs query the store and the others follow them.
 
 use std::time::Duration;
-use std::time::Instant;
 
-use gs_rig::site::CallOutcome;
 use gs_rig::site::LinkFault;
-use gs_rig::site::SiteRoute;
 use gs_rig::site::StoreFault;
 use rstest::rstest;
 use rustix::process::Signal;
 
-use crate::support::CONFIG_APPLY_MAX;
+use crate::support::DATA_CENTRES;
+use crate::support::FOLLOWED_VMS as VMS;
 use crate::support::TestSite;
-use crate::support::start_site_with;
-
-/// Six VMs in each of three data centres.
-const VMS: usize = 18;
-
-/// Number of data centres, over which VMs are distributed in turn.
-const DATA_CENTRES: usize = 3;
+use crate::support::add_route;
+use crate::support::start_followed_site;
+use crate::support::wait_until_in_force;
 
 /// The direct VMs of the first data centre; VMs of equal rank are ordered by name.
 const DIRECT_VMS: [usize; 2] = [0, 12];
@@ -32,19 +26,6 @@
 /// Time within which a starting VM polls the list of VMs once at the store and twice at a peer.
 const FIRST_POLLS: Duration = Duration::from_secs(4);
 
-/// Starts a site of [`VMS`] VMs and waits until four of six in each data centre follow another VM.
-async fn start_followed_site() -> TestSite {
-    let r = start_site_with(VMS).await;
-    r.wait_until("two direct VMs in each data centre and followers", |r| {
-        let direct = (0..VMS).filter(|vm| r.register_source(*vm).as_deref() == Some("register"));
-        let following =
-            (0..VMS).filter(|vm| r.register_source(*vm).is_some_and(|s| s.starts_with("vm-")));
-        direct.count() == 2 * DATA_CENTRES && following.count() == 4 * DATA_CENTRES
-    })
-    .await;
-    r
-}
-
 /// Starts an outage of the store and waits until all VMs have noticed it.
 async fn start_outage(r: &TestSite) {
     r.site.store.set_fault(StoreFault::Busy);
@@ -54,30 +35,6 @@
     .await;
 }
 
-/// Adds a route, which makes a new version of the configuration.
-fn add_route(r: &mut TestSite, prefix: &str) -> SiteRoute {
-    let mut route = r.route("/one/");
-    prefix.clone_into(&mut route.prefix);
-    let added = route.clone();
-    r.site.configure(|cfg| cfg.routes.push(added));
-    route
-}
-
-/// Waits until these VMs answer on a new route; returns how long it took.
-async fn wait_until_in_force(r: &mut TestSite, vms: &[usize], route: &SiteRoute) -> Duration {
-    let start = Instant::now();
-    for vm in vms {
-        while !matches!(r.request(*vm, route).await.outcome, CallOutcome::Right(_)) {
-            assert!(
-                start.elapsed() < CONFIG_APPLY_MAX,
-                "VM {vm} does not know the route"
-            );
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-    start.elapsed()
-}
-
 fn all_but(excluded: &[usize]) -> Vec<usize> {
     (0..VMS).filter(|vm| !excluded.contains(vm)).collect()
 }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::path::PathBuf;
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_rig::site::Answer;
 use gs_rig::site::CallOutcome;
@@ -26,6 +27,12 @@
 /// Maximum time that [`TestSite::wait_until`] waits for a condition, which usually takes a few seconds.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Number of VMs of a site with followers: six in each data centre.
+pub const FOLLOWED_VMS: usize = 18;
+
+/// Number of data centres, over which VMs are distributed in turn.
+pub const DATA_CENTRES: usize = 3;
+
 /// Interval between two checks of a condition.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -76,6 +83,44 @@
     }
 }
 
+/// Starts a site of [`FOLLOWED_VMS`] VMs and waits until four of six in each data centre follow another VM.
+pub async fn start_followed_site() -> TestSite {
+    let r = start_site_with(FOLLOWED_VMS).await;
+    r.wait_until("two direct VMs in each data centre and followers", |r| {
+        let direct =
+            (0..FOLLOWED_VMS).filter(|vm| r.register_source(*vm).as_deref() == Some("register"));
+        let following = (0..FOLLOWED_VMS)
+            .filter(|vm| r.register_source(*vm).is_some_and(|s| s.starts_with("vm-")));
+        direct.count() == 2 * DATA_CENTRES && following.count() == 4 * DATA_CENTRES
+    })
+    .await;
+    r
+}
+
+/// Adds a route, which makes a new version of the configuration.
+pub fn add_route(r: &mut TestSite, prefix: &str) -> SiteRoute {
+    let mut route = r.route("/one/");
+    prefix.clone_into(&mut route.prefix);
+    let added = route.clone();
+    r.site.configure(|cfg| cfg.routes.push(added));
+    route
+}
+
+/// Waits until these VMs answer on a new route; returns how long it took.
+pub async fn wait_until_in_force(r: &mut TestSite, vms: &[usize], route: &SiteRoute) -> Duration {
+    let start = Instant::now();
+    for vm in vms {
+        while !matches!(r.request(*vm, route).await.outcome, CallOutcome::Right(_)) {
+            assert!(
+                start.elapsed() < CONFIG_APPLY_MAX,
+                "VM {vm} does not know the route"
+            );
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    start.elapsed()
+}
+
 impl TestSite {
     pub fn route(&self, prefix: &str) -> SiteRoute {
         self.site.route(prefix).expect("a route")
