fix(edge): order the store's revisions by its era first

Cause: a revision was taken to grow for ever. The store came back from a copy some seconds old, with revision 366 after 370. A direct VM's watcher got 410, listed at 366 and went on; its mirror, from which followers are served, stayed at 370 and dropped what it took for older. Its followers waited at 370. The list of VMs was refused likewise. If the counter passes the old height before a VM asks there is no 410, and the watch goes on in another history.

Change: Revision is an era and a number, compared in this order, in lists, watches, peers' answers, leases and the list of VMs. The era is the store's own (Store-Era, read in platform/ from each answer, refusals too), so that all VMs mean the same by it. - A mirror takes a list of a later era whatever its number, ignores answers of an earlier era however late, and has a follower of an earlier era list again. - A watch ends as soon as any call shows another era, and the VM lists. - A follower asks for a peer's list again while that is of an earlier era than its own. - Pages of a list of two eras are an error, not a list. - An announcement is removed only in the era in which its revision was read. - The first list of an era counts like the first after an outage: entries that are missing may be written again within two seconds. - The routes that a VM tells followers are the newest version that it knows.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -15,7 +15,6 @@
 
 use crate::directory::Directory;
 use crate::directory::Renewal;
-use crate::directory::Revision;
 use crate::directory::VmAnnouncement;
 use crate::directory_reachability::DirectoryReachability;
 use crate::register::Register;
@@ -187,7 +186,7 @@
 
     /// Removes the expired announcement of a VM.
     async fn remove_expired(&self, l: &ListedAnnouncement) {
-        let removed = self.directory.remove_vm(&l.vm, Revision(l.revision)).await;
+        let removed = self.directory.remove_vm(&l.vm, l.revision).await;
         match removed {
             Ok(()) => log::info!(
                 "event=vm-removed vm={} revision={} reason=not-renewed",
@@ -227,6 +226,6 @@
 fn as_listed(a: &VmAnnouncement) -> ListedAnnouncement {
     ListedAnnouncement {
         vm: a.vm.name.clone(),
-        revision: a.at.0,
+        revision: a.at,
     }
 }
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,5 @@
 //! The interface to the directory where routes are declared and servers registered.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +8,7 @@
 use gs_relay::RouteTable;
 use gs_relay::ServerEntry;
 use gs_types::prelude::*;
+use tokio::sync::watch;
 
 /// A kind of objects in a directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
@@ -20,16 +20,6 @@
     Servers,
 }
 
-/// A revision of the directory; a larger one is newer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
 /// The content of an object.
 #[derive(Clone, Debug)]
 pub enum ItemContent {
@@ -107,6 +97,11 @@
 /// The directory where routes are declared and servers registered.
 #[async_trait]
 pub trait Directory: Send + Sync + 'static {
+    /// Returns a receiver of the latest era that an answer named; `None` before the first answer.
+    ///
+    /// All answers name it, refusals too, so a restore is noticed by the next call of any kind.
+    fn eras(&self) -> watch::Receiver<Option<StoreEra>>;
+
     /// Lists all present objects of a kind.
     ///
     /// # Errors
--- a/crates/edge/src/directory_reachability.rs
+++ b/crates/edge/src/directory_reachability.rs
@@ -6,6 +6,7 @@
 use gs_actor::Feed;
 use gs_actor::lock;
 use gs_relay::Event;
+use gs_types::prelude::*;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -14,6 +15,8 @@
     outage_start: Mutex<Option<Instant>>,
     /// The number of outages that have ended.
     outages_ended: watch::Sender<u64>,
+    /// The latest era; `None` before the first list.
+    era: Mutex<Option<StoreEra>>,
     feed: Feed<Event>,
 }
 
@@ -22,12 +25,13 @@
         Arc::new(Self {
             outage_start: Mutex::default(),
             outages_ended: watch::channel(0).0,
+            era: Mutex::default(),
             feed,
         })
     }
 
     /// Records a failed call, which begins an outage if there is none; `what` names the call in the log.
-    pub(crate) fn on_failure(&self, what: &str, error: &gs_types::prelude::Error) {
+    pub(crate) fn on_failure(&self, what: &str, error: &Error) {
         let mut outage_start = lock(&self.outage_start);
         if outage_start.is_none() {
             *outage_start = Some(Instant::now());
@@ -49,6 +53,20 @@
         self.outages_ended.send_modify(|n| *n += 1);
     }
 
+    /// Records the era of a list, before it is applied.
+    ///
+    /// The first list of a later era may lack entries that are written again soon, like the first one after an outage.
+    pub(crate) fn on_era(&self, era: StoreEra) {
+        let Some(before) = lock(&self.era).replace(era).filter(|known| *known != era) else {
+            return;
+        };
+        log::warn!("event=directory-restored era={era} before={before}");
+        if lock(&self.outage_start).is_none() {
+            self.feed.push(Event::RegisterReachable(false));
+            self.feed.push(Event::RegisterReachable(true));
+        }
+    }
+
     /// Returns a receiver that is notified at the end of each outage.
     pub(crate) fn outage_ends(&self) -> watch::Receiver<u64> {
         self.outages_ended.subscribe()
--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -16,7 +16,6 @@
 use crate::directory::Item;
 use crate::directory::ItemContent;
 use crate::directory::Origin;
-use crate::directory::Revision;
 use crate::directory_reachability::DirectoryReachability;
 use crate::shared_state::SharedState;
 
@@ -109,6 +108,7 @@
 
     async fn list(&self, state: &mut WatchState) -> Result<()> {
         let listing = self.directory.list(self.kind).await?;
+        self.reachability.on_era(listing.at.era);
         if self.kind == DirectoryKind::Servers {
             state.names.extend(self.shared_state.on_servers_listed());
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -39,7 +39,6 @@
 pub use directory::Listing;
 pub use directory::Origin;
 pub use directory::Renewal;
-pub use directory::Revision;
 pub use directory::VmAnnouncement;
 pub use directory::VmListing;
 pub use serve::Protocols;
--- a/crates/edge/src/register/answers.rs
+++ b/crates/edge/src/register/answers.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use gs_follow::RegisterSource;
+use gs_types::prelude::*;
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
@@ -26,12 +27,20 @@
 /// The longest that a query waits for a change.
 const CHANGES_WAIT_MAX: Duration = Duration::from_secs(5);
 
+/// The revision after which a peer asks for changes.
+#[derive(Clone, Copy)]
+struct ChangesAfter {
+    /// `None` from a release that knows no eras.
+    era: Option<StoreEra>,
+    number: u64,
+}
+
 /// A query of a peer that follows this VM.
 enum PeerQuery {
     /// All objects of a kind.
     List(DirectoryKind),
     /// The changes of a kind after a revision, once there are any or after the given time.
-    Changes(DirectoryKind, u64, Duration),
+    Changes(DirectoryKind, ChangesAfter, Duration),
     /// The VMs that are announced.
     Vms,
     /// Whether this VM reaches the platform.
@@ -57,7 +66,11 @@
             values.next()?.parse::<u64>().ok()
         };
         let wait = Duration::from_millis(value("wait-ms")?).min(CHANGES_WAIT_MAX);
-        Some(Self::Changes(kind, value("after")?, wait))
+        let after = ChangesAfter {
+            era: value("era").map(StoreEra),
+            number: value("after")?,
+        };
+        Some(Self::Changes(kind, after, wait))
     }
 }
 
@@ -98,7 +111,8 @@
 
     fn peer_objects(&self, objects: Objects) -> PeerObjects {
         PeerObjects {
-            at: objects.at,
+            era: objects.at.era,
+            at: objects.at.number,
             items: objects.items,
             heard_ms: self.last_contact_ms(),
         }
@@ -113,11 +127,13 @@
     async fn answer_changes(
         &self,
         kind: DirectoryKind,
-        after: u64,
+        after: ChangesAfter,
         wait: Duration,
     ) -> Response<Full<Bytes>> {
         let until = Instant::now() + wait;
         let mut revision = self.cache.subscribe(kind);
+        let era = after.era.unwrap_or(revision.borrow().era);
+        let after = Revision::new(era, after.number);
         loop {
             revision.mark_unchanged();
             let Some(changed) = self.cache.changes_since(kind, after) else {
--- a/crates/edge/src/register/cache.rs
+++ b/crates/edge/src/register/cache.rs
@@ -1,16 +1,17 @@
 //! Caches the register's contents that this VM serves to its followers.
 
+use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 
 use gs_actor::lock;
 use gs_follow::Mirror;
+use gs_relay::RouteTable;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
+use crate::directory::ItemContent;
 use crate::directory::Listing;
 use crate::directory::VmListing;
 use crate::register::wire::Named;
@@ -21,29 +22,38 @@
 pub(crate) struct RegisterCache {
     routes: KindCache,
     servers: KindCache,
-    vms: Mutex<Option<VmListing>>,
-    /// The revision of the latest list of VMs.
-    vms_revision: AtomicU64,
+    /// The newest version of the routes; a restored store may list an older one for a while.
+    newest_routes: Mutex<Option<Arc<RouteTable>>>,
+    vms: Mutex<VmsCache>,
     quarantined: Mutex<Vec<Fingerprint>>,
 }
 
 /// Objects of a kind as of a revision: all of them, or those that changed.
 pub(crate) struct Objects {
-    pub(crate) at: u64,
+    pub(crate) at: Revision,
     pub(crate) items: Vec<Named>,
 }
 
+/// The list of VMs.
+#[derive(Default)]
+struct VmsCache {
+    /// The latest list; `None` before the first one and in an outage.
+    listing: Option<VmListing>,
+    /// The revision of the latest list, which an outage does not reset.
+    revision: Revision,
+}
+
 /// The objects of a kind, and the latest revision up to which they are known.
 struct KindCache {
     mirror: Mutex<Mirror<Object>>,
-    revision: watch::Sender<u64>,
+    revision: watch::Sender<Revision>,
 }
 
 impl Default for KindCache {
     fn default() -> Self {
         Self {
             mirror: Mutex::default(),
-            revision: watch::channel(0).0,
+            revision: watch::channel(Revision::default()).0,
         }
     }
 }
@@ -57,22 +67,22 @@
     }
 
     /// Returns the revision up to which a kind is known.
-    pub(crate) fn revision(&self, kind: DirectoryKind) -> u64 {
+    pub(crate) fn revision(&self, kind: DirectoryKind) -> Revision {
         *self.kind_cache(kind).revision.borrow()
     }
 
     /// Returns a receiver that is notified of each new revision of a kind.
-    pub(crate) fn subscribe(&self, kind: DirectoryKind) -> watch::Receiver<u64> {
+    pub(crate) fn subscribe(&self, kind: DirectoryKind) -> watch::Receiver<Revision> {
         self.kind_cache(kind).revision.subscribe()
     }
 
     /// Applies a list of all objects of a kind.
     pub(crate) fn apply_list(&self, kind: DirectoryKind, listing: &Listing) {
         let objects = listing.items.iter();
-        let objects = objects.filter_map(|i| Some((i.name.clone(), Object::of(&i.content)?)));
+        let objects = objects.filter_map(|i| Some((i.name.clone(), self.object(&i.content)?)));
         let mut mirror = lock(&self.kind_cache(kind).mirror);
-        if !mirror.apply_list(listing.at.0, objects.collect()) {
-            log_older(kind, "list", listing.at.0, mirror.revision());
+        if !mirror.apply_list(listing.at, objects.collect()) {
+            log_older(kind, "list", listing.at, mirror.revision());
         }
         self.kind_cache(kind)
             .revision
@@ -82,16 +92,33 @@
     /// Applies the changes of a kind.
     pub(crate) fn apply_changes(&self, kind: DirectoryKind, changes: &Changes) {
         let objects = changes.items.iter();
-        let objects = objects.map(|i| (i.name.clone(), Object::of(&i.content)));
+        let objects = objects.map(|i| (i.name.clone(), self.object(&i.content)));
         let mut mirror = lock(&self.kind_cache(kind).mirror);
-        if !mirror.apply_changes(changes.at.0, objects.collect()) {
-            log_older(kind, "changes", changes.at.0, mirror.revision());
+        if !mirror.apply_changes(changes.at, objects.collect()) {
+            log_older(kind, "changes", changes.at, mirror.revision());
         }
         self.kind_cache(kind)
             .revision
             .send_replace(mirror.revision());
     }
 
+    /// Returns the object with the given content, or a newer version of the routes if one is known; `None` if the
+    /// content is unreadable or removed.
+    fn object(&self, content: &ItemContent) -> Option<Object> {
+        let object = Object::of(content)?;
+        let Object::Routes(table) = &object else {
+            return Some(object);
+        };
+        let mut newest = lock(&self.newest_routes);
+        if newest
+            .as_ref()
+            .is_none_or(|n| n.version() < table.version())
+        {
+            *newest = Some(Arc::clone(table));
+        }
+        newest.clone().map(Object::Routes)
+    }
+
     /// Returns all objects of a kind; `None` before they were listed.
     pub(crate) fn all(&self, kind: DirectoryKind) -> Option<Objects> {
         let mirror = lock(&self.kind_cache(kind).mirror);
@@ -109,7 +136,7 @@
     }
 
     /// Returns the changes of a kind after a revision; `None` if some may have been forgotten.
-    pub(crate) fn changes_since(&self, kind: DirectoryKind, after: u64) -> Option<Objects> {
+    pub(crate) fn changes_since(&self, kind: DirectoryKind, after: Revision) -> Option<Objects> {
         let mirror = lock(&self.kind_cache(kind).mirror);
         let changed = mirror.changes_since(after)?;
         let items = changed.into_iter();
@@ -121,21 +148,23 @@
 
     /// Applies a list of the VMs; returns `false` and applies nothing if a later one is known.
     pub(crate) fn apply_vms(&self, listing: &VmListing) -> bool {
-        let is_later = self.vms_revision.fetch_max(listing.at.0, Ordering::Relaxed) <= listing.at.0;
-        if is_later {
-            *lock(&self.vms) = Some(listing.clone());
+        let mut vms = lock(&self.vms);
+        if listing.at < vms.revision {
+            return false;
         }
-        is_later
+        vms.revision = listing.at;
+        vms.listing = Some(listing.clone());
+        true
     }
 
     /// Stops serving the list of VMs, as it is as old as the present outage.
     pub(crate) fn hide_vms(&self) {
-        *lock(&self.vms) = None;
+        lock(&self.vms).listing = None;
     }
 
     /// Returns the latest list of VMs; `None` before the first one and in an outage.
     pub(crate) fn vms(&self) -> Option<VmListing> {
-        lock(&self.vms).clone()
+        lock(&self.vms).listing.clone()
     }
 
     pub(crate) fn set_quarantined(&self, requests: &[Fingerprint]) {
@@ -148,6 +177,6 @@
 }
 
 /// Logs that a list or changes are older than what is known, so that followers do not receive them.
-fn log_older(kind: DirectoryKind, what: &str, at: u64, known: u64) {
+fn log_older(kind: DirectoryKind, what: &str, at: Revision, known: Revision) {
     log::warn!("event=register-older kind={kind} what={what} at={at} known={known}");
 }
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -6,6 +6,7 @@
 use gs_follow::RegisterSource;
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::directory::Changes;
@@ -14,20 +15,24 @@
 use crate::directory::Listing;
 use crate::directory::Origin;
 use crate::directory::Renewal;
-use crate::directory::Revision;
 use crate::directory::VmListing;
 use crate::register::Register;
+use crate::register::other_era;
 use crate::register::peer_queries::PeersPlatformStatus;
 use crate::register::peer_queries::platform_unreachable;
 
 #[async_trait]
 impl Directory for Register {
+    fn eras(&self) -> watch::Receiver<Option<StoreEra>> {
+        self.era.subscribe()
+    }
+
     async fn list(&self, kind: DirectoryKind) -> Result<Listing> {
         let start = Instant::now();
         loop {
             let listing = match self.wait_for_source().await {
                 RegisterSource::Undecided | RegisterSource::Register => {
-                    self.record_platform_call(self.platform.list(kind).await)?
+                    self.list_platform(kind).await?
                 }
                 RegisterSource::Peer(vm) => match self.list_from_peer(&vm, kind).await {
                     Ok(Some(listing)) => listing,
@@ -41,6 +46,7 @@
                 },
             };
             self.cache.apply_list(kind, &listing);
+            self.on_era(Some(listing.at.era));
             return Ok(listing);
         }
     }
@@ -136,10 +142,16 @@
                 }
             }
         };
-        Ok(listing.filter(|l| self.cache.apply_vms(l)))
+        let is_current = |l: &VmListing| Some(l.at.era) >= *self.era.borrow();
+        Ok(listing.filter(|l| is_current(l) && self.cache.apply_vms(l)))
     }
 
     async fn remove_vm(&self, vm: &VmId, unless_after: Revision) -> Result<()> {
+        let era = *self.platform.eras().borrow();
+        if era != Some(unless_after.era) {
+            // The store may have given the revision out again, to a later renewal.
+            return Err(other_era(unless_after));
+        }
         self.record_platform_call(self.platform.remove_vm(vm, unless_after).await)
     }
 }
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -35,7 +35,7 @@
 use crate::directory::Changes;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
-use crate::directory::Revision;
+use crate::directory::Listing;
 use crate::register::cache::RegisterCache;
 
 /// The time that a watch at a peer waits, as a fraction of the time that a removed server continues to serve. A silent
@@ -60,6 +60,8 @@
     selector: Mutex<SourceSelector>,
     /// The source in use, for tasks that wait for another one.
     source: watch::Sender<RegisterSource>,
+    /// The latest era known from the source.
+    era: watch::Sender<Option<StoreEra>>,
     /// Whether the platform answered its last call.
     is_platform_reachable: AtomicBool,
     /// When the platform last answered.
@@ -95,6 +97,7 @@
             peers,
             source: watch::channel(selector.source().clone()).0,
             selector: Mutex::new(selector),
+            era: watch::channel(None).0,
             is_platform_reachable: AtomicBool::new(false),
             last_contact: Mutex::new(Instant::now()),
             peers_polled_at: Mutex::default(),
@@ -149,7 +152,18 @@
         self.update_selector(|selector| selector.on_peer_failed(now(), &vm.name));
     }
 
+    /// Records the era of an answer of the source; an earlier one changes nothing.
+    fn on_era(&self, era: Option<StoreEra>) {
+        self.era.send_if_modified(|known| {
+            let is_later = *known < era;
+            *known = era.max(*known);
+            is_later
+        });
+    }
+
     /// Counts a call to the platform, and records whether the platform answered it.
+    ///
+    /// A follower learns of a new era from its peer, which lists the new contents first.
     fn record_platform_call<T>(&self, result: Result<T>) -> Result<T> {
         self.platform_calls.fetch_add(1, Ordering::Relaxed);
         let is_unreachable = result
@@ -160,6 +174,9 @@
         if !is_unreachable {
             *lock(&self.last_contact) = Instant::now();
         }
+        if !matches!(&*self.source.borrow(), RegisterSource::Peer(_)) {
+            self.on_era(*self.platform.eras().borrow());
+        }
         result
     }
 
@@ -188,7 +205,28 @@
         self.source.borrow().clone()
     }
 
+    /// Lists at the platform.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::Unavailable`] if the answer is older than what this VM knows, as one that arrives after the store
+    /// was restored.
+    async fn list_platform(&self, kind: DirectoryKind) -> Result<Listing> {
+        let listing = self.record_platform_call(self.platform.list(kind).await)?;
+        let known = self.cache.revision(kind);
+        if listing.at < known {
+            let text = format!("listed at {}, older than {known}", listing.at);
+            return Err(Error::new(ErrorKind::Unavailable, text).at(format!("list {kind}")));
+        }
+        Ok(listing)
+    }
+
     /// Watches at the platform until something changes; returns `None` once there is a peer to follow.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::NotFound`] also if the store is in another era than the revision: its changes are not those that
+    /// follow it, although the store may have given the revision out again.
     async fn watch_platform(
         &self,
         kind: DirectoryKind,
@@ -196,9 +234,15 @@
         wait: Duration,
     ) -> Option<Result<Changes>> {
         let mut rx = self.source.subscribe();
+        let mut eras = self.platform.eras();
         let is_peer = |source: &RegisterSource| matches!(source, RegisterSource::Peer(_));
+        let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > after.era);
         tokio::select! {
-            result = self.platform.watch(kind, after, wait) => Some(self.record_platform_call(result)),
+            result = self.platform.watch(kind, after, wait) => {
+                let result = self.record_platform_call(result);
+                Some(result.and_then(|changes| same_era(changes, after)))
+            }
+            Ok(_) = eras.wait_for(is_later) => Some(Err(other_era(after))),
             Ok(_) = rx.wait_for(is_peer) => None,
         }
     }
@@ -213,6 +257,19 @@
     }
 }
 
+/// Returns the changes if they are of the same era as the revision that they follow.
+fn same_era(changes: Changes, after: Revision) -> Result<Changes> {
+    if changes.at.era == after.era {
+        return Ok(changes);
+    }
+    Err(other_era(after))
+}
+
+fn other_era(after: Revision) -> Error {
+    let text = format!("the store is in another era than revision {after}");
+    Error::new(ErrorKind::NotFound, text).at("watch")
+}
+
 /// Returns the present time in the type that the state machines use.
 pub(crate) fn now() -> std::time::Instant {
     Instant::now().into_std()
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -15,7 +15,6 @@
 use crate::directory::Item;
 use crate::directory::Listing;
 use crate::directory::Origin;
-use crate::directory::Revision;
 use crate::directory::VmListing;
 use crate::register::Register;
 use crate::register::now;
@@ -49,7 +48,8 @@
         self.peers.get(vm.addr, &path, wait + ANSWER_TIMEOUT).await
     }
 
-    /// Queries a peer for all objects of a kind; returns `None` while the peer has no list itself.
+    /// Queries a peer for all objects of a kind; returns `None` while the peer has no list itself, or none of the era
+    /// that this VM knows.
     ///
     /// # Errors
     ///
@@ -66,12 +66,16 @@
             PeerListing::All(answer) => answer,
             PeerListing::NotYet => return Ok(None),
         };
-        if answer.at < self.cache.revision(kind) {
+        let at = answer.revision();
+        if Some(at.era) < *self.era.borrow() {
+            return Ok(None);
+        }
+        if at < self.cache.revision(kind) {
             let text = "the peer knows an older revision than this VM";
             return Err(Error::new(ErrorKind::Unavailable, text).from_peer(vm.name.to_string()));
         }
         Ok(Some(Listing {
-            at: Revision(answer.at),
+            at,
             items: answer.items.into_iter().map(Item::from).collect(),
         }))
     }
@@ -91,11 +95,12 @@
         wait: Duration,
     ) -> Result<Changes> {
         let wait_ms = wait.as_millis();
-        let what = format!("{kind}?after={after}&wait-ms={wait_ms}");
+        let Revision { era, number } = after;
+        let what = format!("{kind}?era={era}&after={number}&wait-ms={wait_ms}");
         let answer: PeerObjects = self.query_peer(vm, &what, wait).await?;
         self.check_overdue(vm, answer.heard_ms).await;
         Ok(Changes {
-            at: Revision(answer.at).max(after),
+            at: answer.revision().max(after),
             items: answer.items.into_iter().map(Item::from).collect(),
             origin: Origin::Peer,
         })
--- a/crates/edge/src/register/report.rs
+++ b/crates/edge/src/register/report.rs
@@ -17,8 +17,8 @@
     follows: Option<VmId>,
     /// Whether the platform answered this VM's last call.
     is_in_touch: bool,
-    routes_at: u64,
-    servers_at: u64,
+    routes_at: Revision,
+    servers_at: Revision,
 }
 
 /// Counts of the register's calls and queries, for metrics.
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -11,7 +11,6 @@
 
 use crate::directory::Item;
 use crate::directory::ItemContent;
-use crate::directory::Revision;
 use crate::directory::VmAnnouncement;
 use crate::directory::VmListing;
 
@@ -76,10 +75,20 @@
     }
 }
 
+impl PeerObjects {
+    /// Returns the revision up to which the peer knows the kind.
+    pub(crate) fn revision(&self) -> Revision {
+        Revision::new(self.era, self.at)
+    }
+}
+
 /// Objects of a kind as of a revision: all of them, or those that changed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct PeerObjects {
+    /// The era of `at`; 0 in answers of releases that know no eras.
+    #[serde(default)]
+    pub(crate) era: StoreEra,
     pub(crate) at: u64,
     pub(crate) items: Vec<Named>,
     /// The time since the register last answered the peer, in milliseconds.
@@ -111,7 +120,12 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum PeerVmListing {
     /// The VMs, as listed at this revision of the register.
-    Listed { at: u64, vms: Vec<PeerVmEntry> },
+    Listed {
+        #[serde(default)]
+        era: StoreEra,
+        at: u64,
+        vms: Vec<PeerVmEntry>,
+    },
     /// The peer queries the register but has no recent answer from it.
     NotYet,
 }
@@ -119,8 +133,8 @@
 impl From<PeerVmListing> for Option<VmListing> {
     fn from(listing: PeerVmListing) -> Self {
         match listing {
-            PeerVmListing::Listed { at, vms } => Some(VmListing {
-                at: Revision(at),
+            PeerVmListing::Listed { era, at, vms } => Some(VmListing {
+                at: Revision::new(era, at),
                 vms: vms.into_iter().map(VmAnnouncement::from).collect(),
             }),
             PeerVmListing::NotYet => None,
@@ -131,7 +145,8 @@
 impl From<VmListing> for PeerVmListing {
     fn from(l: VmListing) -> Self {
         Self::Listed {
-            at: l.at.0,
+            era: l.at.era,
+            at: l.at.number,
             vms: l.vms.into_iter().map(PeerVmEntry::from).collect(),
         }
     }
@@ -142,6 +157,8 @@
 #[serde(rename_all = "kebab-case")]
 pub(crate) struct PeerVmEntry {
     pub(crate) vm: PeerVm,
+    #[serde(default)]
+    pub(crate) era: StoreEra,
     pub(crate) at: u64,
 }
 
@@ -149,7 +166,7 @@
     fn from(t: PeerVmEntry) -> Self {
         Self {
             vm: t.vm,
-            at: Revision(t.at),
+            at: Revision::new(t.era, t.at),
         }
     }
 }
@@ -158,7 +175,8 @@
     fn from(a: VmAnnouncement) -> Self {
         Self {
             vm: a.vm,
-            at: a.at.0,
+            era: a.at.era,
+            at: a.at.number,
         }
     }
 }
--- a/crates/follow/src/mirror.rs
+++ b/crates/follow/src/mirror.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use gs_types::prelude::*;
+
 /// The largest number of tombstones kept; a follower that is further behind has to list again.
 const TOMBSTONES_MAX: usize = 4096;
 
@@ -11,9 +13,9 @@
 /// revision therefore receives at least what changed after it, and nothing older than that.
 #[derive(Clone, Debug)]
 pub struct Mirror<T> {
-    revision: u64,
+    revision: Revision,
     /// Changes up to this revision may have been forgotten.
-    compacted: u64,
+    compacted: Revision,
     is_listed: bool,
     entries: BTreeMap<String, Entry<T>>,
     tombstones: usize,
@@ -21,7 +23,7 @@
 
 #[derive(Clone, Debug)]
 struct Entry<T> {
-    revision: u64,
+    revision: Revision,
     /// `None` for a tombstone, once the object is removed.
     value: Option<T>,
 }
@@ -29,8 +31,8 @@
 impl<T> Default for Mirror<T> {
     fn default() -> Self {
         Self {
-            revision: 0,
-            compacted: 0,
+            revision: Revision::default(),
+            compacted: Revision::default(),
             is_listed: false,
             entries: BTreeMap::new(),
             tombstones: 0,
@@ -41,7 +43,7 @@
 impl<T: Clone + PartialEq> Mirror<T> {
     /// Returns the revision up to which everything is known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -54,12 +56,13 @@
     /// Applies a list of all objects at a revision; objects that are not listed are removed.
     ///
     /// A list that is older than what is known changes nothing; returns whether it was applied.
-    pub fn apply_list(&mut self, revision: u64, items: Vec<(String, T)>) -> bool {
+    pub fn apply_list(&mut self, revision: impl Into<Revision>, items: Vec<(String, T)>) -> bool {
+        let revision = revision.into();
         if revision < self.revision {
             return false;
         }
-        if !self.is_listed {
-            // What changed before the first list is not known.
+        if !self.is_listed || revision.era != self.revision.era {
+            // What changed before the first list of an era is not known.
             self.compacted = revision;
         }
         let mut removed: Vec<String> = self.live().map(|(name, _)| name.clone()).collect();
@@ -78,9 +81,15 @@
 
     /// Applies the changes up to a revision; `None` stands for a removed object.
     ///
-    /// Changes that are older than what is known are ignored; returns whether they were applied.
-    pub fn apply_changes(&mut self, revision: u64, items: Vec<(String, Option<T>)>) -> bool {
-        if revision < self.revision {
+    /// Changes that are older than what is known, or of another era than the list, are ignored; returns whether they
+    /// were applied.
+    pub fn apply_changes(
+        &mut self,
+        revision: impl Into<Revision>,
+        items: Vec<(String, Option<T>)>,
+    ) -> bool {
+        let revision = revision.into();
+        if revision < self.revision || (self.is_listed && revision.era != self.revision.era) {
             return false;
         }
         for (name, value) in items {
@@ -101,7 +110,8 @@
     ///
     /// Returns `None` instead of a list if changes after that revision may have been forgotten.
     #[must_use]
-    pub fn changes_since(&self, after: u64) -> Option<Vec<(String, Option<T>)>> {
+    pub fn changes_since(&self, after: impl Into<Revision>) -> Option<Vec<(String, Option<T>)>> {
+        let after = after.into();
         if !self.is_listed || after < self.compacted {
             return None;
         }
@@ -113,7 +123,7 @@
         Some(changed.collect())
     }
 
-    fn set(&mut self, revision: u64, name: String, value: Option<T>) {
+    fn set(&mut self, revision: Revision, name: String, value: Option<T>) {
         let before = self.entries.get(&name);
         if before.is_some_and(|entry| entry.value == value) || (before.is_none() && value.is_none())
         {
@@ -131,7 +141,7 @@
             return;
         }
         let removed = self.entries.values().filter(|entry| entry.value.is_none());
-        let mut revisions: Vec<u64> = removed.map(|entry| entry.revision).collect();
+        let mut revisions: Vec<Revision> = removed.map(|entry| entry.revision).collect();
         revisions.sort_unstable();
         let compacted = revisions[revisions.len() / 2];
         self.entries
--- a/crates/follow/tests/follow/mirror.rs
+++ b/crates/follow/tests/follow/mirror.rs
@@ -3,12 +3,18 @@
 use std::collections::BTreeMap;
 
 use gs_follow::Mirror;
+use gs_types::prelude::*;
 use proptest::prelude::*;
 
 fn named(name: &str, value: u32) -> (String, u32) {
     (name.to_owned(), value)
 }
 
+/// Returns a revision of the store after it was restored.
+fn restored(number: u64) -> Revision {
+    Revision::new(StoreEra(1), number)
+}
+
 #[test]
 fn a_list_removes_objects_that_it_does_not_contain() {
     let mut m = Mirror::default();
@@ -25,7 +31,7 @@
     m.apply_list(9, vec![named("a", 2)]);
     m.apply_list(5, vec![named("a", 1)]);
     m.apply_changes(8, vec![("a".into(), None)]);
-    assert_eq!(m.revision(), 9);
+    assert_eq!(m.revision(), Revision::from(9));
     assert_eq!(m.changes_since(0), None);
     assert_eq!(m.live().collect::<Vec<_>>(), [(&"a".to_owned(), &2)]);
 }
@@ -40,6 +46,58 @@
     assert_eq!(m.changes_since(5), Some(Vec::new()));
 }
 
+/// A store that was restored from an older copy gives smaller revisions, which are newer all the same.
+#[test]
+fn a_list_of_a_later_era_replaces_all_contents_at_any_revision() {
+    let mut m = Mirror::default();
+    m.apply_list(370, vec![named("a", 21), named("b", 1)]);
+    assert!(m.apply_list(restored(366), vec![named("a", 21)]));
+    assert!(m.apply_changes(restored(367), vec![("a".into(), Some(25))]));
+    assert_eq!(m.live().collect::<Vec<_>>(), [(&"a".to_owned(), &25)]);
+    assert_eq!(
+        m.changes_since(restored(366)),
+        Some(vec![("a".into(), Some(25))])
+    );
+}
+
+/// A follower of before a restore must list anew, also if the store has given its revision out again.
+#[test]
+fn changes_since_a_revision_of_an_earlier_era_are_unknown() {
+    let mut m = Mirror::default();
+    m.apply_list(370, vec![named("a", 21)]);
+    m.apply_list(restored(366), vec![named("a", 18)]);
+    m.apply_changes(restored(371), vec![("a".into(), Some(25))]);
+    assert_eq!(m.changes_since(370), None);
+    assert_eq!(m.changes_since(365), None);
+}
+
+/// An answer of the store from before a restore must not win over one from after it, however late it arrives.
+#[test]
+fn lists_and_changes_of_an_earlier_era_are_ignored() {
+    let mut m = Mirror::default();
+    m.apply_list(restored(366), vec![named("a", 21)]);
+    assert!(!m.apply_list(370, vec![named("a", 18)]));
+    assert!(!m.apply_changes(371, vec![("a".into(), None)]));
+    assert_eq!(m.live().collect::<Vec<_>>(), [(&"a".to_owned(), &21)]);
+}
+
+/// Changes of another era follow contents that the mirror does not have.
+#[test]
+fn changes_of_a_later_era_need_a_list_first() {
+    let mut m = Mirror::default();
+    m.apply_list(370, vec![named("a", 21)]);
+    assert!(!m.apply_changes(restored(380), vec![("b".into(), Some(1))]));
+    assert_eq!(m.revision(), Revision::from(370));
+}
+
+/// A peer that has not listed the era of its follower knows less than that.
+#[test]
+fn a_follower_in_a_later_era_receives_nothing() {
+    let mut m = Mirror::default();
+    m.apply_list(370, vec![named("a", 21)]);
+    assert_eq!(m.changes_since(restored(366)), Some(Vec::new()));
+}
+
 /// Memory must not grow with every server that was ever registered.
 #[test]
 fn removed_objects_are_compacted_once_they_are_many() {
--- a/crates/relay/src/leases.rs
+++ b/crates/relay/src/leases.rs
@@ -48,7 +48,7 @@
     /// The VM.
     pub vm: VmId,
     /// Revision that changes with each renewal.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Result of checking the list.
@@ -71,7 +71,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct SeenRevision {
-    revision: u64,
+    revision: Revision,
     seen_at: Instant,
 }
 
--- a/crates/relay/tests/relay/leases.rs
+++ b/crates/relay/tests/relay/leases.rs
@@ -23,7 +23,7 @@
 fn list(entries: &[(&str, u64)]) -> Vec<ListedAnnouncement> {
     let listed = entries.iter().map(|(name, revision)| ListedAnnouncement {
         vm: id(name),
-        revision: *revision,
+        revision: Revision::from(*revision),
     });
     listed.collect()
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lookup;
 pub mod model;
 pub mod prelude;
+pub mod revision;
 pub mod size;
 pub mod stored;
 pub mod vm;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -42,6 +42,8 @@
 pub use crate::model::ShardMap;
 pub use crate::model::SnapshotMap;
 pub use crate::model::Team;
+pub use crate::revision::Revision;
+pub use crate::revision::StoreEra;
 pub use crate::size::Bytes;
 pub use crate::size::Connections;
 pub use crate::size::PerSecond;
