fix(edge): VMs announce themselves again after the store was restored, and stay known

Callers would see: a restored store no longer lists VMs that announced themselves after its copy. Each VM took the short list for true (process test: «listed=0 before=18»), and with it the connections to backend servers and the retry slack of all others; and it took its own missing announcement for one that the list does not show yet.

Change: with a new era a VM polls the list soon, spread by name so that the fleet makes at most fifty writes a second, and announces itself unless it is listed; a list of a later era than the announcement is not «too old to show it». A renewal that gets 404 announces.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -4,18 +4,22 @@
 use std::time::Duration;
 
 use gs_actor::Feed;
+use gs_follow::CarriedVms;
 use gs_follow::PollSchedule;
+use gs_follow::reannouncement_delay;
 use gs_relay::Event;
 use gs_relay::Leases;
 use gs_relay::ListedAnnouncement;
 use gs_relay::PeerVm;
 use gs_relay::renewal_interval;
 use gs_store::Backoff;
+use gs_types::prelude::*;
 use tokio::time::Instant;
 
 use crate::directory::Directory;
 use crate::directory::Renewal;
 use crate::directory::VmAnnouncement;
+use crate::directory::VmListing;
 use crate::directory_reachability::DirectoryReachability;
 use crate::register::Register;
 use crate::register::now;
@@ -50,21 +54,24 @@
 /// The announcements known, and this VM's own.
 struct AnnouncementState {
     leases: Leases,
+    carried_vms: CarriedVms,
     /// The number of announcements and renewals written by this process.
     renewals: u64,
     /// When the next renewal is due.
     renew_at: Instant,
-    /// When this process last announced this VM.
-    announced_at: Option<Instant>,
+    /// When this process last announced this VM, and in which era.
+    announced_at: Option<(Instant, Option<StoreEra>)>,
     /// The number of live VMs at the last poll.
     vm_count: usize,
 }
 
 impl AnnouncementState {
-    /// Returns whether a list may still be older than this VM's announcement.
-    fn is_just_announced(&self) -> bool {
+    /// Returns whether a list of an era may still be older than this VM's announcement.
+    ///
+    /// A list of a later era is not: the restored store has lost the announcement.
+    fn is_just_announced(&self, list_era: StoreEra) -> bool {
         self.announced_at
-            .is_some_and(|at| at.elapsed() < LIST_AGE_MAX)
+            .is_some_and(|(at, era)| at.elapsed() < LIST_AGE_MAX && era >= Some(list_era))
     }
 
     /// Returns a renewal that differs from all earlier ones, including those of earlier incarnations of this VM.
@@ -79,6 +86,7 @@
     pub(crate) async fn run(self) {
         let mut state = AnnouncementState {
             leases: Leases::new(self.renewal_interval),
+            carried_vms: CarriedVms::default(),
             renewals: 0,
             // An announcement of an earlier incarnation is renewed soon: it may be about to expire.
             renew_at: Instant::now() + self.renewal_interval / 2,
@@ -91,8 +99,20 @@
         }
         let poll_interval = LIST_POLL_INTERVAL.min(self.renewal_interval);
         let mut schedule = PollSchedule::new(now(), self.first_start, poll_interval);
+        let mut eras = self.directory.eras();
+        let mut era = None;
         loop {
-            tokio::time::sleep(schedule.time_to_next(now())).await;
+            let is_restored = |later: &Option<StoreEra>| era.is_some() && *later > era;
+            tokio::select! {
+                () = tokio::time::sleep(schedule.time_to_next(now())) => {}
+                Ok(later) = eras.wait_for(is_restored) => {
+                    era = *later;
+                    let delay = reannouncement_delay(&self.me.name, state.vm_count);
+                    schedule.poll_within(now(), delay);
+                    continue;
+                }
+            }
+            era = era.or(*eras.borrow());
             if schedule.begin_round(now()) {
                 schedule.on_list_polled(self.poll_list(&mut state).await);
             }
@@ -111,7 +131,7 @@
     /// late to notice.
     async fn poll_list(&self, state: &mut AnnouncementState) -> bool {
         let listed = match self.directory.vms().await {
-            Ok(Some(listing)) => listing.vms,
+            Ok(Some(listing)) => listing,
             Ok(None) => {
                 log::info!("event=vms-not-listed reason=\"no list as recent as the one known\"");
                 return false;
@@ -121,11 +141,12 @@
                 return false;
             }
         };
+        let VmListing { at, vms: listed } = listed;
         let is_listed = listed.iter().any(|a| a.vm == self.me);
-        let is_old = !is_listed && state.is_just_announced();
+        let is_old = !is_listed && state.is_just_announced(at.era);
         let vms = listed.len();
         if !is_old || state.vm_count == 0 {
-            self.apply_list(state, listed).await;
+            self.apply_list(state, at.era, listed).await;
         }
         if is_old {
             log::info!(
@@ -143,7 +164,12 @@
     }
 
     /// Publishes the VMs that are live, and removes expired announcements.
-    async fn apply_list(&self, state: &mut AnnouncementState, listed: Vec<VmAnnouncement>) {
+    async fn apply_list(
+        &self,
+        state: &mut AnnouncementState,
+        era: StoreEra,
+        listed: Vec<VmAnnouncement>,
+    ) {
         let names: Vec<ListedAnnouncement> = listed.iter().map(as_listed).collect();
         let now = Instant::now().into_std();
         let check = state.leases.check(now, &self.me.name, &names);
@@ -151,6 +177,7 @@
         let live: Vec<PeerVm> = live
             .filter(|vm| !check.expired.contains(&vm.name))
             .collect();
+        let live = state.carried_vms.complete(now, era, live);
         if live.len() != state.vm_count {
             log::info!("event=vms listed={} before={}", live.len(), state.vm_count);
             state.vm_count = live.len();
@@ -169,7 +196,7 @@
             tokio::time::sleep(backoff.next_delay()).await;
         }
         self.reachability.on_success("announcement");
-        state.announced_at = Some(Instant::now());
+        state.announced_at = Some((Instant::now(), *self.directory.eras().borrow()));
         state.renew_at = Instant::now() + self.renewal_interval;
     }
 
@@ -179,6 +206,8 @@
             Ok(()) => {
                 state.renew_at = Instant::now() + renewal_interval(self.renewal_interval, vms)
             }
+            // A restored store has lost the announcement.
+            Err(e) if e.kind() == ErrorKind::NotFound => self.announce(state).await,
             // The next poll is early enough: three more renewals may fail before the announcement expires.
             Err(e) => log::info!("event=renewal-failed error=\"{e}\""),
         }
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -5,7 +5,8 @@
 //! differ, a VM that does not query the register reports so, and its follower tries the next candidate.
 //!
 //! [`candidates()`] ranks the VMs, [`SourceSelector`] is the state machine that chooses whom to follow,
-//! [`PollSchedule`] schedules the polls of the list of VMs, and [`Mirror`] holds the known objects of one kind and
+//! [`PollSchedule`] schedules the polls of the list of VMs, [`CarriedVms`] completes lists of a restored store, and
+//! [`Mirror`] holds the known objects of one kind and
 //! their changes, for followers.
 //!
 //! ```
@@ -19,12 +20,15 @@
 //! ```
 
 mod candidates;
+mod carried_vms;
 mod mirror;
 mod poll_schedule;
 mod source_selector;
 
 pub use candidates::DIRECT_VMS;
 pub use candidates::candidates;
+pub use carried_vms::CarriedVms;
+pub use carried_vms::reannouncement_delay;
 pub use mirror::Mirror;
 pub use poll_schedule::PollSchedule;
 pub use source_selector::RegisterSource;
--- a/crates/follow/src/poll_schedule.rs
+++ b/crates/follow/src/poll_schedule.rs
@@ -67,6 +67,11 @@
         now >= self.next_poll
     }
 
+    /// Polls the list within `delay` from now.
+    pub fn poll_within(&mut self, now: Instant, delay: Duration) {
+        self.next_poll = self.next_poll.min(now + delay);
+    }
+
     /// Records that the list was polled in this round, and schedules the next poll.
     ///
     /// After a poll that did not succeed, the next round polls again.
--- a/crates/follow/tests/follow/main.rs
+++ b/crates/follow/tests/follow/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whom VMs follow for the register, and of what they receive.
 
 mod candidates;
+mod carried_vms;
 mod fixtures;
 mod mirror;
 mod poll_schedule;
