fix(edge): write a quarantine again that a restored store has lost

Without it a VM that starts within the 30 s runs a request that crashes servers again: the list of quarantined requests lacks it. The VM that reported it writes it again with each new era.

--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -11,6 +11,7 @@
 use gs_relay::Event;
 use gs_relay::Relay;
 use gs_types::prelude::*;
+use tokio::time::Instant;
 
 use crate::connection_pools::ConnectionPools;
 use crate::directory::Directory;
@@ -45,15 +46,24 @@
 const QUARANTINE_DURATION: Duration = Duration::from_secs(30);
 
 impl RelayShell {
-    /// Lists a request in the directory for the other VMs, and removes it after [`QUARANTINE_DURATION`].
+    /// Lists a request in the directory for the other VMs, also after the directory is restored from an older copy, and
+    /// removes it after [`QUARANTINE_DURATION`].
     fn quarantine(&self, request: Fingerprint) {
         let directory = Arc::clone(&self.directory);
         tokio::spawn(async move {
-            if let Err(e) = directory.quarantine(request).await {
-                log::warn!("event=quarantine-untold request={request} error=\"{e}\"");
-                return;
+            let until = Instant::now() + QUARANTINE_DURATION;
+            let mut eras = directory.eras();
+            loop {
+                let era = *eras.borrow_and_update();
+                if let Err(e) = directory.quarantine(request).await {
+                    log::warn!("event=quarantine-untold request={request} error=\"{e}\"");
+                    return;
+                }
+                let restored = eras.wait_for(|later| *later > era);
+                if tokio::time::timeout_at(until, restored).await.is_err() {
+                    break;
+                }
             }
-            tokio::time::sleep(QUARANTINE_DURATION).await;
             if let Err(e) = directory.release(request).await {
                 log::info!("event=release-failed request={request} error=\"{e}\"");
             }
--- a/tests/relay/restored_store.rs
+++ b/tests/relay/restored_store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_rig::site::BackendFaults;
 use gs_rig::site::CallOutcome;
 
 use crate::support::FOLLOWED_VMS;
@@ -15,6 +16,15 @@
 /// Number of writes that the store loses: more than VMs make by renewing their announcements during a test.
 const LOST_WRITES: u32 = 300;
 
+/// The kind of the objects that quarantine requests.
+const QUARANTINE: &str = "gentiansill-quarantine";
+
+/// Number of repeats after which a request that crashes servers is quarantined, at the latest.
+const REPEATS_MAX: usize = 12;
+
+/// Time within which every VM that finds out about a request that crashes servers has reported it.
+const REPORTS_MAX: Duration = Duration::from_secs(1);
+
 /// Time after which entries that a restored store has lost are written again, at the latest.
 const REWRITE_MAX: Duration = Duration::from_millis(1900);
 
@@ -113,6 +123,35 @@
     assert!(refused.is_empty(), "{refused:?}");
 }
 
+/// Prevents VMs that start from running a request that crashes servers because the store has lost its quarantine.
+#[tokio::test]
+async fn a_quarantine_that_a_restored_store_has_lost_is_written_again() {
+    let r = start_site().await;
+    let copy = r.site.store.copy();
+    for b in r.site.backends.iter().filter(|b| b.service() == "desk") {
+        b.set_faults(BackendFaults {
+            loses: true,
+            ..BackendFaults::default()
+        });
+    }
+    let route = r.route("/one/");
+    let is_quarantined = |r: &TestSite| !r.site.store.names(QUARANTINE).is_empty();
+    let vms = r.site.vms.iter().map(|vm| vm.plan().callers);
+    for addr in vms.cycle().take(REPEATS_MAX) {
+        if is_quarantined(&r) {
+            break;
+        }
+        r.caller.request(addr, &route, "crashes").await;
+    }
+    r.wait_until("the request to be quarantined", is_quarantined)
+        .await;
+    tokio::time::sleep(REPORTS_MAX).await;
+    r.site.store.restore(copy);
+    assert!(!is_quarantined(&r));
+    r.wait_until("the quarantine to be written again", is_quarantined)
+        .await;
+}
+
 /// Prevents a VM that starts before the configuration is written again from serving an older one than its peers.
 #[tokio::test]
 async fn a_vm_that_starts_at_a_restored_store_serves_the_configuration_of_its_peers() {
