fix(edge): a VM that starts applies no older routes than its peers have in force

Callers would see: 404, or the old service, from a VM that starts after the store was restored and before the operators write their configuration again; its peers serve the newer one.

Change: a starting VM asks its peers for the version that they have in force, side by side with its first list, and waits for the first answer (300 ms at most, only where no peer refuses or answers). Routes older than that are not applied; the state of a peer is, as in an outage. If no peer tells its state any more, the older routes are better than none.

--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -109,6 +109,9 @@
     async fn list(&self, state: &mut WatchState) -> Result<()> {
         let listing = self.directory.list(self.kind).await?;
         self.reachability.on_era(listing.at.era);
+        if self.kind == DirectoryKind::Routes {
+            self.shared_state.wait_for_version_min().await;
+        }
         if self.kind == DirectoryKind::Servers {
             state.names.extend(self.shared_state.on_servers_listed());
         }
@@ -168,7 +171,9 @@
             ItemContent::Routes(table) => {
                 let is_new = self.shared_state.apply_table(&table);
                 log::info!("event=routes version={} taken={is_new}", table.version());
-                self.feed.push(Event::Table(table));
+                if is_new {
+                    self.feed.push(Event::Table(table));
+                }
             }
             ItemContent::Server(entry) => {
                 log::debug!(
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -35,6 +35,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use serde::Serialize;
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -85,6 +86,8 @@
 ];
 /// The path at which a starting VM fetches the state of a peer.
 pub(crate) const SEED_STATE_PATH: &str = "/knowledge";
+/// The path at which a starting VM fetches the version of the routes that a peer has in force.
+pub(crate) const ROUTES_VERSION_PATH: &str = "/knowledge/version";
 /// Stands for servers that are not known.
 const UNKNOWN_SERVERS: &str = "*";
 /// The time after which a request rejected for overload may be retried, in milliseconds.
@@ -208,6 +211,9 @@
         if req.uri().path() == SEED_STATE_PATH && !req.headers().contains_key(ID) {
             return self.seed_state();
         }
+        if req.uri().path() == ROUTES_VERSION_PATH && !req.headers().contains_key(ID) {
+            return self.routes_version();
+        }
         if req.uri().path().starts_with(REGISTER_PATH) && !req.headers().contains_key(ID) {
             return self.register.answer(req.uri()).await;
         }
@@ -245,11 +251,20 @@
 impl PeerHandler {
     /// Returns everything that a starting VM must know in order to serve.
     fn seed_state(&self) -> Response<Full<Bytes>> {
-        let seed_state = lock(&self.relay).seed_state();
-        let Some(seed_state) = seed_state.filter(|_| self.relay_client.is_ready()) else {
+        self.if_ready(lock(&self.relay).seed_state())
+    }
+
+    /// Returns the version of the routes in force.
+    fn routes_version(&self) -> Response<Full<Bytes>> {
+        self.if_ready(Some(lock(&self.relay).version()))
+    }
+
+    /// Returns what a starting VM asks for; nothing while this VM is not ready itself.
+    fn if_ready<T: Serialize>(&self, known: Option<T>) -> Response<Full<Bytes>> {
+        let Some(known) = known.filter(|_| self.relay_client.is_ready()) else {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE, "not-ready");
         };
-        match serde_json::to_vec(&seed_state) {
+        match serde_json::to_vec(&known) {
             Ok(body) => Response::new(Full::new(Bytes::from(body))),
             Err(e) => {
                 log::error!("event=knowledge-unwritable error=\"{e}\"");
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -122,7 +122,9 @@
         };
         tokio::spawn(announcer.run());
         // At the first start of the fleet no peer knows more than this VM.
-        if !this.settings.vm.first_start {
+        if this.settings.vm.first_start {
+            this.state.set_version_min(ConfVersion(0));
+        } else {
             let seeder = Seeder {
                 seeds: this.settings.seeds(),
                 peers,
--- a/crates/edge/src/seed.rs
+++ b/crates/edge/src/seed.rs
@@ -1,19 +1,26 @@
-//! Seeds a starting process with the state of a peer while the directory is unreachable.
+//! Seeds a starting process with the state of a peer while the directory is unreachable or out of date.
 //!
 //! A VM that restarts during an outage of the directory knows no routes, and without a seed would accept no callers
 //! until the outage is over; with enough such VMs, a data centre that could serve would serve no callers. A peer's
 //! state is as old as the outage, which is what every VM serves from by then.
+//!
+//! A directory that was restored from an older copy lists an older version of the routes until operators write theirs
+//! again, so a starting process first asks its peers which version they have in force.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use gs_actor::Feed;
 use gs_relay::Event;
 use gs_relay::SeedState;
 use gs_store::Backoff;
 use gs_types::prelude::*;
+use tokio::time::Instant;
 
+use crate::peers::ROUTES_VERSION_PATH;
 use crate::peers::SEED_STATE_PATH;
 use crate::register::PeerClient;
 use crate::register::Register;
@@ -22,6 +29,9 @@
 /// How long to wait for the directory before any peer is queried: a reachable directory answers in milliseconds.
 const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
 
+/// How long to wait for the first peer that tells its version of the routes.
+const VERSION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The timeout of a query to a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,7 +55,10 @@
 impl Seeder {
     /// Queries peers until routes and servers are known.
     pub(crate) async fn run(self) {
-        tokio::time::sleep(DIRECTORY_WAIT).await;
+        let start = Instant::now();
+        let version = self.peer_version().await;
+        self.state.set_version_min(version.unwrap_or_default());
+        tokio::time::sleep_until(start + DIRECTORY_WAIT).await;
         let mut backoff = Backoff::new(BACKOFF_MIN, BACKOFF_MAX, self.seed);
         while !self.state.has_routes_and_servers() {
             for addr in &self.seeds {
@@ -53,10 +66,36 @@
                     return;
                 }
             }
+            self.apply_outdated_table();
             tokio::time::sleep(backoff.next_delay()).await;
         }
     }
 
+    /// Queries all peers for the version of the routes that they have in force; returns the first answer.
+    async fn peer_version(&self) -> Option<ConfVersion> {
+        let path = ROUTES_VERSION_PATH;
+        let query = |addr| self.peers.get::<ConfVersion>(addr, path, VERSION_TIMEOUT);
+        let mut answers: FuturesUnordered<_> = self.seeds.iter().map(|a| query(*a)).collect();
+        while let Some(answer) = answers.next().await {
+            match answer {
+                Ok(version) => return Some(version),
+                Err(e) => log::info!("event=peer-version-unknown error=\"{e}\""),
+            }
+        }
+        None
+    }
+
+    /// Applies routes that are older than those of a peer, as no peer tells its own.
+    fn apply_outdated_table(&self) {
+        let Some(table) = self.state.take_outdated_table() else {
+            return;
+        };
+        log::warn!("event=routes-outdated version={}", table.version());
+        if self.state.apply_table(&table) {
+            self.feed.push(Event::Table(table));
+        }
+    }
+
     /// Queries one peer and applies its state; returns `true` if routes and servers are then known.
     async fn try_peer(&self, addr: SocketAddr) -> bool {
         match self.fetch(addr).await {
--- a/crates/edge/src/shared_state.rs
+++ b/crates/edge/src/shared_state.rs
@@ -11,6 +11,8 @@
 use gs_http::LiveLimits;
 use gs_relay::CallerLimits;
 use gs_relay::RouteTable;
+use gs_types::prelude::*;
+use tokio::sync::watch;
 
 /// The limits on connections before any routes are known; the routes set those of callers from then on.
 pub(crate) const DEFAULT_LIMITS: Limits = Limits {
@@ -24,6 +26,10 @@
 #[derive(Debug, Default)]
 pub(crate) struct SharedState {
     table: Mutex<Option<Arc<RouteTable>>>,
+    /// The least version of the routes to apply, which a peer has in force; `None` until it is known.
+    version_min: watch::Sender<Option<ConfVersion>>,
+    /// The routes that were not applied because they are older than that.
+    outdated_table: Mutex<Option<Arc<RouteTable>>>,
     /// The limits of the callers' server, which follow the routes in force.
     caller_limits: Mutex<Option<LiveLimits>>,
     has_servers: AtomicBool,
@@ -33,8 +39,33 @@
 }
 
 impl SharedState {
-    /// Applies a version of the routes; returns `false` if it is not newer than the one in force.
+    /// Sets the least version of the routes to apply.
+    pub(crate) fn set_version_min(&self, version: ConfVersion) {
+        self.version_min.send_replace(Some(version));
+    }
+
+    /// Waits until the least version of the routes to apply is known.
+    pub(crate) async fn wait_for_version_min(&self) {
+        let mut version_min = self.version_min.subscribe();
+        if version_min.wait_for(Option::is_some).await.is_err() {
+            log::error!("event=version-min-unknown");
+        }
+    }
+
+    /// Takes the routes that were not applied because they are older than the least version, which applies no longer.
+    pub(crate) fn take_outdated_table(&self) -> Option<Arc<RouteTable>> {
+        let table = lock(&self.outdated_table).take()?;
+        self.set_version_min(ConfVersion(0));
+        Some(table)
+    }
+
+    /// Applies a version of the routes; returns `false` if it is not newer than the one in force, or older than the
+    /// least version.
     pub(crate) fn apply_table(&self, table: &Arc<RouteTable>) -> bool {
+        if *self.version_min.borrow() > Some(table.version()) {
+            *lock(&self.outdated_table) = Some(Arc::clone(table));
+            return false;
+        }
         let mut current = lock(&self.table);
         let is_newer = current
             .as_ref()
