--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -1,6 +1,7 @@
 //! Distribution of the register: in each data centre two direct VMs query the store and the others follow them.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_rig::site::LinkFault;
 use gs_rig::site::StoreFault;
@@ -20,6 +21,12 @@
 /// A VM of the first data centre that follows the direct VMs.
 const FOLLOWER: usize = 3;
 
+/// All VMs of the first data centre that follow the direct VMs.
+const FOLLOWERS: [usize; 4] = [3, 6, 9, 15];
+
+/// Time in which the list of VMs is polled several times, and the backoff of a failed peer ends.
+const SEVERAL_POLLS: Duration = Duration::from_secs(8);
+
 /// Duration after which the lease of a VM has expired, with [`VMS`] VMs that renew every second.
 const LEASE_EXPIRY: Duration = Duration::from_secs(14);
 
@@ -107,6 +114,46 @@
     wait_until_in_force(&mut r, &all_but(&[direct_vm]), &route).await;
 }
 
+/// Prevents followers from receiving a change too late when all direct VMs of their data centre are silently
+/// partitioned from the store, some time before the change.
+#[rstest]
+#[tokio::test]
+async fn a_change_reaches_the_followers_of_two_direct_vms_partitioned_from_the_store_in_time(
+    #[values(0, 300, 900, 1500)] before_ms: u64,
+) {
+    let mut r = start_followed_site().await;
+    for vm in DIRECT_VMS {
+        r.site.store_links[vm].set_fault(LinkFault::Silent);
+    }
+    tokio::time::sleep(Duration::from_millis(before_ms)).await;
+    let route = add_route(&mut r, "/new/");
+    wait_until_in_force(&mut r, &all_but(&DIRECT_VMS), &route).await;
+}
+
+/// Prevents a follower that turned to the store from turning back to a direct VM that is still partitioned from it.
+#[tokio::test]
+async fn a_follower_does_not_return_to_a_direct_vm_that_stays_partitioned() {
+    let r = start_followed_site().await;
+    for vm in DIRECT_VMS {
+        r.site.store_links[vm].set_fault(LinkFault::Silent);
+    }
+    let direct_names = DIRECT_VMS.map(|vm| r.site.vms[vm].plan().name.clone());
+    let follows_direct = |r: &TestSite| {
+        let sources = FOLLOWERS.map(|vm| r.register_source(vm).unwrap_or_default());
+        sources.iter().any(|source| direct_names.contains(source))
+    };
+    r.wait_until("the followers to choose other sources", |r| {
+        !follows_direct(r)
+    })
+    .await;
+    let end = Instant::now() + SEVERAL_POLLS;
+    while Instant::now() < end {
+        let lines = || r.log_lines(&["event=register-", "event=directory-"]);
+        assert!(!follows_direct(&r), "{}", lines());
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 /// Prevents a follower that is partitioned from the store from missing changes that its peers have.
 #[tokio::test]
 async fn a_follower_partitioned_from_the_store_stays_up_to_date() {
