fix(edge): a follower whose peers are all cut from the store asks it itself

Cause: the stages of suspicion ran one after the other, and nothing added them up: the direct VM's heartbeat (1.5 s) and its timeout (1.5 s), the follower's heartbeat (1.5 s), a second one, as one answer of the store in hand did not count (1.5 s). Over 6 s at the worst. When a follower turned to the store, the end of a peer's backoff took it back to a peer that was still cut off.

Change: a follower that finds its peer overdue asks all candidates side by side, and then the store at once; that answer decides. So that the end of a short outage is not taken for a cut of the candidates, a VM that the store has not answered for 2 s calls it before it answers (150 ms). An overdue peer does not count as connected in the heartbeat either. A peer that failed is followed again when it answers a query, not when its backoff ends.

--- a/crates/edge/src/register/answers.rs
+++ b/crates/edge/src/register/answers.rs
@@ -92,11 +92,14 @@
                 let listing = self.if_platform_reachable(self.cache.vms());
                 json_response(&listing.map_or(PeerVmListing::NotYet, PeerVmListing::from))
             }
-            PeerQuery::PlatformStatus => json_response(&PlatformStatus {
-                is_in_touch: self.is_platform_reachable.load(Ordering::Relaxed),
-                heard_ms: self.last_contact_ms(),
-                quarantined: self.cache.quarantined(),
-            }),
+            PeerQuery::PlatformStatus => {
+                self.probe_if_overdue().await;
+                json_response(&PlatformStatus {
+                    is_in_touch: self.is_platform_reachable.load(Ordering::Relaxed),
+                    heard_ms: self.last_contact_ms(),
+                    quarantined: self.cache.quarantined(),
+                })
+            }
         }
     }
 
--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -2,9 +2,13 @@
 //!
 //! The followed peer may be partitioned from the platform without notice. Its own heartbeat shows that after its
 //! timeout, and this VM's next heartbeat after that; together they take longer than a change may take to arrive.
+//!
+//! If all candidates are overdue, this VM asks the platform itself. Each candidate that is asked calls the platform
+//! before it answers, so that an outage which has just ended is not mistaken for a partition of the candidates.
 
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use gs_actor::lock;
 use gs_relay::PeerVm;
 use tokio::time::Instant;
@@ -20,35 +24,73 @@
 /// The least time between two rounds of queries to the other peers.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The timeout of the call with which an overdue VM checks whether it reaches the platform; the peer that asked waits.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
 impl Register {
-    /// Follows another peer if the platform answered that peer recently while the followed one is overdue.
+    /// Follows another peer, or queries the platform directly, if the platform answered that peer or this VM recently
+    /// while the followed peer is overdue.
     ///
     /// `last_contact_ms` is the time since the platform last answered the followed peer, in milliseconds.
     pub(super) async fn check_overdue(&self, followed: &PeerVm, last_contact_ms: u64) {
         if !is_overdue(last_contact_ms) || !self.may_poll_peers() {
             return;
         }
+        let (current, overdue) = self.query_peer_contacts().await;
+        if let Some(vm) = current {
+            log::info!(
+                "event=register-peer-overdue peer={} heard_ms={last_contact_ms} other={}",
+                followed.name,
+                vm.name
+            );
+            self.update_selector(|s| s.on_peer_connected(&vm, std::slice::from_ref(followed)));
+            return;
+        }
+        match self.record_platform_call(self.platform.quarantined().await) {
+            Ok(_) => {
+                log::info!(
+                    "event=register-peer-overdue peer={} heard_ms={last_contact_ms} other=register",
+                    followed.name
+                );
+                self.update_selector(|s| s.on_peers_overdue(now(), &overdue));
+            }
+            // The heartbeat shows the outage, and its end.
+            Err(e) => log::info!("event=register-peers-overdue error=\"{e}\""),
+        }
+    }
+
+    /// Queries all peers at the same time for their last contact to the platform; returns the most preferred one that
+    /// had a recent one, and those that answered but had none.
+    async fn query_peer_contacts(&self) -> (Option<PeerVm>, Vec<PeerVm>) {
         let peers = lock(&self.selector).peers_to_query(now());
-        for vm in peers.iter().filter(|vm| vm.name != followed.name) {
-            match self
-                .query_peer::<PlatformStatus>(vm, PLATFORM_STATUS, Duration::ZERO)
-                .await
-            {
-                Ok(status) if status.is_in_touch && !is_overdue(status.heard_ms) => {
-                    log::info!(
-                        "event=register-peer-overdue peer={} heard_ms={last_contact_ms} other={}",
-                        followed.name,
-                        vm.name
-                    );
-                    self.update_selector(|s| {
-                        s.on_peer_connected(vm, std::slice::from_ref(followed))
-                    });
-                    return;
-                }
-                Ok(_) => {}
-                Err(e) => self.on_peer_failed(vm, &e),
+        let queries = peers
+            .iter()
+            .map(|vm| self.query_peer::<PlatformStatus>(vm, PLATFORM_STATUS, Duration::ZERO));
+        let answers = join_all(queries).await;
+        let mut current = None;
+        let mut overdue = Vec::new();
+        for (vm, answer) in peers.into_iter().zip(answers) {
+            match answer {
+                Ok(status) if is_current(&status) => current = current.or(Some(vm)),
+                Ok(_) => overdue.push(vm),
+                Err(e) => self.on_peer_failed(&vm, &e),
             }
         }
+        (current, overdue)
+    }
+
+    /// Calls the platform if it has not answered for long, so that a peer that asks learns whether it does now.
+    pub(super) async fn probe_if_overdue(&self) {
+        if !is_overdue(self.last_contact_ms()) {
+            return;
+        }
+        // A call that takes longer shows nothing yet; the heartbeat does.
+        let call = tokio::time::timeout(PROBE_TIMEOUT, self.platform.quarantined());
+        if let Ok(result) = call.await
+            && let Err(e) = self.record_platform_call(result)
+        {
+            log::info!("event=register-probe-failed error=\"{e}\"");
+        }
     }
 
     /// Returns whether to query the other peers now, and records that; in an outage the heartbeat queries them.
@@ -65,6 +107,11 @@
     }
 }
 
+/// Returns whether the platform answered a peer recently.
+pub(super) fn is_current(status: &PlatformStatus) -> bool {
+    status.is_in_touch && !is_overdue(status.heard_ms)
+}
+
 fn is_overdue(last_contact_ms: u64) -> bool {
     Duration::from_millis(last_contact_ms) >= OVERDUE_THRESHOLD
 }
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -18,6 +18,7 @@
 use crate::directory::VmListing;
 use crate::register::Register;
 use crate::register::now;
+use crate::register::overdue::is_current;
 use crate::register::wire::PLATFORM_STATUS;
 use crate::register::wire::PeerListing;
 use crate::register::wire::PeerObjects;
@@ -126,7 +127,7 @@
                 .query_peer::<PlatformStatus>(&vm, PLATFORM_STATUS, Duration::ZERO)
                 .await
             {
-                Ok(status) if status.is_in_touch => {
+                Ok(status) if is_current(&status) => {
                     return match self
                         .update_selector(|selector| selector.on_peer_connected(&vm, &unreachable))
                     {
--- a/crates/follow/src/source_selector.rs
+++ b/crates/follow/src/source_selector.rs
@@ -22,6 +22,9 @@
 /// The largest number of doublings of that backoff, which leads to about half a minute.
 const BACKOFF_DOUBLINGS_MAX: u32 = 4;
 
+/// How long after its backoff a failed peer is followed again without having shown that it reaches the register.
+const PEER_TRUST_DELAY: Duration = Duration::from_secs(60);
+
 /// The number of times in a row that the register must answer this VM, while its peers report that they cannot
 /// reach it, before this VM queries it directly. The peers usually reconnect to it a moment later, and a fleet
 /// whose VMs all queried it at the end of an outage would overload it.
@@ -181,10 +184,26 @@
         self.source == RegisterSource::Register
     }
 
+    /// Records that the register answered this VM although it has not answered these peers for too long, and queries it
+    /// directly from now on.
+    ///
+    /// No second answer is needed: the peers had the chance to reconnect when they were asked.
+    pub fn on_peers_overdue(&mut self, now: Instant, peers: &[PeerVm]) {
+        self.only_self_connected = 0;
+        for vm in peers {
+            self.on_peer_failed(now, &vm.name);
+        }
+    }
+
     /// Keeps following the present peer if it is a usable candidate, else chooses the first usable one, or the
     /// register if there is none.
     fn choose(&mut self, now: Instant) {
-        let is_usable = |vm: &PeerVm| !self.is_backing_off(now, &vm.name);
+        // A peer that failed is followed again once it answers a query: it may still be partitioned from the register
+        // when its backoff is over.
+        let is_usable = |vm: &PeerVm| {
+            let failure = self.backoffs.get(&vm.name);
+            failure.is_none_or(|b| b.until + PEER_TRUST_DELAY <= now)
+        };
         let mut usable = self.candidates.iter().filter(|vm| is_usable(vm));
         let followed = match &self.source {
             RegisterSource::Peer(vm) => usable.clone().find(|c| c.name == vm.name),
