perf(edge): the calls that overdue peers cause are shared and end with an outage

Followers that ask at the same time wait for one call; a follower that the store does not answer within 500 ms takes it for an outage, which the heartbeat ends; changes in a peer's answer are applied before anybody is asked.

--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -68,6 +68,8 @@
     last_contact: Mutex<Instant>,
     /// When the other peers were last queried because the followed one was overdue.
     peers_polled_at: Mutex<Option<Instant>>,
+    /// When this VM last called the platform because a peer asked whether it reaches it.
+    probed_at: tokio::sync::Mutex<Option<Instant>>,
     cache: RegisterCache,
     /// How long a watch at a peer waits for a change.
     peer_watch_wait: Duration,
@@ -101,6 +103,7 @@
             is_platform_reachable: AtomicBool::new(false),
             last_contact: Mutex::new(Instant::now()),
             peers_polled_at: Mutex::default(),
+            probed_at: tokio::sync::Mutex::default(),
             cache: RegisterCache::default(),
             peer_watch_wait: opts
                 .drain
--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -10,6 +10,7 @@
 
 use futures_util::future::join_all;
 use gs_actor::lock;
+use gs_follow::SourceSelector;
 use gs_relay::PeerVm;
 use tokio::time::Instant;
 
@@ -21,12 +22,15 @@
 /// The age of the last contact to the platform at which a peer is overdue: longer than a heartbeat and its answer take.
 const OVERDUE_THRESHOLD: Duration = Duration::from_secs(2);
 
-/// The least time between two rounds of queries to the other peers.
+/// The least time between two rounds of queries to the other peers, and between two calls that they cause.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
 /// The timeout of the call with which an overdue VM checks whether it reaches the platform; the peer that asked waits.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The timeout of the call with which a VM whose peers are all overdue checks whether it reaches the platform itself.
+const SELF_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
 impl Register {
     /// Follows another peer, or queries the platform directly, if the platform answered that peer or this VM recently
     /// while the followed peer is overdue.
@@ -46,17 +50,28 @@
             self.update_selector(|s| s.on_peer_connected(&vm, std::slice::from_ref(followed)));
             return;
         }
-        match self.record_platform_call(self.platform.quarantined().await) {
-            Ok(_) => {
-                log::info!(
-                    "event=register-peer-overdue peer={} heard_ms={last_contact_ms} other=register",
-                    followed.name
-                );
-                self.update_selector(|s| s.on_peers_overdue(now(), &overdue));
-            }
-            // The heartbeat shows the outage, and its end.
-            Err(e) => log::info!("event=register-peers-overdue error=\"{e}\""),
+        if !self.probe(SELF_PROBE_TIMEOUT).await {
+            // The heartbeat shows when the platform answers again.
+            self.update_selector(SourceSelector::on_no_peer_connected);
+            return;
+        }
+        log::info!(
+            "event=register-peer-overdue peer={} heard_ms={last_contact_ms} other=register",
+            followed.name
+        );
+        self.update_selector(|s| s.on_peers_overdue(now(), &overdue));
+    }
+
+    /// Returns whether the platform answers a call in time.
+    async fn probe(&self, timeout: Duration) -> bool {
+        let Ok(result) = tokio::time::timeout(timeout, self.platform.quarantined()).await else {
+            return false;
+        };
+        let result = self.record_platform_call(result);
+        if let Err(e) = &result {
+            log::info!("event=register-probe-failed error=\"{e}\"");
         }
+        result.is_ok()
     }
 
     /// Queries all peers at the same time for their last contact to the platform; returns the most preferred one that
@@ -81,16 +96,14 @@
 
     /// Calls the platform if it has not answered for long, so that a peer that asks learns whether it does now.
     pub(super) async fn probe_if_overdue(&self) {
-        if !is_overdue(self.last_contact_ms()) {
+        // Peers that ask at the same time wait for the same call.
+        let mut probed_at = self.probed_at.lock().await;
+        let is_probed = probed_at.is_some_and(|at| at.elapsed() < PEER_POLL_INTERVAL);
+        if is_probed || !is_overdue(self.last_contact_ms()) {
             return;
         }
-        // A call that takes longer shows nothing yet; the heartbeat does.
-        let call = tokio::time::timeout(PROBE_TIMEOUT, self.platform.quarantined());
-        if let Ok(result) = call.await
-            && let Err(e) = self.record_platform_call(result)
-        {
-            log::info!("event=register-probe-failed error=\"{e}\"");
-        }
+        self.probe(PROBE_TIMEOUT).await;
+        *probed_at = Some(Instant::now());
     }
 
     /// Returns whether to query the other peers now, and records that; in an outage the heartbeat queries them.
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -99,7 +99,9 @@
         let Revision { era, number } = after;
         let what = format!("{kind}?era={era}&after={number}&wait-ms={wait_ms}");
         let answer: PeerObjects = self.query_peer(vm, &what, wait).await?;
-        self.check_overdue(vm, answer.heard_ms).await;
+        if answer.items.is_empty() {
+            self.check_overdue(vm, answer.heard_ms).await;
+        }
         Ok(Changes {
             at: answer.revision().max(after),
             items: answer.items.into_iter().map(Item::from).collect(),
