test(rig): a soak restores the store from copies up to 2.5 s old

Copies are drawn beside the other faults, from a generator of their own, so that known seeds draw what they drew. Operators and servers write again within 1.9 s. A soak now ends on a route that is added after the last fault: a VM that hears of no change has not recovered.

--- a/crates/rig/src/site/setup.rs
+++ b/crates/rig/src/site/setup.rs
@@ -17,6 +17,7 @@
 use super::caller::SiteCaller;
 use super::config::SiteConfig;
 use super::config::SiteRoute;
+use super::objects::LostWrite;
 use super::proxy::FaultProxy;
 use super::store::Store;
 use super::traffic::RepeatBudget;
@@ -182,6 +183,13 @@
         self.config.version += 3;
         self.store.put("config", "main", self.config.spec());
     }
+
+    /// Writes again what a restored store has lost, the configuration as it is by now.
+    pub fn rewrite(&self, mut lost: Vec<LostWrite>) {
+        lost.retain(|w| w.kind != "config");
+        self.store.rewrite(lost);
+        self.store.put("config", "main", self.config.spec());
+    }
 }
 
 fn route(
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -6,6 +6,7 @@
 //! VMs together may make, and complete pages again once the faults are over.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 
 use super::backend::BackendFaults;
 use super::caller::CallOutcome;
+use super::objects::LostWrite;
 use super::proxy::LinkFault;
 use super::recovery;
 use super::setup::DEFAULT_REPEAT_BUDGET;
@@ -29,12 +31,19 @@
 use super::setup::SiteOptions;
 use super::soak_load::Load;
 use super::soak_load::ObservedRequest;
+use super::store::StoreCopy;
 use super::store::StoreFault;
 use super::traffic::RepeatBudget;
 
 /// The maximum number of violations that are reported.
 const VIOLATIONS_MAX: usize = 20;
 
+/// The probability that a copy of the store is made after a fault, from which the store is restored.
+const RESTORE_PROBABILITY: f64 = 0.1;
+
+/// The time after a restore within which operators and servers write again what the store has lost, in milliseconds.
+const REWRITE_DELAY_MAX_MS: u64 = 1900;
+
 /// The repeats allowed for each VM in addition to the ratio: so few that the faults of a soak use them up.
 const SLACK_PER_VM: f64 = 10.0;
 
@@ -55,6 +64,10 @@
     /// The number of shards.
     #[builder(default = 6)]
     pub shards: usize,
+    /// Whether the store is also restored from copies. These faults are drawn by themselves, so that a seed draws the
+    /// same other faults with and without them.
+    #[builder(default = true)]
+    pub store_restores: bool,
 }
 
 /// The result of a soak.
@@ -126,8 +139,11 @@
         site: Site::start(site).await?,
         repeats,
         rng: ChaCha8Rng::seed_from_u64(options.seed),
+        restore_rng: ChaCha8Rng::seed_from_u64(!options.seed),
         pending_repairs: Vec::new(),
         outages: Vec::new(),
+        store_copies: VecDeque::new(),
+        lost_writes: Vec::new(),
         report: SoakReport::default(),
     };
     let load = Load::start(&active.site);
@@ -136,8 +152,12 @@
         let wait = active.rng.random_range(100..700);
         active.sleep_and_repair(Duration::from_millis(wait)).await?;
         active.inject_fault().await?;
+        if options.store_restores {
+            active.copy_store();
+        }
     }
     active.repair_all().await?;
+    active.site.configure(recovery::add_route);
     let unrecovered = recovery::unrecovered_vms(&active.site).await;
     active.report.violations.extend(unrecovered);
     let requests = load.stop().await;
@@ -151,9 +171,15 @@
     site: Site,
     repeats: RepeatBudget,
     rng: ChaCha8Rng,
+    /// Draws when the store is restored.
+    restore_rng: ChaCha8Rng,
     /// The repairs that end the injected faults, with their times.
     pending_repairs: Vec<(Instant, Repair)>,
     outages: Vec<Outage>,
+    /// The copies from which the store is to be restored, the oldest first.
+    store_copies: VecDeque<StoreCopy>,
+    /// What the store has lost and operators and servers have not written again.
+    lost_writes: Vec<LostWrite>,
     report: SoakReport,
 }
 
@@ -166,6 +192,10 @@
     ServerFaults(usize),
     ServerLink(usize),
     Store,
+    /// Restores the store from the oldest copy that was made for it.
+    StoreRestore,
+    /// Writes again what the restored store has lost.
+    StoreRewrite,
     StoreLink(usize),
 }
 
@@ -326,15 +356,39 @@
             }
             Repair::ServerLink(server) => site.backends[server].link().set_fault(LinkFault::None),
             Repair::Store => site.store.set_fault(StoreFault::None),
+            Repair::StoreRestore => self.restore_store(),
+            Repair::StoreRewrite => site.rewrite(std::mem::take(&mut self.lost_writes)),
             Repair::StoreLink(vm) => site.store_links[vm].set_fault(LinkFault::None),
         }
         Ok(())
     }
 
+    /// Makes a copy of the store now and then, from which it is restored up to some seconds later.
+    fn copy_store(&mut self) {
+        if !self.restore_rng.random_bool(RESTORE_PROBABILITY) {
+            return;
+        }
+        let age = Duration::from_millis(self.restore_rng.random_range(200..2500));
+        self.report.faults.push(format!("store-restore {age:?}"));
+        self.store_copies.push_back(self.site.store.copy());
+        self.pending_repairs
+            .push((Instant::now() + age, Repair::StoreRestore));
+    }
+
+    /// Restores the store, and schedules when operators and servers write again what it has lost.
+    fn restore_store(&mut self) {
+        let Some(copy) = self.store_copies.pop_front() else {
+            return;
+        };
+        self.lost_writes.extend(self.site.store.restore(copy));
+        let delay = Duration::from_millis(self.restore_rng.random_range(0..REWRITE_DELAY_MAX_MS));
+        self.pending_repairs
+            .push((Instant::now() + delay, Repair::StoreRewrite));
+    }
+
     /// Waits for and makes all pending repairs.
     async fn repair_all(&mut self) -> Result<()> {
-        let last = self.pending_repairs.iter().map(|(at, _)| *at).max();
-        if let Some(last) = last {
+        while let Some(last) = self.pending_repairs.iter().map(|(at, _)| *at).max() {
             self.sleep_and_repair(last.saturating_duration_since(Instant::now()))
                 .await?;
         }
--- a/tests/relay/soak.rs
+++ b/tests/relay/soak.rs
@@ -9,13 +9,15 @@
 
 /// Runs one seed and checks that the promises hold.
 #[rstest]
-#[case::seed_1(1, 3, Duration::from_secs(6))]
-#[case::seed_33109(33109, 18, Duration::from_secs(8))]
+#[case::seed_1(1, 3, Duration::from_secs(6), false)]
+#[case::seed_33109(33109, 18, Duration::from_secs(8), false)]
+#[case::store_restored(36, 18, Duration::from_secs(8), true)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_soak_run_finds_no_violations(
     #[case] seed: u64,
     #[case] vms: usize,
     #[case] length: Duration,
+    #[case] store_restores: bool,
 ) {
     let dir = tempfile::tempdir().expect("a folder");
     let options = SoakOptions::builder()
@@ -24,6 +26,7 @@
         .seed(seed)
         .length(length)
         .vms(vms)
+        .store_restores(store_restores)
         .build();
     let report = soak(options).await.expect("the site starts");
     assert!(report.violations.is_empty(), "{report:#?}");
