--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -23,6 +23,7 @@
 use gs_actor::lock;
 use gs_follow::RegisterSource;
 use gs_follow::SourceSelector;
+use gs_follow::peer_watch_wait;
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
 use tokio::sync::watch;
@@ -38,14 +39,6 @@
 use crate::directory::Listing;
 use crate::register::cache::RegisterCache;
 
-/// The time that a watch at a peer waits, as a fraction of the time that a removed server continues to serve. A silent
-/// peer is noticed soon after the wait is over.
-const PEER_WATCH_WAIT_FRACTION: f64 = 0.1;
-
-/// The least and the greatest wait of a watch at a peer.
-const PEER_WATCH_WAIT_RANGE: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_secs(1));
-
 /// How long after its start this VM waits for the list of VMs before it queries the register directly, and retries
 /// peers that start together with it.
 const SOURCE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -89,7 +82,6 @@
         peers: Arc<PeerClient>,
         opts: RegisterOptions,
     ) -> Self {
-        let (wait_min, wait_max) = PEER_WATCH_WAIT_RANGE;
         let mut selector = SourceSelector::new(opts.vm, opts.data_centre);
         if !opts.may_follow {
             selector.default_to_register();
@@ -105,10 +97,7 @@
             peers_polled_at: Mutex::default(),
             probed_at: tokio::sync::Mutex::default(),
             cache: RegisterCache::default(),
-            peer_watch_wait: opts
-                .drain
-                .mul_f64(PEER_WATCH_WAIT_FRACTION)
-                .clamp(wait_min, wait_max),
+            peer_watch_wait: peer_watch_wait(opts.drain),
             may_follow: opts.may_follow,
             started_at: Instant::now(),
             source_timeout: if opts.first_start {
--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -10,7 +10,9 @@
 
 use futures_util::future::join_all;
 use gs_actor::lock;
+use gs_follow::PEER_PROBE_TIMEOUT;
 use gs_follow::SourceSelector;
+use gs_follow::is_overdue;
 use gs_relay::PeerVm;
 use tokio::time::Instant;
 
@@ -19,15 +21,9 @@
 use crate::register::wire::PLATFORM_STATUS;
 use crate::register::wire::PlatformStatus;
 
-/// The age of the last contact to the platform at which a peer is overdue: longer than a heartbeat and its answer take.
-const OVERDUE_THRESHOLD: Duration = Duration::from_secs(2);
-
 /// The least time between two rounds of queries to the other peers, and between two calls that they cause.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(300);
 
-/// The timeout of the call with which an overdue VM checks whether it reaches the platform; the peer that asked waits.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// The timeout of the call with which a VM whose peers are all overdue checks whether it reaches the platform itself.
 const SELF_PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -37,7 +33,7 @@
     ///
     /// `last_contact_ms` is the time since the platform last answered the followed peer, in milliseconds.
     pub(super) async fn check_overdue(&self, followed: &PeerVm, last_contact_ms: u64) {
-        if !is_overdue(last_contact_ms) || !self.may_poll_peers() {
+        if !is_overdue(Duration::from_millis(last_contact_ms)) || !self.may_poll_peers() {
             return;
         }
         let (current, overdue) = self.query_peer_contacts().await;
@@ -99,10 +95,10 @@
         // Peers that ask at the same time wait for the same call.
         let mut probed_at = self.probed_at.lock().await;
         let is_probed = probed_at.is_some_and(|at| at.elapsed() < PEER_POLL_INTERVAL);
-        if is_probed || !is_overdue(self.last_contact_ms()) {
+        if is_probed || !is_overdue(Duration::from_millis(self.last_contact_ms())) {
             return;
         }
-        self.probe(PROBE_TIMEOUT).await;
+        self.probe(PEER_PROBE_TIMEOUT).await;
         *probed_at = Some(Instant::now());
     }
 
@@ -122,9 +118,5 @@
 
 /// Returns whether the platform answered a peer recently.
 pub(super) fn is_current(status: &PlatformStatus) -> bool {
-    status.is_in_touch && !is_overdue(status.heard_ms)
-}
-
-fn is_overdue(last_contact_ms: u64) -> bool {
-    Duration::from_millis(last_contact_ms) >= OVERDUE_THRESHOLD
+    status.is_in_touch && !is_overdue(Duration::from_millis(status.heard_ms))
 }
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gs_actor::lock;
+use gs_follow::PEER_ANSWER_TIMEOUT;
 use gs_follow::SourceSelector;
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
@@ -27,9 +28,6 @@
 use crate::register::wire::REGISTER_PATH;
 use crate::register::wire::VMS;
 
-/// The timeout of a query to a peer on top of the time that it may wait; peers are in the same data centre.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// The time between two list queries to a peer that has no list yet.
 const LIST_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -46,7 +44,9 @@
     ) -> Result<T> {
         self.peer_queries.fetch_add(1, Ordering::Relaxed);
         let path = format!("{REGISTER_PATH}{what}");
-        self.peers.get(vm.addr, &path, wait + ANSWER_TIMEOUT).await
+        self.peers
+            .get(vm.addr, &path, wait + PEER_ANSWER_TIMEOUT)
+            .await
     }
 
     /// Queries a peer for all objects of a kind; returns `None` while the peer has no list itself, or none of the era
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -22,6 +22,7 @@
 mod candidates;
 mod carried_vms;
 mod mirror;
+mod overdue;
 mod poll_schedule;
 mod source_selector;
 
@@ -30,6 +31,11 @@
 pub use carried_vms::CarriedVms;
 pub use carried_vms::reannouncement_delay;
 pub use mirror::Mirror;
+pub use overdue::OVERDUE_THRESHOLD;
+pub use overdue::PEER_ANSWER_TIMEOUT;
+pub use overdue::PEER_PROBE_TIMEOUT;
+pub use overdue::is_overdue;
+pub use overdue::peer_watch_wait;
 pub use poll_schedule::PollSchedule;
 pub use source_selector::RegisterSource;
 pub use source_selector::SourceSelector;
--- a/crates/follow/tests/follow/main.rs
+++ b/crates/follow/tests/follow/main.rs
@@ -4,5 +4,6 @@
 mod carried_vms;
 mod fixtures;
 mod mirror;
+mod overdue;
 mod poll_schedule;
 mod source_selector;
