--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -201,12 +201,12 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Unavailable`] if the answer is older than what this VM knows, as one that arrives after the store
-    /// was restored.
+    /// [`ErrorKind::Unavailable`] if the answer is of an earlier era than what this VM knows, as one that arrives after
+    /// the store was restored.
     async fn list_platform(&self, kind: DirectoryKind) -> Result<Listing> {
         let listing = self.record_platform_call(self.platform.list(kind).await)?;
         let known = self.cache.revision(kind);
-        if listing.at < known {
+        if listing.at.era < known.era {
             let text = format!("listed at {}, older than {known}", listing.at);
             return Err(Error::new(ErrorKind::Unavailable, text).at(format!("list {kind}")));
         }
