--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -60,7 +60,9 @@
 
     /// Returns whether the platform answers a call in time.
     async fn probe(&self, timeout: Duration) -> bool {
-        let Ok(result) = tokio::time::timeout(timeout, self.platform.quarantined()).await else {
+        let call = tokio::time::timeout(timeout, self.platform.quarantined());
+        let Ok(result) = call.await else {
+            log::info!("event=register-probe-failed error=\"no answer within {timeout:?}\"");
             return false;
         };
         let result = self.record_platform_call(result);
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -14,8 +14,10 @@
 mod recovery;
 mod setup;
 mod soak;
+mod soak_faults;
 mod soak_load;
 mod store;
+mod store_restores;
 mod traffic;
 mod vm;
 
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -6,7 +6,6 @@
 //! VMs together may make, and complete pages again once the faults are over.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::PoisonError;
 use std::time::Duration;
@@ -23,27 +22,22 @@
 
 use super::backend::BackendFaults;
 use super::caller::CallOutcome;
-use super::objects::LostWrite;
 use super::proxy::LinkFault;
 use super::recovery;
 use super::setup::DEFAULT_REPEAT_BUDGET;
 use super::setup::Site;
 use super::setup::SiteOptions;
+use super::soak_faults::Fault;
+use super::soak_faults::Repair;
 use super::soak_load::Load;
 use super::soak_load::ObservedRequest;
-use super::store::StoreCopy;
 use super::store::StoreFault;
+use super::store_restores::StoreRestores;
 use super::traffic::RepeatBudget;
 
 /// The maximum number of violations that are reported.
 const VIOLATIONS_MAX: usize = 20;
 
-/// The probability that a copy of the store is made after a fault, from which the store is restored.
-const RESTORE_PROBABILITY: f64 = 0.1;
-
-/// The time after a restore within which operators and servers write again what the store has lost, in milliseconds.
-const REWRITE_DELAY_MAX_MS: u64 = 1900;
-
 /// The repeats allowed for each VM in addition to the ratio: so few that the faults of a soak use them up.
 const SLACK_PER_VM: f64 = 10.0;
 
@@ -81,36 +75,6 @@
     pub violations: Vec<String>,
 }
 
-/// A kind of injected fault.
-#[derive(Clone, Copy, Debug, strum::EnumIter, strum::Display)]
-#[strum(serialize_all = "kebab-case")]
-enum Fault {
-    VmTerm,
-    VmKill,
-    VmPause,
-    VmReload,
-    ServerCrash,
-    ServerPause,
-    ServerLoses,
-    ServerTruncates,
-    ServerCrosses,
-    ServerSheds,
-    ServerFails,
-    ServerLinkDelay,
-    ServerLinkReset,
-    ServerLinkSilent,
-    ServerLinkOneWay,
-    StoreBusy,
-    StoreSilent,
-    StoreLost,
-    StoreSlow,
-    StoreForgets,
-    StoreLinkReset,
-    StoreLinkSilent,
-    StoreLinkOneWay,
-    Configure,
-}
-
 /// A period in which a VM may cut requests, because it was killed or paused.
 struct Outage {
     vm: usize,
@@ -139,11 +103,9 @@
         site: Site::start(site).await?,
         repeats,
         rng: ChaCha8Rng::seed_from_u64(options.seed),
-        restore_rng: ChaCha8Rng::seed_from_u64(!options.seed),
         pending_repairs: Vec::new(),
         outages: Vec::new(),
-        store_copies: VecDeque::new(),
-        lost_writes: Vec::new(),
+        restores: StoreRestores::new(options.seed),
         report: SoakReport::default(),
     };
     let load = Load::start(&active.site);
@@ -153,7 +115,14 @@
         active.sleep_and_repair(Duration::from_millis(wait)).await?;
         active.inject_fault().await?;
         if options.store_restores {
-            active.copy_store();
+            let copied = active.restores.copy(&active.site);
+            active
+                .report
+                .faults
+                .extend(copied.as_ref().map(ToString::to_string));
+            active
+                .pending_repairs
+                .extend(copied.map(|c| (c.restore_at, Repair::StoreRestore)));
         }
     }
     active.repair_all().await?;
@@ -171,34 +140,13 @@
     site: Site,
     repeats: RepeatBudget,
     rng: ChaCha8Rng,
-    /// Draws when the store is restored.
-    restore_rng: ChaCha8Rng,
     /// The repairs that end the injected faults, with their times.
     pending_repairs: Vec<(Instant, Repair)>,
     outages: Vec<Outage>,
-    /// The copies from which the store is to be restored, the oldest first.
-    store_copies: VecDeque<StoreCopy>,
-    /// What the store has lost and operators and servers have not written again.
-    lost_writes: Vec<LostWrite>,
+    restores: StoreRestores,
     report: SoakReport,
 }
 
-/// An action that ends a fault.
-#[derive(Clone, Copy, Debug)]
-enum Repair {
-    VmContinue(usize),
-    VmRestart(usize),
-    ServerRestart(usize),
-    ServerFaults(usize),
-    ServerLink(usize),
-    Store,
-    /// Restores the store from the oldest copy that was made for it.
-    StoreRestore,
-    /// Writes again what the restored store has lost.
-    StoreRewrite,
-    StoreLink(usize),
-}
-
 impl ActiveSoak {
     /// Sleeps for the given duration and makes the repairs that are due meanwhile.
     async fn sleep_and_repair(&mut self, d: Duration) -> Result<()> {
@@ -356,36 +304,17 @@
             }
             Repair::ServerLink(server) => site.backends[server].link().set_fault(LinkFault::None),
             Repair::Store => site.store.set_fault(StoreFault::None),
-            Repair::StoreRestore => self.restore_store(),
-            Repair::StoreRewrite => site.rewrite(std::mem::take(&mut self.lost_writes)),
+            Repair::StoreRestore => {
+                let rewrite_at = self.restores.restore(site);
+                self.pending_repairs
+                    .push((rewrite_at, Repair::StoreRewrite));
+            }
+            Repair::StoreRewrite => self.restores.rewrite(site),
             Repair::StoreLink(vm) => site.store_links[vm].set_fault(LinkFault::None),
         }
         Ok(())
     }
 
-    /// Makes a copy of the store now and then, from which it is restored up to some seconds later.
-    fn copy_store(&mut self) {
-        if !self.restore_rng.random_bool(RESTORE_PROBABILITY) {
-            return;
-        }
-        let age = Duration::from_millis(self.restore_rng.random_range(200..2500));
-        self.report.faults.push(format!("store-restore {age:?}"));
-        self.store_copies.push_back(self.site.store.copy());
-        self.pending_repairs
-            .push((Instant::now() + age, Repair::StoreRestore));
-    }
-
-    /// Restores the store, and schedules when operators and servers write again what it has lost.
-    fn restore_store(&mut self) {
-        let Some(copy) = self.store_copies.pop_front() else {
-            return;
-        };
-        self.lost_writes.extend(self.site.store.restore(copy));
-        let delay = Duration::from_millis(self.restore_rng.random_range(0..REWRITE_DELAY_MAX_MS));
-        self.pending_repairs
-            .push((Instant::now() + delay, Repair::StoreRewrite));
-    }
-
     /// Waits for and makes all pending repairs.
     async fn repair_all(&mut self) -> Result<()> {
         while let Some(last) = self.pending_repairs.iter().map(|(at, _)| *at).max() {
