--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -61,7 +61,10 @@
         }
         match self.suspects.quarantined_for(now, req.fingerprint()) {
             None => Ok(()),
-            Some(remaining) => Err((RefuseReason::Quarantined, Some(remaining))),
+            Some(remaining) => {
+                self.counters.quarantined += 1;
+                Err((RefuseReason::Quarantined, Some(remaining)))
+            }
         }
     }
 
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -115,8 +115,11 @@
             AttemptEnd::Broken => {
                 let born = self.servers.get(server).and_then(|view| view.entry.born);
                 let fingerprint = request.req.fingerprint();
-                self.suspects
+                let crashes = self
+                    .suspects
                     .note_crash(now, fingerprint, service, (server, born));
+                self.counters.crashes += 1;
+                self.log_crash(now, request, index, server, crashes);
             }
             AttemptEnd::Answered(..) => {
                 request.executed_without_crash = true;
@@ -129,6 +132,28 @@
         }
     }
 
+    /// Logs how much evidence there is against a request after one more crash.
+    fn log_crash(
+        &mut self,
+        now: Instant,
+        request: &ActiveRequest,
+        index: usize,
+        server: ServerKey,
+        crashes: u32,
+    ) {
+        let Some(suppressed) = self.crash_log.try_acquire(now) else {
+            return;
+        };
+        let name = self.servers.get(server).map(|view| &view.entry.name);
+        log::info!(
+            "event=crash-noted request={} id={} service={} server={} crashes={crashes} left_out={suppressed}",
+            request.req.fingerprint(),
+            request.req.id,
+            request.parts[index].service,
+            name.map_or("", |name| name.as_str()),
+        );
+    }
+
     /// Records that servers which a peer queried executed the request without crashing.
     pub(crate) fn note_executed_at_peer(&mut self, request: &mut ActiveRequest) {
         request.executed_without_crash = true;
@@ -160,6 +185,7 @@
             fingerprint,
             request.executed_without_crash,
         ) {
+            self.counters.quarantines += 1;
             log::warn!(
                 "event=quarantine request={fingerprint} id={}",
                 request.req.id
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -40,4 +40,10 @@
     pub misdirected: u64,
     /// Attempts that ended with a broken connection, a malformed answer or a timeout.
     pub broken: u64,
+    /// Attempts that ended with a broken connection and count as evidence against their request.
+    pub crashes: u64,
+    /// Requests that this VM found to crash servers.
+    pub quarantines: u64,
+    /// Arrivals refused because the request is in quarantine.
+    pub quarantined: u64,
 }
--- a/crates/relay/src/crash_suspects.rs
+++ b/crates/relay/src/crash_suspects.rs
@@ -70,23 +70,24 @@
     }
 
     /// Records that a server of a service crashed, in the given incarnation, while it had the
-    /// request.
+    /// request; returns how often the request is known to have crashed a server.
     pub(crate) fn note_crash(
         &mut self,
         now: Instant,
         request: Fingerprint,
         service: &ServiceName,
         server: (ServerKey, Option<Incarnation>),
-    ) {
+    ) -> u32 {
         self.remove_old_evidence(now);
-        self.count_crash(now, request, server.0);
+        let crashes = self.count_crash(now, request, server.0);
         self.shard_crashes.note_crash(now, request, service, server);
+        crashes
     }
 
-    /// Counts a crash against a request.
-    fn count_crash(&mut self, now: Instant, request: Fingerprint, server: ServerKey) {
+    /// Counts a crash against a request; returns the number of its crashes.
+    fn count_crash(&mut self, now: Instant, request: Fingerprint, server: ServerKey) -> u32 {
         if self.suspects.len() >= SUSPECTS_MAX && !self.suspects.contains_key(&request) {
-            return;
+            return 0;
         }
         let fresh = Suspect {
             crashes: 0,
@@ -103,6 +104,7 @@
         if !s.servers.contains(&server) {
             s.servers.push(server);
         }
+        s.crashes
     }
 
     /// Removes old evidence at intervals: while there is any, a fingerprint is computed for each
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use gs_types::log_rate_limit::LogRateLimit;
 use gs_types::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -33,6 +34,9 @@
 use crate::slack_share::SlackShare;
 use crate::table::RouteTable;
 
+/// The largest number of crashes logged per second.
+const LOGGED_CRASHES_PER_S_MAX: u32 = 10;
+
 /// State machine of all requests of one process, without I/O.
 ///
 /// Pass it every [`Event`] with the time at which it happened and carry out the returned
@@ -61,6 +65,8 @@
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
     /// Requests suspected of crashing servers, and those in quarantine.
     pub(crate) suspects: CrashSuspects,
+    /// Limits the log lines on crashes.
+    pub(crate) crash_log: LogRateLimit,
     /// Whether the register is reachable.
     pub(crate) register_reachability: RegisterReachability,
     /// Least round-trip time to each data centre.
@@ -119,6 +125,7 @@
                 orphaned_attempts: HashMap::new(),
                 timers: BTreeSet::new(),
                 suspects: CrashSuspects::default(),
+                crash_log: LogRateLimit::new(LOGGED_CRASHES_PER_S_MAX),
                 register_reachability: RegisterReachability::new(),
                 round_trips: MinRoundTrips::default(),
                 delegation_times: DelegationTimes::default(),
@@ -155,7 +162,9 @@
             Event::EntryMissing(name) => self.core.on_server_entry_missing(now, name, out),
             Event::Quarantined(requests) => {
                 for request in requests {
-                    self.core.suspects.quarantine(now, request);
+                    if self.core.suspects.quarantine(now, request) {
+                        log::info!("event=quarantine-learned request={request}");
+                    }
                 }
             }
             Event::RegisterReachable(is_reachable) => self
