test(relay): a request that crashes servers, repeated at every VM in turn, failing

The earlier stand-in closed one connection and lived on, so that one VM had all the evidence at once.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -14,11 +14,14 @@
 use gs_types::prelude::*;
 use hyper::Request;
 use hyper::Response;
+use serde_json::Value;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
 use super::address::allocate_address;
+use super::crash_runs::CrashRuns;
 use super::http::RequestHandler;
 use super::http::listen;
 use super::http::response;
@@ -66,6 +69,8 @@
     pub runs: Runs,
     /// The arrivals of requests.
     pub traffic: Arc<Traffic>,
+    /// The runs of requests that crash servers.
+    pub crashes: Arc<CrashRuns>,
 }
 
 /// A backend server that is registered in the store; stops when dropped.
@@ -75,13 +80,14 @@
     zone: String,
     addr: SocketAddr,
     link: FaultProxy,
-    inner: Arc<Inner>,
+    inner: Arc<BackendHandler>,
     task: JoinHandle<()>,
     /// Whether it has crashed and was not restarted.
     is_down: AtomicBool,
 }
 
-struct Inner {
+/// Answers the requests of one server.
+pub(super) struct BackendHandler {
     id: String,
     service: String,
     work: Duration,
@@ -89,6 +95,9 @@
     queued: Semaphore,
     faults: Mutex<BackendFaults>,
     records: ServerRecords,
+    /// Requests whose path contains this text end the process that runs them.
+    crashes_on: Option<&'static str>,
+    crashed: Notify,
 }
 
 impl Backend {
@@ -109,22 +118,14 @@
         let addr = listener
             .local_addr()
             .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
-        let inner = Arc::new(Inner {
-            id: id.to_owned(),
-            service: service.to_owned(),
-            work,
-            slots: Semaphore::new(SLOTS),
-            queued: Semaphore::new(SLOTS + QUEUE_MAX),
-            faults: Mutex::default(),
-            records,
-        });
+        let inner = Arc::new(BackendHandler::new(id, service, work, records, None));
         let this = Self {
             id: id.to_owned(),
             service: service.to_owned(),
             zone: zone.to_owned(),
             addr,
             link: FaultProxy::start(addr).await?,
-            task: serve(listener, Arc::<Inner>::clone(&inner)),
+            task: serve(listener, Arc::<BackendHandler>::clone(&inner)),
             is_down: AtomicBool::new(false),
             inner,
         };
@@ -161,11 +162,7 @@
         store.put(
             "servers",
             &self.id,
-            json!({
-                "backend": self.service, "address": self.link.addr().to_string(), "zone": self.zone,
-                "version": "v1", "max_concurrent": SLOTS, "state": state, "warmup_left_ms": 0,
-                "sequence": 1, "born": 1,
-            }),
+            server_entry(&self.service, self.link.addr(), &self.zone, state, 1),
         );
     }
 
@@ -192,11 +189,26 @@
         // The listener is closed once the aborted task has ended; the result of the task does not matter.
         drop((&mut self.task).await);
         let listener = listen(self.addr).await?;
-        self.task = serve(listener, Arc::<Inner>::clone(&self.inner));
+        self.task = serve(listener, Arc::<BackendHandler>::clone(&self.inner));
         Ok(())
     }
 }
 
+/// Returns the store's entry of a server.
+pub(super) fn server_entry(
+    service: &str,
+    addr: SocketAddr,
+    zone: &str,
+    state: &str,
+    born: u64,
+) -> Value {
+    json!({
+        "backend": service, "address": addr.to_string(), "zone": zone,
+        "version": "v1", "max_concurrent": SLOTS, "state": state, "warmup_left_ms": 0,
+        "sequence": 1, "born": born,
+    })
+}
+
 impl Drop for Backend {
     fn drop(&mut self) {
         self.task.abort();
@@ -204,7 +216,7 @@
 }
 
 #[async_trait::async_trait]
-impl RequestHandler for Inner {
+impl RequestHandler for BackendHandler {
     async fn respond(&self, req: Request<Bytes>) -> Option<Response<Body>> {
         let header = |name: &str| {
             let value = req.headers().get(name).and_then(|v| v.to_str().ok());
@@ -232,6 +244,16 @@
         *lock(&self.records.runs)
             .entry((self.id.clone(), id.clone()))
             .or_default() += 1;
+        if self
+            .crashes_on
+            .is_some_and(|text| req.uri().path().contains(text))
+        {
+            self.records.crashes.record(&self.id);
+            tokio::time::sleep(self.work).await;
+            self.crashed.notify_one();
+            // The process ends, and with it every connection.
+            std::future::pending::<()>().await;
+        }
         tokio::time::sleep(self.work).await;
         if faults.loses {
             return None;
@@ -251,7 +273,33 @@
     }
 }
 
-impl Inner {
+impl BackendHandler {
+    /// Creates the handler of a server; a request whose path contains `crashes_on` ends its process.
+    pub(super) fn new(
+        id: &str,
+        service: &str,
+        work: Duration,
+        records: ServerRecords,
+        crashes_on: Option<&'static str>,
+    ) -> Self {
+        Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            work,
+            slots: Semaphore::new(SLOTS),
+            queued: Semaphore::new(SLOTS + QUEUE_MAX),
+            faults: Mutex::default(),
+            records,
+            crashes_on,
+            crashed: Notify::new(),
+        }
+    }
+
+    /// Waits until a request has crashed the server.
+    pub(super) async fn wait_for_crash(&self) {
+        self.crashed.notified().await;
+    }
+
     fn shed(&self) -> Response<Body> {
         let res = with_header(response(503, ""), "not-executed", "1");
         with_header(res, "server-load", &self.load())
--- a/crates/rig/src/site/setup.rs
+++ b/crates/rig/src/site/setup.rs
@@ -17,8 +17,11 @@
 use super::caller::SiteCaller;
 use super::config::SiteConfig;
 use super::config::SiteRoute;
+use super::crash_runs::CrashRuns;
 use super::objects::LostWrite;
 use super::proxy::FaultProxy;
+use super::restarting_server::RestartingServer;
+use super::restarting_server::RestartingServerOptions;
 use super::store::Store;
 use super::traffic::RepeatBudget;
 use super::traffic::Traffic;
@@ -70,6 +73,8 @@
     pub runs: Runs,
     /// The requests of the callers made by [`Site::caller`], and all arrivals at the servers.
     pub traffic: Arc<Traffic>,
+    /// The runs of requests that crash servers.
+    pub crashes: Arc<CrashRuns>,
     /// The configuration in force.
     pub config: SiteConfig,
     options: SiteOptions,
@@ -116,6 +121,7 @@
             store_links: Vec::new(),
             runs: records.runs,
             traffic: records.traffic,
+            crashes: records.crashes,
             config,
             options,
         };
@@ -149,6 +155,36 @@
         RelayVm::start(&self.options.bin, &self.options.dir, store, plan)
     }
 
+    /// Starts servers that requests crash, and makes a route to them.
+    ///
+    /// # Errors
+    ///
+    /// If a server cannot listen.
+    pub async fn add_crashing_service(
+        &mut self,
+        service: &str,
+        servers: usize,
+        options: &RestartingServerOptions,
+    ) -> Result<Vec<RestartingServer>> {
+        let mut started = Vec::new();
+        for n in 0..servers {
+            let mut options = options.clone();
+            options.id = format!("{}-{n}", options.id);
+            options.zone = ZONES[n % ZONES.len()].to_owned();
+            let records = ServerRecords {
+                runs: Arc::clone(&self.runs),
+                traffic: Arc::clone(&self.traffic),
+                crashes: Arc::clone(&self.crashes),
+            };
+            let writer = self.store.writer();
+            started.push(RestartingServer::start(writer, options, records).await?);
+        }
+        let services = [service.to_owned()];
+        let added = route(&format!("/{service}/"), &services, None, false);
+        self.configure(|cfg| cfg.routes.push(added));
+        Ok(started)
+    }
+
     /// Creates a caller whose requests are recorded.
     #[must_use]
     pub fn caller(&self) -> SiteCaller {
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -110,14 +110,18 @@
 
     /// Writes an object directly, in place of operators and servers.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        lock(&self.inner.objects).put(kind, name, spec);
-        self.inner.changed.notify_waiters();
+        self.writer().put(kind, name, spec);
     }
 
     /// Removes an object directly.
     pub fn delete(&self, kind: &str, name: &str) {
-        lock(&self.inner.objects).delete(kind, name);
-        self.inner.changed.notify_waiters();
+        self.writer().delete(kind, name);
+    }
+
+    /// Returns a handle that writes objects directly.
+    #[must_use]
+    pub fn writer(&self) -> StoreWriter {
+        StoreWriter(Arc::clone(&self.inner))
     }
 
     /// Returns the names of the objects of a kind.
@@ -180,6 +184,24 @@
     }
 }
 
+/// Writes objects in place of servers, from tasks of their own.
+#[derive(Clone)]
+pub struct StoreWriter(Arc<Inner>);
+
+impl StoreWriter {
+    /// Writes an object directly.
+    pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        lock(&self.0.objects).put(kind, name, spec);
+        self.0.changed.notify_waiters();
+    }
+
+    /// Removes an object directly.
+    pub fn delete(&self, kind: &str, name: &str) {
+        lock(&self.0.objects).delete(kind, name);
+        self.0.changed.notify_waiters();
+    }
+}
+
 impl Drop for Store {
     fn drop(&mut self) {
         self.task.abort();
--- /dev/null
+++ b/tests/relay/crashing_requests.rs
@@ -0,0 +1,107 @@
+//! Requests that end the process of each server which runs them, repeated at every VM in turn.
+
+use std::time::Duration;
+
+use gs_rig::site::RestartingServer;
+use gs_rig::site::RestartingServerOptions;
+use gs_rig::site::StoreFault;
+use tokio::time::Instant;
+
+use crate::support::TestSite;
+use crate::support::start_site_with;
+
+/// The service whose servers crash.
+const SERVICE: &str = "fragile";
+
+/// The text in the path of the request that crashes servers.
+const CRASHES: &str = "crashes";
+
+/// Time after the third crash from which runs count, as on the users' page.
+const NOTICE_MAX: Duration = Duration::from_secs(4);
+
+/// Runs that may begin later than that, as on the users' page.
+const LATE_RUNS_MAX: usize = 3;
+
+/// Number of servers: more than the VMs crash while the store lists no restarted ones.
+const SERVERS: usize = 18;
+
+/// How long a server is down after a crash.
+const DOWN_FOR: Duration = Duration::from_secs(3);
+
+/// Starts a site with servers that a request crashes, and waits until each VM knows them.
+async fn start_crashing_site(vms: usize) -> (TestSite, Vec<RestartingServer>) {
+    let mut r = start_site_with(vms).await;
+    let options = RestartingServerOptions::builder()
+        .id("i-fragile".to_owned())
+        .service(SERVICE.to_owned())
+        .zone(String::new())
+        .work(Duration::from_millis(20))
+        .crashes_on(CRASHES)
+        .down_for(DOWN_FOR)
+        .build();
+    let servers = r
+        .site
+        .add_crashing_service(SERVICE, SERVERS, &options)
+        .await
+        .expect("the servers start");
+    let route = r.route("/fragile/");
+    for vm in 0..vms {
+        r.wait_until_complete(vm, &route, Duration::from_secs(5))
+            .await;
+    }
+    (r, servers)
+}
+
+/// Sends the request that crashes servers to the VMs in turn.
+async fn repeat_crashing_request(r: &TestSite, every: Duration, duration: Duration) {
+    let end = Instant::now() + duration;
+    let mut n = 0;
+    while Instant::now() < end {
+        let vm = r.site.vms[n % r.site.vms.len()].plan().callers;
+        let (caller, id) = (r.caller.clone(), format!("crash{n}"));
+        tokio::spawn(async move { caller.send(vm, "/fragile/crashes", &id).await });
+        n += 1;
+        tokio::time::sleep(every).await;
+    }
+}
+
+fn assert_few_late_runs(r: &TestSite) {
+    let late = r.site.crashes.late(NOTICE_MAX);
+    let lines = r.log_lines(&["event=quarantine", "event=crash-"]);
+    let table = r.site.crashes.table();
+    assert!(late <= LATE_RUNS_MAX, "{late} late runs\n{table}\n{lines}");
+}
+
+/// Prevents a request from crashing servers at each VM anew because each counts only its own crashes.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_by_what_all_vms_saw() {
+    let (r, _servers) = start_crashing_site(7).await;
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(15)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents a request from crashing servers at each VM anew while the store refuses calls.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_while_the_store_refuses_calls() {
+    let (r, _servers) = start_crashing_site(7).await;
+    r.site.store.set_fault(StoreFault::Busy);
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(15)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents a request from crashing servers at each VM anew while the store does not answer.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_while_the_store_is_silent() {
+    let (r, _servers) = start_crashing_site(7).await;
+    r.site.store.set_fault(StoreFault::Silent);
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(15)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents a request from crashing three servers again each time that its quarantine has ended.
+#[tokio::test]
+async fn a_request_that_crashes_a_server_after_its_quarantine_is_quarantined_for_longer() {
+    let (r, _servers) = start_crashing_site(3).await;
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(75)).await;
+    assert_few_late_runs(&r);
+}
