fix(relay): VMs share the evidence against requests that crash servers

Cause: each VM counted the crashes of a request for itself. Three at one VM quarantined it, so n VMs spent up to 2n servers first. Of the same class: the verdict went to the store only, once, and was forgotten whole after 30 s; only arrivals were checked, not requests that waited or were due another attempt.

Change: a VM reports each crash to three VMs that a rendezvous hash of the request names (the next ones if these do not answer). They count crashes that began after the one before had ended, so that servers that crash together prove nothing, and an answer anywhere clears what was before it. A verdict goes to all VMs over a tree, directly, and to the directory, each until heard. A VM that saw the request executed since contradicts it. After a quarantine the VMs may try the request one after the other and one at a time; a crash then quarantines it at once and four times as long, an answer releases it. Waiting requests and further attempts are checked too. Reports, verdicts and what is kept are bounded; first crashes are dropped first. A VM that starts asks its peers for the verdicts.

Unit tests: fleets of 3 to 300 relays stop the request after 3 runs, and try it once after each quarantine.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -11,6 +11,7 @@
 use gs_relay::Leases;
 use gs_relay::ListedAnnouncement;
 use gs_relay::PeerVm;
+use gs_relay::VerdictOrigin;
 use gs_relay::renewal_interval;
 use gs_store::Backoff;
 use gs_types::prelude::*;
@@ -231,10 +232,14 @@
     /// calls.
     async fn send_heartbeat(&self) {
         match self.directory.quarantined().await {
-            Ok(requests) => {
+            Ok(verdicts) => {
                 self.reachability.on_success("heartbeat");
-                if !requests.is_empty() {
-                    self.feed.push(Event::Quarantined(requests));
+                if !verdicts.is_empty() {
+                    let origin = match self.register.counts().queries_platform {
+                        true => VerdictOrigin::Directory,
+                        false => VerdictOrigin::Peer,
+                    };
+                    self.feed.push(Event::Verdicts(verdicts, origin));
                 }
             }
             Err(e) => self.reachability.on_failure("heartbeat", &e),
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -7,6 +7,7 @@
 use gs_relay::PeerVm;
 use gs_relay::RouteTable;
 use gs_relay::ServerEntry;
+use gs_relay::Verdict;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 
@@ -131,23 +132,23 @@
     /// As for [`Directory::announce`], also if it is not announced.
     async fn renew(&self, vm: &PeerVm, renewal: Renewal) -> Result<()>;
 
-    /// Returns the requests that any VM found to crash servers; the list may be seconds old.
+    /// Returns the verdicts on requests that crash servers; the list may be seconds old.
     ///
     /// There are few or none, so the call also serves as a check whether the directory is reachable.
     ///
     /// # Errors
     ///
     /// As for [`Directory::list`].
-    async fn quarantined(&self) -> Result<Vec<Fingerprint>>;
+    async fn quarantined(&self) -> Result<Vec<Verdict>>;
 
-    /// Reports to every VM that a request crashes servers.
+    /// Lists a verdict for every VM, in place of an earlier one on the same request.
     ///
     /// # Errors
     ///
     /// As for [`Directory::announce`].
-    async fn quarantine(&self, request: Fingerprint) -> Result<()>;
+    async fn quarantine(&self, verdict: &Verdict) -> Result<()>;
 
-    /// Withdraws such a report.
+    /// Removes the verdict on a request.
     ///
     /// # Errors
     ///
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,8 @@
 mod body;
 mod callers;
 mod connection_pools;
+mod crash_news;
+mod crash_news_handler;
 mod directory;
 mod directory_reachability;
 mod directory_watcher;
@@ -29,6 +31,7 @@
 mod shell;
 mod shutdown;
 mod status;
+mod verdict_spread;
 
 pub use callers::CallerCodec;
 pub use directory::Changes;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -40,6 +40,8 @@
 use tokio::time::Instant;
 
 use crate::body::read_body;
+use crate::crash_news::CRASHES_PATH;
+use crate::register::PeerClient;
 use crate::register::REGISTER_PATH;
 use crate::register::Register;
 use crate::relay_client::RelayClient;
@@ -202,6 +204,7 @@
     pub(crate) relay_client: RelayClient,
     pub(crate) relay: Shared<Relay>,
     pub(crate) register: Arc<Register>,
+    pub(crate) peers: Arc<PeerClient>,
 }
 
 impl PeerHandler {
@@ -217,6 +220,9 @@
         if req.uri().path().starts_with(REGISTER_PATH) && !req.headers().contains_key(ID) {
             return self.register.answer(req.uri()).await;
         }
+        if req.uri().path().starts_with(CRASHES_PATH) && !req.headers().contains_key(ID) {
+            return self.answer_crash_news(req).await;
+        }
         let start = Instant::now();
         let (head, body) = req.into_parts();
         let body = read_body(body, self.relay_client.body_max()).await;
@@ -264,12 +270,16 @@
         let Some(known) = known.filter(|_| self.relay_client.is_ready()) else {
             return empty_response(StatusCode::SERVICE_UNAVAILABLE, "not-ready");
         };
-        match serde_json::to_vec(&known) {
-            Ok(body) => Response::new(Full::new(Bytes::from(body))),
-            Err(e) => {
-                log::error!("event=knowledge-unwritable error=\"{e}\"");
-                empty_response(StatusCode::INTERNAL_SERVER_ERROR, "unwritable")
-            }
+        json_response(&known)
+    }
+}
+
+pub(crate) fn json_response<T: Serialize>(value: &T) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::new(Full::new(Bytes::from(body))),
+        Err(e) => {
+            log::error!("event=knowledge-unwritable error=\"{e}\"");
+            empty_response(StatusCode::INTERNAL_SERVER_ERROR, "unwritable")
         }
     }
 }
@@ -355,7 +365,7 @@
 }
 
 /// Builds a response without a body that gives the reason why there is no page.
-fn empty_response(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
+pub(crate) fn empty_response(status: StatusCode, reason: &'static str) -> Response<Full<Bytes>> {
     let mut res = Response::new(Full::default());
     *res.status_mut() = status;
     res.headers_mut()
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -19,6 +19,7 @@
 use crate::announcer::VmAnnouncer;
 use crate::callers::CallerHandler;
 use crate::connection_pools::ConnectionPools;
+use crate::crash_news::CrashNews;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::directory_reachability::DirectoryReachability;
@@ -52,6 +53,7 @@
     request_log: Arc<RequestLog>,
     metrics: Arc<Metrics>,
     register: Arc<Register>,
+    peers: Arc<PeerClient>,
 }
 
 impl Process {
@@ -96,6 +98,7 @@
             request_log: Arc::new(RequestLog::new(Arc::clone(&metrics))),
             metrics,
             register,
+            peers: Arc::clone(&peers),
             settings,
             protocols,
             feed,
@@ -103,7 +106,7 @@
         let shell = RelayShell {
             connection_pools: Arc::clone(&this.connection_pools),
             pending: Arc::clone(&this.pending),
-            directory: this.directory(),
+            crash_news: Arc::new(CrashNews::new(Arc::clone(&peers), this.directory(), seed)),
         };
         slot.start(Arc::clone(&this.relay), shell, clock);
         let reachability = DirectoryReachability::new(this.feed.clone());
@@ -163,6 +166,7 @@
             relay_client: self.relay_client(),
             relay: Arc::clone(&self.relay),
             register: Arc::clone(&self.register),
+            peers: Arc::clone(&self.peers),
         };
         tokio::spawn(peers.run(Arc::new(peer_handler), stopped.clone()));
         // The status server answers until the process exits, so that the balancer receives `not ready` to the end.
--- a/crates/edge/src/register/answers.rs
+++ b/crates/edge/src/register/answers.rs
@@ -94,10 +94,12 @@
             }
             PeerQuery::PlatformStatus => {
                 self.probe_if_overdue().await;
+                let verdicts = self.cache.verdicts();
                 json_response(&PlatformStatus {
                     is_in_touch: self.is_platform_reachable.load(Ordering::Relaxed),
                     heard_ms: self.last_contact_ms(),
-                    quarantined: self.cache.quarantined(),
+                    quarantined: verdicts.iter().map(|v| v.request).collect(),
+                    verdicts,
                 })
             }
         }
--- a/crates/edge/src/register/cache.rs
+++ b/crates/edge/src/register/cache.rs
@@ -6,6 +6,7 @@
 use gs_actor::lock;
 use gs_follow::Mirror;
 use gs_relay::RouteTable;
+use gs_relay::Verdict;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 
@@ -25,7 +26,7 @@
     /// The newest version of the routes; a restored store may list an older one for a while.
     newest_routes: Mutex<Option<Arc<RouteTable>>>,
     vms: Mutex<VmsCache>,
-    quarantined: Mutex<Vec<Fingerprint>>,
+    verdicts: Mutex<Vec<Verdict>>,
 }
 
 /// Objects of a kind as of a revision: all of them, or those that changed.
@@ -167,12 +168,12 @@
         lock(&self.vms).listing.clone()
     }
 
-    pub(crate) fn set_quarantined(&self, requests: &[Fingerprint]) {
-        *lock(&self.quarantined) = requests.to_vec();
+    pub(crate) fn set_verdicts(&self, verdicts: &[Verdict]) {
+        *lock(&self.verdicts) = verdicts.to_vec();
     }
 
-    pub(crate) fn quarantined(&self) -> Vec<Fingerprint> {
-        lock(&self.quarantined).clone()
+    pub(crate) fn verdicts(&self) -> Vec<Verdict> {
+        lock(&self.verdicts).clone()
     }
 }
 
--- a/crates/edge/src/register/client.rs
+++ b/crates/edge/src/register/client.rs
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::StatusCode;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// The largest answer, in bytes: at some 250 bytes per server, enough for tens of thousands of servers.
@@ -53,13 +54,44 @@
         addr: SocketAddr,
         path: &str,
         timeout: Duration,
+    ) -> Result<T> {
+        let req = Request::get(path).body(Full::new(Bytes::new()));
+        self.call(addr, req, format!("GET {path}"), timeout).await
+    }
+
+    /// Sends a message to a peer and parses its answer, which must arrive within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`PeerClient::get`], and [`ErrorKind::BadInput`] if the message cannot be serialised.
+    pub(crate) async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        message: &B,
+        timeout: Duration,
+    ) -> Result<T> {
+        let step = format!("POST {path}");
+        let body = serde_json::to_vec(message)
+            .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at(step.clone()))?;
+        let req = Request::post(path).body(Full::new(Bytes::from(body)));
+        self.call(addr, req, step, timeout).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        req: hyper::http::Result<Request<Full<Bytes>>>,
+        step: String,
+        timeout: Duration,
     ) -> Result<T> {
         let failed = |kind, text: String| {
             Error::new(kind, text)
-                .at(format!("GET {path}"))
+                .at(step.clone())
                 .from_peer(addr.to_string())
         };
-        let complete_reply = tokio::time::timeout(timeout, self.fetch(addr, path, timeout))
+        let req = req.map_err(|e| failed(ErrorKind::BadInput, e.to_string()))?;
+        let complete_reply = tokio::time::timeout(timeout, self.fetch(addr, req, timeout))
             .await
             .map_err(|_| failed(ErrorKind::Unavailable, "no answer in time".into()))?
             .map_err(|text| failed(ErrorKind::Unavailable, text))?;
@@ -78,14 +110,11 @@
     async fn fetch(
         &self,
         addr: SocketAddr,
-        path: &str,
+        req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> std::result::Result<CompleteReply, String> {
         let pool = self.pool(addr).map_err(|e| e.to_string())?;
         let mut conn = pool.take(timeout).await.map_err(|e| e.to_string())?;
-        let req = Request::get(path)
-            .body(Full::new(Bytes::new()))
-            .map_err(|e| e.to_string())?;
         let complete_reply = exchange(&mut conn, req, ANSWER_BYTES_MAX)
             .await
             .map_err(|e| format!("{e:?}"))?;
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -5,6 +5,7 @@
 use async_trait::async_trait;
 use gs_follow::RegisterSource;
 use gs_relay::PeerVm;
+use gs_relay::Verdict;
 use gs_types::prelude::*;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -97,27 +98,27 @@
         self.record_platform_call(self.platform.renew(vm, renewal).await)
     }
 
-    async fn quarantined(&self) -> Result<Vec<Fingerprint>> {
+    async fn quarantined(&self) -> Result<Vec<Verdict>> {
         let unreachable_peers = match self.query_platform_status().await {
-            PeersPlatformStatus::Reachable(requests) => {
-                self.cache.set_quarantined(&requests);
-                return Ok(requests);
+            PeersPlatformStatus::Reachable(verdicts) => {
+                self.cache.set_verdicts(&verdicts);
+                return Ok(verdicts);
             }
             PeersPlatformStatus::FollowedUnreachable => {
                 return Err(platform_unreachable("the followed peer"));
             }
             PeersPlatformStatus::Unreachable(peers) => peers,
         };
-        let requests = self.record_platform_call(self.platform.quarantined().await)?;
+        let verdicts = self.record_platform_call(self.platform.quarantined().await)?;
         if !self.may_use_platform(&unreachable_peers) {
             return Err(platform_unreachable("all candidate peers"));
         }
-        self.cache.set_quarantined(&requests);
-        Ok(requests)
+        self.cache.set_verdicts(&verdicts);
+        Ok(verdicts)
     }
 
-    async fn quarantine(&self, request: Fingerprint) -> Result<()> {
-        self.record_platform_call(self.platform.quarantine(request).await)
+    async fn quarantine(&self, verdict: &Verdict) -> Result<()> {
+        self.record_platform_call(self.platform.quarantine(verdict).await)
     }
 
     async fn release(&self, request: Fingerprint) -> Result<()> {
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -7,6 +7,7 @@
 use gs_follow::PEER_ANSWER_TIMEOUT;
 use gs_follow::SourceSelector;
 use gs_relay::PeerVm;
+use gs_relay::Verdict;
 use gs_types::prelude::*;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
@@ -133,7 +134,7 @@
                     return match self
                         .update_selector(|selector| selector.on_peer_connected(&vm, &unreachable))
                     {
-                        true => PeersPlatformStatus::Reachable(status.quarantined),
+                        true => PeersPlatformStatus::Reachable(status.into_verdicts()),
                         false => PeersPlatformStatus::FollowedUnreachable,
                     };
                 }
@@ -152,8 +153,8 @@
 
 /// Whether peers reach the platform.
 pub(super) enum PeersPlatformStatus {
-    /// A peer that may be followed reaches it, and reports these requests that crash servers.
-    Reachable(Vec<Fingerprint>),
+    /// A peer that may be followed reaches it, and reports these verdicts on requests that crash servers.
+    Reachable(Vec<Verdict>),
     /// Another peer reaches it, but the followed one does not; it has until the next check to reconnect.
     FollowedUnreachable,
     /// No peer reaches it; these answered.
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -5,6 +5,7 @@
 use gs_relay::PeerVm;
 use gs_relay::RouteTable;
 use gs_relay::ServerEntry;
+use gs_relay::Verdict;
 use gs_types::prelude::*;
 use serde::Deserialize;
 use serde::Serialize;
@@ -112,7 +113,24 @@
     pub(crate) is_in_touch: bool,
     /// The time since the register last answered it, in milliseconds.
     pub(crate) heard_ms: u64,
+    /// The requests in quarantine, for releases that know no verdicts.
     pub(crate) quarantined: Vec<Fingerprint>,
+    /// The verdicts; empty in answers of releases that know none.
+    #[serde(default)]
+    pub(crate) verdicts: Vec<Verdict>,
+}
+
+impl PlatformStatus {
+    /// Returns the verdicts, also those of a release that knows only which requests are quarantined.
+    pub(crate) fn into_verdicts(self) -> Vec<Verdict> {
+        let mut verdicts = self.verdicts;
+        for request in self.quarantined {
+            if !verdicts.iter().any(|v| v.request == request) {
+                verdicts.push(Verdict::first(request));
+            }
+        }
+        verdicts
+    }
 }
 
 /// The answer to a query for the VMs.
--- a/crates/edge/src/relay_client.rs
+++ b/crates/edge/src/relay_client.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Passes news of requests that crash servers to the relay.
+    pub(crate) fn push(&self, event: Event) {
+        self.feed.push(event);
+    }
+
     /// Returns whether the process accepts new requests.
     pub(crate) fn is_ready(&self) -> bool {
         self.state.is_ready()
--- a/crates/edge/src/seed.rs
+++ b/crates/edge/src/seed.rs
@@ -16,10 +16,13 @@
 use gs_actor::Feed;
 use gs_relay::Event;
 use gs_relay::SeedState;
+use gs_relay::Verdict;
+use gs_relay::VerdictOrigin;
 use gs_store::Backoff;
 use gs_types::prelude::*;
 use tokio::time::Instant;
 
+use crate::crash_news::VERDICTS_PATH;
 use crate::peers::ROUTES_VERSION_PATH;
 use crate::peers::SEED_STATE_PATH;
 use crate::register::PeerClient;
@@ -56,6 +59,7 @@
     /// Queries peers until routes and servers are known.
     pub(crate) async fn run(self) {
         let start = Instant::now();
+        self.learn_verdicts().await;
         let version = self.peer_version().await;
         self.state.set_version_min(version.unwrap_or_default());
         tokio::time::sleep_until(start + DIRECTORY_WAIT).await;
@@ -85,6 +89,23 @@
         None
     }
 
+    /// Learns which requests crash servers from the first peer that answers; the directory may not list them yet.
+    async fn learn_verdicts(&self) {
+        let path = VERDICTS_PATH;
+        let query = |addr| self.peers.get::<Vec<Verdict>>(addr, path, VERSION_TIMEOUT);
+        let mut answers: FuturesUnordered<_> = self.seeds.iter().map(|a| query(*a)).collect();
+        while let Some(answer) = answers.next().await {
+            match answer {
+                Ok(verdicts) => {
+                    self.feed
+                        .push(Event::Verdicts(verdicts, VerdictOrigin::Peer));
+                    return;
+                }
+                Err(e) => log::info!("event=verdicts-unknown error=\"{e}\""),
+            }
+        }
+    }
+
     /// Applies routes that are older than those of a peer, as no peer tells its own.
     fn apply_outdated_table(&self) {
         let Some(table) = self.state.take_outdated_table() else {
--- a/crates/relay/src/abandon.rs
+++ b/crates/relay/src/abandon.rs
@@ -22,6 +22,8 @@
     Once,
     /// The peer that it was delegated to had no capacity.
     PeerFull,
+    /// The request is in quarantine because it crashes servers.
+    Quarantined,
     /// Enough other parts are complete.
     Enough,
 }
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -1,11 +1,14 @@
 //! Actions that the relay returns to the I/O driver (shell).
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use gs_types::prelude::*;
 
 use crate::attempt::AttemptKey;
+use crate::crash_report::CrashReport;
+use crate::crash_report::Verdict;
 use crate::entry::ServerEntry;
 use crate::outcome::RequestReport;
 use crate::request::OpaqueRequest;
@@ -65,8 +68,26 @@
     /// Send the final response to the caller of this request, without delay; returned once for each
     /// request, except for one whose caller disconnected.
     Answer(LookupSeq, Box<RequestReport>),
-    /// Notify the other VMs that this request crashes servers.
-    Quarantine(Fingerprint),
+    /// Tell a verdict of this VM to the other VMs and write it to the directory, until it is heard.
+    Publish {
+        /// The verdict.
+        verdict: Verdict,
+        /// The addresses of the other VMs.
+        peers: Vec<SocketAddr>,
+    },
+    /// Send a report to as many VMs as there are `copies`, the first of the candidates that answer.
+    ReportCrash {
+        /// The addresses of the VMs that may collect it, the most preferred first.
+        candidates: Vec<SocketAddr>,
+        /// The number of VMs that are to receive it.
+        copies: usize,
+        /// The report.
+        report: CrashReport,
+    },
+    /// Stop writing this VM's verdict on a request to the directory: there is a later one.
+    Superseded(Fingerprint),
+    /// Remove an outdated verdict on a request from the directory.
+    Unlist(Fingerprint),
     /// Send [`crate::Event::Tick`] after this time at the latest.
     Wake(Duration),
     /// Hold at most `connections_max` connections to this server, and open connections now until
--- a/crates/relay/src/active_request.rs
+++ b/crates/relay/src/active_request.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Cause;
 use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::bundle::Bundle;
+use crate::crash_ledger::ServerCrash;
 use crate::possible_servers::PossibleServers;
 use crate::reply::ServerAnswer;
 use crate::request::CallerRequest;
@@ -78,6 +79,8 @@
 pub(crate) struct ActiveRequest {
     pub(crate) seq: LookupSeq,
     pub(crate) req: CallerRequest,
+    /// Identifies the request among its repeats.
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) route: Arc<Route>,
     pub(crate) arrived_at: Instant,
     /// When an answer must be sent to meet the objective.
@@ -110,6 +113,8 @@
     /// Whether a server has answered an attempt at one of its parts, and so executed it without
     /// crashing.
     pub(crate) executed_without_crash: bool,
+    /// Crashes of servers under its parts, with the position of the part; only of a fan-out.
+    pub(crate) crashes: Vec<(usize, ServerCrash)>,
     /// When it is checked next.
     pub(crate) timer: Option<Instant>,
     /// When to retry, if a peer had no capacity for it.
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -14,8 +14,8 @@
 use crate::active_request::ActiveRequest;
 use crate::outcome::RefuseReason;
 use crate::placement::Placement;
+use crate::quarantine::QuarantineStatus;
 use crate::relay::Core;
-use crate::request::CallerRequest;
 use crate::route::Target;
 
 /// The shortest time after which a refused caller is to retry; nothing can have changed earlier.
@@ -50,20 +50,22 @@
 const RETRY_JITTER: f64 = 0.5;
 
 impl Core {
-    /// Refuses a request that is in quarantine because it crashes servers.
+    /// Refuses a request that is in quarantine because it crashes servers; returns `true` if it is
+    /// on probation, so that no other one like it may run meanwhile.
     pub(crate) fn check_quarantine(
         &mut self,
         now: Instant,
-        req: &CallerRequest,
-    ) -> Result<(), (RefuseReason, Option<Duration>)> {
-        if self.suspects.is_empty() {
-            return Ok(());
+        request: Fingerprint,
+    ) -> Result<bool, (RefuseReason, Option<Duration>)> {
+        if self.quarantine.is_empty() {
+            return Ok(false);
         }
-        match self.suspects.quarantined_for(now, req.fingerprint()) {
-            None => Ok(()),
-            Some(remaining) => {
+        match self.quarantine_status(now, request) {
+            QuarantineStatus::Clear => Ok(false),
+            QuarantineStatus::Trial => Ok(true),
+            QuarantineStatus::Refused(retry_after) => {
                 self.counters.quarantined += 1;
-                Err((RefuseReason::Quarantined, Some(remaining)))
+                Err((RefuseReason::Quarantined, Some(retry_after)))
             }
         }
     }
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -44,8 +44,8 @@
             req,
             delegated,
         } = arrival;
-        let mut request = match self.admit(now, seq, req, delegated) {
-            Ok(request) => request,
+        let (mut request, is_trial) = match self.admit(now, seq, req, delegated) {
+            Ok(admitted) => admitted,
             Err((reason, retry_after)) => {
                 self.refuse(seq, reason, retry_after, out);
                 return None;
@@ -58,6 +58,9 @@
             self.refuse(seq, reason, retry_after, out);
             return None;
         }
+        if is_trial {
+            self.quarantine.start_trial(request.fingerprint, seq);
+        }
         self.start_request(now, &mut request, out);
         if self.finish_if_done(now, &mut request, out) {
             return None;
@@ -65,19 +68,20 @@
         Some(request)
     }
 
+    /// Admits a request; returns `true` with it if it is tried on probation.
     fn admit(
         &mut self,
         now: Instant,
         seq: LookupSeq,
         req: CallerRequest,
         delegated: Option<DelegatedParts>,
-    ) -> Result<Box<ActiveRequest>, (RefuseReason, Option<Duration>)> {
+    ) -> Result<(Box<ActiveRequest>, bool), (RefuseReason, Option<Duration>)> {
         let route = self.find_route(&req)?;
-        self.check_quarantine(now, &req)?;
+        let is_trial = self.check_quarantine(now, req.fingerprint())?;
         self.check_in_flight()?;
         let mut request = self.new_request(now, seq, req, route);
         let Some(delegated) = delegated else {
-            return Ok(request);
+            return Ok((request, is_trial));
         };
         // A page must not combine parts of the shards of two route versions.
         if delegated.route != request.route.fingerprint() {
@@ -91,7 +95,7 @@
         request.parts_wanted = delegated
             .parts_wanted
             .min(request.shards_wanted.as_ref().map_or(0, Vec::len));
-        Ok(request)
+        Ok((request, is_trial))
     }
 
     fn find_route(
@@ -125,6 +129,7 @@
         let answer_by = now + caller_timeout.saturating_sub(response_margin);
         Box::new(ActiveRequest {
             seq,
+            fingerprint: req.fingerprint(),
             req,
             shards_wanted: None,
             hops: 0,
@@ -143,6 +148,7 @@
             resent_attempts: 0,
             rejected_attempts: 0,
             executed_without_crash: false,
+            crashes: Vec::new(),
             timer: None,
             retry_after: None,
         })
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -12,6 +12,7 @@
 use crate::attempt::AttemptState;
 use crate::attempt::Cause;
 use crate::bundle::BUNDLE_PART_NUMBER;
+use crate::crash_report::ExecutedServices;
 use crate::relay::Core;
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
@@ -76,7 +77,7 @@
         let (server, dispatched_at, cause) = (attempt.server, attempt.dispatched_at, attempt.cause);
         let route = request.route.name.clone();
         self.update_server_health(now, server, id, (dispatched_at, rounds_ahead), &route, &end);
-        self.update_suspicion(now, request, index, server, &end);
+        self.update_suspicion(now, request, index, (server, dispatched_at), &end, out);
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = request.parts[index].service.clone();
             self.service_state(&service)
@@ -101,97 +102,50 @@
         self.on_part_failed(now, request, index, id, out);
     }
 
-    /// Updates the suspicion that a request crashes servers after one of its attempts ended.
+    /// Updates the evidence that a request crashes servers after one of its attempts ended.
     fn update_suspicion(
         &mut self,
         now: Instant,
         request: &mut ActiveRequest,
         index: usize,
-        server: ServerKey,
+        sent: (ServerKey, Instant),
         end: &AttemptEnd,
+        out: &mut Vec<Action>,
     ) {
-        let service = &request.parts[index].service;
         match end {
-            AttemptEnd::Broken => {
-                let born = self.servers.get(server).and_then(|view| view.entry.born);
-                let fingerprint = request.req.fingerprint();
-                let crashes = self
-                    .suspects
-                    .note_crash(now, fingerprint, service, (server, born));
-                self.counters.crashes += 1;
-                self.log_crash(now, request, index, server, crashes);
-            }
+            AttemptEnd::Broken => self.note_broken_attempt(now, request, index, sent, out),
             AttemptEnd::Answered(..) => {
                 request.executed_without_crash = true;
-                if !self.suspects.is_empty() {
-                    self.suspects
-                        .note_executed(request.req.fingerprint(), service);
-                }
+                let services = [request.parts[index].service.clone()];
+                self.note_executed_if_suspected(now, request, &services, out);
             }
             _ => {}
         }
     }
 
-    /// Logs how much evidence there is against a request after one more crash.
-    fn log_crash(
+    /// Records that servers which a peer queried executed the request without crashing.
+    pub(crate) fn note_executed_at_peer(
         &mut self,
         now: Instant,
-        request: &ActiveRequest,
-        index: usize,
-        server: ServerKey,
-        crashes: u32,
+        request: &mut ActiveRequest,
+        out: &mut Vec<Action>,
     ) {
-        let Some(suppressed) = self.crash_log.try_acquire(now) else {
-            return;
-        };
-        let name = self.servers.get(server).map(|view| &view.entry.name);
-        log::info!(
-            "event=crash-noted request={} id={} service={} server={} crashes={crashes} left_out={suppressed}",
-            request.req.fingerprint(),
-            request.req.id,
-            request.parts[index].service,
-            name.map_or("", |name| name.as_str()),
-        );
-    }
-
-    /// Records that servers which a peer queried executed the request without crashing.
-    pub(crate) fn note_executed_at_peer(&mut self, request: &mut ActiveRequest) {
         request.executed_without_crash = true;
-        if !self.suspects.is_empty() {
-            self.suspects
-                .note_executed_by_unknown(request.req.fingerprint());
-        }
+        self.note_executed_if_suspected(now, request, &[], out);
     }
 
-    /// Quarantines a finished request that crashed servers and was answered by none, or by none of
-    /// a shard.
-    ///
-    /// Some servers may lose connections while they execute a harmless request. Such a loss is seen
-    /// immediately, whereas the other servers answer only after executing the request. A decision
-    /// at each broken connection would quarantine the request before they have had the time to
-    /// answer, and every VM would refuse it; the decision is therefore made when the request ends.
-    pub(crate) fn quarantine_if_crashing(
+    fn note_executed_if_suspected(
         &mut self,
         now: Instant,
         request: &ActiveRequest,
+        services: &[ServiceName],
         out: &mut Vec<Action>,
     ) {
-        if self.suspects.is_empty() {
+        if self.crash_ledger.is_empty() && self.quarantine.is_empty() {
             return;
         }
-        let fingerprint = request.req.fingerprint();
-        if self.suspects.quarantine_if_enough_crashes(
-            now,
-            fingerprint,
-            request.executed_without_crash,
-        ) {
-            self.counters.quarantines += 1;
-            log::warn!(
-                "event=quarantine request={fingerprint} id={}",
-                request.req.id
-            );
-            out.push(Action::Quarantine(fingerprint));
-        }
+        let services = ExecutedServices::Only(services.to_vec());
+        self.note_executed(now, request.fingerprint, services, out);
     }
 
     /// Retries or abandons a part after one of its attempts failed.
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -250,7 +250,7 @@
             }
         }
         if !page.stamps.is_empty() {
-            self.note_executed_at_peer(request);
+            self.note_executed_at_peer(now, request, out);
         }
         request.bundles[n].page = Some(page);
         // The peer has already waited for the missing parts, so they are retried only if fewer
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -46,6 +46,9 @@
             self.abandon_part(request, index, AbandonReason::UsedUp);
             return;
         }
+        if self.abandon_if_quarantined(now, request, index) {
+            return;
+        }
         match self
             .placement_context(now, request)
             .choose_server(&request.parts[index])
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -6,6 +6,8 @@
 use gs_types::prelude::*;
 
 use crate::attempt::AttemptKey;
+use crate::crash_report::CrashReport;
+use crate::crash_report::Verdict;
 use crate::entry::ServerEntry;
 use crate::options::RelayOptions;
 use crate::peer_vms::PeerVm;
@@ -42,6 +44,16 @@
     pub hops: u8,
 }
 
+/// Where verdicts were learned from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum VerdictOrigin {
+    /// Another VM.
+    Peer,
+    /// The directory, which this VM queries itself.
+    Directory,
+}
+
 /// An input of the relay.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -61,8 +73,10 @@
     Closed(ServerName),
     /// Other settings are in force from now on.
     Options(RelayOptions),
-    /// Other VMs found that these requests crash servers.
-    Quarantined(Vec<Fingerprint>),
+    /// Other VMs decided these on requests that crash servers.
+    Verdicts(Vec<Verdict>, VerdictOrigin),
+    /// Another VM saw a request crash servers, or be executed by them.
+    CrashReported(CrashReport),
     /// A caller's request arrived.
     Arrive(Arrival),
     /// An attempt ended; each [`crate::Action::Send`] is followed by exactly one, also after a
--- a/crates/relay/src/finish.rs
+++ b/crates/relay/src/finish.rs
@@ -6,6 +6,7 @@
 use http::StatusCode;
 
 use crate::abandon::AbandonCounts;
+use crate::abandon::AbandonReason;
 use crate::action::Action;
 use crate::active_request::ActiveRequest;
 use crate::active_request::Part;
@@ -38,7 +39,7 @@
         out: &mut Vec<Action>,
     ) -> bool {
         self.counters.gone += 1;
-        self.quarantine_if_crashing(now, request, out);
+        self.judge_fan_out(now, request, out);
         let live = request.attempts_in_flight();
         out.extend(live.into_iter().map(|(id, _)| Action::Cancel(id)));
         self.release(request);
@@ -85,7 +86,8 @@
     ) {
         let took = now.saturating_duration_since(request.arrived_at);
         self.count_outcome(request, took, &outcome);
-        self.quarantine_if_crashing(now, request, out);
+        self.judge_fan_out(now, request, out);
+        self.remember_executed(now, request);
         let is_plain = match &outcome {
             Outcome::Page(p) => p.missing.is_empty() && took <= request.route.objective,
             Outcome::Relayed(a) => a.status.is_success() && took <= request.route.objective,
@@ -165,6 +167,7 @@
     /// stay usable.
     fn release(&mut self, request: &mut ActiveRequest) {
         self.cancel_check(request);
+        self.quarantine.end_trial(request.fingerprint, request.seq);
         for index in 0..request.parts.len() {
             if matches!(request.parts[index].state, PartState::Waiting(_)) {
                 self.dequeue(request, index);
@@ -190,7 +193,12 @@
     }
     if !request.may_have_run() {
         let retry = request.retry_after.unwrap_or(BUSY_RETRY_AFTER);
-        return Outcome::Refused(RefuseReason::Overload, Some(retry));
+        let is_quarantined = |p: &Part| p.abandon_reason == Some(AbandonReason::Quarantined);
+        let reason = match request.parts.iter().any(is_quarantined) {
+            true => RefuseReason::Quarantined,
+            false => RefuseReason::Overload,
+        };
+        return Outcome::Refused(reason, Some(retry));
     }
     if now >= request.answer_by {
         return Outcome::Failed(FailReason::Late);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,7 +9,8 @@
 //! - `placement` chooses the server of an attempt, and `queue` orders the parts that wait for one,
 //! - `hedge` learns the delay before a hedged attempt, and `budget` limits extra attempts,
 //! - `completion` decides when a request is answered or fails,
-//! - `crash_suspects` quarantines requests that crash servers.
+//! - `crash_ledger` collects evidence that requests crash servers, `crash_reports` shares it with the
+//!   VMs that `collectors` chooses, and `quarantine` decides how long such a request is refused.
 //!
 //! What this crate calls a request is a lookup in the names of the id types that it shares with
 //! other crates: a `LookupSeq` numbers a request, and a `LookupName` names a route.
@@ -25,15 +26,19 @@
 mod budget;
 mod bundle;
 mod coalesce_delay;
+mod collectors;
 mod completion;
 mod connection_shares;
 mod counters;
-mod crash_suspects;
+mod crash_ledger;
+mod crash_report;
+mod crash_reports;
 mod delegation;
 mod delegation_times;
 mod dispatch;
 mod entry;
 mod event;
+mod executed_log;
 mod fan_out_vms;
 mod finish;
 mod hedge;
@@ -45,6 +50,7 @@
 mod placement;
 mod possible_servers;
 mod process_pause;
+mod quarantine;
 mod queue;
 mod register_reachability;
 mod registration;
@@ -57,7 +63,6 @@
 mod server;
 mod servers;
 mod service_state;
-mod shard_crashes;
 mod slack_share;
 mod split;
 mod stall;
@@ -80,11 +85,17 @@
 pub use completion::RequestProgress;
 pub use completion::decide_completion;
 pub use counters::Counters;
+pub use crash_report::CrashReport;
+pub use crash_report::ExecutedServices;
+pub use crash_report::Observation;
+pub use crash_report::ReportedCrash;
+pub use crash_report::Verdict;
 pub use entry::Availability;
 pub use entry::ServerEntry;
 pub use event::Arrival;
 pub use event::DelegatedParts;
 pub use event::Event;
+pub use event::VerdictOrigin;
 pub use leases::LeaseCheck;
 pub use leases::Leases;
 pub use leases::ListedAnnouncement;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,14 +16,19 @@
 use crate::budget::ExtraAttemptBudget;
 use crate::connection_shares::ConnectionShares;
 use crate::counters::Counters;
-use crate::crash_suspects::CrashSuspects;
+use crate::crash_ledger::CrashLedger;
+use crate::crash_reports::FIRST_REPORTS_PER_S_MAX;
+use crate::crash_reports::REPEAT_REPORTS_PER_S_MAX;
+use crate::crash_reports::VERDICTS_PER_S_MAX;
 use crate::delegation::FanOutPlan;
 use crate::delegation_times::DelegationTimes;
 use crate::event::Event;
+use crate::executed_log::ExecutedLog;
 use crate::hedge::RouteTimes;
 use crate::options::RelayOptions;
 use crate::peer_vms::PeerVms;
 use crate::process_pause::ProcessPause;
+use crate::quarantine::Quarantine;
 use crate::register_reachability::RegisterReachability;
 use crate::round_trips::MinRoundTrips;
 use crate::route::Route;
@@ -63,8 +68,20 @@
     pub(crate) orphaned_attempts: HashMap<AttemptKey, (ServerKey, Instant, LookupName)>,
     /// When requests are checked next.
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
-    /// Requests suspected of crashing servers, and those in quarantine.
-    pub(crate) suspects: CrashSuspects,
+    /// Evidence that requests crash servers.
+    pub(crate) crash_ledger: CrashLedger,
+    /// Requests that were executed lately.
+    pub(crate) executed: ExecutedLog,
+    /// Requests in quarantine or on probation.
+    pub(crate) quarantine: Quarantine,
+    /// Requests quarantined during the present event.
+    pub(crate) newly_quarantined: Vec<Fingerprint>,
+    /// Limits the reports on requests that crashed their first server.
+    pub(crate) first_report_limit: LogRateLimit,
+    /// Limits all other reports.
+    pub(crate) repeat_report_limit: LogRateLimit,
+    /// Limits the verdicts that are published.
+    pub(crate) publish_limit: LogRateLimit,
     /// Limits the log lines on crashes.
     pub(crate) crash_log: LogRateLimit,
     /// Whether the register is reachable.
@@ -124,7 +141,13 @@
                 route_times: HashMap::new(),
                 orphaned_attempts: HashMap::new(),
                 timers: BTreeSet::new(),
-                suspects: CrashSuspects::default(),
+                crash_ledger: CrashLedger::default(),
+                executed: ExecutedLog::default(),
+                quarantine: Quarantine::default(),
+                newly_quarantined: Vec::new(),
+                first_report_limit: LogRateLimit::new(FIRST_REPORTS_PER_S_MAX),
+                repeat_report_limit: LogRateLimit::new(REPEAT_REPORTS_PER_S_MAX),
+                publish_limit: LogRateLimit::new(VERDICTS_PER_S_MAX),
                 crash_log: LogRateLimit::new(LOGGED_CRASHES_PER_S_MAX),
                 register_reachability: RegisterReachability::new(),
                 round_trips: MinRoundTrips::default(),
@@ -160,13 +183,10 @@
             Event::Table(table) => self.core.on_route_table(now, table, out),
             Event::Server(entry) => self.core.on_server_entry(now, entry, out),
             Event::EntryMissing(name) => self.core.on_server_entry_missing(now, name, out),
-            Event::Quarantined(requests) => {
-                for request in requests {
-                    if self.core.suspects.quarantine(now, request) {
-                        log::info!("event=quarantine-learned request={request}");
-                    }
-                }
+            Event::Verdicts(verdicts, origin) => {
+                self.core.on_verdicts(now, verdicts, origin, out);
             }
+            Event::CrashReported(report) => self.core.on_crash_report(now, report, out),
             Event::RegisterReachable(is_reachable) => self
                 .core
                 .register_reachability
@@ -188,6 +208,7 @@
             Event::CaughtUp => self.finish_done_requests(now, out),
             Event::Tick => self.on_tick(now, out),
         }
+        self.stop_quarantined(now, out);
         self.dispatch_waiting(now, out);
         self.request_wake_up(now, out);
     }
--- a/crates/relay/src/timers.rs
+++ b/crates/relay/src/timers.rs
@@ -76,6 +76,13 @@
         index: usize,
         out: &mut Vec<Action>,
     ) {
+        if self
+            .quarantine
+            .remaining(now, request.fingerprint)
+            .is_some()
+        {
+            return;
+        }
         let placement_context = self.placement_context(now, request);
         let Some((server, expected)) = placement_context.choose_hedge_server(&request.parts[index])
         else {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod overload;
 mod pages;
 mod register;
+mod shared_evidence;
 mod stalls;
 mod subset;
 mod suspects;
--- a/crates/relay/tests/relay/suspects.rs
+++ b/crates/relay/tests/relay/suspects.rs
@@ -7,6 +7,8 @@
 use gs_relay::Outcome;
 use gs_relay::RefuseReason;
 use gs_relay::RepeatPolicy;
+use gs_relay::Verdict;
+use gs_relay::VerdictOrigin;
 use gs_types::prelude::*;
 
 use crate::world::HERE;
@@ -63,7 +65,8 @@
 fn a_request_quarantined_by_another_vm_is_refused_here() {
     let mut w = world();
     let found = w.fingerprint("/page/poison");
-    w.on(Event::Quarantined(vec![found]));
+    let verdicts = vec![Verdict::first(found)];
+    w.on(Event::Verdicts(verdicts, VerdictOrigin::Peer));
     let seq = w.arrive("/page/poison", ms(2500));
     assert!(is_quarantined(&w, seq));
 }
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -15,6 +15,7 @@
 use gs_relay::CallerLimits;
 use gs_relay::CallerRequest;
 use gs_relay::Capacity;
+use gs_relay::CrashReport;
 use gs_relay::Dispatch;
 use gs_relay::Event;
 use gs_relay::Load;
@@ -57,6 +58,14 @@
     pub connections_min: HashMap<ServerName, u32>,
     /// Requests whose quarantine was announced to other VMs.
     pub quarantined: Vec<Fingerprint>,
+    /// What was sent to other VMs, in order.
+    pub news: Vec<Action>,
+    /// Requests whose release was announced to other VMs.
+    pub released: Vec<Fingerprint>,
+    /// Requests whose verdict was removed from the directory.
+    pub unlisted: Vec<Fingerprint>,
+    /// Reports for the VMs that collect evidence.
+    pub crash_reports: Vec<CrashReport>,
     /// Reports on the requests that have ended.
     pub reports: Vec<(LookupSeq, RequestReport)>,
     wake_at: Option<Instant>,
@@ -242,6 +251,10 @@
             connects: Vec::new(),
             connections_min: HashMap::new(),
             quarantined: Vec::new(),
+            news: Vec::new(),
+            released: Vec::new(),
+            unlisted: Vec::new(),
+            crash_reports: Vec::new(),
             reports: Vec::new(),
             wake_at: None,
             next_seq: 1,
@@ -301,11 +314,20 @@
             self.relay.on(self.now, event, &mut out);
         }
         for action in out {
+            if matches!(action, Action::Publish { .. } | Action::ReportCrash { .. }) {
+                self.news.push(action.clone());
+            }
             match action {
                 Action::Send(d) => self.open.push_back(d),
                 Action::Cancel(id) => self.cancelled.push(id),
                 Action::Answer(seq, report) => self.reports.push((seq, *report)),
-                Action::Quarantine(request) => self.quarantined.push(request),
+                Action::Publish { verdict, .. } if verdict.is_release() => {
+                    self.released.push(verdict.request);
+                }
+                Action::Publish { verdict, .. } => self.quarantined.push(verdict.request),
+                Action::ReportCrash { report, .. } => self.crash_reports.push(report),
+                Action::Unlist(request) => self.unlisted.push(request),
+                Action::Superseded(_) => {}
                 Action::Wake(after) => {
                     let at = self.now + after;
                     self.wake_at = Some(self.wake_at.map_or(at, |w| w.min(at)));
