fix(query): a lookup that crashes a server on probation is quarantined for longer

Each full quarantine is four times as long as the one before, up to an hour, and the lookup stays a suspect, tried by one canary, for at least ten minutes. An answer still clears it. Evidence itself was shared in serve before (notices to all peers at the first crash).

--- a/crates/query/src/crash_suspects.rs
+++ b/crates/query/src/crash_suspects.rs
@@ -25,6 +25,15 @@
 /// lasts until the servers should be back, so that its canary does not crash a shard's last replica.
 const NO_CANARY_QUARANTINE: Duration = Duration::from_secs(5);
 
+/// The factor by which each further quarantine of a lookup is longer.
+const QUARANTINE_FACTOR: u32 = 4;
+
+/// The longest quarantine, unless the first one is longer.
+const QUARANTINE_MAX: Duration = Duration::from_secs(3600);
+
+/// The shortest time for which a lookup stays a suspect after a full quarantine.
+const PROBATION_MIN: Duration = Duration::from_secs(600);
+
 /// The maximum number of suspects stored; the one that expires first is evicted.
 const SUSPECTS_MAX: usize = 1024;
 
@@ -80,6 +89,8 @@
     reported_crashes: u32,
     /// The time until which it is refused.
     refused_until: Option<Instant>,
+    /// Its last full quarantine; the next one is longer.
+    last_quarantine: Option<Duration>,
     /// This VM's lookup that is its canary.
     canary: Option<LookupSeq>,
     expires_at: Instant,
@@ -91,6 +102,13 @@
         self.reported_crashes.max(self.crashed.len() as u32)
     }
 
+    /// Returns how long it is quarantined next, if the first quarantine takes `first`.
+    fn next_quarantine(&self, first: Duration) -> Duration {
+        let longer = |last: Duration| last.saturating_mul(QUARANTINE_FACTOR);
+        let max = QUARANTINE_MAX.max(first);
+        self.last_quarantine.map_or(first, longer).min(max)
+    }
+
     fn quarantined_for(&self, now: Instant) -> Duration {
         self.refused_until
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
@@ -179,6 +197,7 @@
     ) -> CrashFinding {
         let proven = self.is_proven(now, fp);
         let expires_at = now + self.window;
+        let quarantine = self.quarantine;
         let s = self.suspect_entry(now, fp);
         s.expires_at = s.expires_at.max(expires_at);
         if !s.crashed.contains(crash.server) {
@@ -194,8 +213,8 @@
         };
         let is_in_both = s.crashed_locally && s.crashed_remotely && crashes >= crashes_max;
         let quarantine = match crash.is_alone && crashes >= CRASHES_MAX {
-            true => Some(self.quarantine),
-            false if is_in_both => Some(self.quarantine.min(NO_CANARY_QUARANTINE)),
+            true => Some(s.next_quarantine(quarantine)),
+            false if is_in_both => Some(quarantine.min(NO_CANARY_QUARANTINE)),
             false => None,
         };
         if let Some(quarantine) = quarantine {
@@ -247,7 +266,7 @@
         if quarantine == Duration::ZERO && self.is_proven(now, fp) {
             return;
         }
-        let quarantine = quarantine.min(self.quarantine.saturating_mul(2));
+        let quarantine = quarantine.min(QUARANTINE_MAX.max(self.quarantine));
         let expires_at = now + self.window;
         let s = self.suspect_entry(now, fp);
         s.reported_crashes = s.reported_crashes.max(crashes);
@@ -282,12 +301,16 @@
         self.suspicion_until = self.suspicion_until.max(Some(now + self.window));
         self.proven.remove(&fp);
         self.proven_order.retain(|f| *f != fp);
-        let window = self.window;
+        let (window, first) = (self.window, self.quarantine);
         let s = self.suspect_entry(now, fp);
         s.refused_until = s.refused_until.max(Some(now + quarantine));
-        // It stays a suspect for another window after its quarantine, so that its next submission
-        // is a canary.
-        s.expires_at = s.expires_at.max(now + quarantine + window);
+        let mut suspected_for = window;
+        if quarantine >= first {
+            s.last_quarantine = s.last_quarantine.max(Some(quarantine));
+            suspected_for = window.max(quarantine).max(PROBATION_MIN);
+        }
+        // It stays a suspect after its quarantine, so that its next submission is a canary.
+        s.expires_at = s.expires_at.max(now + quarantine + suspected_for);
     }
 
     fn suspect_entry(&mut self, now: Instant, fp: Fingerprint) -> &mut Suspect {
@@ -300,6 +323,7 @@
             crashed_remotely: false,
             reported_crashes: 0,
             refused_until: None,
+            last_quarantine: None,
             canary: None,
             expires_at: now,
         })
--- a/crates/query/tests/engine/poison/fleet.rs
+++ b/crates/query/tests/engine/poison/fleet.rs
@@ -96,3 +96,16 @@
     f.crashed.dedup();
     assert!((1..=2).contains(&f.crashed.len()), "{:?}", f.crashed);
 }
+
+/// Prevents a poisoned lookup from crashing a server each time that its quarantine has ended.
+#[test]
+fn a_poisoned_lookup_is_quarantined_for_longer_each_time_that_it_crashes_a_server() {
+    let mut f = Fleet::new(3, 1);
+    for n in 0..6000 {
+        f.vms[n % 3].arrive("book");
+        f.crash_all();
+        f.advance(Duration::from_millis(100));
+    }
+    // Two prove it; quarantines of 30 s, 2 min and 8 min end, or nearly end, in these ten minutes.
+    assert!(f.crashed.len() <= 5, "{} crashes", f.crashed.len());
+}
