--- a/crates/edge/src/seed.rs
+++ b/crates/edge/src/seed.rs
@@ -59,9 +59,7 @@
     /// Queries peers until routes and servers are known.
     pub(crate) async fn run(self) {
         let start = Instant::now();
-        self.learn_verdicts().await;
-        let version = self.peer_version().await;
-        self.state.set_version_min(version.unwrap_or_default());
+        tokio::join!(self.learn_version(), self.learn_verdicts());
         tokio::time::sleep_until(start + DIRECTORY_WAIT).await;
         let mut backoff = Backoff::new(BACKOFF_MIN, BACKOFF_MAX, self.seed);
         while !self.state.has_routes_and_servers() {
@@ -89,6 +87,12 @@
         None
     }
 
+    /// Learns the version of the routes that the peers have in force.
+    async fn learn_version(&self) {
+        let version = self.peer_version().await;
+        self.state.set_version_min(version.unwrap_or_default());
+    }
+
     /// Learns which requests crash servers from the first peer that answers; the directory may not list them yet.
     async fn learn_verdicts(&self) {
         let path = VERDICTS_PATH;
--- a/tests/relay/crashing_requests.rs
+++ b/tests/relay/crashing_requests.rs
@@ -1,5 +1,7 @@
 //! Requests that end the process of each server which runs them, repeated at every VM in turn.
 
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use gs_rig::site::RestartingServer;
@@ -28,6 +30,9 @@
 /// How long a server is down after a crash.
 const DOWN_FOR: Duration = Duration::from_secs(3);
 
+/// Number of times that any test has sent the request; each has an id of its own.
+static REPEATS: AtomicUsize = AtomicUsize::new(0);
+
 /// Starts a site with servers that a request crashes, and waits until each VM knows them.
 async fn start_crashing_site(vms: usize) -> (TestSite, Vec<RestartingServer>) {
     let mut r = start_site_with(vms).await;
@@ -55,12 +60,11 @@
 /// Sends the request that crashes servers to the VMs in turn.
 async fn repeat_crashing_request(r: &TestSite, every: Duration, duration: Duration) {
     let end = Instant::now() + duration;
-    let mut n = 0;
     while Instant::now() < end {
+        let n = REPEATS.fetch_add(1, Ordering::Relaxed);
         let vm = r.site.vms[n % r.site.vms.len()].plan().callers;
         let (caller, id) = (r.caller.clone(), format!("crash{n}"));
         tokio::spawn(async move { caller.send(vm, "/fragile/crashes", &id).await });
-        n += 1;
         tokio::time::sleep(every).await;
     }
 }
@@ -105,3 +109,78 @@
     repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(75)).await;
     assert_few_late_runs(&r);
 }
+
+/// Number of VMs of the sites whose VMs are killed.
+const VMS: usize = 7;
+
+/// The kind of the objects that quarantine requests.
+const QUARANTINE: &str = "gentiansill-quarantine";
+
+async fn kill_all(r: &mut TestSite) {
+    for vm in 0..r.site.vms.len() {
+        r.kill(vm).await;
+    }
+}
+
+async fn restart_all(r: &mut TestSite) {
+    for vm in 0..r.site.vms.len() {
+        r.restart(vm).await;
+    }
+}
+
+/// Prevents VMs that are all killed at the same time from forgetting a request that crashes servers.
+#[tokio::test]
+async fn a_request_that_crashes_servers_stays_known_after_all_vms_were_killed() {
+    let (mut r, _servers) = start_crashing_site(VMS).await;
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
+    r.wait_until("the quarantine to be listed", |r| {
+        !r.site.store.names(QUARANTINE).is_empty()
+    })
+    .await;
+    kill_all(&mut r).await;
+    restart_all(&mut r).await;
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(8)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents a request from crashing servers at each VM anew after all VMs were killed and the store has lost the quarantine.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_again_after_all_vms_and_the_quarantine_are_lost()
+{
+    let (mut r, _servers) = start_crashing_site(VMS).await;
+    let copy = r.site.store.copy();
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
+    kill_all(&mut r).await;
+    let lost = r.site.store.restore(copy);
+    r.site.store.rewrite(lost);
+    restart_all(&mut r).await;
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(8)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents VMs that start while the store is away from running a request that their peers refuse.
+#[tokio::test]
+async fn vms_that_start_in_an_outage_learn_the_quarantine_from_their_peers() {
+    let (mut r, _servers) = start_crashing_site(VMS).await;
+    r.site.store.set_fault(StoreFault::Silent);
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
+    for vm in 0..VMS {
+        r.kill(vm).await;
+        r.restart(vm).await;
+    }
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(8)).await;
+    assert_few_late_runs(&r);
+}
+
+/// Prevents the evidence from being lost with the VMs that collect it.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_while_vms_are_killed_in_turn() {
+    let (mut r, _servers) = start_crashing_site(VMS).await;
+    for round in 0..20 {
+        repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_millis(600)).await;
+        let vm = round % VMS;
+        r.kill(vm).await;
+        r.restart(vm).await;
+    }
+    assert_few_late_runs(&r);
+}
