fix(relay): evidence of servers that have left, newer listed verdicts and crashes of other shards

Found by reading the change before: a crash under an attempt at a server that was forgotten meanwhile was no evidence; a newer verdict in the directory was removed as outdated if an older one had been released here; a crash of another shard ended the probation of a request that only one shard never answers. Each of the three tests fails on the sources of the commit before.

--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Cause;
 use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::crash_report::ExecutedServices;
+use crate::crash_reports::CrashedServer;
 use crate::relay::Core;
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
@@ -76,8 +77,14 @@
         attempt.ended = Some((now, (&end).into()));
         let (server, dispatched_at, cause) = (attempt.server, attempt.dispatched_at, attempt.cause);
         let route = request.route.name.clone();
+        // A server that has left is forgotten with its last attempt.
+        let crashed = self.servers.get(server).map(|view| CrashedServer {
+            name: view.entry.name.clone(),
+            born: view.entry.born,
+            sent_at: dispatched_at,
+        });
         self.update_server_health(now, server, id, (dispatched_at, rounds_ahead), &route, &end);
-        self.update_suspicion(now, request, index, (server, dispatched_at), &end, out);
+        self.update_suspicion(now, request, index, crashed, &end, out);
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = request.parts[index].service.clone();
             self.service_state(&service)
@@ -108,12 +115,16 @@
         now: Instant,
         request: &mut ActiveRequest,
         index: usize,
-        sent: (ServerKey, Instant),
+        crashed: Option<CrashedServer>,
         end: &AttemptEnd,
         out: &mut Vec<Action>,
     ) {
         match end {
-            AttemptEnd::Broken => self.note_broken_attempt(now, request, index, sent, out),
+            AttemptEnd::Broken => {
+                if let Some(crashed) = crashed {
+                    self.note_broken_attempt(now, request, index, crashed, out);
+                }
+            }
             AttemptEnd::Answered(..) => {
                 request.executed_without_crash = true;
                 let services = [request.parts[index].service.clone()];
--- a/crates/relay/src/crash_reports.rs
+++ b/crates/relay/src/crash_reports.rs
@@ -24,7 +24,6 @@
 use crate::quarantine::QuarantineStatus;
 use crate::relay::Core;
 use crate::relay::Relay;
-use crate::servers::ServerKey;
 
 /// The most reports per second on requests that crashed their first server: when many servers
 /// crash, each request that they had is one.
@@ -37,6 +36,13 @@
 /// that had all its parts broken is one.
 pub(crate) const VERDICTS_PER_S_MAX: u32 = 8;
 
+/// A server whose connection broke, as it was when the attempt was sent.
+pub(crate) struct CrashedServer {
+    pub(crate) name: ServerName,
+    pub(crate) born: Option<Incarnation>,
+    pub(crate) sent_at: Instant,
+}
+
 impl Core {
     /// Records that a server crashed while it had a part of a request.
     ///
@@ -47,17 +53,14 @@
         now: Instant,
         request: &mut ActiveRequest,
         index: usize,
-        (server, dispatched_at): (ServerKey, Instant),
+        crashed: CrashedServer,
         out: &mut Vec<Action>,
     ) {
-        let Some(view) = self.servers.get(server) else {
-            return;
-        };
         let crash = ServerCrash {
             service: request.parts[index].service.clone(),
-            server: view.entry.name.clone(),
-            born: view.entry.born,
-            began_at: dispatched_at,
+            server: crashed.name,
+            born: crashed.born,
+            began_at: crashed.sent_at,
             ended_at: now,
             is_answered_elsewhere: false,
         };
@@ -102,16 +105,15 @@
         out: &mut Vec<Action>,
     ) {
         let fingerprint = request.fingerprint;
-        let is_on_probation = crashes.iter().any(|c| {
-            self.quarantine
-                .is_on_probation(now, fingerprint, c.began_at)
-        });
+        let on_probation = crashes
+            .iter()
+            .find_map(|c| self.quarantine.proof_on_probation(now, fingerprint, c));
         let mut known = 0;
         for crash in &crashes {
             known = self.crash_ledger.note(now, fingerprint, crash.clone());
             self.log_crash(now, request, crash, known);
         }
-        if self.convict_if_proved(now, fingerprint, is_on_probation, out) {
+        if self.convict_if_proved(now, fingerprint, on_probation, out) {
             return;
         }
         // A peer's part of a fan-out may be broken while the other parts are answered.
@@ -133,20 +135,13 @@
         &mut self,
         now: Instant,
         request: Fingerprint,
-        crashed_on_probation: bool,
+        on_probation: Option<Proof>,
         out: &mut Vec<Action>,
     ) -> bool {
         if self.quarantine.remaining(now, request).is_some() {
             return true;
         }
-        let on_probation = Proof {
-            service: None,
-            evidence_from: now,
-        };
-        let proof = match crashed_on_probation {
-            true => Some(on_probation),
-            false => self.crash_ledger.proof(now, request),
-        };
+        let proof = on_probation.or_else(|| self.crash_ledger.proof(now, request));
         let Some(proof) = proof else {
             return false;
         };
@@ -216,15 +211,14 @@
         } = report;
         match observation {
             Observation::Crashed(crashes) => {
-                let mut is_on_probation = false;
+                let mut on_probation = None;
                 for crash in crashes {
                     let crash = received_crash(now, crash);
-                    is_on_probation |=
-                        self.quarantine
-                            .is_on_probation(now, request, crash.began_at);
+                    let proof = self.quarantine.proof_on_probation(now, request, &crash);
+                    on_probation = on_probation.or(proof);
                     self.crash_ledger.note(now, request, crash);
                 }
-                self.convict_if_proved(now, request, is_on_probation, out);
+                self.convict_if_proved(now, request, on_probation, out);
             }
             Observation::Executed(services, ago_ms) => {
                 let at = earlier(now, ago_ms);
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -11,6 +11,7 @@
 use gs_types::prelude::*;
 
 use crate::crash_ledger::Proof;
+use crate::crash_ledger::ServerCrash;
 use crate::crash_report::ExecutedServices;
 use crate::crash_report::Verdict;
 
@@ -107,14 +108,21 @@
         (!remaining.is_zero()).then_some(remaining)
     }
 
-    /// Returns whether a crash under an attempt sent at this time ends the probation of a request.
-    pub(crate) fn is_on_probation(
+    /// Returns the proof against a request that crashed a server while it was on probation; `None`
+    /// if it was not, or for crashes of other services.
+    pub(crate) fn proof_on_probation(
         &self,
         now: Instant,
         request: Fingerprint,
-        sent: Instant,
-    ) -> bool {
-        self.held(now, request).is_some_and(|e| sent >= e.until)
+        crash: &ServerCrash,
+    ) -> Option<Proof> {
+        let entry = self.held(now, request)?;
+        let service = &entry.verdict.service;
+        let is_crashed = service.as_ref().is_none_or(|s| *s == crash.service);
+        (is_crashed && crash.began_at >= entry.until).then(|| Proof {
+            service: service.clone(),
+            evidence_from: now,
+        })
     }
 
     /// Records which request is tried.
@@ -219,6 +227,9 @@
         let Some(entry) = self.entries.get_mut(&listed.request) else {
             return false;
         };
+        if listed.version > entry.verdict.version {
+            return false;
+        }
         let is_over = entry.expires_at <= now || entry.verdict.is_release();
         if is_over {
             entry.expires_at = entry.expires_at.max(now + RELEASE_RETENTION);
--- a/crates/relay/tests/relay/shared_evidence.rs
+++ b/crates/relay/tests/relay/shared_evidence.rs
@@ -491,3 +491,62 @@
         w.quarantined.len()
     );
 }
+
+/// Prevents a crash from going unnoticed because the server's entry had already left.
+#[test]
+fn a_crash_of_a_server_that_has_left_is_evidence() {
+    let mut w = world();
+    w.on(Event::Vms(fleet(7)));
+    w.arrive(PATH, ms(8000));
+    let server = w.open[0].server.name.clone();
+    w.on(Event::EntryMissing(server.clone()));
+    w.advance(ms(6000));
+    w.end_attempt(server.as_str(), AttemptEnd::Broken);
+    assert_eq!(w.crash_reports.len(), 1);
+}
+
+/// Prevents a newer verdict in the directory from being removed because an older one was released.
+#[test]
+fn a_newer_listed_verdict_replaces_a_release() {
+    let mut w = world();
+    let release = Verdict {
+        version: 2,
+        strikes: 0,
+        ..Verdict::first(w.fingerprint(PATH))
+    };
+    let later = Verdict {
+        version: 3,
+        strikes: 1,
+        ..release.clone()
+    };
+    w.on(Event::Verdicts(vec![release], VerdictOrigin::Peer));
+    w.on(Event::Verdicts(vec![later], VerdictOrigin::Directory));
+    assert_eq!(w.unlisted, []);
+    let seq = w.arrive(PATH, ms(8000));
+    assert!(refused_for(&w, seq).is_some());
+}
+
+/// Prevents a request that only one shard never answers from being quarantined for longer because another shard crashed.
+#[test]
+fn a_crash_of_another_shard_on_probation_proves_nothing() {
+    let shards = ["s0", "s1", "s2"];
+    let routes = vec![page_route(&shards, 0.3)];
+    let mut w = World::new(table(1, routes)).with_server_pairs(&shards);
+    let verdict = Verdict {
+        service: Some("s0".parse().expect("a name")),
+        ..Verdict::first(w.fingerprint("/page/x"))
+    };
+    w.on(Event::Verdicts(vec![verdict], VerdictOrigin::Peer));
+    w.advance(ms(31_000));
+    let seq = w.arrive("/page/x", ms(2500));
+    while w.report(seq).is_none() {
+        let server = w.open[0].server.name.to_string();
+        let end = match &server[..2] {
+            "s0" => AttemptEnd::NotSent,
+            "s1" => AttemptEnd::Broken,
+            _ => success(b'a'),
+        };
+        w.end_attempt(&server, end);
+    }
+    assert_eq!(w.quarantined, []);
+}
