--- a/crates/edge/src/request_log.rs
+++ b/crates/edge/src/request_log.rs
@@ -7,8 +7,8 @@
 use gs_actor::lock;
 use gs_relay::Outcome;
 use gs_relay::RequestReport;
-use gs_types::log_rate_limit::LogRateLimit;
 use gs_types::prelude::*;
+use gs_types::rate_limit::RateLimit;
 
 use crate::metrics::Metrics;
 
@@ -18,14 +18,14 @@
 
 /// Logs what operators need to know of requests that went wrong, and records the latency of all.
 pub(crate) struct RequestLog {
-    rate_limit: Mutex<LogRateLimit>,
+    rate_limit: Mutex<RateLimit>,
     metrics: Arc<Metrics>,
 }
 
 impl RequestLog {
     pub(crate) fn new(metrics: Arc<Metrics>) -> Self {
         Self {
-            rate_limit: Mutex::new(LogRateLimit::new(LOGGED_REQUESTS_PER_S_MAX)),
+            rate_limit: Mutex::new(RateLimit::new(LOGGED_REQUESTS_PER_S_MAX)),
             metrics,
         }
     }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -111,6 +111,7 @@
             "callers": self.callers.open(),
             "counters": relay.counters(),
             "register": self.register.dump(),
+            "verdicts": relay.verdicts(Instant::now()),
             "slack": relay.slack(Instant::now()),
             "budgets": relay.budgets(Instant::now()),
             "servers": relay.servers(Instant::now()),
--- a/crates/query/src/engine_state.rs
+++ b/crates/query/src/engine_state.rs
@@ -15,8 +15,8 @@
 use gs_route::RouteOptions;
 use gs_route::ServerIdx;
 use gs_route::Servers;
-use gs_types::log_rate_limit::LogRateLimit;
 use gs_types::prelude::*;
+use gs_types::rate_limit::RateLimit;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -99,7 +99,7 @@
     pub(crate) in_flight: usize,
     pub(crate) counters: Counters,
     /// Limits the rate of log lines about lookups that end incomplete.
-    pub(crate) incomplete_log_limit: LogRateLimit,
+    pub(crate) incomplete_log_limit: RateLimit,
     /// Servers with a connection freed since their queues were last checked.
     pub(crate) freed_servers: Vec<ServerIdx>,
     /// Servers that no longer accept work or hold other snapshots, so that their queued parts must
@@ -145,7 +145,7 @@
             is_leaving: false,
             in_flight: 0,
             counters: Counters::default(),
-            incomplete_log_limit: LogRateLimit::new(LOGGED_LOOKUPS_PER_SECOND),
+            incomplete_log_limit: RateLimit::new(LOGGED_LOOKUPS_PER_SECOND),
             freed_servers: Vec::new(),
             changed_servers: Vec::new(),
             options,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use gs_types::log_rate_limit::LogRateLimit;
 use gs_types::prelude::*;
+use gs_types::rate_limit::RateLimit;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -77,13 +77,13 @@
     /// Requests quarantined during the present event.
     pub(crate) newly_quarantined: Vec<Fingerprint>,
     /// Limits the reports on requests that crashed their first server.
-    pub(crate) first_report_limit: LogRateLimit,
+    pub(crate) first_report_limit: RateLimit,
     /// Limits all other reports.
-    pub(crate) repeat_report_limit: LogRateLimit,
+    pub(crate) repeat_report_limit: RateLimit,
     /// Limits the verdicts that are published.
-    pub(crate) publish_limit: LogRateLimit,
+    pub(crate) publish_limit: RateLimit,
     /// Limits the log lines on crashes.
-    pub(crate) crash_log: LogRateLimit,
+    pub(crate) crash_log: RateLimit,
     /// Whether the register is reachable.
     pub(crate) register_reachability: RegisterReachability,
     /// Least round-trip time to each data centre.
@@ -145,10 +145,10 @@
                 executed: ExecutedLog::default(),
                 quarantine: Quarantine::default(),
                 newly_quarantined: Vec::new(),
-                first_report_limit: LogRateLimit::new(FIRST_REPORTS_PER_S_MAX),
-                repeat_report_limit: LogRateLimit::new(REPEAT_REPORTS_PER_S_MAX),
-                publish_limit: LogRateLimit::new(VERDICTS_PER_S_MAX),
-                crash_log: LogRateLimit::new(LOGGED_CRASHES_PER_S_MAX),
+                first_report_limit: RateLimit::new(FIRST_REPORTS_PER_S_MAX),
+                repeat_report_limit: RateLimit::new(REPEAT_REPORTS_PER_S_MAX),
+                publish_limit: RateLimit::new(VERDICTS_PER_S_MAX),
+                crash_log: RateLimit::new(LOGGED_CRASHES_PER_S_MAX),
                 register_reachability: RegisterReachability::new(),
                 round_trips: MinRoundTrips::default(),
                 delegation_times: DelegationTimes::default(),
--- a/crates/types/src/log_rate_limit.rs
+++ b/crates/types/src/rate_limit.rs
@@ -1,33 +1,32 @@
-//! A rate limit for log lines that every request could cause.
+//! A rate limit for what every request could cause, such as log lines and messages.
 
 use std::time::Duration;
 use std::time::Instant;
 
-/// Admits a fixed number of log lines, or groups of lines, per second and counts the suppressed
-/// ones.
+/// Admits a fixed number of events per second and counts the suppressed ones.
 ///
 /// # Examples
 ///
 /// ```
 /// use std::time::Instant;
 ///
-/// use gs_types::log_rate_limit::LogRateLimit;
+/// use gs_types::rate_limit::RateLimit;
 ///
 /// let now = Instant::now();
-/// let mut limit = LogRateLimit::new(1);
+/// let mut limit = RateLimit::new(1);
 /// assert_eq!(limit.try_acquire(now), Some(0));
 /// assert_eq!(limit.try_acquire(now), None);
 /// ```
 #[derive(Clone, Copy, Debug)]
-pub struct LogRateLimit {
+pub struct RateLimit {
     per_second: u32,
     window_start: Option<Instant>,
     admitted: u32,
     suppressed: u64,
 }
 
-impl LogRateLimit {
-    /// Creates a limit of `per_second` log lines in each window of one second.
+impl RateLimit {
+    /// Creates a limit of `per_second` events in each window of one second.
     #[must_use]
     pub fn new(per_second: u32) -> Self {
         Self {
@@ -38,7 +37,7 @@
         }
     }
 
-    /// Admits one log line and returns how many were suppressed since the last admitted one, or
+    /// Admits one event and returns how many were suppressed since the last admitted one, or
     /// returns `None` if the limit is reached.
     pub fn try_acquire(&mut self, now: Instant) -> Option<u64> {
         let elapsed_since = |at: Instant| now.saturating_duration_since(at);
--- a/crates/types/tests/log_rate_limit.rs
+++ b/crates/types/tests/rate_limit.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use gs_types::log_rate_limit::LogRateLimit;
+use gs_types::rate_limit::RateLimit;
 
 /// Prevents a log that grows with the number of failing requests.
 #[test]
 fn no_more_lines_than_the_limit_are_admitted_per_second() {
     let start = Instant::now();
-    let mut limit = LogRateLimit::new(3);
+    let mut limit = RateLimit::new(3);
     let times = (0..1000).map(|n| start + Duration::from_millis(n));
     let admitted = times
         .filter(|now| limit.try_acquire(*now).is_some())
@@ -22,7 +22,7 @@
 fn suppressed_lines_are_reported_once() {
     let start = Instant::now();
     let later = start + Duration::from_secs(1);
-    let mut limit = LogRateLimit::new(1);
+    let mut limit = RateLimit::new(1);
     assert_eq!(limit.try_acquire(start), Some(0));
     assert_eq!(
         [limit.try_acquire(start), limit.try_acquire(start)],
--- a/tests/relay/crashing_requests.rs
+++ b/tests/relay/crashing_requests.rs
@@ -7,8 +7,10 @@
 use gs_rig::site::RestartingServer;
 use gs_rig::site::RestartingServerOptions;
 use gs_rig::site::StoreFault;
+use rustix::process::Signal;
 use tokio::time::Instant;
 
+use crate::support::FOLLOWED_VMS;
 use crate::support::TestSite;
 use crate::support::start_site_with;
 
@@ -59,10 +61,21 @@
 
 /// Sends the request that crashes servers to the VMs in turn.
 async fn repeat_crashing_request(r: &TestSite, every: Duration, duration: Duration) {
+    let all: Vec<usize> = (0..r.site.vms.len()).collect();
+    repeat_crashing_request_at(r, &all, every, duration).await;
+}
+
+/// Sends the request that crashes servers to these VMs in turn.
+async fn repeat_crashing_request_at(
+    r: &TestSite,
+    vms: &[usize],
+    every: Duration,
+    duration: Duration,
+) {
     let end = Instant::now() + duration;
     while Instant::now() < end {
         let n = REPEATS.fetch_add(1, Ordering::Relaxed);
-        let vm = r.site.vms[n % r.site.vms.len()].plan().callers;
+        let vm = r.site.vms[vms[n % vms.len()]].plan().callers;
         let (caller, id) = (r.caller.clone(), format!("crash{n}"));
         tokio::spawn(async move { caller.send(vm, "/fragile/crashes", &id).await });
         tokio::time::sleep(every).await;
@@ -184,3 +197,25 @@
     }
     assert_few_late_runs(&r);
 }
+
+/// Prevents a request from crashing servers at each VM anew while half of the VMs, among them those that collect the
+/// evidence or pass on the verdict, are silent.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_while_half_of_the_vms_are_silent() {
+    let (r, _servers) = start_crashing_site(FOLLOWED_VMS).await;
+    let (silent, running): (Vec<usize>, Vec<usize>) = (0..FOLLOWED_VMS).partition(|vm| vm % 2 == 0);
+    for vm in &silent {
+        r.site.vms[*vm].signal(Signal::STOP);
+    }
+    repeat_crashing_request_at(
+        &r,
+        &running,
+        Duration::from_millis(700),
+        Duration::from_secs(12),
+    )
+    .await;
+    assert_few_late_runs(&r);
+    for vm in &silent {
+        r.site.vms[*vm].signal(Signal::CONT);
+    }
+}
