test(rig): crashed servers of the stand-in refuse connections, also behind the proxy

The proxy in front of a server that was down accepted connections and closed them, which VMs took for one more crash each time; in the world the address refuses. Checked by tests of the stand-in itself, with the server that a request crashes: it closes every connection, refuses, and comes back under another id.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -124,7 +124,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             addr,
-            link: FaultProxy::start(addr).await?,
+            link: FaultProxy::start_at(addr.ip(), addr).await?,
             task: serve(listener, Arc::<BackendHandler>::clone(&inner)),
             is_down: AtomicBool::new(false),
             inner,
@@ -174,6 +174,7 @@
     /// Crashes it: its connections are closed and it stops listening.
     pub fn crash(&self) {
         self.is_down.store(true, Ordering::Relaxed);
+        self.link.set_listening(false);
         self.task.abort();
     }
 
@@ -190,6 +191,7 @@
         drop((&mut self.task).await);
         let listener = listen(self.addr).await?;
         self.task = serve(listener, Arc::<BackendHandler>::clone(&self.inner));
+        self.link.set_listening(true);
         Ok(())
     }
 }
--- a/crates/rig/src/site/proxy.rs
+++ b/crates/rig/src/site/proxy.rs
@@ -1,5 +1,7 @@
 //! A loopback proxy in front of a stand-in that injects network faults.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -13,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::http::listen;
+
 /// A fault of the connections through a proxy.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -33,6 +37,7 @@
 pub struct FaultProxy {
     addr: SocketAddr,
     fault: watch::Sender<LinkFault>,
+    is_listening: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -43,22 +48,46 @@
     ///
     /// If it cannot listen.
     pub async fn start(target: SocketAddr) -> Result<Self> {
+        Self::start_at(Ipv4Addr::LOCALHOST.into(), target).await
+    }
+
+    /// Does the same on a given loopback address.
+    ///
+    /// # Errors
+    ///
+    /// As for [`FaultProxy::start`].
+    pub async fn start_at(ip: IpAddr, target: SocketAddr) -> Result<Self> {
         let failed = |e: std::io::Error| Error::new(ErrorKind::Io, e.to_string()).at("start proxy");
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await.map_err(failed)?;
+        let listener = listen(SocketAddr::new(ip, 0)).await?;
         let addr = listener.local_addr().map_err(failed)?;
         let (fault, receiver) = watch::channel(LinkFault::None);
+        let (is_listening, mut listening) = watch::channel(true);
         let task = tokio::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
+            let mut listener = listener;
             loop {
-                tokio::select! {
-                    Ok((client, _)) = listener.accept() => {
-                        connections.spawn(connection(client, target, receiver.clone()));
+                forward(listener, target, &receiver, &mut listening).await;
+                // The sender lives as long as this task.
+                let _ = listening.wait_for(|is_listening| *is_listening).await;
+                listener = match listen(addr).await {
+                    Ok(listener) => listener,
+                    Err(e) => {
+                        log::error!("event=proxy-not-listening error=\"{e}\"");
+                        return;
                     }
-                    Some(_) = connections.join_next() => {}
-                }
+                };
             }
         });
-        Ok(Self { addr, fault, task })
+        Ok(Self {
+            addr,
+            fault,
+            is_listening,
+            task,
+        })
+    }
+
+    /// Sets whether it listens, as its target does; while it does not, connections are refused.
+    pub fn set_listening(&self, is_listening: bool) {
+        self.is_listening.send_replace(is_listening);
     }
 
     /// Returns the address to connect to.
@@ -79,6 +108,25 @@
     }
 }
 
+/// Forwards connections until the proxy is to stop listening, which closes them.
+async fn forward(
+    listener: TcpListener,
+    target: SocketAddr,
+    fault: &watch::Receiver<LinkFault>,
+    listening: &mut watch::Receiver<bool>,
+) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((client, _)) = listener.accept() => {
+                connections.spawn(connection(client, target, fault.clone()));
+            }
+            Some(_) = connections.join_next() => {}
+            _ = listening.wait_for(|is_listening| !*is_listening) => return,
+        }
+    }
+}
+
 async fn connection(client: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
     // A zero linger turns the close into a reset.
     let reset = |tcp: &TcpStream| tcp.set_zero_linger();
--- a/crates/rig/src/site/restarting_server.rs
+++ b/crates/rig/src/site/restarting_server.rs
@@ -42,6 +42,7 @@
 
 /// A running server; stops when dropped.
 pub struct RestartingServer {
+    addr: SocketAddr,
     task: JoinHandle<()>,
 }
 
@@ -57,8 +58,17 @@
         records: ServerRecords,
     ) -> Result<Self> {
         let listener = listen(SocketAddr::from((allocate_address(), 0))).await?;
-        let task = tokio::spawn(run(store, opts, records, listener));
-        Ok(Self { task })
+        let addr = listener
+            .local_addr()
+            .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
+        let task = tokio::spawn(run(store, opts, records, listener, addr));
+        Ok(Self { addr, task })
+    }
+
+    /// Returns its address, which all its incarnations have.
+    #[must_use]
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
     }
 }
 
@@ -73,11 +83,8 @@
     opts: RestartingServerOptions,
     records: ServerRecords,
     mut listener: TcpListener,
+    addr: SocketAddr,
 ) {
-    let Ok(addr) = listener.local_addr() else {
-        log::error!("event=no-address server={}", opts.id);
-        return;
-    };
     let mut starts = 0;
     loop {
         starts += 1;
--- a/crates/rig/tests/backend.rs
+++ b/crates/rig/tests/backend.rs
@@ -5,6 +5,8 @@
 
 use gs_rig::site::Backend;
 use gs_rig::site::BackendFaults;
+use gs_rig::site::RestartingServer;
+use gs_rig::site::RestartingServerOptions;
 use gs_rig::site::ServerRecords;
 use gs_rig::site::Store;
 use gs_rig::site::part;
@@ -82,3 +84,61 @@
     let tcp = TcpStream::connect(server.addr()).await;
     tcp.expect("it listens");
 }
+
+/// Waits until a connection to an address is refused, or accepted.
+async fn wait_until_accepted(addr: SocketAddr, is_accepted: bool) {
+    let wait = async {
+        while TcpStream::connect(addr).await.is_ok() != is_accepted {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(Duration::from_secs(5), wait).await;
+    waited.expect("the address changes");
+}
+
+/// Prevents a server that is down from accepting connections and closing them, which looks like a crash each time.
+#[tokio::test]
+async fn a_crashed_server_refuses_connections_until_it_is_restarted() {
+    let store = Store::start().await.expect("a free port");
+    let work = Duration::from_millis(1);
+    let server = Backend::start(&store, "i-0", "s", "east", work, ServerRecords::default());
+    let mut server = server.await.expect("a free port");
+    server.crash();
+    wait_until_accepted(server.link().addr(), false).await;
+    server.restart().await.expect("it listens again");
+    wait_until_accepted(server.link().addr(), true).await;
+}
+
+/// Prevents a server that a request crashes from living on: it goes down, refuses, and comes back under another id.
+#[tokio::test]
+async fn a_server_that_a_request_crashes_comes_back_under_another_id() {
+    let store = Store::start().await.expect("a free port");
+    let options = RestartingServerOptions::builder()
+        .id("i-0".to_owned())
+        .service("s".to_owned())
+        .zone("east".to_owned())
+        .work(Duration::from_millis(1))
+        .crashes_on("q")
+        .down_for(Duration::from_millis(500))
+        .build();
+    let records = ServerRecords::default();
+    let server = RestartingServer::start(store.writer(), options, records).await;
+    let server = server.expect("a free port");
+    wait_until_accepted(server.addr(), true).await;
+    let mut tcp = TcpStream::connect(server.addr()).await.expect("it listens");
+    tcp.write_all(REQUEST).await.expect("a request");
+    let mut answer = Vec::new();
+    let read = tokio::time::timeout(Duration::from_secs(5), tcp.read_to_end(&mut answer));
+    // A reset is an end too.
+    drop(read.await.expect("the connection ends"));
+    assert!(answer.is_empty(), "{answer:?}");
+    wait_until_accepted(server.addr(), false).await;
+    wait_until_accepted(server.addr(), true).await;
+    let is_back = async {
+        while store.names("servers") != ["i-0-2"] {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let is_back = tokio::time::timeout(Duration::from_secs(5), is_back).await;
+    is_back.expect("it is registered again");
+}
