--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,8 +9,9 @@
 //! - `placement` chooses the server of an attempt, and `queue` orders the parts that wait for one,
 //! - `hedge` learns the delay before a hedged attempt, and `budget` limits extra attempts,
 //! - `completion` decides when a request is answered or fails,
-//! - `crash_ledger` collects evidence that requests crash servers, `crash_reports` shares it with the
-//!   VMs that `collectors` chooses, and `quarantine` decides how long such a request is refused.
+//! - `crash_evidence` notes which requests crash servers and shares it with the VMs that `collectors`
+//!   chooses; `crash_ledger` decides what proves it, `quarantine` how long such a request is refused,
+//!   and `verdicts` tells the other VMs.
 //!
 //! What this crate calls a request is a lookup in the names of the id types that it shares with
 //! other crates: a `LookupSeq` numbers a request, and a `LookupName` names a route.
@@ -30,9 +31,9 @@
 mod completion;
 mod connection_shares;
 mod counters;
+mod crash_evidence;
 mod crash_ledger;
 mod crash_report;
-mod crash_reports;
 mod delegation;
 mod delegation_times;
 mod dispatch;
@@ -69,6 +70,7 @@
 mod subset;
 mod table;
 mod timers;
+mod verdicts;
 
 pub use abandon::AbandonCounts;
 pub use abandon::AbandonReason;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,10 +16,9 @@
 use crate::budget::ExtraAttemptBudget;
 use crate::connection_shares::ConnectionShares;
 use crate::counters::Counters;
+use crate::crash_evidence::FIRST_REPORTS_PER_S_MAX;
+use crate::crash_evidence::REPEAT_REPORTS_PER_S_MAX;
 use crate::crash_ledger::CrashLedger;
-use crate::crash_reports::FIRST_REPORTS_PER_S_MAX;
-use crate::crash_reports::REPEAT_REPORTS_PER_S_MAX;
-use crate::crash_reports::VERDICTS_PER_S_MAX;
 use crate::delegation::FanOutPlan;
 use crate::delegation_times::DelegationTimes;
 use crate::event::Event;
@@ -38,6 +37,7 @@
 use crate::service_state::ServiceState;
 use crate::slack_share::SlackShare;
 use crate::table::RouteTable;
+use crate::verdicts::VERDICTS_PER_S_MAX;
 
 /// The largest number of crashes logged per second.
 const LOGGED_CRASHES_PER_S_MAX: u32 = 10;
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -16,6 +16,7 @@
 mod restarting_server;
 mod setup;
 mod soak;
+mod soak_checks;
 mod soak_crashes;
 mod soak_faults;
 mod soak_load;
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -7,7 +7,6 @@
 
 use std::collections::HashMap;
 use std::path::PathBuf;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bon::Builder;
@@ -21,7 +20,6 @@
 use tokio::time::Instant;
 
 use super::backend::BackendFaults;
-use super::caller::CallOutcome;
 use super::proxy::LinkFault;
 use super::recovery;
 use super::setup::DEFAULT_REPEAT_BUDGET;
@@ -32,14 +30,10 @@
 use super::soak_faults::Fault;
 use super::soak_faults::Repair;
 use super::soak_load::Load;
-use super::soak_load::ObservedRequest;
 use super::store::StoreFault;
 use super::store_restores::StoreRestores;
 use super::traffic::RepeatBudget;
 
-/// The maximum number of violations that are reported.
-const VIOLATIONS_MAX: usize = 20;
-
 /// The repeats allowed for each VM in addition to the ratio: so few that the faults of a soak use them up.
 const SLACK_PER_VM: f64 = 10.0;
 
@@ -84,10 +78,10 @@
 }
 
 /// A period in which a VM may cut requests, because it was killed or paused.
-struct Outage {
-    vm: usize,
-    from: Instant,
-    until: Instant,
+pub(super) struct Outage {
+    pub(super) vm: usize,
+    pub(super) from: Instant,
+    pub(super) until: Instant,
 }
 
 /// Starts a site, injects faults for the given duration, and checks all requests.
@@ -151,16 +145,16 @@
 }
 
 /// A soak in progress.
-struct ActiveSoak {
-    site: Site,
-    repeats: RepeatBudget,
+pub(super) struct ActiveSoak {
+    pub(super) site: Site,
+    pub(super) repeats: RepeatBudget,
     rng: ChaCha8Rng,
     /// The repairs that end the injected faults, with their times.
     pending_repairs: Vec<(Instant, Repair)>,
-    outages: Vec<Outage>,
+    pub(super) outages: Vec<Outage>,
     disturbances: Vec<Disturbance>,
     restores: StoreRestores,
-    report: SoakReport,
+    pub(super) report: SoakReport,
 }
 
 impl ActiveSoak {
@@ -348,64 +342,4 @@
         }
         Ok(())
     }
-
-    /// Compares what callers observed with what backend servers ran.
-    fn check_requests(&mut self, requests: &[ObservedRequest]) {
-        let runs = self
-            .site
-            .runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let mut ran: HashMap<&str, u32> = HashMap::new();
-        for ((_, id), n) in runs.iter() {
-            *ran.entry(id).or_default() += n;
-        }
-        let mut violations = Vec::new();
-        for s in requests {
-            let ran = ran.get(s.id.as_str()).copied().unwrap_or(0);
-            let kind = match &s.outcome {
-                CallOutcome::Right(0) => "whole",
-                CallOutcome::Right(_) => "partial",
-                CallOutcome::NotRun(_) => "not-run",
-                CallOutcome::Failed(_) => "failed",
-                CallOutcome::Cut => "cut",
-                CallOutcome::Wrong(_) => "wrong",
-            };
-            *self.report.ends.entry(kind).or_default() += 1;
-            match &s.outcome {
-                CallOutcome::Wrong(how) => violations.push(format!("{}: {how}", s.id)),
-                CallOutcome::NotRun(_) if s.is_once && ran > 0 => {
-                    violations.push(format!("{}: refused as not run, and ran {ran} times", s.id));
-                }
-                CallOutcome::NotRun(None) => {
-                    violations.push(format!("{}: no time to come back", s.id))
-                }
-                CallOutcome::Cut if !self.is_cut_allowed(s) => {
-                    violations.push(format!("{}: cut by vm {}", s.id, s.vm));
-                }
-                _ if s.is_once && ran > 1 => violations.push(format!("{}: ran {ran} times", s.id)),
-                _ => {}
-            }
-        }
-        let omitted = violations.len().saturating_sub(VIOLATIONS_MAX);
-        violations.truncate(VIOLATIONS_MAX);
-        if omitted > 0 {
-            violations.push(format!("and {omitted} more"));
-        }
-        self.report.violations.extend(violations);
-    }
-
-    /// Compares the repeats that backend servers got with the budget that all VMs share.
-    fn check_repeats(&mut self) {
-        let excesses = self.site.traffic.excesses(&self.repeats);
-        let messages = excesses.iter().map(ToString::to_string);
-        self.report.violations.extend(messages);
-    }
-
-    /// Whether a request may have been cut: its VM was killed or paused, or was not running at all.
-    fn is_cut_allowed(&self, s: &ObservedRequest) -> bool {
-        let overlaps = |o: &Outage| o.vm == s.vm && s.started < o.until && s.ended > o.from;
-        let is_refused = s.ended - s.started < Duration::from_millis(50);
-        is_refused || self.outages.iter().any(overlaps)
-    }
 }
