fix(rig): a soak tells a connection that could not be opened from a request that was cut

Requests to a VM that had exited after SIGTERM and was not yet started again counted as cut if the refusal took the caller over 50 ms, as it does beside much load. A refused connection was allowed before as well, but known by its time; now by the client's error too. All else that ends without an answer still counts.

--- a/crates/rig/src/site/caller.rs
+++ b/crates/rig/src/site/caller.rs
@@ -28,6 +28,8 @@
     NotRun(Option<u64>),
     /// Failed; it may have run.
     Failed(u16),
+    /// The connection was refused or could not be opened.
+    Unreached,
     /// No answer.
     Cut,
     /// A wrong answer, and how it is wrong.
@@ -78,10 +80,11 @@
         let target = format!("{}{id}", route.prefix);
         self.traffic.record_sent(&route.services);
         let timeout_after = Duration::from_millis(3500);
-        let response = tokio::time::timeout(timeout_after, self.send(vm, &target, id)).await;
+        let response = tokio::time::timeout(timeout_after, self.try_send(vm, &target, id)).await;
         let outcome = match response {
-            Ok(Some(res)) => check_response(&res, route, &target, id),
-            Ok(None) | Err(_) => CallOutcome::Cut,
+            Ok(Ok(res)) => check_response(&res, route, &target, id),
+            Ok(Err(outcome)) => outcome,
+            Err(_) => CallOutcome::Cut,
         };
         Answer {
             id: id.to_owned(),
@@ -91,16 +94,30 @@
 
     /// Sends a request and returns the response unchecked.
     pub async fn send(&self, vm: SocketAddr, target: &str, id: &str) -> Option<Response<Bytes>> {
+        self.try_send(vm, target, id).await.ok()
+    }
+
+    /// Sends a request and returns the response unchecked, or how it failed.
+    async fn try_send(
+        &self,
+        vm: SocketAddr,
+        target: &str,
+        id: &str,
+    ) -> Result<Response<Bytes>, CallOutcome> {
         let req = Request::get(format!("http://{vm}{target}"))
             .header("host", "site.example")
             .header("attempt-id", id)
             .header("deadline-ms", "3000")
             .body(Full::default())
-            .ok()?;
-        let res = self.client.request(req).await.ok()?;
+            .map_err(|e| CallOutcome::Wrong(e.to_string()))?;
+        let failed = |e: hyper_util::client::legacy::Error| match e.is_connect() {
+            true => CallOutcome::Unreached,
+            false => CallOutcome::Cut,
+        };
+        let res = self.client.request(req).await.map_err(failed)?;
         let (head, body) = res.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
-        Some(Response::from_parts(head, body))
+        let body = body.collect().await.map_err(|_| CallOutcome::Cut)?;
+        Ok(Response::from_parts(head, body.to_bytes()))
     }
 }
 
--- a/crates/rig/src/site/soak_checks.rs
+++ b/crates/rig/src/site/soak_checks.rs
@@ -32,6 +32,7 @@
                 CallOutcome::Right(_) => "partial",
                 CallOutcome::NotRun(_) => "not-run",
                 CallOutcome::Failed(_) => "failed",
+                CallOutcome::Unreached => "unreached",
                 CallOutcome::Cut => "cut",
                 CallOutcome::Wrong(_) => "wrong",
             };
--- a/crates/rig/src/site_demo.rs
+++ b/crates/rig/src/site_demo.rs
@@ -52,6 +52,7 @@
             CallOutcome::Right(_) => "partial",
             CallOutcome::NotRun(_) => "not-run",
             CallOutcome::Failed(_) => "failed",
+            CallOutcome::Unreached => "unreached",
             CallOutcome::Cut => "cut",
             CallOutcome::Wrong(ref how) => {
                 wrong.push(how.clone());
