--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,14 @@
 cd "$here/../.." || exit 2
 standin=target/review/release/review-standin
 [ -x "$standin" ] && [ -x target/release/gentiansill ] || { echo 'build first: the deploy file, review/build.sh' >&2; exit 2; }
-exec "$standin" queue target/release/gentiansill "$here/record.txt"
+# The folder holds settings and logs of the VMs, and the ids of their processes, in case this script is stopped.
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR REVIEW_PIDS="$TMPDIR/pids"
+: > "$REVIEW_PIDS"
+trap 'kill -9 "$pid" $(cat "$REVIEW_PIDS") 2>/dev/null; rm -rf "$TMPDIR"; exit 2' TERM INT HUP
+"$standin" queue target/release/gentiansill "$here/record.txt" &
+pid=$!
+wait "$pid"
+status=$?
+rm -rf "$TMPDIR"
+exit "$status"
--- a/review/standin/src/queue.rs
+++ b/review/standin/src/queue.rs
@@ -58,7 +58,8 @@
 /// How long after its route's timeout a request must be answered.
 const GRACE: Duration = Duration::from_millis(500);
 
-/// The fewest requests without an answer that break the rule.
+/// The fewest requests without an answer that break the rule, if they are over a quarter of those
+/// that last longer than the timeout.
 const LATE_MIN: usize = 8;
 
 pub fn run(site: &Site) -> std::io::Result<bool> {
@@ -179,7 +180,7 @@
         );
         println!("{text}");
         site.record.add(text);
-        if unanswered.len() >= LATE_MIN && 2 * unanswered.len() > overdue.len() {
+        if unanswered.len() >= LATE_MIN && 4 * unanswered.len() > overdue.len() {
             late.extend(unanswered.iter().map(|a| a.id.clone()));
         }
     }
--- a/review/standin/src/vm.rs
+++ b/review/standin/src/vm.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::io::BufReader;
+use std::io::Write;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -93,6 +94,7 @@
             .stdout(out.try_clone()?)
             .stderr(out)
             .spawn()?;
+        note_process(child.id())?;
         vms.push(Vm {
             name,
             callers: addrs[0],
@@ -110,6 +112,15 @@
     Err(std::io::Error::other("the VMs were not ready within 20 s"))
 }
 
+/// Adds a process to the list that the script reads if it is stopped.
+fn note_process(id: u32) -> std::io::Result<()> {
+    let Some(path) = std::env::var_os("REVIEW_PIDS") else {
+        return Ok(());
+    };
+    let mut list = std::fs::OpenOptions::new().append(true).open(path)?;
+    writeln!(list, "{id}")
+}
+
 /// Checks that no VM process has ended by itself.
 pub fn check_running(vms: &mut [Vm]) -> std::io::Result<()> {
     match vms
