feat(edge): log each reply with its connection and how often that was used

The log could not tell three hypotheses apart: a reply taken for another attempt's, two attempts in flight at once, and a request repeated below the relay (by hyper, on a connection that closed). The servers' record alone has no connections. At level debug each reply is now a line with the connection's number in its pool and its uses.

--- a/crates/edge/src/connection_pools.rs
+++ b/crates/edge/src/connection_pools.rs
@@ -210,7 +210,18 @@
         };
         match result {
             Ok(complete_reply) => {
+                let status = complete_reply.status;
                 let reply = self.codec.reply(&self.d, complete_reply);
+                log::debug!(
+                    "event=reply id={} attempt={} server={} connection={} use={} status={} end={}",
+                    self.d.id,
+                    self.d.attempt,
+                    self.d.server.name,
+                    conn.number(),
+                    conn.uses(),
+                    status.as_u16(),
+                    <&'static str>::from(&reply.end)
+                );
                 self.return_connection(conn, &reply);
                 reply.end
             }
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -49,6 +49,8 @@
 /// The connections of a pool.
 struct State {
     idle: Vec<PooledConnection>,
+    /// The number of connections opened so far.
+    opened: u64,
     /// The number of connections whose socket may still be open, idle or not.
     open: u32,
     /// The largest number of connections that may be open.
@@ -58,6 +60,10 @@
 /// A connection taken from a pool; returned by [`ConnectionPool::put_back`], closed when dropped.
 pub struct PooledConnection {
     pub(crate) tx: Sender,
+    /// Its number among the connections of its pool.
+    number: u64,
+    /// How often it was taken from the pool.
+    uses: u64,
     /// Whether this process still holds the connection; distinguishes a close by the server from one by this process.
     held: Arc<AtomicBool>,
     /// When the connection was last returned to the pool.
@@ -67,6 +73,18 @@
 }
 
 impl PooledConnection {
+    /// Returns its number among the connections of its pool, in the order in which they were opened.
+    #[must_use]
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns how often it was taken from the pool.
+    #[must_use]
+    pub fn uses(&self) -> u64 {
+        self.uses
+    }
+
     /// Sets how long the connection may be idle and still be reused.
     pub fn set_idle_max(&mut self, idle_max: Duration) {
         self.idle_max = Some(idle_max);
@@ -97,6 +115,7 @@
     ) -> Arc<Self> {
         let state = State {
             idle: Vec::new(),
+            opened: 0,
             open: 0,
             share: 0,
         };
@@ -201,15 +220,16 @@
         timeout: Duration,
         idle_max: Option<Duration>,
     ) -> Result<PooledConnection> {
-        tokio::time::timeout(timeout, self.take_or_wait_for_release(idle_max))
-            .await
-            .unwrap_or_else(|_| {
-                Err(
-                    Error::new(ErrorKind::Unavailable, "no free connection in time")
-                        .at("take connection")
-                        .from_peer(self.name.to_string()),
-                )
-            })
+        let taken = tokio::time::timeout(timeout, self.take_or_wait_for_release(idle_max));
+        let mut conn = taken.await.unwrap_or_else(|_| {
+            Err(
+                Error::new(ErrorKind::Unavailable, "no free connection in time")
+                    .at("take connection")
+                    .from_peer(self.name.to_string()),
+            )
+        })?;
+        conn.uses += 1;
+        Ok(conn)
     }
 
     /// Takes an idle connection if there is a usable one; closes those that are not.
@@ -288,12 +308,20 @@
         });
         Ok(PooledConnection {
             tx,
+            number: self.next_number(),
+            uses: 0,
             held,
             idle_since: Instant::now(),
             idle_max: None,
         })
     }
 
+    fn next_number(&self) -> u64 {
+        let mut s = self.state();
+        s.opened += 1;
+        s.opened
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
