fix(edge): no connection carries two attempts of one request

Cause: an answer names the request, not the attempt. After all servers had refused, the request went to the first one again, on the same connection; a late copy of the first refusal arrived there in place of the answer, and was taken for a second refusal while the server ran the request.

Evidence: event=reply in the new process test, on the code before: attempt 0/0/0 and 0/0/3 at i-desk-0 on connection 3, uses 1 and 2, the second refused within a millisecond; the server ran it. Ruled out by the same lines: two attempts at once, and a repeat by the HTTP library (one reply line a run).

Change: a connection remembers the last 16 requests that it carried; the pool passes it over for them, and closes it only where the share is used up and nothing else is idle. The id in an answer then tells all exchanges of a connection apart, so a copy is always noticed as the answer to another request.

The stand-in sends late copies and echoes the id in refusals too.

--- a/crates/edge/src/connection_pools.rs
+++ b/crates/edge/src/connection_pools.rs
@@ -10,9 +10,11 @@
 use gs_actor::Feed;
 use gs_actor::lock;
 use gs_http::ConnectOptions;
+use gs_http::ConnectionNeeds;
 use gs_http::ConnectionPool;
 use gs_http::ConnectionSink;
 use gs_http::ExchangeError;
+use gs_http::ExchangeKey;
 use gs_http::PooledConnection;
 use gs_http::exchange;
 use gs_relay::AttemptEnd;
@@ -173,11 +175,15 @@
     /// Runs the attempt and returns how it ended.
     async fn run(&self, mut cancelled: oneshot::Receiver<()>) -> AttemptEnd {
         let start = Instant::now();
-        let idle_max = self.d.once.then_some(ONCE_IDLE_MAX);
+        let needs = ConnectionNeeds {
+            timeout: self.d.attempt_timeout,
+            idle_max: self.d.once.then_some(ONCE_IDLE_MAX),
+            exchange: Some(ExchangeKey::of(&self.d.id)),
+        };
         let conn = tokio::select! {
             biased;
             _ = &mut cancelled => return AttemptEnd::NotSent,
-            conn = self.pool.take_recently_used(self.d.attempt_timeout, idle_max) => conn,
+            conn = self.pool.take_for(&needs) => conn,
         };
         let mut conn = match conn {
             Ok(conn) => conn,
--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -76,7 +76,7 @@
     d: &Dispatch,
     exchanged: &mut (impl Future<Output = (PartReply, bool)> + Unpin),
 ) -> (PartReply, bool) {
-    let Some(mut cancel_conn) = pool.take_idle(None) else {
+    let Some(mut cancel_conn) = pool.take_idle() else {
         return (PartReply::Cancelled, false);
     };
     let cancel_and_reply = async {
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -17,6 +17,8 @@
 
 use crate::backend::connect::Sender;
 use crate::backend::connect::connect;
+use crate::backend::exchange_key::ExchangeKey;
+use crate::backend::exchange_key::RecentExchanges;
 
 /// Receives the opening and closing of connections to backend servers.
 pub trait ConnectionSink: Send + Sync + 'static {
@@ -36,6 +38,36 @@
     pub connect_timeout: Duration,
 }
 
+/// What a request needs of the connection that carries it.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionNeeds {
+    /// How long to wait for a connection.
+    pub timeout: Duration,
+    /// The connection must have been idle for less than this; `None` for no bound.
+    ///
+    /// A server may close an idle connection at the moment when a request is written on it. Whether the request was
+    /// executed is unknown then, and a request that may run only once cannot be retried.
+    pub idle_max: Option<Duration>,
+    /// The request, which the connection must not have carried before; `None` if its id is never used again.
+    ///
+    /// A server may send an answer once more, late, in place of the next one. The id in it tells the answers to two
+    /// requests apart, but not those to two attempts of one request: a copy of a refusal would be taken for the answer
+    /// to an attempt that the server executes.
+    pub exchange: Option<ExchangeKey>,
+}
+
+impl ConnectionNeeds {
+    /// Returns needs that every open connection meets.
+    #[must_use]
+    pub fn any(timeout: Duration) -> Self {
+        Self {
+            timeout,
+            idle_max: None,
+            exchange: None,
+        }
+    }
+}
+
 /// A pool of connections to one backend server.
 pub struct ConnectionPool {
     name: ServerName,
@@ -70,6 +102,8 @@
     idle_since: Instant,
     /// How long the connection may be idle and still be reused; `None` for no bound.
     idle_max: Option<Duration>,
+    /// The requests that it has carried last.
+    carried: RecentExchanges,
 }
 
 impl PooledConnection {
@@ -96,6 +130,11 @@
         let fits = |max: Option<Duration>| max.is_none_or(|max| idle < max);
         !self.tx.is_closed() && fits(self.idle_max) && fits(idle_max)
     }
+
+    /// Returns whether the connection has carried the request.
+    fn has_carried(&self, exchange: Option<ExchangeKey>) -> bool {
+        exchange.is_some_and(|key| self.carried.contains(key))
+    }
 }
 
 impl Drop for PooledConnection {
@@ -198,29 +237,23 @@
         }
     }
 
-    /// Takes an idle connection, opens one if the share allows it, or waits until one is returned.
+    /// Takes any open connection, opens one if the share allows it, or waits until one is returned.
     ///
     /// # Errors
     ///
     /// [`ErrorKind::Unavailable`] if none was available within `timeout`; nothing was sent.
     pub async fn take(self: &Arc<Self>, timeout: Duration) -> Result<PooledConnection> {
-        self.take_recently_used(timeout, None).await
+        self.take_for(&ConnectionNeeds::any(timeout)).await
     }
 
-    /// Like [`ConnectionPool::take`], but takes no connection that has been idle for `idle_max` or longer.
-    ///
-    /// A server may close an idle connection at the moment when a request is written on it. Whether the request was
-    /// executed is unknown then, and a request that may run only once cannot be retried.
+    /// Like [`ConnectionPool::take`], but takes only a connection that meets the needs of a request, which it is
+    /// then taken to have carried.
     ///
     /// # Errors
     ///
     /// As for [`ConnectionPool::take`].
-    pub async fn take_recently_used(
-        self: &Arc<Self>,
-        timeout: Duration,
-        idle_max: Option<Duration>,
-    ) -> Result<PooledConnection> {
-        let taken = tokio::time::timeout(timeout, self.take_or_wait_for_release(idle_max));
+    pub async fn take_for(self: &Arc<Self>, needs: &ConnectionNeeds) -> Result<PooledConnection> {
+        let taken = tokio::time::timeout(needs.timeout, self.take_or_wait_for_release(needs));
         let mut conn = taken.await.unwrap_or_else(|_| {
             Err(
                 Error::new(ErrorKind::Unavailable, "no free connection in time")
@@ -229,20 +262,47 @@
             )
         })?;
         conn.uses += 1;
+        if let Some(key) = needs.exchange {
+            conn.carried.push(key);
+        }
         Ok(conn)
     }
 
     /// Takes an idle connection if there is a usable one; closes those that are not.
-    pub(crate) fn take_idle(&self, idle_max: Option<Duration>) -> Option<PooledConnection> {
+    pub(crate) fn take_idle(&self) -> Option<PooledConnection> {
+        self.take_idle_for(&ConnectionNeeds::any(Duration::ZERO))
+    }
+
+    /// Takes an idle connection if one meets the needs; closes those that have been idle for too long.
+    fn take_idle_for(&self, needs: &ConnectionNeeds) -> Option<PooledConnection> {
         let mut s = self.state();
-        while let Some(conn) = s.idle.pop() {
-            if conn.is_usable(idle_max) {
-                return Some(conn);
+        for at in (0..s.idle.len()).rev() {
+            if !s.idle[at].is_usable(needs.idle_max) {
+                s.idle.remove(at);
+            } else if !s.idle[at].has_carried(needs.exchange) {
+                return Some(s.idle.remove(at));
             }
         }
         None
     }
 
+    /// Closes an idle connection that has carried the request, if there is one, so that another can be opened.
+    fn close_carrier(&self, needs: &ConnectionNeeds) {
+        let mut s = self.state();
+        let carrier = s
+            .idle
+            .iter()
+            .position(|conn| conn.has_carried(needs.exchange));
+        if let Some(at) = carrier {
+            let conn = s.idle.remove(at);
+            log::debug!(
+                "event=connection-replaced server={} connection={}",
+                self.name,
+                conn.number
+            );
+        }
+    }
+
     /// Puts a connection back into the pool; its last reply must have been read completely.
     pub fn put_back(&self, mut conn: PooledConnection) {
         conn.idle_since = Instant::now();
@@ -262,17 +322,18 @@
     /// end as not sent.
     async fn take_or_wait_for_release(
         self: &Arc<Self>,
-        idle_max: Option<Duration>,
+        needs: &ConnectionNeeds,
     ) -> Result<PooledConnection> {
         loop {
             let mut released = pin!(self.released.notified());
             released.as_mut().enable();
-            if let Some(conn) = self.take_idle(idle_max) {
+            if let Some(conn) = self.take_idle_for(needs) {
                 return Ok(conn);
             }
             if let Some(slot) = self.reserve_slot() {
                 return self.open_in_slot(slot).await;
             }
+            self.close_carrier(needs);
             released.await;
         }
     }
@@ -313,6 +374,7 @@
             held,
             idle_since: Instant::now(),
             idle_max: None,
+            carried: RecentExchanges::default(),
         })
     }
 
--- a/crates/http/src/backend/mod.rs
+++ b/crates/http/src/backend/mod.rs
@@ -5,10 +5,12 @@
 mod connection_pool;
 mod connection_pools;
 mod exchange;
+mod exchange_key;
 mod part_reply;
 mod status;
 
 pub use connection_pool::ConnectOptions;
+pub use connection_pool::ConnectionNeeds;
 pub use connection_pool::ConnectionPool;
 pub use connection_pool::ConnectionSink;
 pub use connection_pool::PooledConnection;
@@ -19,3 +21,4 @@
 pub use exchange::CompleteReply;
 pub use exchange::ExchangeError;
 pub use exchange::exchange;
+pub use exchange_key::ExchangeKey;
--- a/crates/http/src/backend/status.rs
+++ b/crates/http/src/backend/status.rs
@@ -53,7 +53,7 @@
 }
 
 async fn exchange_status(pool: &Arc<ConnectionPool>, timeout: Duration) -> StatusResult {
-    let conn = match pool.take_idle(None) {
+    let conn = match pool.take_idle() {
         Some(conn) => Ok(conn),
         None if pool.is_full() => return StatusResult::Busy,
         None => pool.take(timeout).await,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub use backend::CompleteReply;
 pub use backend::ConnectOptions;
+pub use backend::ConnectionNeeds;
 pub use backend::ConnectionPool;
 pub use backend::ConnectionPools;
 pub use backend::ConnectionPoolsOptions;
@@ -22,6 +23,7 @@
 pub use backend::ConnectionSink;
 pub use backend::EventSink;
 pub use backend::ExchangeError;
+pub use backend::ExchangeKey;
 pub use backend::PooledConnection;
 pub use backend::exchange;
 pub use body::read_body;
--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -1,6 +1,7 @@
 //! Stand-in backend servers that the store lists, with injected faults.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -49,6 +50,8 @@
     pub pause: Option<Duration>,
     /// Every request is refused as not run.
     pub sheds: bool,
+    /// Every request is refused as not run when it arrives for the first time.
+    pub sheds_first: bool,
     /// Requests are run and their connections closed without an answer.
     pub loses: bool,
     /// Answers are truncated.
@@ -94,6 +97,10 @@
     slots: Semaphore,
     queued: Semaphore,
     faults: Mutex<BackendFaults>,
+    /// The requests that [`BackendFaults::sheds_first`] refused.
+    refused: Mutex<HashSet<String>>,
+    /// Whether a late copy of each answer follows.
+    sends_late_copies: AtomicBool,
     records: ServerRecords,
     /// Requests whose path contains this text end the process that runs them.
     crashes_on: Option<&'static str>,
@@ -171,6 +178,12 @@
         *lock(&self.inner.faults) = faults;
     }
 
+    /// Sets whether a late copy of each answer follows, where the next answer on its connection is expected.
+    pub fn set_late_copies(&self, are_sent: bool) {
+        let flag = &self.inner.sends_late_copies;
+        flag.store(are_sent, Ordering::Relaxed);
+    }
+
     /// Crashes it: its connections are closed and it stops listening.
     pub fn crash(&self) {
         self.is_down.store(true, Ordering::Relaxed);
@@ -232,10 +245,11 @@
         }
         let faults = *lock(&self.faults);
         let Ok(_queued) = self.queued.try_acquire() else {
-            return Some(self.shed());
+            return Some(self.shed(&id));
         };
-        if faults.sheds {
-            return Some(self.shed());
+        let is_refused_first = faults.sheds_first && lock(&self.refused).insert(id.clone());
+        if faults.sheds || is_refused_first {
+            return Some(self.shed(&id));
         }
         let Ok(_slot) = self.slots.acquire().await else {
             return None;
@@ -273,6 +287,10 @@
         }
         Some(res)
     }
+
+    fn sends_late_copies(&self) -> bool {
+        self.sends_late_copies.load(Ordering::Relaxed)
+    }
 }
 
 impl BackendHandler {
@@ -291,6 +309,8 @@
             slots: Semaphore::new(SLOTS),
             queued: Semaphore::new(SLOTS + QUEUE_MAX),
             faults: Mutex::default(),
+            refused: Mutex::default(),
+            sends_late_copies: AtomicBool::new(false),
             records,
             crashes_on,
             crashed: Notify::new(),
@@ -302,8 +322,9 @@
         self.crashed.notified().await;
     }
 
-    fn shed(&self) -> Response<Body> {
+    fn shed(&self, id: &str) -> Response<Body> {
         let res = with_header(response(503, ""), "not-executed", "1");
+        let res = with_header(res, "attempt-id", id);
         with_header(res, "server-load", &self.load())
     }
 
--- a/crates/rig/src/site/http.rs
+++ b/crates/rig/src/site/http.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
+use super::late_copies::LateCopies;
 use crate::body::Body;
 use crate::body::complete;
 
@@ -21,6 +22,11 @@
 #[async_trait::async_trait]
 pub(super) trait RequestHandler: Send + Sync + 'static {
     async fn respond(&self, req: Request<Bytes>) -> Option<Response<Body>>;
+
+    /// Returns whether a late copy of each answer follows, where the next answer on its connection is expected.
+    fn sends_late_copies(&self) -> bool {
+        false
+    }
 }
 
 /// Listens on an address, which an earlier listener may have used.
@@ -46,9 +52,10 @@
             };
             let handler = Arc::clone(&handler);
             connections.spawn(async move {
+                let stream = LateCopies::new(tcp, Arc::clone(&handler));
                 let service = service_fn(move |req| handle_request(Arc::clone(&handler), req));
                 let conn = hyper::server::conn::http1::Builder::new();
-                if let Err(e) = conn.serve_connection(TokioIo::new(tcp), service).await {
+                if let Err(e) = conn.serve_connection(TokioIo::new(stream), service).await {
                     // Disconnects are expected: tests provoke them on purpose.
                     log::debug!("event=connection-ended error=\"{e}\"");
                 }
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -29,6 +29,7 @@
 use super::soak_crashes::Disturbance;
 use super::soak_faults::Fault;
 use super::soak_faults::Repair;
+use super::soak_late_copies::LateCopiesFault;
 use super::soak_load::Load;
 use super::store::StoreFault;
 use super::store_restores::StoreRestores;
@@ -64,6 +65,9 @@
     /// Whether a request that crashes servers is sent again and again.
     #[builder(default = true)]
     pub crashing_requests: bool,
+    /// Whether servers also refuse requests at first and send late copies of their answers; drawn by itself.
+    #[builder(default = true)]
+    pub late_copies: bool,
 }
 
 /// The result of a soak.
@@ -109,6 +113,7 @@
         outages: Vec::new(),
         disturbances: Vec::new(),
         restores: StoreRestores::new(options.seed),
+        late_copies: LateCopiesFault::new(options.seed),
         report: SoakReport::default(),
     };
     let crashing = match options.crashing_requests {
@@ -122,14 +127,10 @@
         active.sleep_and_repair(Duration::from_millis(wait)).await?;
         active.inject_fault().await?;
         if options.store_restores {
-            let copied = active.restores.copy(&active.site);
-            active
-                .report
-                .faults
-                .extend(copied.as_ref().map(ToString::to_string));
-            active
-                .pending_repairs
-                .extend(copied.map(|c| (c.restore_at, Repair::StoreRestore)));
+            active.copy_store();
+        }
+        if options.late_copies {
+            active.begin_late_copies();
         }
     }
     active.repair_all().await?;
@@ -154,10 +155,30 @@
     pub(super) outages: Vec<Outage>,
     disturbances: Vec<Disturbance>,
     restores: StoreRestores,
+    late_copies: LateCopiesFault,
     pub(super) report: SoakReport,
 }
 
 impl ActiveSoak {
+    /// Makes a copy of the store now and then, from which it is restored later.
+    fn copy_store(&mut self) {
+        let Some(copied) = self.restores.copy(&self.site) else {
+            return;
+        };
+        self.report.faults.push(copied.to_string());
+        self.pending_repairs
+            .push((copied.restore_at, Repair::StoreRestore));
+    }
+
+    /// Makes a service send late copies now and then.
+    fn begin_late_copies(&mut self) {
+        let Some(begun) = self.late_copies.inject(&self.site) else {
+            return;
+        };
+        self.report.faults.push(begun.to_string());
+        self.pending_repairs.push((begun.until, Repair::LateCopies));
+    }
+
     /// Sleeps for the given duration and makes the repairs that are due meanwhile.
     async fn sleep_and_repair(&mut self, d: Duration) -> Result<()> {
         let until = Instant::now() + d;
@@ -322,6 +343,7 @@
                 site.backends[server].set_faults(BackendFaults::default())
             }
             Repair::ServerLink(server) => site.backends[server].link().set_fault(LinkFault::None),
+            Repair::LateCopies => LateCopiesFault::end(site),
             Repair::Store => site.store.set_fault(StoreFault::None),
             Repair::StoreRestore => {
                 let rewrite_at = self.restores.restore(site);
--- a/crates/rig/src/site/soak_faults.rs
+++ b/crates/rig/src/site/soak_faults.rs
@@ -38,6 +38,8 @@
     ServerRestart(usize),
     ServerFaults(usize),
     ServerLink(usize),
+    /// Ends the late copies of all servers.
+    LateCopies,
     Store,
     /// Restores the store from the oldest copy that was made for it.
     StoreRestore,
