fix(relay): a request that waits for a server is answered at its timeout

What callers saw: no answer at all.

Cause: the check that ends a request at its timeout was scheduled where an attempt is sent. A request whose only part waits in the queue of its service had no attempt and so no check; it was looked at again only when another request's attempt at that service ended. A page none of whose parts could be sent had none either.

Evidence: the three cases of the new relay tests waiting::* fail on the code before, with no outcome, in simulated time and without I/O: that rules out late timers, a pause of the process and lost answers.

--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -59,6 +59,8 @@
     ) {
         let route = Arc::clone(&request.route);
         self.route_times(&route);
+        // A part that waits for a server has no attempt whose checks would end the wait.
+        self.schedule_check(request, request.objective_at);
         request.parts = self.create_parts(&route, request.shards_wanted.as_deref());
         for (peer, parts) in self.choose_bundles(now, request) {
             self.send_bundle(now, request, peer, parts, out);
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -17,4 +17,5 @@
 mod stalls;
 mod subset;
 mod suspects;
+mod waiting;
 mod world;
