fix(relay): a removed server's queue is dispatched again; invariants checked after each event

What callers saw: a request that waited for a server of a service whose servers were then removed waited until its timeout, although nobody was left to serve it.

Found by the new randomized test: Relay::inconsistencies states twelve invariants of the decision logic (a check for each active request, queues, counts of parts, attempts in flight, budgets, runs of a request that may run once, servers of a part), and invariants::fuzz_* check them after each of 1,500 random events: arrivals, also delegated, ends, disconnects, pauses, changes of servers, routes, VMs and connections.

Cause: a removal did not mark the queue of the service for dispatch, as a drain, an end of an attempt and a change of connections do.

Change: it does. Test waiting::a_request_that_waits_for_servers_that_are_removed_is_refused_at_once failed before.

A check that expired during a pause of the process may come 20 ms after its time, as before; the invariant allows just that.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -129,6 +129,13 @@
         }
     }
 
+    /// Returns whether the totals are those of the buckets.
+    pub(crate) fn is_consistent(&self) -> bool {
+        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        let extra_attempts: u32 = self.buckets.iter().map(|b| b.extra_attempts).sum();
+        (requests, extra_attempts) == (self.requests, self.extra_attempts)
+    }
+
     fn extra_max(&self) -> f64 {
         f64::from(self.requests) * self.ratio + self.slack
     }
--- a/crates/relay/src/process_pause.rs
+++ b/crates/relay/src/process_pause.rs
@@ -39,11 +39,16 @@
         pause_grace(requested?, now).map(|_| Self { ended_at: now })
     }
 
+    /// Returns the end of the grace period, until which expired timers may be postponed.
+    pub(crate) fn grace_end(&self) -> Instant {
+        self.ended_at + PAUSE_GRACE
+    }
+
     /// Returns when a timer set for `at` expires: those that expired during the pause are postponed
     /// by the grace period.
     pub(crate) fn postpone(&self, at: Instant) -> Instant {
         if at <= self.ended_at {
-            self.ended_at + PAUSE_GRACE
+            self.grace_end()
         } else {
             at
         }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -152,7 +152,12 @@
     }
 
     /// Removes a server, and closes its connections as they become idle.
+    ///
+    /// Parts that wait for it are dispatched elsewhere, or abandoned if it was the last one.
     pub(crate) fn remove(&mut self, name: &ServerName, out: &mut Vec<Action>) {
+        if let Some(view) = self.servers.by_name(name) {
+            self.services_to_dispatch.push(view.entry.service.clone());
+        }
         self.servers.remove(name);
         out.push(Action::Disconnect(name.clone()));
     }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -7,6 +7,7 @@
 mod fan_out_vms;
 mod hedges;
 mod in_flight_limit;
+mod invariants;
 mod leases;
 mod missing_parts;
 mod once;
--- a/crates/relay/tests/relay/waiting.rs
+++ b/crates/relay/tests/relay/waiting.rs
@@ -1,5 +1,6 @@
 //! Tests of requests that wait for a server.
 
+use gs_relay::Event;
 use gs_relay::Outcome;
 use gs_relay::RefuseReason;
 use gs_relay::RepeatPolicy;
@@ -54,3 +55,23 @@
     w.advance(ms(1000));
     assert!(w.report(seq).is_some());
 }
+
+/// Prevents a request from waiting until its timeout for a server that has left.
+#[test]
+fn a_request_that_waits_for_servers_that_are_removed_is_refused_at_once() {
+    let mut w =
+        World::new(table(1, vec![one_route(RepeatPolicy::Once)])).with_server_pairs(&["desk"]);
+    let seq = arrive_until_one_waits(&mut w, "/one/x", 8000);
+    for server in ["desk-near", "desk-far"] {
+        w.on(Event::EntryMissing(server.parse().expect("a name")));
+    }
+    w.advance(ms(2000));
+    let outcome = w.report(seq).map(|r| &r.outcome);
+    assert!(
+        matches!(
+            outcome,
+            Some(Outcome::Refused(RefuseReason::Overload, Some(_)))
+        ),
+        "{outcome:?}"
+    );
+}
