fix(http): a connection is reused only after a readable status

A late copy of an attempt's answer was read as an unreadable status and its connection put back; the status itself then came as the next reply, and each later status on the connection was that of the poll before.

Test: a_connection_is_reused_only_after_a_readable_status, another_reply: failed before (1 connection opened in place of 2).

Left: a late copy of a status, taken for the next status of the same connection, is not told apart; it is as old as one poll.

--- a/crates/http/src/backend/status.rs
+++ b/crates/http/src/backend/status.rs
@@ -61,14 +61,28 @@
     let (Ok(mut conn), Ok(req)) = (conn, Request::get("/status").body(Full::default())) else {
         return StatusResult::Failed;
     };
-    let Ok(r) = exchange(&mut conn, req, STATUS_BYTES_MAX).await else {
+    let Ok(reply) = exchange(&mut conn, req, STATUS_BYTES_MAX).await else {
         return StatusResult::Failed;
     };
-    pool.put_back(conn);
-    if r.status != StatusCode::OK {
+    if reply.status != StatusCode::OK {
+        pool.put_back(conn);
         return StatusResult::Failed;
     }
-    serde_json::from_slice(&r.body).map_or(StatusResult::Failed, StatusResult::Received)
+    match serde_json::from_slice(&reply.body) {
+        Ok(body) => {
+            pool.put_back(conn);
+            StatusResult::Received(body)
+        }
+        // It may be a late copy of the answer to an attempt. The status would then be read as the next reply, and each
+        // reply on the connection as that to the request before.
+        Err(e) => {
+            log::debug!(
+                "event=status-unreadable server={} error=\"{e}\"",
+                pool.name()
+            );
+            StatusResult::Failed
+        }
+    }
 }
 
 fn server_report(server: ServerName, body: Option<StatusBody>) -> ServerReport {
--- a/crates/http/tests/pool.rs
+++ b/crates/http/tests/pool.rs
@@ -27,6 +27,8 @@
 
 const PART: &str = r#"{"hits":[{"doc":"d1","score":9,"text":"trout"}],"matched":1}"#;
 
+const STATUS: &str = r#"{"incarnation":7,"snapshots":[3],"load":2,"draining":false}"#;
+
 /// How the fake server answers a search.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Script {
@@ -105,6 +107,13 @@
         fake.cancelled.notify_one();
         return Ok(Response::builder().status(204).body(Full::default())?);
     }
+    if req.uri().path() == "/status" {
+        let body = match script {
+            Script::OtherId => PART,
+            _ => STATUS,
+        };
+        return Ok(Response::new(Full::from(body)));
+    }
     fake.searches.fetch_add(1, Ordering::SeqCst);
     fake.seen.notify_one();
     let id = req.headers()["x-attempt"].to_str()?.to_owned();
@@ -338,3 +347,29 @@
     assert_eq!(b.reply().await, (id, PartReply::NotSent, false));
     assert_eq!(b.pool.state().opened, 0);
 }
+
+/// Prevents the replies on a connection from being taken for those to the requests before them, after a late copy of
+/// another reply was read as a status.
+#[rstest]
+#[case::a_status(Script::Complete, Some(Incarnation(7)), 1)]
+#[case::another_reply(Script::OtherId, None, 2)]
+#[tokio::test]
+async fn a_connection_is_reused_only_after_a_readable_status(
+    #[case] script: Script,
+    #[case] incarnation: Option<Incarnation>,
+    #[case] opened: u64,
+) {
+    let b = Fixture::start(script, 1).await;
+    let server = b.fake.decl();
+    let mut reports = 0;
+    while reports < 2 {
+        let report = b.pool.request_status(&server, Duration::from_secs(5));
+        // None is free while a connection closes.
+        if let Some(report) = report.await {
+            assert_eq!(report.incarnation, incarnation);
+            reports += 1;
+        }
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(b.pool.state().opened, opened);
+}
