fix(edge): a watch that the store does not answer is begun again

Cause: a watch that begins in the silence is never answered, and no call falls into it otherwise, so no outage is noticed.

Change: each answer of the store names its revision. Beyond that of a watch, a check (a serializable watch of 1 ms, a tenth of a call) shows whether the kind has changed; if it has and the watch is not answered within 150 ms more, the VM lists again. Only VMs that ask the store do so, at most once a second and kind.

Ruled out: shorter watches (a call each, and a bound as long as they are), a second look as a watch begins (misses a silence that ends in between, and a lost answer), and comparing revisions alone (each change of another kind would be a list).

Tests: store::a_watch_of_routes_that_the_store_never_answers_is_begun_again and ..._of_servers_... failed before. a_quiet_site_makes_few_calls counted a check as a whole call; it now counts all calls on routes and servers at their price, against the same bound of 24.

--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::directory::ChangeCheck;
 use crate::directory::Changes;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
@@ -90,6 +91,14 @@
         }
     }
 
+    fn revisions(&self) -> watch::Receiver<Option<Revision>> {
+        self.platform.revisions()
+    }
+
+    async fn check_changes(&self, kind: DirectoryKind, after: Revision) -> Result<ChangeCheck> {
+        self.record_platform_call(self.platform.check_changes(kind, after).await)
+    }
+
     async fn announce(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
         self.record_platform_call(self.platform.announce(vm, renewal).await)
     }
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -7,6 +7,7 @@
 mod cache;
 mod client;
 mod directory;
+mod lost_watch;
 mod options;
 mod overdue;
 mod peer_queries;
@@ -218,7 +219,8 @@
     /// # Errors
     ///
     /// [`ErrorKind::NotFound`] also if the store is in another era than the revision: its changes are not those that
-    /// follow it, although the store may have given the revision out again.
+    /// follow it, although the store may have given the revision out again. The same if the store has changes that it
+    /// does not answer the watch with.
     async fn watch_platform(
         &self,
         kind: DirectoryKind,
@@ -235,6 +237,7 @@
                 Some(result.and_then(|changes| same_era(changes, after)))
             }
             Ok(_) = eras.wait_for(is_later) => Some(Err(other_era(after))),
+            at = self.wait_until_lost(kind, after) => Some(Err(lost_watch::error(after, at))),
             Ok(_) = rx.wait_for(is_peer) => None,
         }
     }
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -78,6 +78,7 @@
     changed: Notify,
     fault: Mutex<StoreFault>,
     calls: Mutex<BTreeMap<String, u64>>,
+    serializable_calls: Mutex<BTreeMap<String, u64>>,
 }
 
 impl Store {
@@ -97,6 +98,7 @@
             changed: Notify::new(),
             fault: Mutex::default(),
             calls: Mutex::default(),
+            serializable_calls: Mutex::default(),
         });
         let task = serve(listener, Arc::<Inner>::clone(&inner));
         Ok(Self { addr, inner, task })
@@ -182,6 +184,12 @@
     pub fn calls(&self) -> BTreeMap<String, u64> {
         lock(&self.inner.calls).clone()
     }
+
+    /// Returns how many of [`Store::calls`] may be answered from an old state, which costs a tenth of the price.
+    #[must_use]
+    pub fn serializable_calls(&self) -> BTreeMap<String, u64> {
+        lock(&self.inner.serializable_calls).clone()
+    }
 }
 
 /// Writes objects in place of servers, from tasks of their own.
@@ -211,8 +219,7 @@
 #[async_trait::async_trait]
 impl RequestHandler for Inner {
     async fn respond(&self, req: Request<Bytes>) -> Option<Response<Body>> {
-        let call = format!("{} {}", req.method(), req.uri().path());
-        *lock(&self.calls).entry(call).or_default() += 1;
+        self.count_call(&req);
         let fault = *lock(&self.fault);
         match fault {
             StoreFault::Busy => return Some(self.with_era(response(503, "busy"))),
@@ -236,6 +243,17 @@
         res
     }
 
+    fn count_call(&self, req: &Request<Bytes>) {
+        let call = format!("{} {}", req.method(), req.uri().path());
+        let query = req.uri().query().unwrap_or("");
+        if query.split('&').any(|param| param == "serializable=1") {
+            *lock(&self.serializable_calls)
+                .entry(call.clone())
+                .or_default() += 1;
+        }
+        *lock(&self.calls).entry(call).or_default() += 1;
+    }
+
     async fn handle(&self, req: &Request<Bytes>) -> Response<Body> {
         let (kind, name) = kind_and_name(req);
         let query = req.uri().query().unwrap_or("");
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -193,6 +193,13 @@
         matching.map(|(_, n)| n).sum()
     }
 
+    /// Returns the same without the calls that may be answered from an old state.
+    pub fn count_full_calls(&self, prefix: &str) -> u64 {
+        let calls = self.site.store.serializable_calls();
+        let matching = calls.iter().filter(|(call, _)| call.starts_with(prefix));
+        self.count_calls(prefix) - matching.map(|(_, n)| n).sum::<u64>()
+    }
+
     /// Returns the source from which the VM with this index follows the register, as last logged.
     pub fn register_source(&self, vm: usize) -> Option<String> {
         let log = self.log(&self.site.vms[vm].plan().name);
