test(relay): the retry budget is checked once VMs send to restarted servers again

Traced with the log that the test now prints: all 240 requests were refused within some 150 ms (reason=no-server, took_ms=0), inside the backoff of servers that had refused connections, so that none was sent and the budget was not tried. No promise broke; what the VMs do is right.

The set-up was wrong, not the check: it now waits at each VM for a request that arrives at a server, then sends the same 240.

--- a/crates/rig/src/site/traffic.rs
+++ b/crates/rig/src/site/traffic.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Returns the number of arrivals at a service, repeats included.
+    #[must_use]
+    pub fn arrivals(&self, service: &str) -> usize {
+        let all = self.lock();
+        all.get(service)
+            .map_or(0, |s| s.arrived.len() + s.repeats.len())
+    }
+
     /// Returns the number of repeats at a service.
     #[must_use]
     pub fn repeats(&self, service: &str) -> usize {
--- a/tests/relay/retry_budget.rs
+++ b/tests/relay/retry_budget.rs
@@ -1,9 +1,11 @@
 //! The budget of repeats that all VMs share, counted by what arrives at the backend servers.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_rig::site::BackendFaults;
 use gs_rig::site::RepeatBudget;
+use gs_rig::site::SiteRoute;
 use rustix::process::Signal;
 
 use crate::support::TestSite;
@@ -19,6 +21,9 @@
     slack: 30.0,
 };
 
+/// More than the longest time for which a VM sends nothing to servers that it could not reach.
+const BACKOFF_MAX: Duration = Duration::from_secs(5);
+
 /// Starts a site whose VMs all know each other and have been running for more than a window.
 async fn start_warm_site() -> TestSite {
     let r = start_site_with_budget(VMS, BUDGET).await;
@@ -63,6 +68,18 @@
     }
 }
 
+/// Sends requests to a VM until one arrives at a server of `desk`: until then the VM refuses them, as it could reach none
+/// before.
+async fn request_until_sent(r: &mut TestSite, vm: usize, route: &SiteRoute) {
+    let before = r.site.traffic.arrivals("desk");
+    let end = Instant::now() + BACKOFF_MAX;
+    while r.site.traffic.arrivals("desk") == before {
+        assert!(Instant::now() < end, "VM {vm} sends nothing");
+        r.request(vm, route).await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against processes that each use the whole slack within one window.
 #[tokio::test]
 async fn repeats_keep_within_the_budget_while_all_vms_are_killed_again_and_again() {
@@ -127,8 +144,12 @@
         let restarted = r.site.backends[*n].restart().await;
         restarted.expect("it starts again");
     }
+    for vm in 0..VMS {
+        request_until_sent(&mut r, vm, &route).await;
+    }
     r.request_all(40, &route).await;
     let excesses = r.site.traffic.excesses(&BUDGET);
     assert!(excesses.is_empty(), "{excesses:#?}");
-    assert!(r.site.traffic.repeats("desk") > 0);
+    let lines = || r.log_lines(&["event=request-end", "event=request-attempt"]);
+    assert!(r.site.traffic.repeats("desk") > 0, "{}", lines());
 }
