--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -55,6 +55,7 @@
 pub use store::StoreCopy;
 pub use store::StoreFault;
 pub use store::StoreWriter;
+pub use store::UNREADABLE;
 pub use traffic::BudgetExcess;
 pub use traffic::RepeatBudget;
 pub use traffic::Traffic;
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -28,6 +28,9 @@
 use super::objects::Objects;
 use crate::body::Body;
 
+/// A character that answers have a byte in place of which is no text, as if another program had written it.
+pub const UNREADABLE: char = '\u{e000}';
+
 /// The header of every answer that counts how often the store was restored from a copy.
 const STORE_ERA: &str = "store-era";
 
@@ -351,8 +354,11 @@
     path.split_once('/').unwrap_or((path, ""))
 }
 
+/// Returns a response with this document, in which a byte that is no text stands in place of [`UNREADABLE`].
 fn json(value: &Value) -> Response<Body> {
-    response(200, value.to_string())
+    let text = value.to_string();
+    let parts: Vec<&[u8]> = text.split(UNREADABLE).map(str::as_bytes).collect();
+    response(200, parts.join(&0xff))
 }
 
 fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/tests/relay/bad_input.rs
+++ b/tests/relay/bad_input.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gs_rig::site::UNREADABLE;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -20,6 +21,7 @@
 #[case::no_address(json!({"backend": "shard0", "zone": "east", "state": "ready"}))]
 #[case::address_of_another_type(json!({"backend": "shard0", "address": 7, "zone": "east", "max_concurrent": 2, "state": "ready"}))]
 #[case::unknown_state(json!({"backend": "shard0", "address": "127.0.0.1:1", "zone": "east", "max_concurrent": 2, "state": "asleep"}))]
+#[case::bytes_that_are_no_text(json!({"backend": "shard0", "address": "127.0.0.1:1", "zone": "east", "max_concurrent": 2, "state": "ready", "version": UNREADABLE.to_string()}))]
 #[tokio::test]
 async fn a_server_entry_that_cannot_be_read_leaves_the_others_in_use(#[case] entry: Value) {
     let mut r = start_site().await;
