fix(edge): an attempt that waits at a closed pool ends at once as not sent

Cause: the pool of a server that has left got a share of zero, as one whose share may grow again, and its waiters went on waiting.

Test an_attempt_that_waits_at_a_closed_pool_is_refused_at_once: with the share of zero that was set before in place of close() it fails. pool_exchanges.rs is now pool_choice.rs, as it covers both.

--- a/crates/edge/src/connection_pools.rs
+++ b/crates/edge/src/connection_pools.rs
@@ -138,7 +138,7 @@
     /// Closes the connections to a server as they become idle.
     pub(crate) fn disconnect(&self, server: &ServerName) {
         if let Some(pool) = lock(&self.pools).remove(server) {
-            pool.set_share(Connections(0));
+            pool.close();
         }
     }
 
@@ -158,7 +158,7 @@
         let pool = ConnectionPool::new(server.name.clone(), server.addr, self.opts, sink);
         pool.set_share(Connections(1));
         if let Some(old) = pools.insert(server.name.clone(), Arc::clone(&pool)) {
-            old.set_share(Connections(0));
+            old.close();
         }
         pool
     }
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -87,6 +87,8 @@
     open: u32,
     /// The largest number of connections that may be open.
     share: u32,
+    /// Whether no connection is opened or taken any more.
+    is_closed: bool,
 }
 
 /// A connection taken from a pool; returned by [`ConnectionPool::put_back`], closed when dropped.
@@ -157,6 +159,7 @@
             opened: 0,
             open: 0,
             share: 0,
+            is_closed: false,
         };
         Arc::new(Self {
             name,
@@ -213,6 +216,12 @@
         self.released.notify_waiters();
     }
 
+    /// Closes idle connections at once and busy ones when they are returned; all that wait for one are refused.
+    pub fn close(&self) {
+        self.state().is_closed = true;
+        self.set_share(Connections(0));
+    }
+
     /// Opens connections in the background until `connections_min` are open or the share is used up.
     pub fn open_at_least(self: &Arc<Self>, connections_min: Connections) {
         let missing = {
@@ -241,7 +250,7 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::Unavailable`] if none was available within `timeout`; nothing was sent.
+    /// [`ErrorKind::Unavailable`] if none was available within `timeout`, or if the pool is closed; nothing was sent.
     pub async fn take(self: &Arc<Self>, timeout: Duration) -> Result<PooledConnection> {
         self.take_for(&ConnectionNeeds::any(timeout)).await
     }
@@ -254,13 +263,9 @@
     /// As for [`ConnectionPool::take`].
     pub async fn take_for(self: &Arc<Self>, needs: &ConnectionNeeds) -> Result<PooledConnection> {
         let taken = tokio::time::timeout(needs.timeout, self.take_or_wait_for_release(needs));
-        let mut conn = taken.await.unwrap_or_else(|_| {
-            Err(
-                Error::new(ErrorKind::Unavailable, "no free connection in time")
-                    .at("take connection")
-                    .from_peer(self.name.to_string()),
-            )
-        })?;
+        let taken = taken.await;
+        let mut conn =
+            taken.unwrap_or_else(|_| Err(self.unavailable("no free connection in time")))?;
         conn.uses += 1;
         if let Some(key) = needs.exchange {
             conn.carried.push(key);
@@ -327,6 +332,9 @@
         loop {
             let mut released = pin!(self.released.notified());
             released.as_mut().enable();
+            if self.state().is_closed {
+                return Err(self.unavailable("the pool is closed"));
+            }
             if let Some(conn) = self.take_idle_for(needs) {
                 return Ok(conn);
             }
@@ -378,6 +386,12 @@
         })
     }
 
+    fn unavailable(&self, text: &str) -> Error {
+        Error::new(ErrorKind::Unavailable, text)
+            .at("take connection")
+            .from_peer(self.name.to_string())
+    }
+
     fn next_number(&self) -> u64 {
         let mut s = self.state();
         s.opened += 1;
--- a/crates/http/tests/pool_exchanges.rs
+++ b/crates/http/tests/pool_choice.rs
@@ -1,4 +1,4 @@
-//! Tests that no connection carries two exchanges of one request.
+//! Tests of which connection a request takes from a pool, and that none carries two exchanges of one request.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -123,3 +123,19 @@
     let again = s.pool.take_for(&needs("a")).await.expect("a connection");
     assert_eq!(again.number(), 2);
 }
+
+/// Prevents an attempt from waiting for its whole timeout at a server that has left.
+#[tokio::test]
+async fn an_attempt_that_waits_at_a_closed_pool_is_refused_at_once() {
+    let s = SilentServer::start(1).await;
+    let busy = s.pool.take_for(&needs("a")).await.expect("a connection");
+    let second_needs = needs("b");
+    let second = s.pool.take_for(&second_needs);
+    tokio::pin!(second);
+    let waiting = tokio::time::timeout(Duration::from_millis(20), &mut second).await;
+    assert!(waiting.is_err(), "the share has one connection");
+    s.pool.close();
+    let refused = tokio::time::timeout(TIMEOUT / 2, second).await;
+    assert!(refused.expect("it does not wait").is_err());
+    drop(busy);
+}
