fix(relay): a server that is ready again after a drain is connected to again

Cause: the last connect action was remembered over the drain, whose disconnect had closed the pool, and the same action is not repeated. It is now forgotten with the disconnect. Test a_server_that_no_longer_drains_is_connected_to_again failed before.

--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -86,6 +86,9 @@
         self.servers.set_connections(&entry.name, connections_max);
         self.services_to_dispatch.push(entry.service.clone());
         if entry.availability == Availability::Draining {
+            if let Some(view) = self.servers.by_name_mut(&entry.name) {
+                view.last_connect = None;
+            }
             out.push(Action::Disconnect(entry.name.clone()));
             return;
         }
--- a/crates/relay/tests/relay/connections.rs
+++ b/crates/relay/tests/relay/connections.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use gs_relay::Availability;
 use gs_relay::Event;
 use gs_relay::PeerVm;
+use gs_relay::ServerEntry;
 
 use crate::world::HERE;
 use crate::world::World;
@@ -58,3 +60,19 @@
     assert!(before >= 1);
     assert!(after >= before);
 }
+
+/// Prevents a server that accepts work again, after it has reported that it drains, from being used over one connection
+/// only.
+#[test]
+fn a_server_that_no_longer_drains_is_connected_to_again() {
+    let mut w = World::new(table(1, vec![page_route(&["s0"], 0.5)]));
+    let ready = entry("s0-a", "s0", HERE);
+    let draining = ServerEntry {
+        availability: Availability::Draining,
+        ..ready.clone()
+    };
+    w.on(Event::Server(Arc::new(ready.clone())));
+    w.on(Event::Server(Arc::new(draining)));
+    w.on(Event::Server(Arc::new(ready)));
+    assert_eq!(w.connects.len(), 2, "{:?}", w.connects);
+}
