--- a/crates/conf/tests/patches/races.rs
+++ b/crates/conf/tests/patches/races.rs
@@ -1,5 +1,6 @@
 //! Scenarios of patches that race with each other or with a fault.
 
+use gs_conf::CURRENT_PATH;
 use gs_conf::Change;
 use gs_conf::Patch;
 use gs_conf::PatchOutcome;
@@ -355,3 +356,21 @@
     assert!(!matches!(stale, PatchOutcome::Checked { .. }), "{stale:?}");
     assert_eq!(w.cost.messages, 0);
 }
+
+/// Prevents accepted patches from being reverted by a configuration object that was removed and created again from an
+/// older record: its object is newer than any before.
+#[test]
+fn a_configuration_created_again_with_a_lower_version_is_not_applied() {
+    let mut w = World::start(3, 31);
+    let (_, first) = w.platform.get(CURRENT_PATH).expect("there").clone();
+    for (id, against) in [("a", 1), ("b", 2)] {
+        let outcome = propose(&mut w, 0, patch(id, against));
+        assert_eq!(accepted(&outcome), Some(against + 1), "{outcome:?}");
+    }
+    w.recreate_current(first);
+    w.run(1_000);
+    for vm in &w.vms {
+        let config = vm.manager.as_ref().and_then(|m| m.config());
+        assert_eq!(config.map(|c| c.version), Some(ConfVersion(3)));
+    }
+}
--- a/crates/conf/tests/patches/world/mod.rs
+++ b/crates/conf/tests/patches/world/mod.rs
@@ -4,6 +4,7 @@
 mod platform;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -223,6 +224,12 @@
         self.notify(applied);
     }
 
+    /// Removes the configuration object and creates it again with another record, as by hand.
+    pub fn recreate_current(&mut self, content: Arc<str>) {
+        let written = self.platform.recreate_current(content);
+        self.notify(vec![written]);
+    }
+
     /// Advances the time by this many milliseconds.
     pub fn run(&mut self, ms: u64) {
         let until = self.now + Duration::from_millis(ms);
--- a/crates/conf/tests/patches/world/platform.rs
+++ b/crates/conf/tests/patches/world/platform.rs
@@ -123,6 +123,19 @@
         Record::parse(content).expect("a record")
     }
 
+    /// Removes the configuration object and creates it again with another record, as by hand.
+    pub fn recreate_current(&mut self, content: Arc<str>) -> Written {
+        self.revision += 1;
+        let object = self.revision;
+        self.objects
+            .insert(CURRENT_PATH.to_owned(), (object, content.clone()));
+        Written {
+            path: CURRENT_PATH.to_owned(),
+            object,
+            content,
+        }
+    }
+
     pub fn prune(&mut self, path: &str) {
         self.objects.remove(path);
     }
