feat(relay): a fan-out that may crash servers is tried twice at two shards only

Change: until a server has executed a fan-out, no more than two of its parts get a second attempt once two first ones have broken (or a peer's page came back empty), and hedges are counted with them. The first answer releases the others at once; if nothing else can be answered, they are abandoned (given_up=crashes-servers).

Tests: relay held_retries::*; process crashing_fan_outs::a_fan_out_that_crashes_servers_leaves_a_server_of_nearly_all_shards: 14 of 24 servers crashed, all 24 with the bound taken out.

--- a/crates/relay/src/abandon.rs
+++ b/crates/relay/src/abandon.rs
@@ -24,6 +24,8 @@
     PeerFull,
     /// The request is in quarantine because it crashes servers.
     Quarantined,
+    /// Its request crashed the servers of all parts that were tried, and may crash others.
+    CrashesServers,
     /// Enough other parts are complete.
     Enough,
 }
--- a/crates/relay/src/active_request.rs
+++ b/crates/relay/src/active_request.rs
@@ -25,6 +25,8 @@
 pub(crate) enum PartState {
     /// Waits in the queue of its service.
     Waiting(Cause),
+    /// Its retry waits until a server has executed another part of the request.
+    Held(Cause),
     /// Delegated to a peer.
     Bundled,
     /// An attempt is in flight.
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -41,6 +41,7 @@
             } else {
                 core.on_attempt_ended(now, request, id, end, out);
             }
+            core.settle_held(now, request, out);
             false
         });
         self.ended_since_check.insert(id.lookup);
@@ -126,7 +127,7 @@
                 }
             }
             AttemptEnd::Answered(..) => {
-                request.executed_without_crash = true;
+                self.on_executed(now, request);
                 let services = [request.parts[index].service.clone()];
                 self.note_executed_if_suspected(now, request, &services, out);
             }
@@ -141,7 +142,7 @@
         request: &mut ActiveRequest,
         out: &mut Vec<Action>,
     ) {
-        request.executed_without_crash = true;
+        self.on_executed(now, request);
         self.note_executed_if_suspected(now, request, &[], out);
     }
 
@@ -183,7 +184,7 @@
             (Cause::First, AttemptState::NotSent) => Cause::First,
             _ => Cause::Retry,
         };
-        self.try_part(now, request, index, cause, out);
+        self.retry_or_hold(now, request, index, cause, out);
     }
 
     /// Updates the health and load of a server, and the times of the route, after an attempt ended.
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -218,7 +218,7 @@
                 self.counters.bundles_failed += 1;
                 for index in parts {
                     request.parts[index].possible_servers = PossibleServers::Unknown;
-                    self.try_part(now, request, index, Cause::Retry, out);
+                    self.retry_or_hold(now, request, index, Cause::Retry, out);
                 }
             }
         }
@@ -262,7 +262,7 @@
             if is_enough {
                 self.abandon_part(request, index, AbandonReason::Enough);
             } else {
-                self.try_part(now, request, index, Cause::Retry, out);
+                self.retry_or_hold(now, request, index, Cause::Retry, out);
             }
         }
     }
--- a/crates/relay/src/invariants.rs
+++ b/crates/relay/src/invariants.rs
@@ -32,7 +32,8 @@
     StrayQueued(ServiceName, LookupSeq, u16),
     /// The part waits, and no server of its service can become free for it.
     WaitsInVain(ServiceName, LookupSeq),
-    /// The part neither waits, nor is it complete or abandoned, and nothing is in flight for it.
+    /// The part neither waits, nor is it complete or abandoned, and nothing is in flight for
+    /// it, or for its request if its retry is held.
     Idle(LookupSeq, usize),
     /// The attempt is in flight, and its server does not count it.
     Uncounted(AttemptKey),
@@ -109,6 +110,7 @@
             let is_active = match part.state {
                 PartState::Running => part.has_attempt_in_flight(),
                 PartState::Bundled => has_bundle_in_flight(request, index),
+                PartState::Held(_) => request.can_be_executed(),
                 PartState::Waiting(_) | PartState::Complete | PartState::Abandoned => true,
             };
             if !is_active {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 //! - `delegation` which parts are delegated to other VMs, in the batches that `bundle` sends,
 //! - `placement` chooses the server of an attempt, and `queue` orders the parts that wait for one,
 //! - `hedge` learns the delay before a hedged attempt, and `budget` limits extra attempts,
+//! - `held_retries` holds back the retries of a fan-out that may crash servers,
 //! - `completion` decides when a request is answered or fails,
 //! - `crash_evidence` notes which requests crash servers and shares it with the VMs that `collectors`
 //!   chooses; `crash_ledger` decides what proves it, `quarantine` how long such a request is refused,
@@ -43,6 +44,7 @@
 mod fan_out_vms;
 mod finish;
 mod hedge;
+mod held_retries;
 mod invariants;
 mod leases;
 mod merge;
--- a/crates/relay/src/queue.rs
+++ b/crates/relay/src/queue.rs
@@ -73,6 +73,7 @@
             }
             core.dequeue(request, index);
             core.try_part(now, request, index, cause, out);
+            core.settle_held(now, request, out);
             core.finish_if_done(now, request, out)
         });
         is_placed
--- a/crates/relay/src/timers.rs
+++ b/crates/relay/src/timers.rs
@@ -80,6 +80,7 @@
             .quarantine
             .remaining(now, request.fingerprint)
             .is_some()
+            || request.holds_hedges()
         {
             return;
         }
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -165,6 +165,7 @@
         for seq in stopped {
             self.with_request(seq, |core, request| {
                 core.abandon_waiting(now, request);
+                core.settle_held(now, request, out);
                 core.finish_if_done(now, request, out)
             });
         }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod extra_attempts;
 mod fan_out_vms;
 mod hedges;
+mod held_retries;
 mod in_flight_limit;
 mod invariants;
 mod leases;
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod bad_input;
+mod crashing_fan_outs;
 mod crashing_requests;
 mod pages;
 mod register;
