perf(edge): a watch is first checked for lost changes 300 ms after its begin

While servers come and go each watch began behind the latest revision and was checked at once, although the platform answers a watch that has changes to tell in milliseconds.

--- a/crates/edge/src/register/lost_watch.rs
+++ b/crates/edge/src/register/lost_watch.rs
@@ -17,6 +17,9 @@
 /// of a quiet VM, shows a revision no sooner.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1500);
 
+/// How long after its begin a watch is not checked: the platform answers it at once if there are changes already.
+const FIRST_CHECK_DELAY: Duration = Duration::from_millis(300);
+
 /// How long after a check the watch may still be answered.
 const ANSWER_GRACE: Duration = Duration::from_millis(150);
 
@@ -26,7 +29,7 @@
     pub(super) async fn wait_until_lost(&self, kind: DirectoryKind, after: Revision) -> Revision {
         let mut revisions = self.platform.revisions();
         let mut checked = after;
-        let mut check_at = Instant::now();
+        let mut check_at = Instant::now() + FIRST_CHECK_DELAY;
         loop {
             let is_later = |at: &Option<Revision>| *at > Some(checked);
             if revisions.wait_for(is_later).await.is_err() {
