--- a/crates/http/src/backend/attempt.rs
+++ b/crates/http/src/backend/attempt.rs
@@ -17,10 +17,10 @@
 use tokio::time::Instant;
 
 use crate::backend::connection_pool::ConnectionPool;
-use crate::backend::connection_pool::PooledConnection;
 use crate::backend::connection_pools::Shared;
 use crate::backend::exchange::exchange;
 use crate::backend::part_reply;
+use crate::backend::pooled_connection::PooledConnection;
 
 /// How long to wait for the server to confirm a cancel before the attempt's connection is closed.
 ///
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -15,10 +15,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::backend::connect::Sender;
 use crate::backend::connect::connect;
-use crate::backend::exchange_key::ExchangeKey;
-use crate::backend::exchange_key::RecentExchanges;
+use crate::backend::connection_needs::ConnectionNeeds;
+use crate::backend::pooled_connection::PooledConnection;
 
 /// Receives the opening and closing of connections to backend servers.
 pub trait ConnectionSink: Send + Sync + 'static {
@@ -38,36 +37,6 @@
     pub connect_timeout: Duration,
 }
 
-/// What a request needs of the connection that carries it.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionNeeds {
-    /// How long to wait for a connection.
-    pub timeout: Duration,
-    /// The connection must have been idle for less than this; `None` for no bound.
-    ///
-    /// A server may close an idle connection at the moment when a request is written on it. Whether the request was
-    /// executed is unknown then, and a request that may run only once cannot be retried.
-    pub idle_max: Option<Duration>,
-    /// The request, which the connection must not have carried before; `None` if its id is never used again.
-    ///
-    /// A server may send an answer once more, late, in place of the next one. The id in it tells the answers to two
-    /// requests apart, but not those to two attempts of one request: a copy of a refusal would be taken for the answer
-    /// to an attempt that the server executes.
-    pub exchange: Option<ExchangeKey>,
-}
-
-impl ConnectionNeeds {
-    /// Returns needs that every open connection meets.
-    #[must_use]
-    pub fn any(timeout: Duration) -> Self {
-        Self {
-            timeout,
-            idle_max: None,
-            exchange: None,
-        }
-    }
-}
-
 /// A pool of connections to one backend server.
 pub struct ConnectionPool {
     name: ServerName,
@@ -91,60 +60,6 @@
     is_closed: bool,
 }
 
-/// A connection taken from a pool; returned by [`ConnectionPool::put_back`], closed when dropped.
-pub struct PooledConnection {
-    pub(crate) tx: Sender,
-    /// Its number among the connections of its pool.
-    number: u64,
-    /// How often it was taken from the pool.
-    uses: u64,
-    /// Whether this process still holds the connection; distinguishes a close by the server from one by this process.
-    held: Arc<AtomicBool>,
-    /// When the connection was last returned to the pool.
-    idle_since: Instant,
-    /// How long the connection may be idle and still be reused; `None` for no bound.
-    idle_max: Option<Duration>,
-    /// The requests that it has carried last.
-    carried: RecentExchanges,
-}
-
-impl PooledConnection {
-    /// Returns its number among the connections of its pool, in the order in which they were opened.
-    #[must_use]
-    pub fn number(&self) -> u64 {
-        self.number
-    }
-
-    /// Returns how often it was taken from the pool.
-    #[must_use]
-    pub fn uses(&self) -> u64 {
-        self.uses
-    }
-
-    /// Sets how long the connection may be idle and still be reused.
-    pub fn set_idle_max(&mut self, idle_max: Duration) {
-        self.idle_max = Some(idle_max);
-    }
-
-    /// Returns whether the connection is open and has been idle for less than both bounds.
-    fn is_usable(&self, idle_max: Option<Duration>) -> bool {
-        let idle = self.idle_since.elapsed();
-        let fits = |max: Option<Duration>| max.is_none_or(|max| idle < max);
-        !self.tx.is_closed() && fits(self.idle_max) && fits(idle_max)
-    }
-
-    /// Returns whether the connection has carried the request.
-    fn has_carried(&self, exchange: Option<ExchangeKey>) -> bool {
-        exchange.is_some_and(|key| self.carried.contains(key))
-    }
-}
-
-impl Drop for PooledConnection {
-    fn drop(&mut self) {
-        self.held.store(false, Ordering::Relaxed);
-    }
-}
-
 impl ConnectionPool {
     /// Creates a pool without connections and with a share of zero.
     #[must_use]
@@ -262,14 +177,11 @@
     ///
     /// As for [`ConnectionPool::take`].
     pub async fn take_for(self: &Arc<Self>, needs: &ConnectionNeeds) -> Result<PooledConnection> {
-        let taken = tokio::time::timeout(needs.timeout, self.take_or_wait_for_release(needs));
-        let taken = taken.await;
-        let mut conn =
-            taken.unwrap_or_else(|_| Err(self.unavailable("no free connection in time")))?;
-        conn.uses += 1;
-        if let Some(key) = needs.exchange {
-            conn.carried.push(key);
-        }
+        let taken = self.take_or_wait_for_release(needs);
+        let mut conn = tokio::time::timeout(needs.timeout, taken)
+            .await
+            .unwrap_or_else(|_| Err(self.unavailable("no free connection in time")))?;
+        conn.on_taken(needs.exchange);
         Ok(conn)
     }
 
@@ -303,14 +215,14 @@
             log::debug!(
                 "event=connection-replaced server={} connection={}",
                 self.name,
-                conn.number
+                conn.number()
             );
         }
     }
 
     /// Puts a connection back into the pool; its last reply must have been read completely.
     pub fn put_back(&self, mut conn: PooledConnection) {
-        conn.idle_since = Instant::now();
+        conn.on_returned();
         let mut s = self.state();
         if s.open <= s.share && !conn.tx.is_closed() {
             s.idle.push(conn);
@@ -375,15 +287,7 @@
             drop(slot);
             sink.on_closed(&name, still_held.load(Ordering::Relaxed));
         });
-        Ok(PooledConnection {
-            tx,
-            number: self.next_number(),
-            uses: 0,
-            held,
-            idle_since: Instant::now(),
-            idle_max: None,
-            carried: RecentExchanges::default(),
-        })
+        Ok(PooledConnection::new(tx, self.next_number(), held))
     }
 
     fn unavailable(&self, text: &str) -> Error {
--- a/crates/http/src/backend/exchange.rs
+++ b/crates/http/src/backend/exchange.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 
-use crate::backend::connection_pool::PooledConnection;
+use crate::backend::pooled_connection::PooledConnection;
 
 /// A reply whose body has been read to its end.
 pub struct CompleteReply {
--- a/crates/http/src/backend/mod.rs
+++ b/crates/http/src/backend/mod.rs
@@ -2,18 +2,19 @@
 
 mod attempt;
 mod connect;
+mod connection_needs;
 mod connection_pool;
 mod connection_pools;
 mod exchange;
 mod exchange_key;
 mod part_reply;
+mod pooled_connection;
 mod status;
 
+pub use connection_needs::ConnectionNeeds;
 pub use connection_pool::ConnectOptions;
-pub use connection_pool::ConnectionNeeds;
 pub use connection_pool::ConnectionPool;
 pub use connection_pool::ConnectionSink;
-pub use connection_pool::PooledConnection;
 pub use connection_pools::ConnectionPools;
 pub use connection_pools::ConnectionPoolsOptions;
 pub use connection_pools::ConnectionPoolsState;
@@ -22,3 +23,4 @@
 pub use exchange::ExchangeError;
 pub use exchange::exchange;
 pub use exchange_key::ExchangeKey;
+pub use pooled_connection::PooledConnection;
--- a/crates/http/src/backend/part_reply.rs
+++ b/crates/http/src/backend/part_reply.rs
@@ -17,10 +17,10 @@
 use hyper::StatusCode;
 use smallvec::SmallVec;
 
-use crate::backend::connection_pool::PooledConnection;
 use crate::backend::exchange::CompleteReply;
 use crate::backend::exchange::ExchangeError;
 use crate::backend::exchange::exchange;
+use crate::backend::pooled_connection::PooledConnection;
 
 /// When to retry at a server that sheds load without naming a time.
 const DEFAULT_SHED_RETRY_AFTER: Duration = Duration::from_millis(50);
--- a/crates/relay/tests/relay/waiting.rs
+++ b/crates/relay/tests/relay/waiting.rs
@@ -26,6 +26,17 @@
     panic!("no request waits");
 }
 
+fn assert_refused(w: &World, seq: LookupSeq) {
+    let outcome = w.report(seq).map(|r| &r.outcome);
+    assert!(
+        matches!(
+            outcome,
+            Some(Outcome::Refused(RefuseReason::Overload, Some(_)))
+        ),
+        "{outcome:?}"
+    );
+}
+
 /// Prevents a caller from waiting without an answer behind requests of a longer timeout, while all servers of the
 /// service are silent.
 #[rstest]
@@ -36,14 +47,7 @@
     arrive_until_one_waits(&mut w, "/one/x", 8000);
     let seq = w.arrive("/one/x", ms(1000));
     w.advance(ms(1000));
-    let outcome = w.report(seq).map(|r| &r.outcome);
-    assert!(
-        matches!(
-            outcome,
-            Some(Outcome::Refused(RefuseReason::Overload, Some(_)))
-        ),
-        "{outcome:?}"
-    );
+    assert_refused(&w, seq);
 }
 
 /// Prevents the same for a page none of whose parts has a free server.
@@ -66,12 +70,5 @@
         w.on(Event::EntryMissing(server.parse().expect("a name")));
     }
     w.advance(ms(2000));
-    let outcome = w.report(seq).map(|r| &r.outcome);
-    assert!(
-        matches!(
-            outcome,
-            Some(Outcome::Refused(RefuseReason::Overload, Some(_)))
-        ),
-        "{outcome:?}"
-    );
+    assert_refused(&w, seq);
 }
