--- a/crates/http/src/backend/pooled_connection.rs
+++ b/crates/http/src/backend/pooled_connection.rs
@@ -11,7 +11,7 @@
 use crate::backend::exchange_key::ExchangeKey;
 use crate::backend::exchange_key::RecentExchanges;
 
-/// A connection taken from a pool; returned by [`ConnectionPool::put_back`], closed when dropped.
+/// A connection taken from a pool; returned by [`put_back`](crate::ConnectionPool::put_back), closed when dropped.
 pub struct PooledConnection {
     pub(crate) tx: Sender,
     /// Its number among the connections of its pool.
