--- a/crates/relay/tests/relay/invariants.rs
+++ b/crates/relay/tests/relay/invariants.rs
@@ -41,6 +41,9 @@
 
 const PEERS: [&str; 2] = ["vm-2", "vm-3"];
 
+/// The text in the path of the requests that crash servers.
+const CRASHES: &str = "crashes";
+
 /// The number of events of one run.
 const EVENTS: usize = 1500;
 
@@ -68,10 +71,13 @@
             next_delegated: 1 << 32,
         };
         for service in SERVICES {
-            for zone in [HERE, THERE] {
-                run.w.on(Event::Server(Arc::new(server(service, zone))));
-            }
+            run.w.on(Event::Server(Arc::new(server(service, THERE))));
         }
+        // Parts of the other shards are delegated.
+        for service in ["s0", "desk", "till"] {
+            run.w.on(Event::Server(Arc::new(server(service, HERE))));
+        }
+        run.connect_peers();
         run
     }
 
@@ -85,7 +91,8 @@
             87..90 => self.disconnect_caller(),
             90..95 => self.change_server(),
             95..97 => self.change_routes(),
-            97..98 => self.change_vms(),
+            97..98 if self.rng.random() => self.change_vms(),
+            97..98 => self.connect_peers(),
             98..99 => {
                 let is_reachable = self.rng.random();
                 self.w.on(Event::RegisterReachable(is_reachable));
@@ -94,13 +101,25 @@
         }
     }
 
+    fn connect_peers(&mut self) {
+        let peers = PEERS.map(|peer| vm(peer, THERE, "launceston", 1.0));
+        let vms = [vm("vm-1", HERE, "hobart", 1.0)].into_iter().chain(peers);
+        self.w.on(Event::Vms(vms.collect()));
+        for peer in PEERS {
+            let peer = peer.parse().expect("a name");
+            self.w.on(Event::Opened(peer, ms(10)));
+        }
+        self.w.advance(ms(300));
+    }
+
     fn caller_timeout(&mut self) -> Duration {
         let timeouts = [1, 40, 200, 1000, 2500, 8000, 20_000];
         ms(*timeouts.choose(&mut self.rng).expect("a timeout"))
     }
 
     fn arrive(&mut self) {
-        let paths = ["/page/x", "/one/x", "/once/x", "/none/x"];
+        let crashing = format!("/page/{CRASHES}{}", self.rng.random_range(0..1000));
+        let paths = ["/page/x", &crashing, "/one/x", "/once/x", "/none/x"];
         let path = *paths.choose(&mut self.rng).expect("a path");
         let timeout = self.caller_timeout();
         self.w.arrive(path, timeout);
@@ -137,6 +156,7 @@
         };
         let end = match &d.delegation {
             Some(delegation) => self.bundle_end(delegation),
+            None if d.content.target.contains(CRASHES) => AttemptEnd::Broken,
             None => self.attempt_end(),
         };
         self.w.on(Event::Ended(d.attempt, end));
