perf(relay): held parts are counted, not searched for at each end of an attempt

A fan-out looked through all its parts each time that one of them ended: quadratic in the number of shards. The randomized test checks the count.

--- a/crates/relay/src/active_request.rs
+++ b/crates/relay/src/active_request.rs
@@ -106,6 +106,8 @@
     pub(crate) complete: usize,
     /// Number of abandoned parts.
     pub(crate) abandoned: usize,
+    /// Number of parts whose retry is held.
+    pub(crate) held: usize,
     /// Hedges and retries of its parts so far.
     pub(crate) extra_attempts: u32,
     /// Attempts at its parts so far that were repeated without the budget.
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -144,6 +144,7 @@
             route,
             complete: 0,
             abandoned: 0,
+            held: 0,
             extra_attempts: 0,
             resent_attempts: 0,
             rejected_attempts: 0,
--- a/crates/relay/src/held_retries.rs
+++ b/crates/relay/src/held_retries.rs
@@ -38,6 +38,7 @@
     ) {
         if request.holds_retries() {
             request.parts[index].state = PartState::Held(cause);
+            request.held += 1;
             return;
         }
         self.try_part(now, request, index, cause, out);
@@ -59,15 +60,18 @@
         request: &mut ActiveRequest,
         out: &mut Vec<Action>,
     ) {
+        if request.held == 0 {
+            return;
+        }
         while !request.holds_retries()
-            && let Some((index, cause)) = request.first_held()
+            && let Some((index, cause)) = request.take_held()
         {
             self.try_part(now, request, index, cause, out);
         }
-        if request.can_be_executed() {
+        if request.held == 0 || request.can_be_executed() {
             return;
         }
-        while let Some((index, _)) = request.first_held() {
+        while let Some((index, _)) = request.take_held() {
             if !self.abandon_if_quarantined(now, request, index) {
                 self.abandon_part(request, index, AbandonReason::CrashesServers);
             }
@@ -103,12 +107,15 @@
         attempts.filter(is_probe).count()
     }
 
-    fn first_held(&self) -> Option<(usize, Cause)> {
+    /// Takes the first held part, which the caller tries or abandons.
+    fn take_held(&mut self) -> Option<(usize, Cause)> {
         let held = |(index, part): (usize, &Part)| match part.state {
             PartState::Held(cause) => Some((index, cause)),
             _ => None,
         };
-        self.parts.iter().enumerate().find_map(held)
+        let taken = self.parts.iter().enumerate().find_map(held)?;
+        self.held -= 1;
+        Some(taken)
     }
 
     /// Returns whether a server may still execute one of its parts that is not held.
--- a/crates/relay/src/invariants.rs
+++ b/crates/relay/src/invariants.rs
@@ -24,7 +24,7 @@
     Unchecked(LookupSeq),
     /// A check is scheduled for a request that has ended, or for another time than the request knows.
     StrayCheck(LookupSeq),
-    /// The request counts other numbers of complete or abandoned parts than it has.
+    /// The request counts other numbers of complete, abandoned or held parts than it has.
     PartCounts(LookupSeq),
     /// The part, by its position, waits for a server and is not in the queue of its service.
     Unqueued(LookupSeq, usize),
@@ -102,8 +102,13 @@
 
     fn check_parts(&self, request: &ActiveRequest, found: &mut Vec<Inconsistency>) {
         let count = |state| request.parts.iter().filter(|p| p.state == state).count();
-        let counts = (count(PartState::Complete), count(PartState::Abandoned));
-        if counts != (request.complete, request.abandoned) {
+        let is_held = |p: &&Part| matches!(p.state, PartState::Held(_));
+        let counts = (
+            count(PartState::Complete),
+            count(PartState::Abandoned),
+            request.parts.iter().filter(is_held).count(),
+        );
+        if counts != (request.complete, request.abandoned, request.held) {
             found.push(Inconsistency::PartCounts(request.seq));
         }
         for (index, part) in request.parts.iter().enumerate() {
