test(rig): serializable reads of the stand-in can be old

The platform may answer serializable reads with data that is seconds old; the stand-in always answered them from its present state. Store::set_read_age sets how old the state is that they see, their revision included. Other calls still see the present one.

Test: serializable_reads_see_the_state_of_the_read_age_and_others_the_present_one.

--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -11,6 +11,7 @@
 mod http;
 mod late_copies;
 mod objects;
+mod old_reads;
 mod proxy;
 mod records;
 mod recovery;
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -26,6 +26,7 @@
 use super::http::serve;
 use super::objects::LostWrite;
 use super::objects::Objects;
+use super::old_reads::OldReads;
 use crate::body::Body;
 
 /// A character that answers have a byte in place of which is no text, as if another program had written it.
@@ -77,6 +78,7 @@
 
 struct Inner {
     objects: Mutex<Objects>,
+    old_reads: Mutex<OldReads>,
     era: AtomicU64,
     changed: Notify,
     fault: Mutex<StoreFault>,
@@ -97,6 +99,7 @@
             .map_err(|e| Error::new(ErrorKind::Io, e.to_string()))?;
         let inner = Arc::new(Inner {
             objects: Mutex::default(),
+            old_reads: Mutex::default(),
             era: AtomicU64::new(1),
             changed: Notify::new(),
             fault: Mutex::default(),
@@ -160,6 +163,7 @@
         let lost = objects.written_since(&copy.0);
         *objects = copy.0;
         self.inner.era.fetch_add(1, Ordering::Relaxed);
+        lock(&self.inner.old_reads).restart(&objects);
         drop(objects);
         self.inner.changed.notify_waiters();
         let by_others = |w: &LostWrite| !w.kind.starts_with(VM_KINDS_PREFIX);
@@ -182,6 +186,12 @@
         self.inner.changed.notify_waiters();
     }
 
+    /// Sets the age of the state from which `serializable` reads are answered; zero for the present state.
+    pub fn set_read_age(&self, age: Duration) {
+        let objects = lock(&self.inner.objects);
+        lock(&self.inner.old_reads).set_age(age, &objects);
+    }
+
     /// Returns the number of calls so far, by method and path without the query.
     #[must_use]
     pub fn calls(&self) -> BTreeMap<String, u64> {
@@ -202,14 +212,16 @@
 impl StoreWriter {
     /// Writes an object directly.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        lock(&self.0.objects).put(kind, name, spec);
-        self.0.changed.notify_waiters();
+        let mut objects = lock(&self.0.objects);
+        objects.put(kind, name, spec);
+        self.0.on_change(&objects);
     }
 
     /// Removes an object directly.
     pub fn delete(&self, kind: &str, name: &str) {
-        lock(&self.0.objects).delete(kind, name);
-        self.0.changed.notify_waiters();
+        let mut objects = lock(&self.0.objects);
+        objects.delete(kind, name);
+        self.0.on_change(&objects);
     }
 }
 
@@ -248,8 +260,7 @@
 
     fn count_call(&self, req: &Request<Bytes>) {
         let call = format!("{} {}", req.method(), req.uri().path());
-        let query = req.uri().query().unwrap_or("");
-        if query.split('&').any(|param| param == "serializable=1") {
+        if is_serializable(req) {
             *lock(&self.serializable_calls)
                 .entry(call.clone())
                 .or_default() += 1;
@@ -264,20 +275,22 @@
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
             pairs.find(|(k, _)| *k == key).map(|(_, v)| v.to_owned())
         };
+        let may_be_old = is_serializable(req);
         if let Some(after) = param("watch") {
             let wait = param("poll_timeout_ms").and_then(|w| w.parse().ok());
             let wait = Duration::from_millis(wait.unwrap_or(30_000));
-            return self.watch(kind, after.parse().unwrap_or(0), wait).await;
+            let after = after.parse().unwrap_or(0);
+            return self.watch(kind, after, wait, may_be_old).await;
         }
         match *req.method() {
             Method::GET if name.is_empty() => {
                 let after = param("after").unwrap_or_default();
-                json(&lock(&self.objects).list(kind, &after))
+                self.read(may_be_old, |objects| json(&objects.list(kind, &after)))
             }
-            Method::GET => match lock(&self.objects).get(kind, name) {
+            Method::GET => self.read(may_be_old, |objects| match objects.get(kind, name) {
                 Some(object) => json(object),
                 None => response(404, ""),
-            },
+            }),
             Method::POST => self.create(kind, req.body()),
             Method::PUT => self.replace(kind, name, req.body()),
             Method::DELETE => {
@@ -288,17 +301,42 @@
         }
     }
 
-    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response<Body> {
+    /// Records the state after a change, and wakes the waiting watches.
+    fn on_change(&self, objects: &Objects) {
+        lock(&self.old_reads).record(objects);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns what `f` reads from the present state, or from an old one if the call allows that.
+    fn read<R>(&self, may_be_old: bool, f: impl FnOnce(&Objects) -> R) -> R {
+        let objects = lock(&self.objects);
+        let old_reads = lock(&self.old_reads);
+        let old = old_reads.state().filter(|_| may_be_old);
+        f(old.unwrap_or(&objects))
+    }
+
+    async fn watch(
+        &self,
+        kind: &str,
+        after: u64,
+        wait: Duration,
+        may_be_old: bool,
+    ) -> Response<Body> {
         let until = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
-            match lock(&self.objects).changes(kind, after) {
+            let found = self.read(may_be_old, |objects| match objects.changes(kind, after) {
+                // An old state does not know the later revision yet.
+                Err(()) if may_be_old && after > objects.revision() => Ok(None),
+                found => found,
+            });
+            match found {
                 Err(()) => return response(410, ""),
                 Ok(Some(page)) => return json(&page),
                 Ok(None) => {}
             }
             if tokio::time::timeout_at(until, changed).await.is_err() {
-                let at = lock(&self.objects).revision();
+                let at = self.read(may_be_old, Objects::revision);
                 return json(&serde_json::json!({ "events": [], "at": at }));
             }
         }
@@ -314,8 +352,7 @@
             return response(409, "{}");
         }
         let stored = objects.put(kind, &name, object["spec"].clone());
-        drop(objects);
-        self.changed.notify_waiters();
+        self.on_change(&objects);
         json(&stored)
     }
 
@@ -328,8 +365,7 @@
             return response(409, "{}");
         }
         objects.delete(kind, name);
-        drop(objects);
-        self.changed.notify_waiters();
+        self.on_change(&objects);
         response(200, "{}")
     }
 
@@ -342,8 +378,7 @@
             return response(404, "");
         }
         let stored = objects.put(kind, name, object["spec"].clone());
-        drop(objects);
-        self.changed.notify_waiters();
+        self.on_change(&objects);
         json(&stored)
     }
 }
@@ -354,6 +389,12 @@
     path.split_once('/').unwrap_or((path, ""))
 }
 
+/// Returns whether a call may be answered from an old state.
+fn is_serializable(req: &Request<Bytes>) -> bool {
+    let query = req.uri().query().unwrap_or("");
+    query.split('&').any(|param| param == "serializable=1")
+}
+
 /// Returns a response with this document, in which a byte that is no text stands in place of [`UNREADABLE`].
 fn json(value: &Value) -> Response<Body> {
     let text = value.to_string();
--- a/crates/rig/tests/store.rs
+++ b/crates/rig/tests/store.rs
@@ -1,5 +1,7 @@
 //! Tests of the stand-in of the platform's store.
 
+use std::time::Duration;
+
 use gs_rig::site::Store;
 use gs_rig::site::StoreCopy;
 use http_body_util::BodyExt;
@@ -82,3 +84,31 @@
     assert_eq!(listed["items"][0]["spec"], 2);
     assert!(store.names("gentiansill-vms").is_empty());
 }
+
+#[tokio::test]
+async fn serializable_reads_see_the_state_of_the_read_age_and_others_the_present_one() {
+    const LIST: &str = "/api/objects/config";
+    const OLD_LIST: &str = "/api/objects/config?serializable=1";
+    const OLD_WATCH: &str = "/api/objects/config?serializable=1&poll_timeout_ms=1&watch=1";
+    let store = Store::start().await.expect("it starts");
+    store.put("config", "main", json!(1));
+    store.set_read_age(Duration::from_secs(3));
+    store.put("config", "main", json!(2));
+    let (_, _, present) = call(&store, LIST).await;
+    let (_, _, old) = call(&store, OLD_LIST).await;
+    let (_, _, old_changes) = call(&store, OLD_WATCH).await;
+    assert_eq!(present["items"][0]["spec"], 2);
+    assert_eq!(
+        (&old["items"][0]["spec"], &old["at"]),
+        (&json!(1), &json!(1))
+    );
+    assert_eq!(old_changes, json!({ "events": [], "at": 1 }));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (_, _, old) = call(&store, OLD_LIST).await;
+    let (_, _, old_changes) = call(&store, OLD_WATCH).await;
+    assert_eq!(
+        (&old["items"][0]["spec"], &old["at"]),
+        (&json!(2), &json!(2))
+    );
+    assert_eq!(old_changes["events"][0]["object"]["spec"], 2);
+}
