fix(edge): a watch is trusted only until its answer is overdue

After a silence of the store of 0.4 s, queries go to the shards of an earlier version, and added routes are refused.

Cause: a watch that begins in the silence is lost, and everything that found this out was a serializable read, which may be seconds old: the heartbeat whose revision called for a check, and the check itself. With old reads it took longer than the 3 s that a change may take.

Change: only an answer to a watch proves that the store had it. Each watch waits for the drain time at most (4.5 s at most), the one that follows a change for 0.4 of it, and is begun again 250 ms after its answer is due. An overdue watch may still answer until the next one is overdue, so a slow store costs calls and no changes. The check by serializable reads is gone, and with it Directory::check_changes and Directory::revisions. event=watch-overdue and event=watch-lost tell of it in the log.

Why it holds: after a silence the watch is begun again at most 3.25 s (drain 3 s) or 4.75 s later, which is less than the 4 and 6 s until a VM counts as undisturbed, without any read, heartbeat or change. changes_after_a_lost_watch_are_in_force_in_time_at_every_phase goes over the phases of change, coalescing, watch, silence and follower for the bounds of the sites.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -73,15 +73,6 @@
     pub origin: Origin,
 }
 
-/// Whether objects of a kind have changed since a revision.
-#[derive(Clone, Copy, Debug)]
-pub struct ChangeCheck {
-    /// The revision up to which the directory has looked.
-    pub at: Revision,
-    /// Whether any of them has changed.
-    pub has_changed: bool,
-}
-
 /// Distinguishes a renewal of an announcement from earlier ones, across restarts too.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Renewal(pub u64);
@@ -127,17 +118,6 @@
     /// available and a new list is needed.
     async fn watch(&self, kind: DirectoryKind, after: Revision, wait: Duration) -> Result<Changes>;
 
-    /// Returns a receiver of the latest revision that an answer named, whatever the call; `None` before the first.
-    fn revisions(&self) -> watch::Receiver<Option<Revision>>;
-
-    /// Checks whether objects of a kind have changed after a revision, at a tenth of the price of a watch; the answer may
-    /// be seconds old, as its revision shows.
-    ///
-    /// # Errors
-    ///
-    /// As for [`Directory::watch`].
-    async fn check_changes(&self, kind: DirectoryKind, after: Revision) -> Result<ChangeCheck>;
-
     /// Announces a VM to the others, replacing the announcement of an earlier incarnation.
     ///
     /// # Errors
--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -19,8 +19,7 @@
 use crate::directory_reachability::DirectoryReachability;
 use crate::shared_state::SharedState;
 
-/// How long one watch waits; platforms allow at most 30 s. Each watch is a call that is paid for, so it is long; a
-/// silent connection is noticed by its own keep-alive probes instead.
+/// How long a watch waits before it ends without changes; the register makes shorter calls meanwhile.
 const WATCH_WAIT: Duration = Duration::from_secs(29);
 
 /// The number of changes in a full page. More changes may be waiting after one: a delay before each page would leave
@@ -69,9 +68,8 @@
         let mut outage_ends = self.reachability.outage_ends();
         let started = Instant::now();
         loop {
-            // A watch that began before an outage may wait on a dead connection and receive nothing until its time is
-            // over, so the end of an outage cancels it. A list then takes fewer calls than the changes that have
-            // accumulated, which come in pages.
+            // A watch that began before an outage may wait on a dead connection, so the end of an outage cancels it. A
+            // list then takes fewer calls than the changes that have accumulated, which come in pages.
             let result = tokio::select! {
                 result = self.list_or_watch(&mut state, started) => result,
                 _ = outage_ends.changed() => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,7 +34,6 @@
 mod verdict_spread;
 
 pub use callers::CallerCodec;
-pub use directory::ChangeCheck;
 pub use directory::Changes;
 pub use directory::Directory;
 pub use directory::DirectoryKind;
--- a/crates/edge/src/register/cache.rs
+++ b/crates/edge/src/register/cache.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use gs_actor::lock;
 use gs_follow::Mirror;
@@ -9,6 +10,7 @@
 use gs_relay::Verdict;
 use gs_types::prelude::*;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
@@ -48,6 +50,8 @@
 struct KindCache {
     mirror: Mutex<Mirror<Object>>,
     revision: watch::Sender<Revision>,
+    /// When the latest changes arrived; `None` before the first.
+    changed_at: Mutex<Option<Instant>>,
 }
 
 impl Default for KindCache {
@@ -55,6 +59,7 @@
         Self {
             mirror: Mutex::default(),
             revision: watch::channel(Revision::default()).0,
+            changed_at: Mutex::default(),
         }
     }
 }
@@ -90,8 +95,16 @@
             .send_replace(mirror.revision());
     }
 
+    /// Returns how long ago the latest changes of a kind arrived; `None` before the first.
+    pub(crate) fn time_since_change(&self, kind: DirectoryKind) -> Option<Duration> {
+        lock(&self.kind_cache(kind).changed_at).map(|at| at.elapsed())
+    }
+
     /// Applies the changes of a kind.
     pub(crate) fn apply_changes(&self, kind: DirectoryKind, changes: &Changes) {
+        if !changes.items.is_empty() {
+            *lock(&self.kind_cache(kind).changed_at) = Some(Instant::now());
+        }
         let objects = changes.items.iter();
         let objects = objects.map(|i| (i.name.clone(), self.object(&i.content)));
         let mut mirror = lock(&self.kind_cache(kind).mirror);
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -10,7 +10,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::directory::ChangeCheck;
 use crate::directory::Changes;
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
@@ -81,8 +80,7 @@
                 }
             };
             self.cache.apply_changes(kind, &changes);
-            // An answer of a peer that nothing changed costs nothing and does not show that the platform is reachable,
-            // so the watch continues.
+            // An answer of a peer does not show that the platform is reachable, so the watch continues.
             let is_over = changes.origin == Origin::Platform && Instant::now() >= until;
             if !changes.items.is_empty() || is_over {
                 return Ok(changes);
@@ -91,14 +89,6 @@
         }
     }
 
-    fn revisions(&self) -> watch::Receiver<Option<Revision>> {
-        self.platform.revisions()
-    }
-
-    async fn check_changes(&self, kind: DirectoryKind, after: Revision) -> Result<ChangeCheck> {
-        self.record_platform_call(self.platform.check_changes(kind, after).await)
-    }
-
     async fn announce(&self, vm: &PeerVm, renewal: Renewal) -> Result<()> {
         self.record_platform_call(self.platform.announce(vm, renewal).await)
     }
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -7,11 +7,11 @@
 mod cache;
 mod client;
 mod directory;
-mod lost_watch;
 mod options;
 mod overdue;
 mod peer_queries;
 mod report;
+mod watch_renewal;
 mod wire;
 
 use std::sync::Arc;
@@ -24,6 +24,7 @@
 use gs_actor::lock;
 use gs_follow::RegisterSource;
 use gs_follow::SourceSelector;
+use gs_follow::WatchRenewal;
 use gs_follow::peer_watch_wait;
 use gs_relay::PeerVm;
 use gs_types::prelude::*;
@@ -67,6 +68,8 @@
     cache: RegisterCache,
     /// How long a watch at a peer waits for a change.
     peer_watch_wait: Duration,
+    /// How long a watch at the platform waits for a change.
+    watch_renewal: WatchRenewal,
     may_follow: bool,
     started_at: Instant,
     /// How long after `started_at` the first source is waited for.
@@ -99,6 +102,7 @@
             probed_at: tokio::sync::Mutex::default(),
             cache: RegisterCache::default(),
             peer_watch_wait: peer_watch_wait(opts.drain),
+            watch_renewal: WatchRenewal::new(opts.drain),
             may_follow: opts.may_follow,
             started_at: Instant::now(),
             source_timeout: if opts.first_start {
@@ -219,8 +223,7 @@
     /// # Errors
     ///
     /// [`ErrorKind::NotFound`] also if the store is in another era than the revision: its changes are not those that
-    /// follow it, although the store may have given the revision out again. The same if the store has changes that it
-    /// does not answer the watch with.
+    /// follow it, although the store may have given the revision out again.
     async fn watch_platform(
         &self,
         kind: DirectoryKind,
@@ -232,12 +235,10 @@
         let is_peer = |source: &RegisterSource| matches!(source, RegisterSource::Peer(_));
         let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > after.era);
         tokio::select! {
-            result = self.platform.watch(kind, after, wait) => {
-                let result = self.record_platform_call(result);
+            result = self.watch_until_answered(kind, after, wait) => {
                 Some(result.and_then(|changes| same_era(changes, after)))
             }
             Ok(_) = eras.wait_for(is_later) => Some(Err(other_era(after))),
-            at = self.wait_until_lost(kind, after) => Some(Err(lost_watch::error(after, at))),
             Ok(_) = rx.wait_for(is_peer) => None,
         }
     }
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -5,7 +5,8 @@
 //! differ, a VM that does not query the register reports so, and its follower tries the next candidate.
 //!
 //! [`candidates()`] ranks the VMs, [`SourceSelector`] is the state machine that chooses whom to follow,
-//! [`PollSchedule`] schedules the polls of the list of VMs, [`CarriedVms`] completes lists of a restored store, and
+//! [`PollSchedule`] schedules the polls of the list of VMs, [`WatchRenewal`] limits how long an unanswered watch is
+//! trusted, [`CarriedVms`] completes lists of a restored store, and
 //! [`Mirror`] holds the known objects of one kind and
 //! their changes, for followers.
 //!
@@ -25,6 +26,7 @@
 mod overdue;
 mod poll_schedule;
 mod source_selector;
+mod watch_renewal;
 
 pub use candidates::DIRECT_VMS;
 pub use candidates::candidates;
@@ -39,3 +41,4 @@
 pub use poll_schedule::PollSchedule;
 pub use source_selector::RegisterSource;
 pub use source_selector::SourceSelector;
+pub use watch_renewal::WatchRenewal;
--- a/crates/follow/tests/follow/main.rs
+++ b/crates/follow/tests/follow/main.rs
@@ -7,3 +7,4 @@
 mod overdue;
 mod poll_schedule;
 mod source_selector;
+mod watch_renewal;
