test(relay): open connections to the store that have gone silent for good

The stand-in's proxy lost bytes only on connections that were used during the fault; FaultProxy::abandon_connections silences all that are open.

--- a/crates/rig/src/site/proxy.rs
+++ b/crates/rig/src/site/proxy.rs
@@ -38,6 +38,8 @@
     addr: SocketAddr,
     fault: watch::Sender<LinkFault>,
     is_listening: watch::Sender<bool>,
+    /// How often the open connections were abandoned.
+    abandoned: watch::Sender<u64>,
     task: JoinHandle<()>,
 }
 
@@ -62,10 +64,11 @@
         let addr = listener.local_addr().map_err(failed)?;
         let (fault, receiver) = watch::channel(LinkFault::None);
         let (is_listening, mut listening) = watch::channel(true);
+        let (abandoned, abandonments) = watch::channel(0);
         let task = tokio::spawn(async move {
             let mut listener = listener;
             loop {
-                forward(listener, target, &receiver, &mut listening).await;
+                forward(listener, target, &receiver, &abandonments, &mut listening).await;
                 // The sender lives as long as this task.
                 let _ = listening.wait_for(|is_listening| *is_listening).await;
                 listener = match listen(addr).await {
@@ -81,6 +84,7 @@
             addr,
             fault,
             is_listening,
+            abandoned,
             task,
         })
     }
@@ -90,6 +94,11 @@
         self.is_listening.send_replace(is_listening);
     }
 
+    /// Makes all open connections silent for good, without closing them; new ones work.
+    pub fn abandon_connections(&self) {
+        self.abandoned.send_modify(|n| *n += 1);
+    }
+
     /// Returns the address to connect to.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
@@ -113,13 +122,16 @@
     listener: TcpListener,
     target: SocketAddr,
     fault: &watch::Receiver<LinkFault>,
+    abandonments: &watch::Receiver<u64>,
     listening: &mut watch::Receiver<bool>,
 ) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
         tokio::select! {
             Ok((client, _)) = listener.accept() => {
-                connections.spawn(connection(client, target, fault.clone()));
+                let (fault, mut abandonments) = (fault.clone(), abandonments.clone());
+                abandonments.mark_unchanged();
+                connections.spawn(connection(client, target, fault, abandonments));
             }
             Some(_) = connections.join_next() => {}
             _ = listening.wait_for(|is_listening| !*is_listening) => return,
@@ -127,7 +139,12 @@
     }
 }
 
-async fn connection(client: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
+async fn connection(
+    client: TcpStream,
+    target: SocketAddr,
+    fault: watch::Receiver<LinkFault>,
+    mut abandonments: watch::Receiver<u64>,
+) {
     // A zero linger turns the close into a reset.
     let reset = |tcp: &TcpStream| tcp.set_zero_linger();
     if *fault.borrow() == LinkFault::Reset {
@@ -142,14 +159,21 @@
     let (client_r, client_w) = client.into_split();
     let (upstream_r, upstream_w) = upstream.into_split();
     let mut reset_signal = fault.clone();
-    tokio::select! {
-        _ = async {
-            tokio::join!(
-                copy_direction(client_r, upstream_w, fault.clone(), false),
-                copy_direction(upstream_r, client_w, fault.clone(), true),
-            )
-        } => {}
-        _ = reset_signal.wait_for(|h| *h == LinkFault::Reset) => {}
+    let copy = async {
+        tokio::join!(
+            copy_direction(client_r, upstream_w, fault.clone(), false),
+            copy_direction(upstream_r, client_w, fault.clone(), true),
+        )
+    };
+    tokio::pin!(copy);
+    let is_abandoned = tokio::select! {
+        _ = &mut copy => false,
+        _ = reset_signal.wait_for(|h| *h == LinkFault::Reset) => false,
+        Ok(()) = abandonments.changed() => true,
+    };
+    if is_abandoned {
+        // The sockets stay open.
+        std::future::pending::<()>().await;
     }
 }
 
--- a/tests/relay/lost_watch.rs
+++ b/tests/relay/lost_watch.rs
@@ -118,3 +118,24 @@
     let busy = r.busy_servers();
     assert!(!busy.contains("i-shard1-1"), "{busy:?}");
 }
+
+/// Prevents a VM from missing changes for as long as it takes to try one connection after the other, when all its open
+/// connections to the store have gone silent for good.
+#[tokio::test]
+async fn changes_are_in_force_in_time_after_open_connections_have_gone_silent() {
+    let mut r = start_site_with_old_reads(1).await;
+    // Calls at the same time leave several idle connections.
+    r.site.store.set_fault(StoreFault::Slow(SILENCE));
+    r.site.store.drop_history();
+    r.site.configure(|_| {});
+    r.site.store.delete("servers", "i-shard2-1");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    r.site.store.set_fault(StoreFault::None);
+    tokio::time::sleep(SILENCE).await;
+    r.site.store_links[0].abandon_connections();
+    tokio::time::sleep(STABLE_WINDOW).await;
+    r.site
+        .configure(|cfg| cfg.routes[0].prefix = "/other/".to_owned());
+    let route = r.route("/other/");
+    r.wait_until_complete(0, &route, CONFIG_APPLY_MAX).await;
+}
