--- a/tests/relay/crashing_requests.rs
+++ b/tests/relay/crashing_requests.rs
@@ -26,6 +26,9 @@
 /// Runs that may begin later than that, as on the users' page.
 const LATE_RUNS_MAX: usize = 3;
 
+/// The age of `serializable` reads; a store may answer them with data that is seconds old.
+const READ_AGE: Duration = Duration::from_secs(3);
+
 /// Number of servers: more than the VMs crash while the store lists no restarted ones.
 const SERVERS: usize = 18;
 
@@ -97,6 +100,15 @@
     assert_few_late_runs(&r);
 }
 
+/// Prevents a request from crashing servers at each VM anew while the list of quarantined requests is read late.
+#[tokio::test]
+async fn a_request_that_crashes_servers_is_stopped_while_reads_are_old() {
+    let (r, _servers) = start_crashing_site(7).await;
+    r.site.store.set_read_age(READ_AGE);
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(15)).await;
+    assert_few_late_runs(&r);
+}
+
 /// Prevents a request from crashing servers at each VM anew while the store refuses calls.
 #[tokio::test]
 async fn a_request_that_crashes_servers_is_stopped_while_the_store_refuses_calls() {
@@ -156,6 +168,23 @@
     assert_few_late_runs(&r);
 }
 
+/// Prevents VMs that start from running a request that the store lists, because their first read of the list is old.
+#[tokio::test]
+async fn a_request_that_crashes_servers_stays_known_after_all_vms_were_killed_while_reads_are_old()
+{
+    let (mut r, _servers) = start_crashing_site(VMS).await;
+    r.site.store.set_read_age(READ_AGE);
+    repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
+    r.wait_until("the quarantine to be listed", |r| {
+        !r.site.store.names(QUARANTINE).is_empty()
+    })
+    .await;
+    kill_all(&mut r).await;
+    restart_all(&mut r).await;
+    repeat_crashing_request(&r, Duration::from_millis(300), Duration::from_secs(8)).await;
+    assert_few_late_runs(&r);
+}
+
 /// Prevents a request from crashing servers at each VM anew after all VMs were killed and the store has lost the quarantine.
 #[tokio::test]
 async fn a_request_that_crashes_servers_is_stopped_again_after_all_vms_and_the_quarantine_are_lost()
