fix(relay): a VM gives up its slack before the others expire it

What services would see: up to one share of the slack spent twice within a window, by a VM that is cut off from the platform just before a renewal and by the others, which no longer list it.

Cause: a list counted as proof for 2.5 intervals, as if the last renewal were at most one interval older. A renewal is made at a poll, so it may be an interval and a poll (10 s) older. The age of the read itself adds nothing: the others count from when they saw the renewal, and they see it later, not sooner, in an old list.

Test: a_vm_without_a_recent_list_uses_no_slack_once_the_others_may_have_expired_it failed before (10 extra attempts 140 s after the list, 0 allowed).

Change: the validity is a poll shorter. Polls are at most half an interval apart, which changes nothing at the default of 60 s.

--- a/crates/edge/src/announcer.rs
+++ b/crates/edge/src/announcer.rs
@@ -12,6 +12,7 @@
 use gs_relay::ListedAnnouncement;
 use gs_relay::PeerVm;
 use gs_relay::VerdictOrigin;
+use gs_relay::list_poll_interval;
 use gs_relay::renewal_interval;
 use gs_store::Backoff;
 use gs_types::prelude::*;
@@ -25,9 +26,6 @@
 use crate::register::Register;
 use crate::register::now;
 
-/// The time between two polls of the list after the first ones; an added VM waits at most this long for its share.
-const LIST_POLL_INTERVAL: Duration = Duration::from_secs(10);
-
 /// The greatest age of a list: a peer serves its own list until its next poll, and the directory's list may be
 /// seconds old.
 const LIST_AGE_MAX: Duration = Duration::from_secs(15);
@@ -98,7 +96,7 @@
         if self.first_start {
             self.announce(&mut state).await;
         }
-        let poll_interval = LIST_POLL_INTERVAL.min(self.renewal_interval);
+        let poll_interval = list_poll_interval(self.renewal_interval);
         let mut schedule = PollSchedule::new(now(), self.first_start, poll_interval);
         let mut eras = self.directory.eras();
         let mut era = None;
--- a/crates/relay/src/leases.rs
+++ b/crates/relay/src/leases.rs
@@ -18,6 +18,9 @@
 /// to be missed.
 const LEASE_INTERVALS: f64 = 3.5;
 
+/// The longest time between two polls of the list of VMs. A VM renews its announcement at a poll.
+const LIST_POLL_INTERVAL_MAX: Duration = Duration::from_secs(10);
+
 /// The longest interval between two checks over which leases count. After a longer one the platform
 /// was unreachable or this process was paused, and the other VMs may have renewed or may have been
 /// unable to.
@@ -36,10 +39,18 @@
         .max(interval_min)
 }
 
+/// Returns the time between two polls of the list of VMs after the first ones, of which several fall
+/// between two renewals. An added VM waits at most this long for its share.
+#[must_use]
+pub fn list_poll_interval(interval_min: Duration) -> Duration {
+    LIST_POLL_INTERVAL_MAX.min(interval_min / 2)
+}
+
 /// Returns for how long a list of VMs shows that the others list this one: its last renewal may be
-/// an interval older than the list.
+/// an interval and a poll older than the list.
 pub(crate) fn listing_validity(interval_min: Duration, vms: usize) -> Duration {
-    renewal_interval(interval_min, vms).mul_f64(LEASE_INTERVALS - 1.0)
+    let validity = renewal_interval(interval_min, vms).mul_f64(LEASE_INTERVALS - 1.0);
+    validity.saturating_sub(list_poll_interval(interval_min))
 }
 
 /// An announcement as listed.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -105,6 +105,7 @@
 pub use leases::LeaseCheck;
 pub use leases::Leases;
 pub use leases::ListedAnnouncement;
+pub use leases::list_poll_interval;
 pub use leases::renewal_interval;
 pub use merge::RECORD_BYTES;
 pub use merge::best_records;
--- a/crates/relay/tests/relay/extra_attempts.rs
+++ b/crates/relay/tests/relay/extra_attempts.rs
@@ -207,6 +207,15 @@
     assert_eq!(extra_attempts(&mut w, "/one/x"), 10);
 }
 
+/// Guards against the same, by a VM whose last renewal was an interval and a poll older than its last list.
+#[test]
+fn a_vm_without_a_recent_list_uses_no_slack_once_the_others_may_have_expired_it() {
+    let mut w = desk_world(20.0);
+    // The others expire it 210 s after its last renewal, which was up to 70 s before the list.
+    w.advance(ms(140_000));
+    assert_eq!(extra_attempts(&mut w, "/one/x"), 0);
+}
+
 /// Guards against a fleet whose VMs each believe to be alone, as the list was empty when they
 /// started and the platform has been away since.
 #[test]
