--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -23,6 +23,7 @@
 mod soak_faults;
 mod soak_late_copies;
 mod soak_load;
+mod soak_store_reads;
 mod store;
 mod store_restores;
 mod traffic;
--- a/crates/rig/src/site/soak.rs
+++ b/crates/rig/src/site/soak.rs
@@ -31,6 +31,7 @@
 use super::soak_faults::Repair;
 use super::soak_late_copies::LateCopiesFault;
 use super::soak_load::Load;
+use super::soak_store_reads::StoreReads;
 use super::store::StoreFault;
 use super::store_restores::StoreRestores;
 use super::traffic::RepeatBudget;
@@ -68,6 +69,9 @@
     /// Whether servers also refuse requests at first and send late copies of their answers; drawn by itself.
     #[builder(default = true)]
     pub late_copies: bool,
+    /// Whether reads that may be old are old, and open connections to the store go silent for good; drawn by itself.
+    #[builder(default = true)]
+    pub store_reads: bool,
 }
 
 /// The result of a soak.
@@ -114,6 +118,7 @@
         disturbances: Vec::new(),
         restores: StoreRestores::new(options.seed),
         late_copies: LateCopiesFault::new(options.seed),
+        store_reads: StoreReads::new(options.seed),
         report: SoakReport::default(),
     };
     let crashing = match options.crashing_requests {
@@ -132,6 +137,11 @@
         if options.late_copies {
             active.begin_late_copies();
         }
+        if options.store_reads {
+            let injected = active.store_reads.inject(&active.site);
+            let injected = injected.map(|fault| fault.to_string());
+            active.report.faults.extend(injected);
+        }
     }
     active.repair_all().await?;
     active.site.configure(recovery::add_route);
@@ -156,6 +166,7 @@
     disturbances: Vec<Disturbance>,
     restores: StoreRestores,
     late_copies: LateCopiesFault,
+    store_reads: StoreReads,
     pub(super) report: SoakReport,
 }
 
