--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -52,6 +52,8 @@
     Silent,
     /// It accepts calls for objects of these kinds and does not answer them.
     SilentTo(&'static [&'static str]),
+    /// It accepts calls and answers neither them nor the watches that wait already.
+    Mute,
     /// It executes the call and closes the connection without an answer.
     Lost,
     /// It delays every answer by this duration.
@@ -239,7 +241,7 @@
         match fault {
             StoreFault::Busy => return Some(self.with_era(response(503, "busy"))),
             StoreFault::Limited => return Some(self.with_era(response(429, "limited"))),
-            StoreFault::Silent => std::future::pending().await,
+            StoreFault::Silent | StoreFault::Mute => std::future::pending().await,
             StoreFault::SilentTo(kinds) if kinds.contains(&kind_and_name(&req).0) => {
                 std::future::pending().await
             }
@@ -247,6 +249,9 @@
             StoreFault::None | StoreFault::SilentTo(_) | StoreFault::Lost => {}
         }
         let res = self.handle(&req).await;
+        if *lock(&self.fault) == StoreFault::Mute {
+            std::future::pending::<()>().await;
+        }
         (fault != StoreFault::Lost).then(|| self.with_era(res))
     }
 }
--- a/tests/relay/lost_watch.rs
+++ b/tests/relay/lost_watch.rs
@@ -139,3 +139,17 @@
     let route = r.route("/other/");
     r.wait_until_complete(0, &route, CONFIG_APPLY_MAX).await;
 }
+
+/// Prevents VMs from missing a change whose answer to the waiting watches is lost.
+#[tokio::test]
+async fn a_change_is_in_force_in_time_after_the_answers_to_its_watches_are_lost() {
+    let mut r = start_site_with_old_reads(VMS).await;
+    r.site.store.set_fault(StoreFault::Mute);
+    r.site
+        .configure(|cfg| cfg.routes[0].prefix = "/other/".to_owned());
+    tokio::time::sleep(SILENCE).await;
+    r.site.store.set_fault(StoreFault::None);
+    tokio::time::sleep(STABLE_WINDOW).await;
+    let route = r.route("/other/");
+    assert_all(&r.request_all(5, &route).await, is_right);
+}
