--- a/crates/follow/src/watch_renewal.rs
+++ b/crates/follow/src/watch_renewal.rs
@@ -16,7 +16,8 @@
 /// How long after a change the next watch follows it, as a fraction of the same time; longer than changes are coalesced.
 const SERIES_FRACTION: f64 = 0.5;
 
-/// The least and the greatest wait of a watch. Each watch is a call that is paid for.
+/// The least and the greatest wait of a watch. Each watch is a call that is paid for; a lost one has to be begun again
+/// before a disturbance of the register no longer excuses late changes.
 const WATCH_WAIT_RANGE: (Duration, Duration) =
     (Duration::from_secs(1), Duration::from_millis(4500));
 
--- a/tests/relay/crashing_requests.rs
+++ b/tests/relay/crashing_requests.rs
@@ -153,17 +153,22 @@
     }
 }
 
+/// Kills and restarts all VMs as soon as the store lists the quarantine.
+async fn restart_all_once_listed(r: &mut TestSite) {
+    r.wait_until("the quarantine to be listed", |r| {
+        !r.site.store.names(QUARANTINE).is_empty()
+    })
+    .await;
+    kill_all(r).await;
+    restart_all(r).await;
+}
+
 /// Prevents VMs that are all killed at the same time from forgetting a request that crashes servers.
 #[tokio::test]
 async fn a_request_that_crashes_servers_stays_known_after_all_vms_were_killed() {
     let (mut r, _servers) = start_crashing_site(VMS).await;
     repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
-    r.wait_until("the quarantine to be listed", |r| {
-        !r.site.store.names(QUARANTINE).is_empty()
-    })
-    .await;
-    kill_all(&mut r).await;
-    restart_all(&mut r).await;
+    restart_all_once_listed(&mut r).await;
     repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(8)).await;
     assert_few_late_runs(&r);
 }
@@ -175,12 +180,7 @@
     let (mut r, _servers) = start_crashing_site(VMS).await;
     r.site.store.set_read_age(READ_AGE);
     repeat_crashing_request(&r, Duration::from_millis(700), Duration::from_secs(4)).await;
-    r.wait_until("the quarantine to be listed", |r| {
-        !r.site.store.names(QUARANTINE).is_empty()
-    })
-    .await;
-    kill_all(&mut r).await;
-    restart_all(&mut r).await;
+    restart_all_once_listed(&mut r).await;
     repeat_crashing_request(&r, Duration::from_millis(300), Duration::from_secs(8)).await;
     assert_few_late_runs(&r);
 }
