--- a/tests/relay/lost_watch.rs
+++ b/tests/relay/lost_watch.rs
@@ -153,3 +153,29 @@
     let route = r.route("/other/");
     assert_all(&r.request_all(5, &route).await, is_right);
 }
+
+/// Prevents VMs from missing changes after faults of the store that follow each other before all watches are begun again.
+#[rstest]
+#[case::silences([StoreFault::Silent; 3])]
+#[case::lost_answers([StoreFault::Mute, StoreFault::Lost, StoreFault::Mute])]
+#[case::refusals([StoreFault::Silent, StoreFault::Busy, StoreFault::Limited])]
+#[case::slow_answers([StoreFault::Silent, StoreFault::Slow(SILENCE), StoreFault::Silent])]
+#[tokio::test]
+async fn a_change_is_in_force_in_time_after_several_faults_in_a_row(
+    #[case] faults: [StoreFault; 3],
+) {
+    let mut r = start_site_with_old_reads(VMS).await;
+    for fault in faults {
+        r.site.configure(|_| {});
+        r.site.store.set_fault(fault);
+        tokio::time::sleep(SILENCE).await;
+        r.site.store.set_fault(StoreFault::None);
+        tokio::time::sleep(SILENCE).await;
+    }
+    tokio::time::sleep(STABLE_WINDOW).await;
+    r.site
+        .configure(|cfg| cfg.routes[0].prefix = "/other/".to_owned());
+    tokio::time::sleep(CONFIG_APPLY_MAX).await;
+    let route = r.route("/other/");
+    assert_all(&r.request_all(5, &route).await, is_right);
+}
