test(rig): a paused VM has stopped before the test goes on

Cause: SIGSTOP is sent to the process and wakes one thread, which stops the others. Until it has run, another thread may read the request that the test sends next and claim the key, so that the VM was not paused before its claim. No fault of the product: the key was claimed once.

The test's checks are unchanged.

--- a/crates/rig/src/process.rs
+++ b/crates/rig/src/process.rs
@@ -128,6 +128,37 @@
             .map_err(|e| self.failed(format!("signal: {e}")))
     }
 
+    /// Sends SIGSTOP and waits until all threads have stopped.
+    ///
+    /// The signal wakes one thread, which stops the others; until it has run, on a busy machine, they go on.
+    ///
+    /// # Errors
+    ///
+    /// If it has ended.
+    pub async fn pause(&self) -> Result<()> {
+        self.signal(Signal::STOP)?;
+        while !self.is_paused()? {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns whether all threads have stopped.
+    fn is_paused(&self) -> Result<bool> {
+        let failed = |e: std::io::Error| self.failed(format!("read its state: {e}"));
+        let threads = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        for thread in threads.map_err(failed)? {
+            let stat = thread.map_err(failed)?.path().join("stat");
+            let stat = std::fs::read_to_string(stat).map_err(failed)?;
+            // The state follows the name, which stands in parentheses.
+            let state = stat.rsplit_once(") ").map(|(_, fields)| fields);
+            if !state.is_some_and(|fields| fields.starts_with('T')) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     /// Waits until it has exited.
     ///
     /// # Errors
--- a/tests/process/vm_faults.rs
+++ b/tests/process/vm_faults.rs
@@ -55,7 +55,7 @@
 async fn a_vm_paused_before_its_claim_does_not_run_a_renewal_again() {
     let d = start_tiny().await;
     let renewal = draw_lookup(&d, "renewal", 1);
-    d.vms[0].signal(Signal::STOP).expect("a running process");
+    d.vms[0].pause().await.expect("a running process");
     let (first, second) = tokio::join!(send_lookup(&d, 0, &renewal), async {
         let second = send_lookup(&d, 1, &renewal).await;
         d.vms[0].signal(Signal::CONT).expect("a stopped process");
