feat(relay): logs the end of a server with the requests that it had

No log could tell when a VM saw that a server had ended, by what, and which requests the server had then.

A VM now watches each server that did not answer an attempt: it checks the server with a new connection, which it keeps, when the attempt broke or the VM has no connection left. A refused connection, a removed entry or a new incarnation is the end, an accepted connection is not. Evidence against requests is not changed yet.

--- a/crates/edge/src/connection_pools.rs
+++ b/crates/edge/src/connection_pools.rs
@@ -61,6 +61,10 @@
             log::debug!("event=connection-lost server={server}");
         }
     }
+
+    fn on_refused(&self, server: &ServerName) {
+        self.feed.push(Event::Refused(server.clone()));
+    }
 }
 
 /// The connection pools, one per server, and the attempts in flight on them.
@@ -135,6 +139,11 @@
         pool.open_at_least(connections_min);
     }
 
+    /// Opens one more connection to a server, which shows whether the server still runs.
+    pub(crate) fn check(&self, server: &Arc<ServerEntry>) {
+        self.pool(server).open_one();
+    }
+
     /// Closes the connections to a server as they become idle.
     pub(crate) fn disconnect(&self, server: &ServerName) {
         if let Some(pool) = lock(&self.pools).remove(server) {
--- a/crates/edge/src/shell.rs
+++ b/crates/edge/src/shell.rs
@@ -61,6 +61,7 @@
             } => self
                 .connection_pools
                 .connect(&server, connections_min, connections_max),
+            Action::CheckServer(server) => self.connection_pools.check(&server),
             Action::Disconnect(server) => self.connection_pools.disconnect(&server),
         }
         None
--- a/crates/http/src/backend/connect.rs
+++ b/crates/http/src/backend/connect.rs
@@ -30,28 +30,49 @@
 /// The number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Why a connection was not opened.
+pub(crate) struct ConnectFailure {
+    /// Whether the address refused it, which it does while no process listens there.
+    pub(crate) is_refused: bool,
+    pub(crate) error: Error,
+}
+
+impl ConnectFailure {
+    fn new(addr: SocketAddr, text: String) -> Self {
+        let error = Error::new(ErrorKind::Unavailable, text)
+            .at("connect")
+            .from_peer(addr.to_string());
+        Self {
+            is_refused: false,
+            error,
+        }
+    }
+
+    fn from_io(addr: SocketAddr, e: &std::io::Error) -> Self {
+        Self {
+            is_refused: e.kind() == std::io::ErrorKind::ConnectionRefused,
+            ..Self::new(addr, e.to_string())
+        }
+    }
+}
+
 /// Opens a connection within `timeout`, from `source` if given.
 pub(crate) async fn connect(
     addr: SocketAddr,
     source: Option<IpAddr>,
     timeout: Duration,
-) -> Result<(Sender, Driver)> {
-    let failed = |e: String| {
-        Error::new(ErrorKind::Unavailable, e)
-            .at("connect")
-            .from_peer(addr.to_string())
-    };
+) -> Result<(Sender, Driver), ConnectFailure> {
     let connecting = async {
         let tcp = open_socket(addr, source)
             .await
-            .map_err(|e| failed(e.to_string()))?;
+            .map_err(|e| ConnectFailure::from_io(addr, &e))?;
         hyper::client::conn::http1::handshake(TokioIo::new(tcp))
             .await
-            .map_err(|e| failed(e.to_string()))
+            .map_err(|e| ConnectFailure::new(addr, e.to_string()))
     };
     tokio::time::timeout(timeout, connecting)
         .await
-        .map_err(|_| failed("connecting timed out".to_owned()))?
+        .map_err(|_| ConnectFailure::new(addr, "connecting timed out".to_owned()))?
 }
 
 /// Connects a socket and sets its options.
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::backend::connect::ConnectFailure;
 use crate::backend::connect::connect;
 use crate::backend::connection_needs::ConnectionNeeds;
 use crate::backend::pooled_connection::PooledConnection;
@@ -26,6 +27,9 @@
 
     /// Handles a closed connection; `lost` if it closed while this process still held it.
     fn on_closed(&self, server: &ServerName, lost: bool);
+
+    /// Handles a refused connection: no process listens at the address of the server.
+    fn on_refused(&self, _server: &ServerName) {}
 }
 
 /// Options for opening connections to a backend server.
@@ -137,6 +141,21 @@
         self.set_share(Connections(0));
     }
 
+    /// Opens one connection in the background as soon as the share allows it, within the timeout for connections.
+    ///
+    /// The sink learns whether the server accepts or refuses it.
+    pub fn open_one(self: &Arc<Self>) {
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let reserved = tokio::time::timeout(pool.opts.connect_timeout, pool.wait_for_slot());
+            let Ok(slot) = reserved.await else {
+                log::debug!("event=check-without-slot server={}", pool.name);
+                return;
+            };
+            pool.open_and_keep(slot).await;
+        });
+    }
+
     /// Opens connections in the background until `connections_min` are open or the share is used up.
     pub fn open_at_least(self: &Arc<Self>, connections_min: Connections) {
         let missing = {
@@ -151,16 +170,19 @@
                 let slot = Slot {
                     pool: Arc::clone(&pool),
                 };
-                match pool.open_in_slot(slot).await {
-                    Ok(conn) => pool.put_back(conn),
-                    Err(e) => {
-                        log::debug!("event=warming-failed server={} error=\"{e}\"", pool.name)
-                    }
-                }
+                pool.open_and_keep(slot).await;
             });
         }
     }
 
+    /// Opens a connection in a reserved slot and adds it to the idle ones.
+    async fn open_and_keep(self: &Arc<Self>, slot: Slot) {
+        match self.open_in_slot(slot).await {
+            Ok(conn) => self.put_back(conn),
+            Err(e) => log::debug!("event=warming-failed server={} error=\"{e}\"", self.name),
+        }
+    }
+
     /// Takes any open connection, opens one if the share allows it, or waits until one is returned.
     ///
     /// # Errors
@@ -258,6 +280,18 @@
         }
     }
 
+    /// Waits without a timeout until the share allows one more connection, and reserves its slot.
+    async fn wait_for_slot(self: &Arc<Self>) -> Slot {
+        loop {
+            let mut released = pin!(self.released.notified());
+            released.as_mut().enable();
+            if let Some(slot) = self.reserve_slot() {
+                return slot;
+            }
+            released.await;
+        }
+    }
+
     /// Reserves a slot if the share is not used up.
     fn reserve_slot(self: &Arc<Self>) -> Option<Slot> {
         let mut s = self.state();
@@ -274,7 +308,8 @@
     async fn open_in_slot(self: &Arc<Self>, slot: Slot) -> Result<PooledConnection> {
         let opts = &self.opts;
         let start = Instant::now();
-        let (tx, driver) = connect(self.addr, opts.source, opts.connect_timeout).await?;
+        let connected = connect(self.addr, opts.source, opts.connect_timeout).await;
+        let (tx, driver) = connected.map_err(|failure| self.connect_error(failure))?;
         let sink = Arc::clone(&self.sink);
         let name = self.name.clone();
         let held = Arc::new(AtomicBool::new(true));
@@ -290,6 +325,14 @@
         Ok(PooledConnection::new(tx, self.next_number(), held))
     }
 
+    /// Reports a refused connection and returns the error of any failure.
+    fn connect_error(&self, failure: ConnectFailure) -> Error {
+        if failure.is_refused {
+            self.sink.on_refused(&self.name);
+        }
+        failure.error
+    }
+
     fn unavailable(&self, text: &str) -> Error {
         Error::new(ErrorKind::Unavailable, text)
             .at("take connection")
--- a/crates/relay/src/action.rs
+++ b/crates/relay/src/action.rs
@@ -100,6 +100,10 @@
         /// The largest number of connections.
         connections_max: Connections,
     },
+    /// Open one more connection to this server if its share allows it, to learn whether the server still runs:
+    /// [`crate::Event::Opened`] or [`crate::Event::Refused`] follows, or neither if that is not known. The connection
+    /// is kept for later attempts.
+    CheckServer(Arc<ServerEntry>),
     /// Close every connection to this server as it becomes idle.
     Disconnect(ServerName),
 }
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -1,5 +1,6 @@
 //! Handles the end of an attempt and updates what is known of its server and its request.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use gs_types::prelude::*;
@@ -18,6 +19,8 @@
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
+use crate::unanswered::AttemptOrigin;
+use crate::unanswered::UnansweredAttempt;
 
 impl Relay {
     /// Handles the end of an attempt, of a request in flight or one that has ended.
@@ -28,11 +31,8 @@
         end: AttemptEnd,
         out: &mut Vec<Action>,
     ) {
-        if let Some((server, dispatched_at, route)) = self.core.orphaned_attempts.remove(&id) {
-            // Its request has ended, and with it the record of the queue ahead of the attempt: the
-            // time that it would have taken on an idle server is not known.
-            self.core
-                .update_server_health(now, server, id, (dispatched_at, 0.0), &route, &end);
+        if let Some(orphan) = self.core.orphaned_attempts.remove(&id) {
+            self.core.on_orphan_ended(now, id, &orphan, &end, out);
             return;
         }
         self.with_request(id.lookup, |core, request| {
@@ -79,6 +79,7 @@
         let (server, dispatched_at, cause) = (attempt.server, attempt.dispatched_at, attempt.cause);
         let route = request.route.name.clone();
         // A server that has left is forgotten with its last attempt.
+        let entry = self.servers.get(server).map(|v| Arc::clone(&v.entry));
         let crashed = self.servers.get(server).map(|view| CrashedServer {
             name: view.entry.name.clone(),
             born: view.entry.born,
@@ -86,6 +87,12 @@
         });
         self.update_server_health(now, server, id, (dispatched_at, rounds_ahead), &route, &end);
         self.update_suspicion(now, request, index, crashed, &end, out);
+        if let Some(entry) = entry {
+            let origin = AttemptOrigin::of(request);
+            if let Some(attempt) = UnansweredAttempt::new(now, &origin, dispatched_at, &end) {
+                self.note_unanswered(now, &entry, attempt, out);
+            }
+        }
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = request.parts[index].service.clone();
             self.service_state(&service)
--- a/crates/relay/src/delegation.rs
+++ b/crates/relay/src/delegation.rs
@@ -147,7 +147,7 @@
             .collect();
         for name in removed {
             self.registered_peers.remove(&name);
-            self.remove(&name, out);
+            self.remove(now, &name, out);
         }
         for entry in peers {
             let name = entry.name.clone();
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -71,6 +71,8 @@
     Opened(ServerName, Duration),
     /// A connection to a server or a peer was closed.
     Closed(ServerName),
+    /// The address of a server or a peer refused a connection: no process listens there.
+    Refused(ServerName),
     /// Other settings are in force from now on.
     Options(RelayOptions),
     /// Other VMs decided these on requests that crash servers.
--- a/crates/relay/src/finish.rs
+++ b/crates/relay/src/finish.rs
@@ -12,10 +12,12 @@
 use crate::active_request::Part;
 use crate::active_request::PartState;
 use crate::attempt_log::attempt_log;
+use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::completion::CompletionDecision;
 use crate::completion::RequestProgress;
 use crate::completion::decide_completion;
 use crate::merge::best_records;
+use crate::orphan::OrphanedAttempt;
 use crate::outcome::FailReason;
 use crate::outcome::MissingPart;
 use crate::outcome::Outcome;
@@ -26,6 +28,7 @@
 use crate::relay::Core;
 use crate::reply::ServerAnswer;
 use crate::route::Target;
+use crate::unanswered::AttemptOrigin;
 
 /// When to retry a request that no server accepted: a server's queue empties in that time.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
@@ -174,8 +177,13 @@
             }
         }
         for (id, a) in request.attempts_in_flight() {
-            self.orphaned_attempts
-                .insert(id, (a.server, a.dispatched_at, request.route.name.clone()));
+            let orphan = OrphanedAttempt {
+                server: a.server,
+                dispatched_at: a.dispatched_at,
+                route: request.route.name.clone(),
+                origin: (id.part != BUNDLE_PART_NUMBER).then(|| AttemptOrigin::of(request)),
+            };
+            self.orphaned_attempts.insert(id, orphan);
         }
     }
 }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -47,18 +47,25 @@
     }
 
     /// Records that a connection was opened.
-    pub(crate) fn on_connection_opened(&mut self, name: &ServerName, took: Duration) {
+    pub(crate) fn on_connection_opened(&mut self, now: Instant, name: &ServerName, took: Duration) {
         if let Some(view) = self.servers.by_name_mut(name) {
             view.open_connections += 1;
             self.round_trips.observe(&view.entry.data_centre, took);
         }
+        self.on_server_accepted(now, name, took);
     }
 
     /// Records that a connection was closed.
-    pub(crate) fn on_connection_closed(&mut self, now: Instant, name: &ServerName) {
+    pub(crate) fn on_connection_closed(
+        &mut self,
+        now: Instant,
+        name: &ServerName,
+        out: &mut Vec<Action>,
+    ) {
         if let Some(view) = self.servers.by_name_mut(name) {
             view.open_connections = view.open_connections.saturating_sub(1);
         }
+        self.on_server_disconnected(now, name, out);
         if self.delegation_peers.contains(name) {
             self.on_peer_connection_lost(now);
         }
@@ -72,6 +79,7 @@
         out: &mut Vec<Action>,
     ) {
         self.missing_servers.remove(&entry.name);
+        self.end_earlier_incarnation(now, &entry, out);
         self.servers.register(now, Arc::clone(&entry));
         self.update_connections(entry, out);
         self.mark_plans_stale(now);
@@ -134,7 +142,7 @@
     ) {
         match self.servers.by_name(&name) {
             None => {}
-            Some(view) if !view.accepts_work() => self.remove(&name, out),
+            Some(view) if !view.accepts_work() => self.remove(now, &name, out),
             Some(_) => {
                 let may_have_lapsed = self.register_reachability.may_have_lapsed(now);
                 let remove_at = now + self.options.removal_delay(may_have_lapsed);
@@ -150,14 +158,15 @@
         let names: Vec<ServerName> = due.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.missing_servers.remove(&name);
-            self.remove(&name, out);
+            self.remove(now, &name, out);
         }
     }
 
     /// Removes a server, and closes its connections as they become idle.
     ///
     /// Parts that wait for it are dispatched elsewhere, or abandoned if it was the last one.
-    pub(crate) fn remove(&mut self, name: &ServerName, out: &mut Vec<Action>) {
+    pub(crate) fn remove(&mut self, now: Instant, name: &ServerName, out: &mut Vec<Action>) {
+        self.end_removed_server(now, name, out);
         if let Some(view) = self.servers.by_name(name) {
             self.services_to_dispatch.push(view.entry.service.clone());
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::executed_log::ExecutedLog;
 use crate::hedge::RouteTimes;
 use crate::options::RelayOptions;
+use crate::orphan::OrphanedAttempt;
 use crate::peer_vms::PeerVms;
 use crate::process_pause::ProcessPause;
 use crate::quarantine::Quarantine;
@@ -32,6 +33,8 @@
 use crate::round_trips::MinRoundTrips;
 use crate::route::Route;
 use crate::server::ServerDump;
+use crate::server_ends::LOGGED_ENDS_PER_S_MAX;
+use crate::server_watch::ServerWatch;
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::service_state::ServiceState;
@@ -64,10 +67,14 @@
     pub(crate) servers: Servers,
     pub(crate) services: HashMap<ServiceName, ServiceState>,
     pub(crate) route_times: HashMap<LookupName, RouteTimes>,
-    /// Attempts in flight whose request has ended, with their server, dispatch time and route.
-    pub(crate) orphaned_attempts: HashMap<AttemptKey, (ServerKey, Instant, LookupName)>,
+    /// Attempts in flight whose request has ended.
+    pub(crate) orphaned_attempts: HashMap<AttemptKey, OrphanedAttempt>,
     /// When requests are checked next.
     pub(crate) timers: BTreeSet<(Instant, LookupSeq)>,
+    /// Servers that did not answer attempts which they may still run.
+    pub(crate) server_watch: ServerWatch,
+    /// Limits the log lines on ended servers.
+    pub(crate) server_end_log: RateLimit,
     /// Evidence that requests crash servers.
     pub(crate) crash_ledger: CrashLedger,
     /// Requests that were executed lately.
@@ -141,6 +148,8 @@
                 route_times: HashMap::new(),
                 orphaned_attempts: HashMap::new(),
                 timers: BTreeSet::new(),
+                server_watch: ServerWatch::default(),
+                server_end_log: RateLimit::new(LOGGED_ENDS_PER_S_MAX),
                 crash_ledger: CrashLedger::default(),
                 executed: ExecutedLog::default(),
                 quarantine: Quarantine::default(),
@@ -192,8 +201,9 @@
                 .register_reachability
                 .set_reachable(now, is_reachable),
             Event::Vms(vms) => self.core.on_vm_list(now, vms, out),
-            Event::Opened(name, took) => self.core.on_connection_opened(&name, took),
-            Event::Closed(name) => self.core.on_connection_closed(now, &name),
+            Event::Opened(name, took) => self.core.on_connection_opened(now, &name, took),
+            Event::Closed(name) => self.core.on_connection_closed(now, &name, out),
+            Event::Refused(name) => self.core.on_server_refused(now, &name, out),
             Event::Options(options) => self.core.options = options,
             Event::Arrive(arrival) => {
                 if let Some(request) = self.core.on_arrival(now, arrival, out) {
@@ -271,6 +281,7 @@
         }
         self.core.remove_missing(now, out);
         self.core.rebuild_plans(now, out);
+        self.core.repeat_checks(now, out);
         while let Some((at, seq)) = self.core.timers.first().copied() {
             if at > now {
                 break;
@@ -325,7 +336,8 @@
     fn request_wake_up(&mut self, now: Instant, out: &mut Vec<Action>) {
         let first = self.core.timers.first().map(|(at, _)| *at);
         let removal = self.core.missing_servers.values().min().copied();
-        let times = [first, removal, self.core.rebuild_plans_at];
+        let check = self.core.server_watch.next_check_at();
+        let times = [first, removal, self.core.rebuild_plans_at, check];
         let Some(at) = times.into_iter().flatten().min() else {
             return;
         };
--- /dev/null
+++ b/crates/relay/src/server_watch.rs
@@ -0,0 +1,281 @@
+//! Watches the servers that did not answer an attempt, to learn whether they end.
+//!
+//! How an attempt ends says nothing about its server: a server that lives may reset a connection,
+//! and one whose connection this VM has closed may end a moment later. A server has ended when its
+//! address refuses connections, when its entry is removed, or when it has started again. It has not
+//! when it accepts a connection.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::entry::ServerEntry;
+use crate::unanswered::UnansweredAttempt;
+
+/// The time after which a check of a server without a result is repeated; longer than the timeout of
+/// a connection.
+const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
+/// How long the end of a server is waited for after the time in which it may have run an attempt.
+const UNCERTAIN_MAX: Duration = Duration::from_secs(6);
+
+/// How long a server is remembered that has no unanswered attempts.
+const WATCH_RETENTION: Duration = Duration::from_secs(20);
+
+/// The most unanswered attempts remembered of a server; the oldest are forgotten.
+const ATTEMPTS_MAX: usize = 256;
+
+/// By what the end of a server was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum EndSign {
+    /// Its address refused a connection.
+    Refused,
+    /// Its entry was removed, or its address belongs to another server.
+    Removed,
+    /// It has started again.
+    Restarted,
+}
+
+/// A server that has ended, with the attempts that it may have had then.
+#[derive(Debug)]
+pub(crate) struct EndedServer {
+    pub(crate) entry: Arc<ServerEntry>,
+    /// When it ended, as far as is known.
+    pub(crate) at: Instant,
+    pub(crate) attempts: Vec<UnansweredAttempt>,
+}
+
+/// What is known of an attempt that a server did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AttemptFate {
+    /// The server was running later than it may have run the attempt.
+    Outlived,
+    /// The server had the attempt when it ended, at this time.
+    Ended(Instant),
+    /// It is not known yet.
+    Open,
+}
+
+/// What is known of one incarnation of a server.
+#[derive(Debug)]
+struct Watched {
+    entry: Arc<ServerEntry>,
+    /// Attempts of which it is not known whether the server outlived them.
+    attempts: Vec<UnansweredAttempt>,
+    /// The last time at which it was certainly running.
+    alive_at: Option<Instant>,
+    /// When a connection to it first broke since then.
+    broken_at: Option<Instant>,
+    /// When it was found to have ended.
+    ended_at: Option<Instant>,
+    /// When a check without a result is repeated; `None` if no check is under way.
+    check_again_at: Option<Instant>,
+    /// When the last attempt was added.
+    used_at: Instant,
+}
+
+impl Watched {
+    fn new(now: Instant, entry: Arc<ServerEntry>) -> Self {
+        Self {
+            entry,
+            attempts: Vec::new(),
+            alive_at: None,
+            broken_at: None,
+            ended_at: None,
+            check_again_at: None,
+            used_at: now,
+        }
+    }
+
+    /// Records that the server was running at a time, and drops the attempts that it outlived.
+    fn on_alive(&mut self, at: Instant) {
+        self.alive_at = self.alive_at.max(Some(at));
+        self.broken_at = self.broken_at.filter(|broken_at| *broken_at > at);
+        self.ended_at = self.ended_at.filter(|ended_at| *ended_at > at);
+        self.attempts.retain(|a| a.runs_until > at);
+    }
+
+    /// Drops the attempts whose server kept a connection open for as long as it may have run them, and those
+    /// whose server has not been found to have ended for long.
+    fn remove_settled(&mut self, now: Instant, is_connected: bool) {
+        let wait = match is_connected {
+            true => CHECK_INTERVAL,
+            false => UNCERTAIN_MAX,
+        };
+        self.attempts.retain(|a| a.runs_until + wait > now);
+    }
+}
+
+/// The servers that are watched.
+#[derive(Debug, Default)]
+pub(crate) struct ServerWatch {
+    servers: HashMap<ServerName, Watched>,
+    swept_at: Option<Instant>,
+    /// When a check is repeated at the earliest.
+    next_check_at: Option<Instant>,
+}
+
+impl ServerWatch {
+    /// Watches a server, which has just failed to answer an attempt or may still run one.
+    ///
+    /// Returns the end of an earlier incarnation if there was one.
+    pub(crate) fn watch(&mut self, now: Instant, entry: &Arc<ServerEntry>) -> Option<EndedServer> {
+        self.remove_unused(now);
+        let ended = match self.servers.get(&entry.name) {
+            Some(known) if is_same_incarnation(&known.entry, entry) => None,
+            Some(_) => self.on_ended(now, &entry.name, false),
+            None => None,
+        };
+        let new = || Watched::new(now, Arc::clone(entry));
+        let watched = self.servers.entry(entry.name.clone());
+        let watched = watched.or_insert_with(new);
+        if !is_same_incarnation(&watched.entry, entry) {
+            *watched = new();
+        }
+        watched.used_at = now;
+        ended
+    }
+
+    /// Adds an attempt at a watched server, unless it is known what became of the server.
+    pub(crate) fn add(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        attempt: &UnansweredAttempt,
+        is_connected: bool,
+    ) -> AttemptFate {
+        let Some(watched) = self.servers.get_mut(server) else {
+            return AttemptFate::Open;
+        };
+        if watched.alive_at.is_some_and(|at| at >= attempt.runs_until) {
+            return AttemptFate::Outlived;
+        }
+        match watched.ended_at {
+            Some(ended_at) if attempt.began_at <= ended_at => return AttemptFate::Ended(ended_at),
+            Some(_) => return AttemptFate::Outlived,
+            None => {}
+        }
+        watched.remove_settled(now, is_connected);
+        if watched.attempts.len() == ATTEMPTS_MAX {
+            watched.attempts.remove(0);
+        }
+        watched.attempts.push(attempt.clone());
+        AttemptFate::Open
+    }
+
+    /// Returns whether a check of the server must be started; it counts as started then.
+    pub(crate) fn start_check(&mut self, now: Instant, server: &ServerName) -> bool {
+        let Some(watched) = self.servers.get_mut(server) else {
+            return false;
+        };
+        if watched.check_again_at.is_some_and(|at| at > now) || watched.ended_at.is_some() {
+            return false;
+        }
+        let again_at = now + CHECK_INTERVAL;
+        watched.check_again_at = Some(again_at);
+        self.next_check_at = Some(self.next_check_at.map_or(again_at, |at| at.min(again_at)));
+        true
+    }
+
+    /// Records that a connection to a watched server broke.
+    pub(crate) fn on_broken(&mut self, at: Instant, server: &ServerName) {
+        if let Some(watched) = self.servers.get_mut(server)
+            && watched.alive_at.is_none_or(|alive_at| alive_at < at)
+        {
+            watched.broken_at.get_or_insert(at);
+        }
+    }
+
+    /// Records that the server accepted a connection that was begun at a time.
+    pub(crate) fn on_accepted(&mut self, server: &ServerName, begun_at: Instant) {
+        if let Some(watched) = self.servers.get_mut(server) {
+            watched.on_alive(begun_at);
+            watched.check_again_at = None;
+        }
+    }
+
+    /// Records that the last connection to the server was closed; returns whether it must be checked.
+    pub(crate) fn on_disconnected(&mut self, now: Instant, server: &ServerName) -> bool {
+        let Some(watched) = self.servers.get_mut(server) else {
+            return false;
+        };
+        watched.remove_settled(now, true);
+        !watched.attempts.is_empty()
+    }
+
+    /// Records that a server has ended; returns the attempts that it may have had then.
+    pub(crate) fn on_ended(
+        &mut self,
+        now: Instant,
+        server: &ServerName,
+        is_connected: bool,
+    ) -> Option<EndedServer> {
+        let watched = self.servers.get_mut(server)?;
+        watched.remove_settled(now, is_connected);
+        let at = watched.broken_at.unwrap_or(now);
+        watched.ended_at.get_or_insert(at);
+        watched.check_again_at = None;
+        let mut attempts = std::mem::take(&mut watched.attempts);
+        attempts.sort_by_key(|a| !a.is_broken);
+        Some(EndedServer {
+            entry: Arc::clone(&watched.entry),
+            at,
+            attempts,
+        })
+    }
+
+    /// Forgets a server that is no longer listed.
+    pub(crate) fn remove(&mut self, server: &ServerName) {
+        self.servers.remove(server);
+    }
+
+    /// Returns the servers whose check has had no result, and drops what needs none any more.
+    pub(crate) fn due_checks(
+        &mut self,
+        now: Instant,
+        is_connected: impl Fn(&ServerName) -> bool,
+    ) -> Vec<ServerName> {
+        let mut due = Vec::new();
+        if self.next_check_at.is_none_or(|at| at > now) {
+            return due;
+        }
+        for (name, watched) in &mut self.servers {
+            if watched.check_again_at.is_none_or(|at| at > now) {
+                continue;
+            }
+            watched.check_again_at = None;
+            watched.remove_settled(now, is_connected(name));
+            if !watched.attempts.is_empty() {
+                due.push(name.clone());
+            }
+        }
+        let pending = self.servers.values().filter_map(|w| w.check_again_at);
+        self.next_check_at = pending.min();
+        due.sort_unstable();
+        due
+    }
+
+    /// Returns when checks are repeated at the earliest.
+    pub(crate) fn next_check_at(&self) -> Option<Instant> {
+        self.next_check_at
+    }
+
+    fn remove_unused(&mut self, now: Instant) {
+        let swept_at = *self.swept_at.get_or_insert(now);
+        if now.saturating_duration_since(swept_at) < WATCH_RETENTION {
+            return;
+        }
+        self.swept_at = Some(now);
+        self.servers
+            .retain(|_, w| now.saturating_duration_since(w.used_at) < WATCH_RETENTION);
+    }
+}
+
+/// Returns whether two entries are of the same process.
+pub(crate) fn is_same_incarnation(a: &ServerEntry, b: &ServerEntry) -> bool {
+    a.born == b.born && a.addr == b.addr && a.service == b.service
+}
--- /dev/null
+++ b/crates/relay/src/unanswered.rs
@@ -0,0 +1,95 @@
+//! Attempts that servers may have run and did not answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gs_types::prelude::*;
+
+use crate::active_request::ActiveRequest;
+use crate::reply::AttemptEnd;
+
+/// How long a server may go on with a request after its connection was closed.
+///
+/// Most servers stop then. Others run what they have queued, and a request that makes the process
+/// fail may do so only after the connection is gone.
+const RUN_AFTER_CLOSE_MAX: Duration = Duration::from_secs(2);
+
+/// The request of an attempt, as far as it is needed after the request has ended.
+#[derive(Clone, Debug)]
+pub(crate) struct AttemptOrigin {
+    /// Identifies the request among its repeats.
+    pub(crate) request: Fingerprint,
+    /// The caller's id of the request.
+    pub(crate) id: Arc<str>,
+    /// Until when a server works on the request at the latest.
+    pub(crate) deadline: Instant,
+    /// Whether the attempt is at one of several shards.
+    pub(crate) is_scatter: bool,
+}
+
+impl AttemptOrigin {
+    pub(crate) fn of(request: &ActiveRequest) -> Self {
+        Self {
+            request: request.fingerprint,
+            id: Arc::clone(&request.req.id),
+            deadline: request.arrived_at + request.caller_timeout,
+            is_scatter: request.route.is_scatter(),
+        }
+    }
+}
+
+/// An attempt that a server may have run and did not answer.
+#[derive(Clone, Debug)]
+pub(crate) struct UnansweredAttempt {
+    /// Identifies the request among its repeats.
+    pub(crate) request: Fingerprint,
+    /// The caller's id of the request.
+    pub(crate) id: Arc<str>,
+    /// When the attempt was sent.
+    pub(crate) began_at: Instant,
+    /// Until when its server may run it.
+    pub(crate) runs_until: Instant,
+    /// How the attempt ended.
+    pub(crate) end: &'static str,
+    /// Whether the server closed the connection, and not this VM.
+    pub(crate) is_broken: bool,
+    /// Whether servers of other shards may have executed the request without crashing.
+    pub(crate) is_answered_elsewhere: bool,
+}
+
+impl UnansweredAttempt {
+    /// Describes an attempt that ended at a time; `None` if its server answered it or never had it.
+    pub(crate) fn new(
+        now: Instant,
+        origin: &AttemptOrigin,
+        began_at: Instant,
+        end: &AttemptEnd,
+    ) -> Option<Self> {
+        let is_broken = match end {
+            AttemptEnd::Broken => true,
+            AttemptEnd::Garbled | AttemptEnd::Late(_) | AttemptEnd::Cancelled => false,
+            AttemptEnd::Answered(..)
+            | AttemptEnd::Shed(_)
+            | AttemptEnd::Overloaded(_)
+            | AttemptEnd::WrongServer
+            | AttemptEnd::NotSent
+            | AttemptEnd::Paged(..) => return None,
+        };
+        // A connection that breaks ends with the process, if the process ends.
+        let runs_until = match is_broken {
+            true => now,
+            false => (now + RUN_AFTER_CLOSE_MAX).min(origin.deadline).max(now),
+        };
+        Some(Self {
+            request: origin.request,
+            id: Arc::clone(&origin.id),
+            began_at,
+            runs_until,
+            end: end.into(),
+            is_broken,
+            // The parts of a fan-out that this VM no longer waits for may be answered.
+            is_answered_elsewhere: origin.is_scatter && !is_broken,
+        })
+    }
+}
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -54,6 +54,8 @@
     pub cancelled: Vec<AttemptKey>,
     /// Servers and peers of the connect actions, in order.
     pub connects: Vec<ServerName>,
+    /// Servers of the check actions, in order.
+    pub checked: Vec<ServerName>,
     /// Connections to keep open to each server or peer, as last requested.
     pub connections_min: HashMap<ServerName, u32>,
     /// Requests whose quarantine was announced to other VMs.
@@ -249,6 +251,7 @@
             open: VecDeque::new(),
             cancelled: Vec::new(),
             connects: Vec::new(),
+            checked: Vec::new(),
             connections_min: HashMap::new(),
             quarantined: Vec::new(),
             news: Vec::new(),
@@ -341,6 +344,7 @@
                     self.connections_min
                         .insert(server.name.clone(), connections_min.0);
                 }
+                Action::CheckServer(server) => self.checked.push(server.name.clone()),
                 Action::Disconnect(name) => {
                     self.connections_min.remove(&name);
                 }
