test(rig): a server ends although its caller closed the connection before

Evidence: a_server_crashes_although_its_caller_has_left failed before (5 s without an end), passes now; the other tests of the stand-in are unchanged.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -104,7 +104,7 @@
     records: ServerRecords,
     /// Requests whose path contains this text end the process that runs them.
     crashes_on: Option<&'static str>,
-    crashed: Notify,
+    crashed: Arc<Notify>,
 }
 
 impl Backend {
@@ -265,8 +265,7 @@
             .is_some_and(|text| req.uri().path().contains(text))
         {
             self.records.crashes.record(&self.id, &id);
-            tokio::time::sleep(self.work).await;
-            self.crashed.notify_one();
+            self.crash_later();
             // The process ends, and with it every connection.
             std::future::pending::<()>().await;
         }
@@ -313,7 +312,7 @@
             sends_late_copies: AtomicBool::new(false),
             records,
             crashes_on,
-            crashed: Notify::new(),
+            crashed: Arc::new(Notify::new()),
         }
     }
 
@@ -322,6 +321,15 @@
         self.crashed.notified().await;
     }
 
+    /// Ends the process after the time of a run, although the caller may have closed the connection by then.
+    fn crash_later(&self) {
+        let (work, crashed) = (self.work, Arc::clone(&self.crashed));
+        tokio::spawn(async move {
+            tokio::time::sleep(work).await;
+            crashed.notify_one();
+        });
+    }
+
     fn shed(&self, id: &str) -> Response<Body> {
         let res = with_header(response(503, ""), "not-executed", "1");
         let res = with_header(res, "attempt-id", id);
--- a/crates/rig/tests/backend.rs
+++ b/crates/rig/tests/backend.rs
@@ -109,15 +109,13 @@
     wait_until_accepted(server.link().addr(), true).await;
 }
 
-/// Prevents a server that a request crashes from living on: it goes down, refuses, and comes back under another id.
-#[tokio::test]
-async fn a_server_that_a_request_crashes_comes_back_under_another_id() {
-    let store = Store::start().await.expect("a free port");
+/// Starts a server that each request for `q` crashes after this time.
+async fn start_crashing_server(store: &Store, work: Duration) -> RestartingServer {
     let options = RestartingServerOptions::builder()
         .id("i-0".to_owned())
         .service("s".to_owned())
         .zone("east".to_owned())
-        .work(Duration::from_millis(1))
+        .work(work)
         .crashes_on("q")
         .down_for(Duration::from_millis(500))
         .build();
@@ -125,6 +123,26 @@
     let server = RestartingServer::start(store.writer(), options, records).await;
     let server = server.expect("a free port");
     wait_until_accepted(server.addr(), true).await;
+    server
+}
+
+/// Prevents a server from living on whose caller closes the connection before the request has crashed it.
+#[tokio::test]
+async fn a_server_crashes_although_its_caller_has_left() {
+    let store = Store::start().await.expect("a free port");
+    let server = start_crashing_server(&store, Duration::from_millis(200)).await;
+    let mut tcp = TcpStream::connect(server.addr()).await.expect("it listens");
+    tcp.write_all(REQUEST).await.expect("a request");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(tcp);
+    wait_until_accepted(server.addr(), false).await;
+}
+
+/// Prevents a server that a request crashes from living on: it goes down, refuses, and comes back under another id.
+#[tokio::test]
+async fn a_server_that_a_request_crashes_comes_back_under_another_id() {
+    let store = Store::start().await.expect("a free port");
+    let server = start_crashing_server(&store, Duration::from_millis(1)).await;
     let mut tcp = TcpStream::connect(server.addr()).await.expect("it listens");
     tcp.write_all(REQUEST).await.expect("a request");
     let mut answer = Vec::new();
