--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod overload;
 mod pages;
 mod register;
+mod server_ends;
 mod shared_evidence;
 mod stalls;
 mod subset;
--- a/tests/relay/crashing_requests.rs
+++ b/tests/relay/crashing_requests.rs
@@ -40,12 +40,17 @@
 
 /// Starts a site with servers that a request crashes, and waits until each VM knows them.
 async fn start_crashing_site(vms: usize) -> (TestSite, Vec<RestartingServer>) {
+    start_crashing_site_with(vms, Duration::from_millis(20)).await
+}
+
+/// Starts the same site with servers that run each request for this time.
+async fn start_crashing_site_with(vms: usize, work: Duration) -> (TestSite, Vec<RestartingServer>) {
     let mut r = start_site_with(vms).await;
     let options = RestartingServerOptions::builder()
         .id("i-fragile".to_owned())
         .service(SERVICE.to_owned())
         .zone(String::new())
-        .work(Duration::from_millis(20))
+        .work(work)
         .crashes_on(CRASHES)
         .down_for(DOWN_FOR)
         .build();
@@ -248,3 +253,27 @@
         r.site.vms[*vm].signal(Signal::CONT);
     }
 }
+
+/// How long the callers of a request that crashes servers wait, in tests of callers that leave before the crash.
+const PATIENCE: Duration = Duration::from_millis(60);
+
+/// How long a server runs a request before it crashes, in the same tests.
+const LONG_WORK: Duration = Duration::from_millis(120);
+
+/// Prevents a request from crashing server after server because its callers leave before each crash.
+#[tokio::test]
+async fn a_request_whose_callers_leave_before_the_crash_is_stopped() {
+    let (r, _servers) = start_crashing_site_with(7, LONG_WORK).await;
+    let end = Instant::now() + Duration::from_secs(15);
+    while Instant::now() < end {
+        let n = REPEATS.fetch_add(1, Ordering::Relaxed);
+        let vm = r.site.vms[n % 7].plan().callers;
+        let (caller, id) = (r.caller.clone(), format!("crash{n}"));
+        tokio::spawn(async move {
+            let answer = caller.send(vm, "/fragile/crashes", &id);
+            tokio::time::timeout(PATIENCE, answer).await
+        });
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    assert_few_late_runs(&r);
+}
