fix(relay): the end of a server counts against the requests that it had, and nothing else does

Cause: the end of an attempt was taken for the end of a server. An attempt that was cancelled, timed out or had outlived its request counted for nothing, whatever became of the server; one that broke counted as a crash, although the server answered the next.

It counts against each request that the server may have had then: broken, cancelled, late, garbled or orphaned attempts, for 2 s after this VM closed the connection, at most until the request's deadline. A server that accepts a connection begun after the break clears it. A crash that is seen late does not count if a server has executed the request since. A trial on probation lasts until its server has outlived it. A server found down by a check is backed off from. Parts of a fan-out that were cancelled count only by shard, since the other parts may have been answered.

Tests changed: a crash in the tests of the relay is now a break and a refused connection (World::crash_under_attempt), as a break alone no longer is one; their assertions are unchanged, and in one the servers are given time to be back, as a server that refuses is now backed off from. an_execution_before_a_crash_does_not_clear_it had reported an execution between the crashes, which does clear those before; it reports one before all now.

--- a/crates/relay/src/active_request.rs
+++ b/crates/relay/src/active_request.rs
@@ -13,12 +13,12 @@
 use crate::attempt::Cause;
 use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::bundle::Bundle;
-use crate::crash_ledger::ServerCrash;
 use crate::possible_servers::PossibleServers;
 use crate::reply::ServerAnswer;
 use crate::request::CallerRequest;
 use crate::route::RepeatPolicy;
 use crate::route::Route;
+use crate::unanswered::UnansweredPart;
 
 /// State of one part of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -117,8 +117,8 @@
     /// Whether a server has answered an attempt at one of its parts, and so executed it without
     /// crashing.
     pub(crate) executed_without_crash: bool,
-    /// Crashes of servers under its parts, with the position of the part; only of a fan-out.
-    pub(crate) crashes: Vec<(usize, ServerCrash)>,
+    /// Attempts that servers did not answer; only of a fan-out.
+    pub(crate) unanswered: Vec<UnansweredPart>,
     /// When it is checked next.
     pub(crate) timer: Option<Instant>,
     /// When to retry, if a peer had no capacity for it.
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -149,7 +149,7 @@
             resent_attempts: 0,
             rejected_attempts: 0,
             executed_without_crash: false,
-            crashes: Vec::new(),
+            unanswered: Vec::new(),
             timer: None,
             retry_after: None,
         })
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -13,14 +13,15 @@
 use crate::attempt::AttemptState;
 use crate::attempt::Cause;
 use crate::bundle::BUNDLE_PART_NUMBER;
-use crate::crash_evidence::CrashedServer;
 use crate::crash_report::ExecutedServices;
+use crate::entry::ServerEntry;
 use crate::relay::Core;
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
 use crate::unanswered::AttemptOrigin;
 use crate::unanswered::UnansweredAttempt;
+use crate::unanswered::UnansweredPart;
 
 impl Relay {
     /// Handles the end of an attempt, of a request in flight or one that has ended.
@@ -32,7 +33,7 @@
         out: &mut Vec<Action>,
     ) {
         if let Some(orphan) = self.core.orphaned_attempts.remove(&id) {
-            self.core.on_orphan_ended(now, id, &orphan, &end, out);
+            self.core.on_orphan_ended(now, id, orphan, &end, out);
             return;
         }
         self.with_request(id.lookup, |core, request| {
@@ -80,18 +81,9 @@
         let route = request.route.name.clone();
         // A server that has left is forgotten with its last attempt.
         let entry = self.servers.get(server).map(|v| Arc::clone(&v.entry));
-        let crashed = self.servers.get(server).map(|view| CrashedServer {
-            name: view.entry.name.clone(),
-            born: view.entry.born,
-            sent_at: dispatched_at,
-        });
         self.update_server_health(now, server, id, (dispatched_at, rounds_ahead), &route, &end);
-        self.update_suspicion(now, request, index, crashed, &end, out);
         if let Some(entry) = entry {
-            let origin = AttemptOrigin::of(request);
-            if let Some(attempt) = UnansweredAttempt::new(now, &origin, dispatched_at, &end) {
-                self.note_unanswered(now, &entry, attempt, out);
-            }
+            self.update_suspicion(now, request, (index, dispatched_at), entry, &end, out);
         }
         if matches!(end, AttemptEnd::NotSent) && cause != Cause::First {
             let service = request.parts[index].service.clone();
@@ -117,29 +109,39 @@
         self.on_part_failed(now, request, index, id, out);
     }
 
-    /// Updates the evidence that a request crashes servers after one of its attempts ended.
+    /// Updates the evidence that a request crashes servers after an attempt at one of its parts, sent at the given
+    /// time, has ended.
     fn update_suspicion(
         &mut self,
         now: Instant,
         request: &mut ActiveRequest,
-        index: usize,
-        crashed: Option<CrashedServer>,
+        (index, sent_at): (usize, Instant),
+        server: Arc<ServerEntry>,
         end: &AttemptEnd,
         out: &mut Vec<Action>,
     ) {
-        match end {
-            AttemptEnd::Broken => {
-                if let Some(crashed) = crashed {
-                    self.note_broken_attempt(now, request, index, crashed, out);
-                }
-            }
-            AttemptEnd::Answered(..) => {
-                self.on_executed(now, request);
-                let services = [request.parts[index].service.clone()];
-                self.note_executed_if_suspected(now, request, &services, out);
-            }
-            _ => {}
+        if matches!(end, AttemptEnd::Answered(..)) {
+            self.on_executed(now, request);
+            let services = [server.service.clone()];
+            self.note_executed_if_suspected(now, request.fingerprint, &services, out);
+            return;
         }
+        let origin = AttemptOrigin::of(request);
+        let Some(attempt) = UnansweredAttempt::new(now, origin, sent_at, end) else {
+            return;
+        };
+        if !request.route.is_scatter() {
+            self.count_unanswered(now, &server, attempt, out);
+            return;
+        }
+        if attempt.is_broken {
+            self.check_broken_server(now, &server, out);
+        }
+        request.unanswered.push(UnansweredPart {
+            index,
+            server,
+            attempt,
+        });
     }
 
     /// Records that servers which a peer queried executed the request without crashing.
@@ -150,13 +152,14 @@
         out: &mut Vec<Action>,
     ) {
         self.on_executed(now, request);
-        self.note_executed_if_suspected(now, request, &[], out);
+        self.note_executed_if_suspected(now, request.fingerprint, &[], out);
     }
 
-    fn note_executed_if_suspected(
+    /// Records that servers of these services executed a request, if anything is known against a request.
+    pub(crate) fn note_executed_if_suspected(
         &mut self,
         now: Instant,
-        request: &ActiveRequest,
+        request: Fingerprint,
         services: &[ServiceName],
         out: &mut Vec<Action>,
     ) {
@@ -164,7 +167,7 @@
             return;
         }
         let services = ExecutedServices::Only(services.to_vec());
-        self.note_executed(now, request.fingerprint, services, out);
+        self.note_executed(now, request, services, out);
     }
 
     /// Retries or abandons a part after one of its attempts failed.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -40,7 +40,7 @@
     pub misdirected: u64,
     /// Attempts that ended with a broken connection, a malformed answer or a timeout.
     pub broken: u64,
-    /// Attempts that ended with a broken connection and count as evidence against their request.
+    /// Attempts that servers had when they ended, which count as evidence against their requests.
     pub crashes: u64,
     /// Requests that this VM found to crash servers.
     pub quarantines: u64,
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -19,6 +19,7 @@
 use crate::crash_report::Observation;
 use crate::crash_report::ReportedCrash;
 use crate::relay::Core;
+use crate::unanswered::AttemptOrigin;
 
 /// The most reports per second on requests that crashed their first server: when many servers
 /// crash, each request that they had is one.
@@ -27,100 +28,81 @@
 /// The most reports per second on requests that crashed servers before, or were executed.
 pub(crate) const REPEAT_REPORTS_PER_S_MAX: u32 = 64;
 
-/// A server whose connection broke, as it was when the attempt was sent.
-pub(crate) struct CrashedServer {
-    pub(crate) name: ServerName,
-    pub(crate) born: Option<Incarnation>,
-    pub(crate) sent_at: Instant,
-}
-
 impl Core {
-    /// Records that a server crashed while it had a part of a request.
+    /// Counts the attempts that a fan-out had no answer to when it ended.
     ///
-    /// Some servers may lose connections while they execute a harmless fan-out, and the others
-    /// answer only later. The crashes under a fan-out are therefore judged when it ends.
-    pub(crate) fn note_broken_attempt(
-        &mut self,
-        now: Instant,
-        request: &mut ActiveRequest,
-        index: usize,
-        crashed: CrashedServer,
-        out: &mut Vec<Action>,
-    ) {
-        let crash = ServerCrash {
-            service: request.parts[index].service.clone(),
-            server: crashed.name,
-            born: crashed.born,
-            began_at: crashed.sent_at,
-            ended_at: now,
-            is_answered_elsewhere: false,
-        };
-        self.counters.crashes += 1;
-        if request.route.is_scatter() {
-            request.crashes.push((index, crash));
-            return;
-        }
-        self.judge_crashes(now, request, vec![crash], out);
-    }
-
-    /// Judges the crashes under a fan-out that has ended.
+    /// Some servers may lose connections while they execute a harmless fan-out, and the others answer only later. What
+    /// became of its parts is therefore counted at its end.
     pub(crate) fn judge_fan_out(
         &mut self,
         now: Instant,
         request: &mut ActiveRequest,
         out: &mut Vec<Action>,
     ) {
-        let crashes = std::mem::take(&mut request.crashes);
-        let is_unanswered =
-            |part: &Part| part.state != PartState::Complete && part.answer.is_none();
-        let crashes = crashes.into_iter();
-        let crashes = crashes.filter(|(index, _)| is_unanswered(&request.parts[*index]));
-        let crashes: Vec<ServerCrash> = crashes
-            .map(|(_, crash)| ServerCrash {
-                is_answered_elsewhere: request.executed_without_crash,
-                ..crash
-            })
-            .collect();
-        if !crashes.is_empty() {
-            self.judge_crashes(now, request, crashes, out);
+        let mut crashes = Vec::new();
+        for unanswered in std::mem::take(&mut request.unanswered) {
+            let part = &request.parts[unanswered.index];
+            if part.state == PartState::Complete || part.answer.is_some() {
+                continue;
+            }
+            let mut attempt = unanswered.attempt;
+            attempt.is_answered_elsewhere |= request.executed_without_crash;
+            crashes.extend(self.note_unanswered(now, &unanswered.server, attempt, out));
         }
+        let origin = AttemptOrigin::of(request);
+        self.judge_crashes(now, &origin, crashes, out);
     }
 
-    /// Quarantines a request that crashed servers if there is proof, else reports the crashes to
-    /// the VMs that collect evidence against it.
-    fn judge_crashes(
+    /// Quarantines a request if there is proof, else reports the crashes to the VMs that collect evidence against it.
+    pub(crate) fn judge_crashes(
         &mut self,
         now: Instant,
-        request: &ActiveRequest,
-        crashes: Vec<ServerCrash>,
+        origin: &AttemptOrigin,
+        mut crashes: Vec<ServerCrash>,
         out: &mut Vec<Action>,
     ) {
-        let fingerprint = request.fingerprint;
+        let fingerprint = origin.request;
+        // The end of a server may be seen only after another server has executed the request.
+        crashes.retain(|c| !self.is_executed_since(fingerprint, &c.service, c.ended_at));
+        if crashes.is_empty() {
+            return;
+        }
+        self.counters.crashes += crashes.len() as u64;
         let on_probation = crashes
             .iter()
             .find_map(|c| self.quarantine.proof_on_probation(now, fingerprint, c));
         let mut known = 0;
         for crash in &crashes {
             known = self.crash_ledger.note(now, fingerprint, crash.clone());
-            self.log_crash(now, request, crash, known);
+            self.log_crash(now, origin, crash, known);
         }
         if self.convict_if_proved(now, fingerprint, on_probation, out) {
             return;
         }
-        // A peer's part of a fan-out may be broken while the other parts are answered.
-        let is_delegated = request.shards_wanted.is_some();
         let reported = crashes.into_iter().map(|c| ReportedCrash {
             began_ms: millis_since(now, c.began_at),
             ended_ms: millis_since(now, c.ended_at),
             service: c.service,
             server: c.server,
             born: c.born,
-            is_answered_elsewhere: c.is_answered_elsewhere || is_delegated,
+            // A peer's part of a fan-out may be broken while the other parts are answered.
+            is_answered_elsewhere: c.is_answered_elsewhere || origin.is_delegated,
         });
         let observation = Observation::Crashed(reported.collect());
         self.report(now, fingerprint, observation, known <= 1, out);
     }
 
+    /// Returns whether a server of the service is known to have executed a request since the given time.
+    fn is_executed_since(
+        &self,
+        request: Fingerprint,
+        service: &ServiceName,
+        since: Instant,
+    ) -> bool {
+        let last = self.executed.last(request);
+        last.is_some_and(|(at, missing)| at >= since && !missing.contains(service))
+    }
+
     /// Quarantines a request if there is proof against it, or if it crashed a server on probation.
     fn convict_if_proved(
         &mut self,
@@ -205,6 +187,9 @@
                 let mut on_probation = None;
                 for crash in crashes {
                     let crash = received_crash(now, crash);
+                    if self.is_executed_since(request, &crash.service, crash.ended_at) {
+                        continue;
+                    }
                     let proof = self.quarantine.proof_on_probation(now, request, &crash);
                     on_probation = on_probation.or(proof);
                     self.crash_ledger.note(now, request, crash);
@@ -264,7 +249,7 @@
     fn log_crash(
         &mut self,
         now: Instant,
-        request: &ActiveRequest,
+        origin: &AttemptOrigin,
         crash: &ServerCrash,
         known: usize,
     ) {
@@ -274,8 +259,8 @@
         log::info!(
             "event=crash-noted request={} id={} service={} server={} crashes={known} \
              left_out={suppressed}",
-            request.fingerprint,
-            request.req.id,
+            origin.request,
+            origin.id,
             crash.service,
             crash.server,
         );
--- a/crates/relay/src/orphan.rs
+++ b/crates/relay/src/orphan.rs
@@ -29,7 +29,7 @@
         &mut self,
         now: Instant,
         id: AttemptKey,
-        orphan: &OrphanedAttempt,
+        orphan: OrphanedAttempt,
         end: &AttemptEnd,
         out: &mut Vec<Action>,
     ) {
@@ -39,12 +39,16 @@
         // on an idle server is not known.
         let times = (orphan.dispatched_at, 0.0);
         self.update_server_health(now, orphan.server, id, times, &orphan.route, end);
-        let (Some(entry), Some(origin)) = (entry, &orphan.origin) else {
+        let (Some(entry), Some(origin)) = (entry, orphan.origin) else {
             return;
         };
-        let unanswered = UnansweredAttempt::new(now, origin, orphan.dispatched_at, end);
-        if let Some(attempt) = unanswered {
-            self.note_unanswered(now, &entry, attempt, out);
+        if matches!(end, AttemptEnd::Answered(..)) {
+            let services = [entry.service.clone()];
+            self.note_executed_if_suspected(now, origin.request, &services, out);
+            return;
+        }
+        if let Some(attempt) = UnansweredAttempt::new(now, origin, orphan.dispatched_at, end) {
+            self.count_unanswered(now, &entry, attempt, out);
         }
     }
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -31,7 +31,7 @@
 const RELEASE_RETENTION: Duration = Duration::from_secs(60);
 
 /// The time after which one more VM may try the request; a crash is known to all VMs sooner.
-const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The most verdicts remembered.
 const VERDICTS_MAX: usize = 4096;
--- a/crates/relay/src/server_ends.rs
+++ b/crates/relay/src/server_ends.rs
@@ -21,6 +21,35 @@
 pub(crate) const LOGGED_ENDS_PER_S_MAX: u32 = 10;
 
 impl Core {
+    /// Checks a server whose connection has just broken.
+    pub(crate) fn check_broken_server(
+        &mut self,
+        now: Instant,
+        entry: &Arc<ServerEntry>,
+        out: &mut Vec<Action>,
+    ) {
+        if self.open_connections(entry).is_some() {
+            self.watch_server(now, entry, out);
+            self.server_watch.on_broken(now, &entry.name);
+            self.check_server(now, entry, out);
+        }
+    }
+
+    /// Counts an attempt that a server did not answer against its request, as soon as the server is known to have
+    /// ended while it had the attempt.
+    pub(crate) fn count_unanswered(
+        &mut self,
+        now: Instant,
+        entry: &Arc<ServerEntry>,
+        attempt: UnansweredAttempt,
+        out: &mut Vec<Action>,
+    ) {
+        let origin = attempt.origin.clone();
+        if let Some(crash) = self.note_unanswered(now, entry, attempt, out) {
+            self.judge_crashes(now, &origin, vec![crash], out);
+        }
+    }
+
     /// Adds an attempt that a watched server did not answer; returns the crash if the server is known
     /// to have ended while it had the attempt.
     pub(crate) fn note_unanswered(
@@ -66,6 +95,13 @@
         name: &ServerName,
         out: &mut Vec<Action>,
     ) {
+        // A refused attempt reports its own end, which starts the backoff.
+        if self.server_watch.is_checking(name)
+            && let Some(view) = self.servers.by_name_mut(name)
+        {
+            view.on_unreachable(now);
+            self.services_to_dispatch.push(view.entry.service.clone());
+        }
         self.end_watched_server(now, name, EndSign::Refused, out);
     }
 
@@ -175,7 +211,10 @@
             return;
         }
         self.log_server_end(now, &ended, sign);
-        let _ = out;
+        for attempt in &ended.attempts {
+            let crash = server_crash(&ended.entry, attempt, ended.at.max(attempt.began_at));
+            self.judge_crashes(now, &attempt.origin, vec![crash], out);
+        }
     }
 
     fn log_server_end(&mut self, now: Instant, ended: &EndedServer, sign: EndSign) {
@@ -185,7 +224,7 @@
         let had: Vec<String> = ended
             .attempts
             .iter()
-            .map(|a| format!("{}/{}/{}", a.request, a.id, a.end))
+            .map(|a| format!("{}/{}/{}", a.origin.request, a.origin.id, a.end))
             .collect();
         log::info!(
             "event=server-ended server={} service={} sign={sign} ago_ms={} had={} left_out={suppressed}",
--- a/crates/relay/src/server_watch.rs
+++ b/crates/relay/src/server_watch.rs
@@ -156,7 +156,8 @@
         }
         match watched.ended_at {
             Some(ended_at) if attempt.began_at <= ended_at => return AttemptFate::Ended(ended_at),
-            Some(_) => return AttemptFate::Outlived,
+            // What was sent later was sent on a connection that a server has accepted since.
+            Some(_) => watched.on_alive(attempt.began_at),
             None => {}
         }
         watched.remove_settled(now, is_connected);
@@ -181,6 +182,12 @@
         true
     }
 
+    /// Returns whether a check of the server is under way.
+    pub(crate) fn is_checking(&self, server: &ServerName) -> bool {
+        let watched = self.servers.get(server);
+        watched.is_some_and(|w| w.check_again_at.is_some())
+    }
+
     /// Records that a connection to a watched server broke.
     pub(crate) fn on_broken(&mut self, at: Instant, server: &ServerName) {
         if let Some(watched) = self.servers.get_mut(server)
@@ -264,6 +271,13 @@
         self.next_check_at
     }
 
+    /// Returns whether a server may still run an attempt at the request, or its end is uncertain.
+    pub(crate) fn may_be_running(&self, now: Instant, request: Fingerprint) -> bool {
+        let attempts = self.servers.values().flat_map(|w| &w.attempts);
+        let mut of_request = attempts.filter(|a| a.origin.request == request);
+        of_request.any(|a| a.runs_until + CHECK_INTERVAL > now)
+    }
+
     fn remove_unused(&mut self, now: Instant) {
         let swept_at = *self.swept_at.get_or_insert(now);
         if now.saturating_duration_since(swept_at) < WATCH_RETENTION {
--- a/crates/relay/src/unanswered.rs
+++ b/crates/relay/src/unanswered.rs
@@ -7,6 +7,7 @@
 use gs_types::prelude::*;
 
 use crate::active_request::ActiveRequest;
+use crate::entry::ServerEntry;
 use crate::reply::AttemptEnd;
 
 /// How long a server may go on with a request after its connection was closed.
@@ -26,6 +27,8 @@
     pub(crate) deadline: Instant,
     /// Whether the attempt is at one of several shards.
     pub(crate) is_scatter: bool,
+    /// Whether another VM has delegated it, which has other parts of the request.
+    pub(crate) is_delegated: bool,
 }
 
 impl AttemptOrigin {
@@ -35,6 +38,7 @@
             id: Arc::clone(&request.req.id),
             deadline: request.arrived_at + request.caller_timeout,
             is_scatter: request.route.is_scatter(),
+            is_delegated: request.shards_wanted.is_some(),
         }
     }
 }
@@ -42,10 +46,7 @@
 /// An attempt that a server may have run and did not answer.
 #[derive(Clone, Debug)]
 pub(crate) struct UnansweredAttempt {
-    /// Identifies the request among its repeats.
-    pub(crate) request: Fingerprint,
-    /// The caller's id of the request.
-    pub(crate) id: Arc<str>,
+    pub(crate) origin: AttemptOrigin,
     /// When the attempt was sent.
     pub(crate) began_at: Instant,
     /// Until when its server may run it.
@@ -62,7 +63,7 @@
     /// Describes an attempt that ended at a time; `None` if its server answered it or never had it.
     pub(crate) fn new(
         now: Instant,
-        origin: &AttemptOrigin,
+        origin: AttemptOrigin,
         began_at: Instant,
         end: &AttemptEnd,
     ) -> Option<Self> {
@@ -82,14 +83,22 @@
             false => (now + RUN_AFTER_CLOSE_MAX).min(origin.deadline).max(now),
         };
         Some(Self {
-            request: origin.request,
-            id: Arc::clone(&origin.id),
             began_at,
             runs_until,
             end: end.into(),
             is_broken,
             // The parts of a fan-out that this VM no longer waits for may be answered.
             is_answered_elsewhere: origin.is_scatter && !is_broken,
+            origin,
         })
     }
 }
+
+/// An attempt of a fan-out in flight that a server did not answer.
+#[derive(Clone, Debug)]
+pub(crate) struct UnansweredPart {
+    /// The position of the part in the request.
+    pub(crate) index: usize,
+    pub(crate) server: Arc<ServerEntry>,
+    pub(crate) attempt: UnansweredAttempt,
+}
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -16,6 +16,7 @@
 use crate::crash_report::Verdict;
 use crate::event::VerdictOrigin;
 use crate::quarantine::QuarantineStatus;
+use crate::quarantine::TRIAL_INTERVAL;
 use crate::relay::Core;
 use crate::relay::Relay;
 
@@ -94,9 +95,13 @@
 
     /// Returns how an arriving request is treated.
     pub(crate) fn quarantine_status(&self, now: Instant, request: Fingerprint) -> QuarantineStatus {
-        self.quarantine.status(now, request, || {
-            collector_rank(request, &self.options.vm, self.peer_vms.vms())
-        })
+        let rank = || collector_rank(request, &self.options.vm, self.peer_vms.vms());
+        match self.quarantine.status(now, request, rank) {
+            QuarantineStatus::Trial if self.server_watch.may_be_running(now, request) => {
+                QuarantineStatus::Refused(TRIAL_INTERVAL)
+            }
+            status => status,
+        }
     }
 
     /// Abandons the parts of a request in quarantine that wait for a server.
--- a/crates/relay/tests/relay/invariants.rs
+++ b/crates/relay/tests/relay/invariants.rs
@@ -267,9 +267,10 @@
         ];
         let name = names.choose(&mut self.rng).expect("a name");
         let name: ServerName = name.parse().expect("a name");
-        match self.rng.random() {
-            true => self.w.on(Event::Opened(name, ms(10))),
-            false => self.w.on(Event::Closed(name)),
+        match self.rng.random_range(0..3) {
+            0 => self.w.on(Event::Opened(name, ms(10))),
+            1 => self.w.on(Event::Closed(name)),
+            _ => self.w.on(Event::Refused(name)),
         }
     }
 }
--- a/crates/relay/tests/relay/server_ends.rs
+++ b/crates/relay/tests/relay/server_ends.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use gs_relay::AttemptEnd;
+use gs_relay::CrashReport;
 use gs_relay::Event;
 use gs_relay::ExecutedServices;
 use gs_relay::Observation;
@@ -223,13 +224,13 @@
 fn an_execution_before_a_crash_does_not_clear_it() {
     let mut w = world();
     let services = ExecutedServices::AllBut(Vec::new());
+    let report = CrashReport {
+        request: w.fingerprint(PATH),
+        observation: Observation::Executed(services, 10),
+    };
+    w.on(Event::CrashReported(report));
     for _ in 0..CRASHES {
         let server = send_and_leave(&mut w);
-        let report = gs_relay::CrashReport {
-            request: w.fingerprint(PATH),
-            observation: Observation::Executed(services.clone(), 100),
-        };
-        w.on(Event::CrashReported(report));
         accept(&mut w, &server);
         w.advance(ms(60));
         end_server(&mut w, &server);
--- a/crates/relay/tests/relay/shared_evidence.rs
+++ b/crates/relay/tests/relay/shared_evidence.rs
@@ -89,7 +89,7 @@
     w.arrive(PATH, ms(8000));
     w.advance(ms(20));
     let server = w.open.front()?.server.name.clone();
-    w.end_attempt(server.as_str(), AttemptEnd::Broken);
+    w.crash_under_attempt(server.as_str());
     Some(server)
 }
 
@@ -326,7 +326,7 @@
     for n in 0..200 {
         w.arrive(&format!("/one/{n}"), ms(8000));
         if let Some(server) = w.open.front().map(|d| d.server.name.to_string()) {
-            w.end_attempt(&server, AttemptEnd::Broken);
+            w.crash_under_attempt(&server);
         }
         w.advance(ms(1));
     }
@@ -386,7 +386,7 @@
         while let Some(server) = w.open.front().map(|d| d.server.name.clone()) {
             if self.live.contains(&server) {
                 w.advance(ms(20));
-                w.end_attempt(server.as_str(), AttemptEnd::Broken);
+                w.crash_under_attempt(server.as_str());
                 return Some(server);
             }
             w.end_attempt(server.as_str(), AttemptEnd::NotSent);
@@ -483,7 +483,7 @@
         w.arrive(&format!("/page/{n}"), ms(2500));
     }
     while let Some(server) = w.open.front().map(|d| d.server.name.to_string()) {
-        w.end_attempt(&server, AttemptEnd::Broken);
+        w.crash_under_attempt(&server);
     }
     assert!(
         (1..=8).contains(&w.quarantined.len()),
@@ -541,12 +541,11 @@
     let seq = w.arrive("/page/x", ms(2500));
     while w.report(seq).is_none() {
         let server = w.open[0].server.name.to_string();
-        let end = match &server[..2] {
-            "s0" => AttemptEnd::NotSent,
-            "s1" => AttemptEnd::Broken,
-            _ => success(b'a'),
-        };
-        w.end_attempt(&server, end);
+        match &server[..2] {
+            "s0" => w.end_attempt(&server, AttemptEnd::NotSent),
+            "s1" => w.crash_under_attempt(&server),
+            _ => w.end_attempt(&server, success(b'a')),
+        }
     }
     assert_eq!(w.quarantined, []);
 }
--- a/crates/relay/tests/relay/suspects.rs
+++ b/crates/relay/tests/relay/suspects.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use gs_relay::AttemptEnd;
 use gs_relay::Event;
 use gs_relay::Outcome;
 use gs_relay::RefuseReason;
@@ -33,7 +32,7 @@
     let seq = w.arrive(path, ms(2500));
     while w.report(seq).is_none() {
         let server = w.open[0].server.name.to_string();
-        w.end_attempt(&server, AttemptEnd::Broken);
+        w.crash_under_attempt(&server);
     }
     w.open.clear();
     seq
@@ -57,6 +56,8 @@
     let repeat = w.arrive("/page/poison", ms(2500));
     assert!(is_quarantined(&w, repeat));
     assert!(w.open.is_empty());
+    // The servers are back.
+    w.advance(ms(3000));
     w.arrive("/page/other", ms(2500));
     assert!(!w.open.is_empty());
 }
@@ -79,7 +80,7 @@
     for _ in 0..4 {
         let seq = w.arrive("/one/x", ms(8000));
         let first = w.busy_servers()[0].to_owned();
-        w.end_attempt(&first, AttemptEnd::Broken);
+        w.crash_under_attempt(&first);
         let second = w.busy_servers()[0].to_owned();
         w.end_attempt(&second, success(b'a'));
         assert!(w.report(seq).is_some());
@@ -94,7 +95,7 @@
     let mut w = world();
     let seq = w.arrive("/page/popular", ms(2500));
     for server in ["s0-near", "s1-near", "s2-near"] {
-        w.end_attempt(server, AttemptEnd::Broken);
+        w.crash_under_attempt(server);
     }
     w.advance(ms(20));
     for server in ["s0-far", "s1-far", "s2-far"] {
@@ -113,7 +114,7 @@
     let mut w = world();
     let seq = w.arrive("/page/poison", ms(2500));
     for server in ["s0-near", "s1-near", "s2-near"] {
-        w.end_attempt(server, AttemptEnd::Broken);
+        w.crash_under_attempt(server);
     }
     w.on(Event::CallerDisconnected(seq));
     assert_eq!(w.quarantined, [w.fingerprint("/page/poison")]);
@@ -144,12 +145,10 @@
     let seq = w.arrive(path, ms(2500));
     while w.report(seq).is_none() {
         let server = w.open[0].server.name.to_string();
-        let end = if server.starts_with("s0") {
-            AttemptEnd::Broken
-        } else {
-            success(b'a')
-        };
-        w.end_attempt(&server, end);
+        match server.starts_with("s0") {
+            true => w.crash_under_attempt(&server),
+            false => w.end_attempt(&server, success(b'a')),
+        }
     }
     w.open.clear();
     seq
--- a/crates/relay/tests/relay/world.rs
+++ b/crates/relay/tests/relay/world.rs
@@ -394,6 +394,13 @@
         self.on(Event::Ended(d.attempt, end));
     }
 
+    /// Crashes this server while it has the oldest open attempt there: its connections break and its address refuses
+    /// new ones.
+    pub fn crash_under_attempt(&mut self, server: &str) {
+        self.end_attempt(server, AttemptEnd::Broken);
+        self.on(Event::Refused(server.parse().expect("a name")));
+    }
+
     /// Returns the servers of the open attempts, in the order of dispatch.
     pub fn busy_servers(&self) -> Vec<&str> {
         self.open.iter().map(|d| d.server.name.as_str()).collect()
