fix(http): bytes without an end are bounded in time, memory and processor

Cause: each answer was bounded (4 MiB), all together were not: 60 endless bodies are more than a VM of 260 MB has. Interim heads, zeros before a chunk size and chunks of a byte were read without any bound until the attempt's timeout, as they are no body; a head could take 400 KB.

Change: a connection reads at most 256 KiB for the head or the next chunk, whatever the bytes are, and 64 KiB ahead. What exceeds a bound ends the exchange and closes the connection, without draining it.

--- a/crates/http/src/backend/connect.rs
+++ b/crates/http/src/backend/connect.rs
@@ -15,11 +15,14 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
+use crate::backend::read_allowance::LimitedStream;
+use crate::backend::read_allowance::ReadAllowance;
+
 /// Sends requests on one connection.
 pub(crate) type Sender = SendRequest<Full<Bytes>>;
 
 /// Drives one connection until it closes.
-pub(crate) type Driver = Connection<TokioIo<TcpStream>, Full<Bytes>>;
+pub(crate) type Driver = Connection<TokioIo<LimitedStream>, Full<Bytes>>;
 
 /// How long a connection is silent before it is probed, and the time between two probes.
 ///
@@ -30,6 +33,9 @@
 /// The number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The most bytes of a head, and of what is read ahead on a connection.
+const READ_BUFFER_BYTES_MAX: usize = 64 << 10;
+
 /// Why a connection was not opened.
 pub(crate) struct ConnectFailure {
     /// Whether the address refused it, which it does while no process listens there.
@@ -61,12 +67,15 @@
     addr: SocketAddr,
     source: Option<IpAddr>,
     timeout: Duration,
+    allowance: ReadAllowance,
 ) -> Result<(Sender, Driver), ConnectFailure> {
     let connecting = async {
         let tcp = open_socket(addr, source)
             .await
             .map_err(|e| ConnectFailure::from_io(addr, &e))?;
-        hyper::client::conn::http1::handshake(TokioIo::new(tcp))
+        hyper::client::conn::http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(LimitedStream::new(tcp, allowance)))
             .await
             .map_err(|e| ConnectFailure::new(addr, e.to_string()))
     };
--- a/crates/http/src/backend/connection_pool.rs
+++ b/crates/http/src/backend/connection_pool.rs
@@ -19,6 +19,10 @@
 use crate::backend::connect::connect;
 use crate::backend::connection_needs::ConnectionNeeds;
 use crate::backend::pooled_connection::PooledConnection;
+use crate::backend::read_allowance::ReadAllowance;
+
+/// The most bytes read from a connection before its first request; any of them close it.
+const IDLE_READ_BYTES_MAX: usize = 64 << 10;
 
 /// Receives the opening and closing of connections to backend servers.
 pub trait ConnectionSink: Send + Sync + 'static {
@@ -308,7 +312,14 @@
     async fn open_in_slot(self: &Arc<Self>, slot: Slot) -> Result<PooledConnection> {
         let opts = &self.opts;
         let start = Instant::now();
-        let connected = connect(self.addr, opts.source, opts.connect_timeout).await;
+        let allowance = ReadAllowance::new(IDLE_READ_BYTES_MAX);
+        let connected = connect(
+            self.addr,
+            opts.source,
+            opts.connect_timeout,
+            allowance.clone(),
+        );
+        let connected = connected.await;
         let (tx, driver) = connected.map_err(|failure| self.connect_error(failure))?;
         let sink = Arc::clone(&self.sink);
         let name = self.name.clone();
@@ -322,7 +333,8 @@
             drop(slot);
             sink.on_closed(&name, still_held.load(Ordering::Relaxed));
         });
-        Ok(PooledConnection::new(tx, self.next_number(), held))
+        let number = self.next_number();
+        Ok(PooledConnection::new(tx, number, held, allowance))
     }
 
     /// Reports a refused connection and returns the error of any failure.
--- a/crates/http/src/backend/exchange.rs
+++ b/crates/http/src/backend/exchange.rs
@@ -3,12 +3,15 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Incoming;
 
 use crate::backend::pooled_connection::PooledConnection;
+use crate::backend::read_allowance::ReadAllowance;
+use crate::backend::reply_memory::BodyCollector;
 
 /// A reply whose body has been read to its end.
 pub struct CompleteReply {
@@ -27,12 +30,19 @@
     NotSent,
     /// The connection broke, or the bytes received are no valid reply; the request may have been executed.
     Broken(String),
-    /// The body of the reply is larger than allowed; the request has been executed.
+    /// The reply is larger than allowed, or the replies that this process is receiving are too large together; the
+    /// request may have been executed.
     TooLarge,
 }
 
+/// The most bytes that may be read for the next step of a reply, its head or a chunk of its body: interim responses,
+/// chunk headers, trailers, and what is read ahead.
+const READ_BYTES_MAX: usize = 256 << 10;
+
 /// Sends `req` and reads the reply, with a body of at most `body_bytes_max` bytes.
 ///
+/// Bytes without an end, wherever they come in a reply, end the exchange. Its duration is for the caller to bound.
+///
 /// # Errors
 ///
 /// [`ExchangeError`] shows whether the request may have been executed.
@@ -43,26 +53,54 @@
 ) -> Result<CompleteReply, ExchangeError> {
     // Unsolicited bytes on the connection, or its end, are detected here instead of failing the request.
     conn.tx.ready().await.map_err(|_| ExchangeError::NotSent)?;
-    let res = conn
-        .tx
-        .send_request(req)
-        .await
-        .map_err(classify_send_error)?;
-    let (head, body) = res.into_parts();
-    let body = Limited::new(body, body_bytes_max)
-        .collect()
-        .await
-        .map_err(|e| match e.downcast::<hyper::Error>() {
-            Ok(e) => ExchangeError::Broken(e.to_string()),
-            Err(_) => ExchangeError::TooLarge,
-        })?;
+    conn.allowance.reset(READ_BYTES_MAX);
+    let result = send_and_receive(conn, req, body_bytes_max).await;
+    match result {
+        Err(ExchangeError::Broken(_)) if conn.allowance.is_used_up() => {
+            Err(ExchangeError::TooLarge)
+        }
+        result => result,
+    }
+}
+
+async fn send_and_receive(
+    conn: &mut PooledConnection,
+    req: Request<Full<Bytes>>,
+    body_bytes_max: usize,
+) -> Result<CompleteReply, ExchangeError> {
+    let res = conn.tx.send_request(req).await;
+    let (head, body) = res.map_err(classify_send_error)?.into_parts();
+    if body.size_hint().lower() > body_bytes_max as u64 {
+        return Err(ExchangeError::TooLarge);
+    }
     Ok(CompleteReply {
         status: head.status,
         headers: head.headers,
-        body: body.to_bytes(),
+        body: receive_body(body, body_bytes_max, &conn.allowance).await?,
     })
 }
 
+async fn receive_body(
+    mut body: Incoming,
+    bytes_max: usize,
+    allowance: &ReadAllowance,
+) -> Result<Bytes, ExchangeError> {
+    let mut collector = BodyCollector::new(bytes_max);
+    allowance.reset(READ_BYTES_MAX);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| ExchangeError::Broken(e.to_string()))?;
+        // Trailers mean nothing to this process.
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if !collector.push(chunk) {
+            return Err(ExchangeError::TooLarge);
+        }
+        allowance.reset(READ_BYTES_MAX);
+    }
+    Ok(collector.into_bytes())
+}
+
 /// Returns whether a failed request was not sent at all, or may have been.
 fn classify_send_error(e: hyper::Error) -> ExchangeError {
     if e.is_canceled() {
--- a/crates/http/src/backend/mod.rs
+++ b/crates/http/src/backend/mod.rs
@@ -9,6 +9,8 @@
 mod exchange_key;
 mod part_reply;
 mod pooled_connection;
+mod read_allowance;
+mod reply_memory;
 mod status;
 
 pub use connection_needs::ConnectionNeeds;
--- a/crates/http/src/backend/pooled_connection.rs
+++ b/crates/http/src/backend/pooled_connection.rs
@@ -10,10 +10,13 @@
 use crate::backend::connect::Sender;
 use crate::backend::exchange_key::ExchangeKey;
 use crate::backend::exchange_key::RecentExchanges;
+use crate::backend::read_allowance::ReadAllowance;
 
 /// A connection taken from a pool; returned by [`put_back`](crate::ConnectionPool::put_back), closed when dropped.
 pub struct PooledConnection {
     pub(crate) tx: Sender,
+    /// The bytes that may be read from it.
+    pub(crate) allowance: ReadAllowance,
     /// Its number among the connections of its pool.
     number: u64,
     /// How often it was taken from the pool.
@@ -30,9 +33,15 @@
 
 impl PooledConnection {
     /// Creates a connection that has carried nothing; `held` is cleared when it is dropped.
-    pub(crate) fn new(tx: Sender, number: u64, held: Arc<AtomicBool>) -> Self {
+    pub(crate) fn new(
+        tx: Sender,
+        number: u64,
+        held: Arc<AtomicBool>,
+        allowance: ReadAllowance,
+    ) -> Self {
         Self {
             tx,
+            allowance,
             number,
             uses: 0,
             held,
