--- a/crates/rig/src/body.rs
+++ b/crates/rig/src/body.rs
@@ -21,6 +21,13 @@
     Full::new(bytes.into()).map_err(|e| match e {}).boxed()
 }
 
+/// Returns a body that sends these bytes again and again and never ends.
+pub(crate) fn endless(bytes: Bytes) -> Body {
+    BodyExt::boxed(StreamBody::new(stream::repeat_with(move || {
+        Ok(Frame::data(bytes.clone()))
+    })))
+}
+
 /// Makes a reply announce a body of `length` bytes, send only `bytes`, and close its connection.
 pub(crate) fn cut_short(res: &mut Response<Body>, length: usize, bytes: Bytes) {
     res.headers_mut().insert(CONTENT_LENGTH, length.into());
--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -33,6 +33,7 @@
 use super::traffic::Traffic;
 use crate::body::Body;
 use crate::body::cut_short;
+use crate::body::endless;
 
 /// The number of requests that a server runs concurrently.
 const SLOTS: usize = 2;
@@ -56,6 +57,8 @@
     pub loses: bool,
     /// Answers are truncated.
     pub truncates: bool,
+    /// Answers begin as they should and never end.
+    pub endless: bool,
     /// Answers carry another request's id.
     pub crosses: bool,
     /// Every request fails with a stamped 500.
@@ -281,6 +284,9 @@
         let echoed = if faults.crosses { "another" } else { &id };
         res = with_header(res, "attempt-id", echoed);
         res = with_header(res, "server-load", &self.load());
+        if faults.endless {
+            *res.body_mut() = endless(body.clone());
+        }
         if faults.truncates {
             cut_short(&mut res, TRUNCATED_CONTENT_LENGTH, body);
         }
--- a/crates/rig/src/site/soak_crashes.rs
+++ b/crates/rig/src/site/soak_crashes.rs
@@ -25,6 +25,18 @@
 /// The number of servers.
 const SERVERS: usize = 8;
 
+/// How long a server runs a request before it crashes.
+const WORK: Duration = Duration::from_millis(20);
+
+/// The share of callers that leave before the crash.
+const LEAVING_SHARE: f64 = 0.5;
+
+/// How long the other callers wait.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Separates the draws of how long callers wait from the others of the same seed.
+const PATIENCE_STREAM: u64 = 1;
+
 /// The time after the third crash from which runs count.
 const NOTICE_MAX: Duration = Duration::from_secs(4);
 
@@ -41,6 +53,27 @@
     pub(super) until: Instant,
 }
 
+/// Draws how long callers wait for the answer to a request that crashes servers.
+struct Patience {
+    rng: ChaCha8Rng,
+}
+
+impl Patience {
+    /// Creates the draws of a seed; they come from a generator of their own.
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(PATIENCE_STREAM);
+        Self { rng }
+    }
+
+    fn next(&mut self) -> Duration {
+        match self.rng.random_bool(LEAVING_SHARE) {
+            true => WORK / 2,
+            false => ANSWER_TIMEOUT,
+        }
+    }
+}
+
 /// A request that is sent again and again until dropped.
 pub(super) struct CrashingRequests {
     runs: Arc<CrashRuns>,
@@ -59,7 +92,7 @@
             .id("i-fragile".to_owned())
             .service(SERVICE.to_owned())
             .zone(String::new())
-            .work(Duration::from_millis(20))
+            .work(WORK)
             .crashes_on(CRASHES_ON)
             .down_for(Duration::from_secs(3))
             .build();
@@ -69,14 +102,19 @@
         let vms: Vec<_> = site.vms.iter().map(|vm| vm.plan().callers).collect();
         let caller = site.caller();
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut patience = Patience::new(seed);
         let task = tokio::spawn(async move {
             for n in 0_u64.. {
                 tokio::time::sleep(Duration::from_millis(rng.random_range(300..900))).await;
                 let vm = rng.random_range(0..vms.len());
                 let (caller, addr) = (caller.clone(), vms[vm]);
                 let target = format!("/{SERVICE}/{CRASHES_ON}");
-                // The answer says nothing that the check needs.
-                tokio::spawn(async move { caller.send(addr, &target, &request_id(vm, n)).await });
+                let wait = patience.next();
+                tokio::spawn(async move {
+                    let id = request_id(vm, n);
+                    // The answer says nothing that the check needs.
+                    drop(tokio::time::timeout(wait, caller.send(addr, &target, &id)).await);
+                });
             }
         });
         Ok(Self {
--- a/tests/relay/servers.rs
+++ b/tests/relay/servers.rs
@@ -36,10 +36,11 @@
 }
 
 /// Prevents a page with lines that no server sent for it, or that counts a shard whose answer was lost, truncated,
-/// failed or refused.
+/// without an end, failed or refused.
 #[rstest]
 #[case::answer_lost(BackendFaults { loses: true, ..BackendFaults::default() })]
 #[case::truncated(BackendFaults { truncates: true, ..BackendFaults::default() })]
+#[case::body_without_end(BackendFaults { endless: true, ..BackendFaults::default() })]
 #[case::answer_to_another_request(BackendFaults { crosses: true, ..BackendFaults::default() })]
 #[case::error_response(BackendFaults { fails: true, ..BackendFaults::default() })]
 #[case::shed(BackendFaults { sheds: true, ..BackendFaults::default() })]
