test(relay): the end of a server is seen in time at each phase of crash, check and leaving

From the end of a server to its being seen by a VM that had cancelled an attempt there: 50 ms at most, 450 ms if the first check has no result, over the phases of 0 to 1.9 s.

--- a/crates/relay/tests/relay/server_ends.rs
+++ b/crates/relay/tests/relay/server_ends.rs
@@ -1,6 +1,7 @@
 //! Tests that the end of a server counts against the requests that it had, and nothing else does.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_relay::AttemptEnd;
 use gs_relay::CrashReport;
@@ -337,3 +338,61 @@
     }
     assert!(is_quarantined(&mut w, PATH));
 }
+
+/// The time of a packet to the server, one way.
+const ONE_WAY: Duration = Duration::from_millis(12);
+
+/// The longest time from the end of a server to its being seen here, if each check has a result.
+const SEEN_WITHIN: Duration = Duration::from_millis(50);
+
+/// The same if a check has none: the interval at which checks are repeated, 400 ms, and a round trip.
+const SEEN_AFTER_LOST_CHECK_WITHIN: Duration = Duration::from_millis(450);
+
+/// Returns the time from the end of a server to its being seen, if it ends this long after its caller has left, and
+/// the first checks have no result.
+fn seen_after(phase: Duration, mut lost_checks: usize) -> Duration {
+    let mut w = world();
+    let server = send_and_leave(&mut w);
+    let ends_at = w.now + phase;
+    let mut checks = 0;
+    let mut events: Vec<(std::time::Instant, Event)> = Vec::new();
+    while w.relay.counters().crashes == 0 {
+        for _ in checks..w.checked.len() {
+            checks += 1;
+            if lost_checks > 0 {
+                lost_checks -= 1;
+                continue;
+            }
+            let answered_at = w.now + ONE_WAY;
+            let answer = match answered_at < ends_at {
+                true => Event::Opened(server.clone(), 2 * ONE_WAY),
+                false => Event::Refused(server.clone()),
+            };
+            events.push((answered_at + ONE_WAY, answer));
+            if answered_at < ends_at {
+                events.push((ends_at + ONE_WAY, Event::Closed(server.clone())));
+            }
+        }
+        w.advance(ms(1));
+        let now = w.now;
+        let due: Vec<_> = events.extract_if(.., |(at, _)| *at <= now).collect();
+        due.into_iter().for_each(|(_, event)| w.on(event));
+        assert!(w.now < ends_at + ms(5000), "the end is not seen");
+    }
+    w.now.saturating_duration_since(ends_at)
+}
+
+/// Prevents the end of a server from being seen too late for the other VMs to learn of it in time, at some phase of the
+/// crash, the check and the caller's leaving.
+#[rstest]
+#[case::each_check_has_a_result(0, SEEN_WITHIN)]
+#[case::a_check_is_lost(1, SEEN_AFTER_LOST_CHECK_WITHIN)]
+fn the_end_of_a_server_is_seen_in_time_at_each_phase(
+    #[case] lost_checks: usize,
+    #[case] within: Duration,
+) {
+    for phase in (0..1900).step_by(7) {
+        let seen = seen_after(ms(phase), lost_checks);
+        assert!(seen <= within, "{seen:?} at a phase of {phase} ms");
+    }
+}
