fix(relay): the end of a server counts once, whenever VMs see it

VMs see the end of one server at different times: at the broken connection, after a check without a result, or by its removed entry seconds later. Reports more than 500 ms apart counted as two crashes, so that two ends could quarantine a request. An incarnation ends once: with a known incarnation the time does not matter. The test failed before.

--- a/crates/relay/src/crash_ledger.rs
+++ b/crates/relay/src/crash_ledger.rs
@@ -34,7 +34,7 @@
 /// Fraction of the requests that is removed at once if there are too many.
 const REMOVED_FRACTION: f64 = 0.125;
 
-/// Time within which two VMs that lose connections to a server see the same crash.
+/// Time within which two VMs see the same crash of a server whose incarnations are not told apart.
 const SAME_CRASH_MAX: Duration = Duration::from_millis(500);
 
 /// A crash of a server while it had a request.
@@ -52,12 +52,14 @@
 }
 
 impl ServerCrash {
+    /// Returns whether it is the same crash: an incarnation of a server ends once, whenever VMs see it.
     fn is_same(&self, other: &Self) -> bool {
-        let (first, last) = (
-            self.ended_at.min(other.ended_at),
-            self.ended_at.max(other.ended_at),
-        );
-        self.server == other.server && self.born == other.born && last - first < SAME_CRASH_MAX
+        if self.server != other.server || self.born != other.born {
+            return false;
+        }
+        let first = self.ended_at.min(other.ended_at);
+        let last = self.ended_at.max(other.ended_at);
+        self.born.is_some() || last - first < SAME_CRASH_MAX
     }
 }
 
--- a/crates/relay/tests/relay/shared_evidence.rs
+++ b/crates/relay/tests/relay/shared_evidence.rs
@@ -154,6 +154,20 @@
     assert_eq!(w.quarantined, []);
 }
 
+/// Prevents one crash from counting several times because VMs see it at different times, some only by a removed entry.
+#[test]
+fn a_crash_that_vms_see_at_different_times_counts_once() {
+    let mut w = world();
+    for server in ["s-1", "s-2"] {
+        w.on(Event::CrashReported(crash(&w, server, ms(20), ms(0))));
+        w.advance(ms(900));
+        w.on(Event::CrashReported(crash(&w, server, ms(880), ms(0))));
+        w.advance(ms(3000));
+        w.on(Event::CrashReported(crash(&w, server, ms(10), ms(0))));
+    }
+    assert_eq!(w.quarantined, []);
+}
+
 /// Prevents a harmless request from staying refused although this VM has seen servers execute it since.
 #[test]
 fn a_vm_that_saw_the_request_executed_contradicts_a_verdict() {
