--- a/crates/query/tests/engine/poison/mod.rs
+++ b/crates/query/tests/engine/poison/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of lookups that crash the servers that execute them.
 
 mod canary;
+mod ends;
 mod fleet;
 mod proven;
 mod together;
