--- a/crates/relay/tests/relay/server_ends.rs
+++ b/crates/relay/tests/relay/server_ends.rs
@@ -87,6 +87,19 @@
     w.on(Event::Refused(server.clone()));
 }
 
+/// Sends a request; the servers reset the connection of each attempt and accept the next one.
+fn reset_all_attempts(w: &mut World, path: &str) {
+    let (seq, _) = send(w, path);
+    while w.report(seq).is_none() {
+        let server = w.open[0].server.name.clone();
+        w.end_attempt(server.as_str(), AttemptEnd::Broken);
+        w.on(Event::Closed(server.clone()));
+        w.advance(ms(2));
+        accept(w, &server);
+    }
+    w.advance(ms(700));
+}
+
 /// Prevents a request from crashing server after server because its callers leave before each crash.
 #[test]
 fn a_request_whose_callers_leave_before_the_crash_is_quarantined() {
@@ -156,15 +169,7 @@
 fn a_connection_reset_by_a_server_that_lives_is_no_crash() {
     let mut w = world();
     for _ in 0..8 {
-        let (seq, _) = send(&mut w, PATH);
-        while w.report(seq).is_none() {
-            let server = w.open[0].server.name.clone();
-            w.end_attempt(server.as_str(), AttemptEnd::Broken);
-            w.on(Event::Closed(server.clone()));
-            w.advance(ms(2));
-            accept(&mut w, &server);
-        }
-        w.advance(ms(700));
+        reset_all_attempts(&mut w, PATH);
     }
     assert_eq!(w.quarantined, []);
     assert!(!is_quarantined(&mut w, PATH));
@@ -175,15 +180,7 @@
 fn a_fan_out_reset_by_servers_that_live_is_no_suspect() {
     let mut w = page_world();
     for _ in 0..3 {
-        let (seq, _) = send(&mut w, PAGE);
-        while w.report(seq).is_none() {
-            let server = w.open[0].server.name.clone();
-            w.end_attempt(server.as_str(), AttemptEnd::Broken);
-            w.on(Event::Closed(server.clone()));
-            w.advance(ms(2));
-            accept(&mut w, &server);
-        }
-        w.advance(ms(700));
+        reset_all_attempts(&mut w, PAGE);
     }
     assert_eq!(w.quarantined, []);
 }
--- a/crates/rig/src/args.rs
+++ b/crates/rig/src/args.rs
@@ -37,6 +37,8 @@
 pub struct SoakArgs {
     /// The `gentiansill` program.
     pub bin: PathBuf,
+    /// Whether the faults that are off by default are injected too.
+    pub all_faults: bool,
     /// The directory for settings and logs.
     pub dir: PathBuf,
     /// The first seed.
@@ -194,6 +196,12 @@
         ),
         "/tmp/gentiansill-soak",
     )
+    .arg(
+        Arg::new("all-faults")
+            .long("all-faults")
+            .action(ArgAction::SetTrue)
+            .help("Adds requests that crash servers, restores and old reads of the store, and late copies of answers"),
+    )
 }
 
 fn site_command() -> Command {
@@ -265,6 +273,10 @@
         bin: read(m, "bin")?,
         dir: read(m, "dir")?,
         seed: read(m, "seed")?,
+        // `site` injects none.
+        all_faults: m
+            .try_get_one::<bool>("all-faults")
+            .is_ok_and(|f| f == Some(&true)),
         seeds: read(m, "seeds")?,
         seconds: read(m, "seconds")?,
         vms: vms as usize,
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -23,6 +23,10 @@
             .length(Duration::from_secs(args.seconds))
             .vms(args.vms)
             .shards(args.shards)
+            .crashing_requests(args.all_faults)
+            .store_restores(args.all_faults)
+            .store_reads(args.all_faults)
+            .late_copies(args.all_faults)
             .build();
         let report = soak(options).await?;
         let mut ends: Vec<_> = report.ends.iter().collect();
