refactor(relay,http): one type in each file of the watch and of the bounds on replies

No change of behaviour: watched_server, attempt_origin, body_collector and limited_stream are moved out of files that held several types.

--- a/crates/http/src/backend/reply_memory.rs
+++ b/crates/http/src/backend/body_collector.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory of all replies that this process is receiving.
+//! Collects the bodies of replies, and bounds the memory of all that this process is receiving.
 //!
 //! A bound on each reply is not enough: some hundred replies without an end would each grow to it. Small replies are
 //! always received; what exceeds that size is taken from a total that all replies share.
--- a/crates/http/src/backend/connect.rs
+++ b/crates/http/src/backend/connect.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-use crate::backend::read_allowance::LimitedStream;
+use crate::backend::limited_stream::LimitedStream;
 use crate::backend::read_allowance::ReadAllowance;
 
 /// Sends requests on one connection.
--- a/crates/http/src/backend/exchange.rs
+++ b/crates/http/src/backend/exchange.rs
@@ -9,9 +9,9 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 
+use crate::backend::body_collector::BodyCollector;
 use crate::backend::pooled_connection::PooledConnection;
 use crate::backend::read_allowance::ReadAllowance;
-use crate::backend::reply_memory::BodyCollector;
 
 /// A reply whose body has been read to its end.
 pub struct CompleteReply {
--- a/crates/http/src/backend/mod.rs
+++ b/crates/http/src/backend/mod.rs
@@ -1,16 +1,17 @@
 //! Client for backend servers: a connection pool per server, and a task per attempt.
 
 mod attempt;
+mod body_collector;
 mod connect;
 mod connection_needs;
 mod connection_pool;
 mod connection_pools;
 mod exchange;
 mod exchange_key;
+mod limited_stream;
 mod part_reply;
 mod pooled_connection;
 mod read_allowance;
-mod reply_memory;
 mod status;
 
 pub use connection_needs::ConnectionNeeds;
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -12,6 +12,7 @@
 use crate::attempt::AttemptKey;
 use crate::attempt::AttemptState;
 use crate::attempt::Cause;
+use crate::attempt_origin::AttemptOrigin;
 use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::crash_report::ExecutedServices;
 use crate::entry::ServerEntry;
@@ -19,7 +20,6 @@
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
-use crate::unanswered::AttemptOrigin;
 use crate::unanswered::UnansweredAttempt;
 use crate::unanswered::UnansweredPart;
 
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -9,6 +9,7 @@
 use crate::active_request::ActiveRequest;
 use crate::active_request::Part;
 use crate::active_request::PartState;
+use crate::attempt_origin::AttemptOrigin;
 use crate::collectors::COLLECTORS;
 use crate::collectors::collector_candidates;
 use crate::collectors::collector_rank;
@@ -19,7 +20,6 @@
 use crate::crash_report::Observation;
 use crate::crash_report::ReportedCrash;
 use crate::relay::Core;
-use crate::unanswered::AttemptOrigin;
 
 /// The most reports per second on requests that crashed their first server: when many servers
 /// crash, each request that they had is one.
--- a/crates/relay/src/finish.rs
+++ b/crates/relay/src/finish.rs
@@ -12,6 +12,7 @@
 use crate::active_request::Part;
 use crate::active_request::PartState;
 use crate::attempt_log::attempt_log;
+use crate::attempt_origin::AttemptOrigin;
 use crate::bundle::BUNDLE_PART_NUMBER;
 use crate::completion::CompletionDecision;
 use crate::completion::RequestProgress;
@@ -28,7 +29,6 @@
 use crate::relay::Core;
 use crate::reply::ServerAnswer;
 use crate::route::Target;
-use crate::unanswered::AttemptOrigin;
 
 /// When to retry a request that no server accepted: a server's queue empties in that time.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(100);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,8 @@
 //! - `hedge` learns the delay before a hedged attempt, and `budget` limits extra attempts,
 //! - `held_retries` holds back the retries of a fan-out that may crash servers,
 //! - `completion` decides when a request is answered or fails,
+//! - `server_ends` finds out which servers end and which requests they had: `unanswered` attempts at the
+//!   servers that `server_watch` watches,
 //! - `crash_evidence` notes which requests crash servers and shares it with the VMs that `collectors`
 //!   chooses; `crash_ledger` decides what proves it, `quarantine` how long such a request is refused,
 //!   and `verdicts` tells the other VMs.
@@ -25,6 +27,7 @@
 mod attempt;
 mod attempt_end;
 mod attempt_log;
+mod attempt_origin;
 mod budget;
 mod bundle;
 mod coalesce_delay;
@@ -78,6 +81,7 @@
 mod timers;
 mod unanswered;
 mod verdicts;
+mod watched_server;
 
 pub use abandon::AbandonCounts;
 pub use abandon::AbandonReason;
--- a/crates/relay/src/orphan.rs
+++ b/crates/relay/src/orphan.rs
@@ -7,10 +7,10 @@
 
 use crate::action::Action;
 use crate::attempt::AttemptKey;
+use crate::attempt_origin::AttemptOrigin;
 use crate::relay::Core;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
-use crate::unanswered::AttemptOrigin;
 use crate::unanswered::UnansweredAttempt;
 
 /// An attempt in flight whose request has ended.
--- a/crates/relay/src/server_watch.rs
+++ b/crates/relay/src/server_watch.rs
@@ -14,13 +14,8 @@
 
 use crate::entry::ServerEntry;
 use crate::unanswered::UnansweredAttempt;
-
-/// The time after which a check of a server without a result is repeated; longer than the timeout of
-/// a connection.
-const CHECK_INTERVAL: Duration = Duration::from_millis(400);
-
-/// How long it may remain unknown whether a server ended in the time in which it may have run an attempt.
-const UNCERTAIN_MAX: Duration = Duration::from_secs(6);
+use crate::watched_server::CHECK_INTERVAL;
+use crate::watched_server::WatchedServer;
 
 /// How long a server is remembered that has no unanswered attempts.
 const WATCH_RETENTION: Duration = Duration::from_secs(20);
@@ -60,60 +55,10 @@
     Open,
 }
 
-/// What is known of one incarnation of a server.
-#[derive(Debug)]
-struct Watched {
-    entry: Arc<ServerEntry>,
-    /// Attempts of which it is not known whether the server outlived them.
-    attempts: Vec<UnansweredAttempt>,
-    /// The last time at which it was certainly running.
-    alive_at: Option<Instant>,
-    /// When a connection to it first broke since then.
-    broken_at: Option<Instant>,
-    /// When it was found to have ended.
-    ended_at: Option<Instant>,
-    /// When a check without a result is repeated; `None` if no check is under way.
-    check_again_at: Option<Instant>,
-    /// When the last attempt was added.
-    used_at: Instant,
-}
-
-impl Watched {
-    fn new(now: Instant, entry: Arc<ServerEntry>) -> Self {
-        Self {
-            entry,
-            attempts: Vec::new(),
-            alive_at: None,
-            broken_at: None,
-            ended_at: None,
-            check_again_at: None,
-            used_at: now,
-        }
-    }
-
-    /// Records that the server was running at a time, and drops the attempts that it outlived.
-    fn on_alive(&mut self, at: Instant) {
-        self.alive_at = self.alive_at.max(Some(at));
-        self.broken_at = self.broken_at.filter(|broken_at| *broken_at > at);
-        self.ended_at = self.ended_at.filter(|ended_at| *ended_at > at);
-        self.attempts.retain(|a| a.runs_until > at);
-    }
-
-    /// Drops the attempts whose server kept a connection open for as long as it may have run them, and those
-    /// whose server has not been found to have ended for long.
-    fn remove_settled(&mut self, now: Instant, is_connected: bool) {
-        let wait = match is_connected {
-            true => CHECK_INTERVAL,
-            false => UNCERTAIN_MAX,
-        };
-        self.attempts.retain(|a| a.runs_until + wait > now);
-    }
-}
-
 /// The servers that are watched.
 #[derive(Debug, Default)]
 pub(crate) struct ServerWatch {
-    servers: HashMap<ServerName, Watched>,
+    servers: HashMap<ServerName, WatchedServer>,
     swept_at: Option<Instant>,
     /// When a check is repeated at the earliest.
     next_check_at: Option<Instant>,
@@ -130,7 +75,7 @@
             Some(_) => self.on_ended(now, &entry.name, false),
             None => None,
         };
-        let new = || Watched::new(now, Arc::clone(entry));
+        let new = || WatchedServer::new(now, Arc::clone(entry));
         let watched = self.servers.entry(entry.name.clone());
         let watched = watched.or_insert_with(new);
         if !is_same_incarnation(&watched.entry, entry) {
