--- a/crates/relay/src/orphan.rs
+++ b/crates/relay/src/orphan.rs
@@ -19,7 +19,7 @@
     pub(crate) server: ServerKey,
     pub(crate) dispatched_at: Instant,
     pub(crate) route: LookupName,
-    /// Its request; `None` if it is a delegation, as the peer knows what becomes of the parts.
+    /// Its request; `None` if it is a delegation, whose parts the peer tracks.
     pub(crate) origin: Option<AttemptOrigin>,
 }
 
--- a/crates/relay/tests/relay/server_ends.rs
+++ b/crates/relay/tests/relay/server_ends.rs
@@ -87,6 +87,16 @@
     w.on(Event::Refused(server.clone()));
 }
 
+/// Sends a request whose caller disconnects, and ends the server that had it a moment later.
+fn crash_after_leaving(w: &mut World) {
+    let server = send_and_leave(w);
+    w.advance(ms(1));
+    accept(w, &server);
+    w.advance(ms(60));
+    end_server(w, &server);
+    w.advance(ms(500));
+}
+
 /// Sends a request; the servers reset the connection of each attempt and accept the next one.
 fn reset_all_attempts(w: &mut World, path: &str) {
     let (seq, _) = send(w, path);
@@ -105,12 +115,7 @@
 fn a_request_whose_callers_leave_before_the_crash_is_quarantined() {
     let mut w = world();
     for _ in 0..CRASHES {
-        let server = send_and_leave(&mut w);
-        w.advance(ms(1));
-        accept(&mut w, &server);
-        w.advance(ms(60));
-        end_server(&mut w, &server);
-        w.advance(ms(500));
+        crash_after_leaving(&mut w);
     }
     assert!(is_quarantined(&mut w, PATH));
 }
@@ -228,11 +233,7 @@
     };
     w.on(Event::CrashReported(report));
     for _ in 0..CRASHES {
-        let server = send_and_leave(&mut w);
-        accept(&mut w, &server);
-        w.advance(ms(60));
-        end_server(&mut w, &server);
-        w.advance(ms(500));
+        crash_after_leaving(&mut w);
     }
     assert!(is_quarantined(&mut w, PATH));
 }
