--- /dev/null
+++ b/review/standin-2/src/site.rs
@@ -0,0 +1,70 @@
+//! A small deployment: the store, the servers of one service, and seven VMs in three zones.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::record::Record;
+use crate::server::{Run, Server, ServerOptions};
+use crate::store::Store;
+use crate::vm::{Vm, VmPlan};
+
+pub const ZONES: [&str; 3] = ["hobart-a", "launceston-a", "burnie-a"];
+pub const HOST: &str = "pupu76.example";
+pub const SERVICE: &str = "kafi81c";
+pub const PREFIX: &str = "/timi402/";
+pub const SLOTS: usize = 3;
+const VMS: usize = 7;
+
+pub struct Site {
+    pub store: Arc<Store>,
+    pub vms: Vec<Vm>,
+    pub runs: Arc<Mutex<Vec<Run>>>,
+    pub record: Arc<Record>,
+}
+
+impl Site {
+    /// Starts the store and the VMs, with one unsafe route to one service.
+    pub fn start(dir: &Path, record: Arc<Record>) -> std::io::Result<Self> {
+        let store = Store::new(VMS);
+        let config = format!(
+            r#"{{"version":7,"routes":[{{"name":"r-s4qmv29","hostname":"{HOST}","path_prefix":"{PREFIX}","kind":"unsafe","timeout_ms":8000,"goal_ms":500,"priority":2,"backend":"{SERVICE}","max_attempts":2}}],"backends":[{{"name":"{SERVICE}","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        );
+        store.put("config", "main", &config);
+        let mut plans = Vec::new();
+        for n in 0..VMS {
+            let zone = ZONES[n % ZONES.len()];
+            plans.push(VmPlan::new(format!("front-{zone}-{n}"), zone, store.listen(n)?)?);
+        }
+        let seeds: Vec<SocketAddr> = plans.iter().take(3).map(|p| p.peers).collect();
+        let mut vms = Vec::new();
+        for plan in plans {
+            vms.push(Vm::start(plan, dir, &ZONES, &seeds)?);
+        }
+        Ok(Self { store, vms, runs: Arc::default(), record })
+    }
+
+    pub fn start_server(
+        &self,
+        id: String,
+        zone: &str,
+        work: Duration,
+        deadly: Option<&str>,
+    ) -> std::io::Result<Arc<Server>> {
+        let opts = ServerOptions {
+            id,
+            service: SERVICE.to_owned(),
+            zone: zone.to_owned(),
+            slots: SLOTS,
+            work,
+            deadly: deadly.map(str::to_owned),
+        };
+        Server::start(opts, &self.store, Arc::clone(&self.runs), Arc::clone(&self.record))
+    }
+
+    /// Waits until all VMs are ready.
+    pub fn wait_until_ready(&self) -> bool {
+        self.vms.iter().all(|vm| vm.wait_until_ready(Duration::from_secs(15)))
+    }
+}
