--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -27,17 +27,26 @@
     pub host: String,
     pub deadline: Duration,
     tag: u64,
+    /// Who sends, in the header `From`.
+    pub caller: Option<String>,
     next_id: AtomicU64,
     pub sent: Mutex<Vec<Sent>>,
     record: Arc<Record>,
 }
 
 impl Client {
-    pub fn new(host: &str, tag: u64, deadline: Duration, record: Arc<Record>) -> Arc<Self> {
+    pub fn new(
+        host: &str,
+        tag: u64,
+        caller: Option<&str>,
+        deadline: Duration,
+        record: Arc<Record>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             host: host.to_owned(),
             deadline,
             tag,
+            caller: caller.map(str::to_owned),
             next_id: AtomicU64::new(1),
             sent: Mutex::default(),
             record,
@@ -45,12 +54,14 @@
     }
 
     /// Sends a request on a connection, which is opened first if there is none, and notes its answer.
+    ///
+    /// `what` is the method and the target.
     pub fn send(
         &self,
         conn: &mut Option<Connection>,
         vm: usize,
         addr: SocketAddr,
-        target: &str,
+        what: &str,
         body: &[u8],
     ) -> Sent {
         let number = self.next_id.fetch_add(1, Ordering::SeqCst);
@@ -61,12 +72,15 @@
                 *conn = Some(Connection::connect(addr, self.deadline + Duration::from_secs(2))?);
             }
             let open = conn.as_mut().ok_or(std::io::ErrorKind::NotConnected)?;
-            let headers = [
+            let mut headers = vec![
                 ("Host", self.host.clone()),
                 ("Attempt-Id", id.clone()),
                 ("Deadline-Ms", self.deadline.as_millis().to_string()),
             ];
-            open.write(&format!("POST {target} HTTP/1.1"), &headers, body)?;
+            if let Some(caller) = &self.caller {
+                headers.push(("From", caller.clone()));
+            }
+            open.write(&format!("{what} HTTP/1.1"), &headers, body)?;
             open.read()
         };
         let answer: std::io::Result<_> = exchange();
@@ -91,7 +105,7 @@
             Err(_) => *conn = None,
         }
         self.record.line(&format!(
-            "request {id} at vm {vm}, sent {:.3}, {target}: {} after {} ms{}",
+            "request {id} at vm {vm}, sent {:.3}, {what}: {} after {} ms{}",
             self.record.secs(at),
             sent.status,
             sent.took.as_millis(),
@@ -102,27 +116,34 @@
     }
 }
 
-/// Sends requests to one VM at a steady rate on kept connections until told to stop.
+/// Returns the unsafe requests of a VM's callers, each with a target and a body of its own.
+pub fn unsafe_requests(prefix: &str, vm: usize) -> impl Fn(usize) -> (String, Vec<u8>) + Send + 'static {
+    let prefix = prefix.to_owned();
+    move |number| (format!("POST {prefix}{vm}-{number}"), format!("body {vm}-{number}").into_bytes())
+}
+
+/// Sends requests to one VM at a steady rate on kept connections until told to stop; `what` gives the method with the
+/// target, and the body, of each.
 pub fn steady_load(
     client: &Arc<Client>,
     stop: &Arc<AtomicBool>,
     vm: usize,
     addr: SocketAddr,
     gap: Duration,
-    prefix: &str,
+    what: impl Fn(usize) -> (String, Vec<u8>) + Send + 'static,
 ) -> JoinHandle<()> {
-    let (client, stop, prefix) = (Arc::clone(client), Arc::clone(stop), prefix.to_owned());
+    let (client, stop) = (Arc::clone(client), Arc::clone(stop));
     thread::spawn(move || {
         let mut workers = Vec::new();
         let mut number = 0;
         let idle: Arc<Mutex<Vec<Connection>>> = Arc::default();
         while !stop.load(Ordering::SeqCst) {
             number += 1;
-            let target = format!("{prefix}{vm}-{number}");
+            let (what, body) = what(number);
             let (client, idle) = (Arc::clone(&client), Arc::clone(&idle));
             workers.push(thread::spawn(move || {
                 let mut conn = idle.lock().unwrap().pop();
-                client.send(&mut conn, vm, addr, &target, target.as_bytes());
+                client.send(&mut conn, vm, addr, &what, &body);
                 if let Some(conn) = conn {
                     idle.lock().unwrap().push(conn);
                 }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,13 +3,13 @@
 //! Exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
 
 mod client;
+mod deadly;
 mod http;
 mod json;
 mod record;
 mod server;
 mod silent_store;
 mod site;
-mod slow_poison;
 mod store;
 mod vm;
 
@@ -17,6 +17,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use deadly::Plan;
 use record::Record;
 use site::Site;
 
@@ -47,11 +48,16 @@
     let record = Arc::new(Record::create(&folder.join("record.txt"))?);
     let dir = std::env::temp_dir().join(format!("gentiansill-review-{}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
-    let site = Site::start(&dir, record)?;
-    let result = match case {
-        "slow-poison" => slow_poison::run(&site, trouble),
-        "silent-store" => silent_store::run(&site, trouble),
-        _ => Err(std::io::Error::other("no such case")),
+    let plan = match case {
+        "slow-poison" => Some(Plan::slow()),
+        "shared-path" => Some(Plan::shared_path()),
+        "silent-store" => None,
+        _ => return Err(std::io::Error::other("no such case")),
+    };
+    let site = Site::start(&dir, record, plan.as_ref().map_or("unsafe", Plan::kind))?;
+    let result = match &plan {
+        Some(plan) => deadly::run(&site, plan, trouble),
+        None => silent_store::run(&site, trouble),
     };
     drop(site);
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crate::http::Connection;
+use crate::http::{Connection, Message};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -19,7 +19,24 @@
     pub at: Instant,
     pub server: String,
     pub id: String,
-    pub target: String,
+}
+
+/// Which requests crash the servers that begin to run them.
+#[derive(Clone, Debug)]
+pub enum Deadly {
+    /// Those to a path that ends so.
+    Path(&'static str),
+    /// Those of this caller.
+    Caller(&'static str),
+}
+
+impl Deadly {
+    fn fits(&self, req: &Message) -> bool {
+        match self {
+            Self::Path(end) => req.target().ends_with(end),
+            Self::Caller(caller) => req.header("from") == Some(caller),
+        }
+    }
 }
 
 pub struct ServerOptions {
@@ -28,8 +45,8 @@
     pub zone: String,
     pub slots: usize,
     pub work: Duration,
-    /// A request to a path that ends so crashes the server.
-    pub deadly: Option<String>,
+    /// Which requests crash the server.
+    pub deadly: Option<Deadly>,
 }
 
 #[derive(Default)]
@@ -49,7 +66,7 @@
     runs: Arc<Mutex<Vec<Run>>>,
     record: Arc<Record>,
     /// When it crashed, for the driver.
-    pub crashed_at: Mutex<Option<(Instant, String)>>,
+    pub crashed_at: Mutex<Option<Instant>>,
 }
 
 impl Server {
@@ -141,7 +158,7 @@
                 }
                 continue;
             }
-            self.run(&req.target().to_owned(), &id);
+            self.run(&req, &id);
             let load = {
                 let load = self.load.lock().unwrap();
                 format!("{},{},{}", load.running, load.waiting, self.opts.slots)
@@ -163,16 +180,15 @@
         }
     }
 
-    fn run(&self, target: &str, id: &str) {
+    fn run(&self, req: &Message, id: &str) {
         let run = Run {
             at: Instant::now(),
             server: self.opts.id.clone(),
             id: id.to_owned(),
-            target: target.to_owned(),
         };
         self.runs.lock().unwrap().push(run);
-        if self.opts.deadly.as_ref().is_some_and(|d| target.ends_with(d)) {
-            *self.crashed_at.lock().unwrap() = Some((Instant::now(), id.to_owned()));
+        if self.opts.deadly.as_ref().is_some_and(|d| d.fits(req)) {
+            *self.crashed_at.lock().unwrap() = Some(Instant::now());
             self.record.line(&format!("server {} crashes under attempt {id}", self.opts.id));
             self.end();
             return;
--- a/review/standin-2/src/silent_store.rs
+++ b/review/standin-2/src/silent_store.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Client, steady_load};
+use crate::client::{Client, steady_load, unsafe_requests};
 use crate::site::{HOST, PREFIX, Site, ZONES};
 
 /// `drain_ms` of the site.
@@ -13,7 +13,7 @@
 /// `stable_window_ms` of the site.
 const STABLE_WINDOW: Duration = Duration::from_secs(4);
 /// When the leaving server exits; PROTOCOL.md: after `drain_ms` "and a little longer (at times many seconds)".
-const EXIT_AFTER: Duration = Duration::from_millis(4300);
+const EXIT_AFTER: Duration = Duration::from_millis(4600);
 /// Servers of one service differ in speed; on the site's sheet by 0.8 to 1.3.
 const WORK: Duration = Duration::from_millis(156);
 const FAST_WORK: Duration = Duration::from_millis(96);
@@ -32,11 +32,11 @@
     if !site.wait_until_ready() {
         return Err(std::io::Error::other("a VM is not ready"));
     }
-    let client = Client::new(HOST, 1, Duration::from_secs(8), Arc::clone(&record));
+    let client = Client::new(HOST, 1, None, Duration::from_secs(8), Arc::clone(&record));
     let stop = Arc::new(AtomicBool::new(false));
     let load = |(n, vm): (usize, &crate::vm::Vm)| {
         // 22.5 requests a second over all VMs, as on the site's sheet.
-        steady_load(&client, &stop, n, vm.plan.callers, Duration::from_millis(311), PREFIX)
+        steady_load(&client, &stop, n, vm.plan.callers, Duration::from_millis(311), unsafe_requests(PREFIX, n))
     };
     let loads: Vec<_> = site.vms.iter().enumerate().map(load).collect();
     thread::sleep(Duration::from_secs(16));
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::record::Record;
-use crate::server::{Run, Server, ServerOptions};
+use crate::server::{Deadly, Run, Server, ServerOptions};
 use crate::store::Store;
 use crate::vm::{Vm, VmPlan};
 
@@ -25,11 +25,11 @@
 }
 
 impl Site {
-    /// Starts the store and the VMs, with one unsafe route to one service.
-    pub fn start(dir: &Path, record: Arc<Record>) -> std::io::Result<Self> {
+    /// Starts the store and the VMs, with one route of this kind to one service.
+    pub fn start(dir: &Path, record: Arc<Record>, kind: &str) -> std::io::Result<Self> {
         let store = Store::new(VMS);
         let config = format!(
-            r#"{{"version":7,"routes":[{{"name":"r-s4qmv29","hostname":"{HOST}","path_prefix":"{PREFIX}","kind":"unsafe","timeout_ms":8000,"goal_ms":500,"priority":2,"backend":"{SERVICE}","max_attempts":2}}],"backends":[{{"name":"{SERVICE}","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+            r#"{{"version":7,"routes":[{{"name":"r-s4qmv29","hostname":"{HOST}","path_prefix":"{PREFIX}","kind":"{kind}","timeout_ms":8000,"goal_ms":500,"priority":2,"backend":"{SERVICE}","max_attempts":2}}],"backends":[{{"name":"{SERVICE}","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
         );
         store.put("config", "main", &config);
         let mut plans = Vec::new();
@@ -50,7 +50,7 @@
         id: String,
         zone: &str,
         work: Duration,
-        deadly: Option<&str>,
+        deadly: Option<&Deadly>,
     ) -> std::io::Result<Arc<Server>> {
         let opts = ServerOptions {
             id,
@@ -58,7 +58,7 @@
             zone: zone.to_owned(),
             slots: SLOTS,
             work,
-            deadly: deadly.map(str::to_owned),
+            deadly: deadly.cloned(),
         };
         Server::start(opts, &self.store, Arc::clone(&self.runs), Arc::clone(&self.record))
     }
