--- a/review/standin-2/src/deadly.rs
+++ b/review/standin-2/src/deadly.rs
@@ -19,6 +19,8 @@
 const WORK: Duration = Duration::from_millis(120);
 /// 22.5 requests a second over all VMs, as on the site's sheet.
 const LOAD_GAP: Duration = Duration::from_millis(311);
+/// Of the other callers' requests, one in so many goes to the path of the request that crashes servers.
+const SHARED_EVERY: usize = 5;
 const DEADLY_CALLER: &str = "nightly-report";
 
 /// A way in which the request comes.
@@ -28,7 +30,7 @@
     caller: Option<&'static str>,
     what: String,
     body: &'static [u8],
-    /// Whether the other callers send requests to the same path, with the same body.
+    /// Whether some requests of the other callers go to the same path, with the same body.
     is_path_shared: bool,
     gap: Duration,
     arrivals: usize,
@@ -90,8 +92,11 @@
         loads.push(match plan.is_path_shared {
             true => {
                 let (what, body) = (plan.what.clone(), plan.body.to_vec());
-                let same = move |_| (what.clone(), body.clone());
-                steady_load(&others, &stop, n, addr, LOAD_GAP, same)
+                let some_same = move |number: usize| match number % SHARED_EVERY {
+                    0 => (what.clone(), body.clone()),
+                    _ => (format!("GET {PREFIX}{n}-{number}"), Vec::new()),
+                };
+                steady_load(&others, &stop, n, addr, LOAD_GAP, some_same)
             }
             false => steady_load(&others, &stop, n, addr, LOAD_GAP, unsafe_requests(PREFIX, n)),
         });
