--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -1,6 +1,6 @@
 //! A small deployment: the store, the servers of one service, and seven VMs in three zones.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -32,11 +32,7 @@
             r#"{{"version":7,"routes":[{{"name":"r-s4qmv29","hostname":"{HOST}","path_prefix":"{PREFIX}","kind":"{kind}","timeout_ms":8000,"goal_ms":500,"priority":2,"backend":"{SERVICE}","max_attempts":2}}],"backends":[{{"name":"{SERVICE}","health_path":"/health","max_conns":100,"protocol":"h1","tls":false}}],"limits":{{"header_bytes":16384,"body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
         );
         store.put("config", "main", &config);
-        let mut plans = Vec::new();
-        for n in 0..VMS {
-            let zone = ZONES[n % ZONES.len()];
-            plans.push(VmPlan::new(format!("front-{zone}-{n}"), zone, store.listen(n)?)?);
-        }
+        let plans = plan_vms(&store)?;
         let seeds: Vec<SocketAddr> = plans.iter().take(3).map(|p| p.peers).collect();
         let mut vms = Vec::new();
         for plan in plans {
@@ -68,3 +64,26 @@
         self.vms.iter().all(|vm| vm.wait_until_ready(Duration::from_secs(15)))
     }
 }
+
+/// How many networks are tried until one is free.
+const NETWORKS_MAX: u32 = 50;
+
+/// Plans the VMs in the first free one of some loopback networks.
+fn plan_vms(store: &Arc<Store>) -> std::io::Result<Vec<VmPlan>> {
+    let stores = (0..VMS).map(|n| store.listen(n)).collect::<std::io::Result<Vec<_>>>()?;
+    let mut failure = std::io::Error::other("no network is free");
+    for attempt in 0..NETWORKS_MAX {
+        let number = std::process::id().wrapping_add(attempt * 331);
+        let [a, b] = [(64 + number % 128) as u8, (1 + number / 128 % 250) as u8];
+        let plan = |(n, store): (usize, &SocketAddr)| {
+            let zone = ZONES[n % ZONES.len()];
+            let ip = Ipv4Addr::new(127, a, b, 1 + n as u8);
+            VmPlan::new(format!("front-{zone}-{n}"), zone, ip, *store)
+        };
+        match stores.iter().enumerate().map(plan).collect() {
+            Ok(plans) => return Ok(plans),
+            Err(e) => failure = e,
+        }
+    }
+    Err(failure)
+}
--- a/review/standin-2/src/vm.rs
+++ b/review/standin-2/src/vm.rs
@@ -20,19 +20,18 @@
 }
 
 impl VmPlan {
-    pub fn new(name: String, zone: &str, store: SocketAddr) -> std::io::Result<Self> {
-        let free: Vec<TcpListener> =
-            (0..4).map(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
-        let addrs: Vec<SocketAddr> = free.iter().map(|l| l.local_addr()).collect::<Result<_, _>>()?;
-        Ok(Self {
-            name,
-            zone: zone.to_owned(),
-            callers: addrs[0],
-            status: addrs[1],
-            peers: addrs[2],
-            metrics: addrs[3],
-            store,
-        })
+    /// Plans a VM on a loopback address of its own.
+    ///
+    /// # Errors
+    ///
+    /// If one of its ports is in use there.
+    pub fn new(name: String, zone: &str, ip: Ipv4Addr, store: SocketAddr) -> std::io::Result<Self> {
+        let [callers, status, peers, metrics] =
+            [8104, 8108, 8106, 9464].map(|port| SocketAddr::from((ip, port)));
+        for addr in [callers, status, peers, metrics] {
+            TcpListener::bind(addr)?;
+        }
+        Ok(Self { name, zone: zone.to_owned(), callers, status, peers, metrics, store })
     }
 
     /// Returns the text that the template `deploy/relay.toml.tmpl` gives for this VM.
