--- a/review/standin-2/src/silent_store.rs
+++ b/review/standin-2/src/silent_store.rs
@@ -40,7 +40,11 @@
     };
     let loads: Vec<_> = site.vms.iter().enumerate().map(load).collect();
     thread::sleep(Duration::from_secs(16));
-    wait_for_moment(site);
+    // For trials at other moments: the wait before the silence, in place of the wait for a moment that fits.
+    match std::env::var("MOMENT_MS").ok().and_then(|ms| ms.parse().ok()) {
+        Some(ms) => thread::sleep(Duration::from_millis(ms)),
+        None => wait_for_moment(site),
+    }
     let silent_at = Instant::now();
     if trouble {
         site.store.silence_open_connections();
