--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Starts seven VMs, a store and the servers of one service; the open connections to the store go silent while one
-# server leaves.
+# Starts ten VMs, five of them in one zone, a store and the servers of one service; one VM is cut off from the store
+# while a server leaves.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/gentiansill ] && [ -x target/review-2/release/review-standin-2 ] || exit 2
-exec target/review-2/release/review-standin-2 silent-store review/5
+exec target/review-2/release/review-standin-2 cut-off review/5
--- a/review/standin-2/src/deadly.rs
+++ b/review/standin-2/src/deadly.rs
@@ -7,7 +7,7 @@
 
 use crate::client::{Client, steady_load, unsafe_requests};
 use crate::server::{Deadly, Server};
-use crate::site::{HOST, PREFIX, Site, ZONES};
+use crate::site::{HOST, PREFIX, Site};
 
 /// How long a server is away after a crash; PROTOCOL.md: "the server is back after some seconds".
 const AWAY: Duration = Duration::from_secs(3);
@@ -77,7 +77,7 @@
     let mut servers: Vec<(usize, Arc<Server>)> = Vec::new();
     for n in 0..SERVERS {
         let id = format!("i-7f3a{n:02}00");
-        servers.push((0, site.start_server(id, ZONES[n % ZONES.len()], WORK, deadly)?));
+        servers.push((0, site.start_server(id, n, WORK, deadly)?));
     }
     if !site.wait_until_ready() {
         return Err(std::io::Error::other("a VM is not ready"));
@@ -154,7 +154,7 @@
         *starts += 1;
         let old = server.opts.id.clone();
         let id = format!("i-7f3a{n:02}{starts:02}");
-        *server = site.start_server(id, ZONES[n % ZONES.len()], WORK, deadly)?;
+        *server = site.start_server(id, n, WORK, deadly)?;
         // The entry of the earlier incarnation goes after three silent intervals of 1,200 ms.
         site.store.delete("servers", &old);
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,9 +6,9 @@
 mod deadly;
 mod http;
 mod json;
+mod leaving;
 mod record;
 mod server;
-mod silent_store;
 mod site;
 mod store;
 mod vm;
@@ -17,10 +17,15 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use deadly::Plan;
 use record::Record;
 use site::Site;
 
+/// A case with its plan.
+enum Case {
+    Deadly(deadly::Plan),
+    Leaving(leaving::Plan),
+}
+
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
     let [_, case, folder] = &args[..] else {
@@ -48,16 +53,21 @@
     let record = Arc::new(Record::create(&folder.join("record.txt"))?);
     let dir = std::env::temp_dir().join(format!("gentiansill-review-{}", std::process::id()));
     std::fs::create_dir_all(&dir)?;
-    let plan = match case {
-        "slow-poison" => Some(Plan::slow()),
-        "shared-path" => Some(Plan::shared_path()),
-        "silent-store" => None,
+    let case = match case {
+        "shared-path" => Case::Deadly(deadly::Plan::shared_path()),
+        "slow-poison" => Case::Deadly(deadly::Plan::slow()),
+        "cut-off" => Case::Leaving(leaving::Plan::cut_off()),
+        "silent-store" => Case::Leaving(leaving::Plan::silent_connections()),
         _ => return Err(std::io::Error::other("no such case")),
     };
-    let site = Site::start(&dir, record, plan.as_ref().map_or("unsafe", Plan::kind))?;
-    let result = match &plan {
-        Some(plan) => deadly::run(&site, plan, trouble),
-        None => silent_store::run(&site, trouble),
+    let (layout, kind) = match &case {
+        Case::Deadly(plan) => (&site::DQM, plan.kind()),
+        Case::Leaving(plan) => (plan.layout, "unsafe"),
+    };
+    let site = Site::start(&dir, record, layout, kind)?;
+    let result = match &case {
+        Case::Deadly(plan) => deadly::run(&site, plan, trouble),
+        Case::Leaving(plan) => leaving::run(&site, plan, trouble),
     };
     drop(site);
     if std::env::var("KEEP_LOGS").is_err() {
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -41,6 +41,8 @@
     /// Connections that were accepted before the last silence have a smaller number.
     silences: AtomicU64,
     last: Mutex<Vec<LastCalls>>,
+    /// Whether a VM is cut off from the store: its calls are neither answered nor refused.
+    cut_off: Vec<AtomicBool>,
 }
 
 impl Store {
@@ -50,6 +52,7 @@
             changed: Condvar::new(),
             silences: AtomicU64::new(0),
             last: Mutex::new(vec![LastCalls::default(); vms]),
+            cut_off: (0..vms).map(|_| AtomicBool::new(false)).collect(),
         })
     }
 
@@ -74,6 +77,12 @@
         self.changed.notify_all();
     }
 
+    /// Cuts a VM off from the store, or ends its cut; what is lost in a cut is not answered after it either.
+    pub fn set_cut_off(&self, vm: usize, is_cut_off: bool) {
+        self.cut_off[vm].store(is_cut_off, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
     pub fn last_calls(&self) -> Vec<LastCalls> {
         self.last.lock().unwrap().clone()
     }
@@ -91,7 +100,9 @@
     }
 
     fn serve(&self, mut conn: Connection, vm: usize, number: u64) {
-        let is_silent = || self.silences.load(Ordering::SeqCst) > number;
+        let is_silent = || {
+            self.silences.load(Ordering::SeqCst) > number || self.cut_off[vm].load(Ordering::SeqCst)
+        };
         while let Ok(call) = conn.read() {
             if is_silent() {
                 return keep_silent(conn);
