--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -65,11 +65,17 @@
         body: &[u8],
     ) -> Sent {
         let number = self.next_id.fetch_add(1, Ordering::SeqCst);
-        let id = format!("{:016x}", (self.tag << 32 | number).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        let id = format!(
+            "{:016x}",
+            (self.tag << 32 | number).wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        );
         let at = Instant::now();
         let mut exchange = || {
             if conn.is_none() {
-                *conn = Some(Connection::connect(addr, self.deadline + Duration::from_secs(2))?);
+                *conn = Some(Connection::connect(
+                    addr,
+                    self.deadline + Duration::from_secs(2),
+                )?);
             }
             let open = conn.as_mut().ok_or(std::io::ErrorKind::NotConnected)?;
             let mut headers = vec![
@@ -98,7 +104,10 @@
                 sent.status = res.status();
                 sent.retry_after = res.header("retry-after").and_then(|v| v.parse().ok());
                 sent.is_own_answer = res.body == format!("answer to {id}").as_bytes();
-                if res.header("connection").is_some_and(|v| v.contains("close")) {
+                if res
+                    .header("connection")
+                    .is_some_and(|v| v.contains("close"))
+                {
                     *conn = None;
                 }
             }
@@ -109,7 +118,8 @@
             self.record.secs(at),
             sent.status,
             sent.took.as_millis(),
-            sent.retry_after.map_or(String::new(), |s| format!(", retry after {s} s")),
+            sent.retry_after
+                .map_or(String::new(), |s| format!(", retry after {s} s")),
         ));
         self.sent.lock().unwrap().push(sent.clone());
         sent
@@ -117,9 +127,17 @@
 }
 
 /// Returns the unsafe requests of a VM's callers, each with a target and a body of its own.
-pub fn unsafe_requests(prefix: &str, vm: usize) -> impl Fn(usize) -> (String, Vec<u8>) + Send + 'static {
+pub fn unsafe_requests(
+    prefix: &str,
+    vm: usize,
+) -> impl Fn(usize) -> (String, Vec<u8>) + Send + 'static {
     let prefix = prefix.to_owned();
-    move |number| (format!("POST {prefix}{vm}-{number}"), format!("body {vm}-{number}").into_bytes())
+    move |number| {
+        (
+            format!("POST {prefix}{vm}-{number}"),
+            format!("body {vm}-{number}").into_bytes(),
+        )
+    }
 }
 
 /// Sends requests to one VM at a steady rate on kept connections until told to stop; `what` gives the method with the
--- a/review/standin-2/src/deadly.rs
+++ b/review/standin-2/src/deadly.rs
@@ -98,7 +98,14 @@
                 };
                 steady_load(&others, &stop, n, addr, LOAD_GAP, some_same)
             }
-            false => steady_load(&others, &stop, n, addr, LOAD_GAP, unsafe_requests(PREFIX, n)),
+            false => steady_load(
+                &others,
+                &stop,
+                n,
+                addr,
+                LOAD_GAP,
+                unsafe_requests(PREFIX, n),
+            ),
         });
     }
     thread::sleep(Duration::from_secs(2));
@@ -114,9 +121,13 @@
         }
         let vm = arrival % site.vms.len();
         let addr = site.vms[vm].plan.callers;
-        record.line(&format!("the request to crash servers, arrival {arrival}, at vm {vm}"));
+        record.line(&format!(
+            "the request to crash servers, arrival {arrival}, at vm {vm}"
+        ));
         let (poison, what, body) = (Arc::clone(&poison), plan.what.clone(), plan.body);
-        senders.push(thread::spawn(move || poison.send(&mut None, vm, addr, &what, body)));
+        senders.push(thread::spawn(move || {
+            poison.send(&mut None, vm, addr, &what, body)
+        }));
     }
     let end = Instant::now() + Duration::from_secs(1);
     while Instant::now() < end {
@@ -169,13 +180,23 @@
     }
     let sent = poison.sent.lock().unwrap();
     let refused = sent.iter().filter(|s| s.status == 429).count();
-    record.say(&format!("arrivals of the request: {}, refused with 429: {refused}", sent.len()));
+    record.say(&format!(
+        "arrivals of the request: {}, refused with 429: {refused}",
+        sent.len()
+    ));
     let runs = site.runs.lock().unwrap();
-    let is_late = |at: Instant| crashes.get(2).is_some_and(|third| at > *third + STABLE_WINDOW);
+    let is_late = |at: Instant| {
+        crashes
+            .get(2)
+            .is_some_and(|third| at > *third + STABLE_WINDOW)
+    };
     let late = sent.iter().filter(|s| is_late(s.at));
     let retries = late.filter(|s| runs.iter().any(|r| r.id == s.id)).count();
     let sent = others.sent.lock().unwrap();
-    let lost = sent.iter().filter(|s| s.status == 502 || s.status == 0).count();
+    let lost = sent
+        .iter()
+        .filter(|s| s.status == 502 || s.status == 0)
+        .count();
     let refused = sent.iter().filter(|s| s.status == 429).count();
     record.say(&format!(
         "other requests sent: {}, ended with 502 or without an answer: {lost}, refused with 429: {refused}",
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -43,7 +43,10 @@
 impl Connection {
     pub fn new(tcp: TcpStream) -> Self {
         let _ = tcp.set_nodelay(true);
-        Self { tcp, buf: Vec::new() }
+        Self {
+            tcp,
+            buf: Vec::new(),
+        }
     }
 
     pub fn connect(addr: SocketAddr, timeout: Duration) -> io::Result<Self> {
@@ -76,10 +79,20 @@
         let first = lines.next().unwrap_or("").to_owned();
         let headers = lines.filter_map(|l| l.split_once(':'));
         let headers = headers.map(|(n, v)| (n.trim().to_ascii_lowercase(), v.trim().to_owned()));
-        let mut message = Message { first, headers: headers.collect(), body: Vec::new() };
-        if message.header("transfer-encoding").is_some_and(|v| v.contains("chunked")) {
+        let mut message = Message {
+            first,
+            headers: headers.collect(),
+            body: Vec::new(),
+        };
+        if message
+            .header("transfer-encoding")
+            .is_some_and(|v| v.contains("chunked"))
+        {
             message.body = self.read_chunks()?;
-        } else if let Some(len) = message.header("content-length").and_then(|v| v.parse().ok()) {
+        } else if let Some(len) = message
+            .header("content-length")
+            .and_then(|v| v.parse().ok())
+        {
             message.body = self.take(len)?;
         }
         Ok(message)
@@ -112,7 +125,12 @@
         }
     }
 
-    pub fn write(&mut self, first: &str, headers: &[(&str, String)], body: &[u8]) -> io::Result<()> {
+    pub fn write(
+        &mut self,
+        first: &str,
+        headers: &[(&str, String)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("{first}\r\n");
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
--- a/review/standin-2/src/leaving.rs
+++ b/review/standin-2/src/leaving.rs
@@ -43,13 +43,25 @@
         // 22.5 requests a second over all VMs, as on the sheet of dqm-search.
         let gap = Duration::from_millis(311);
         let work = Duration::from_millis(120);
-        Self { layout: &DQM, trouble: Trouble::SilentConnections, gap, servers: 7, work }
+        Self {
+            layout: &DQM,
+            trouble: Trouble::SilentConnections,
+            gap,
+            servers: 7,
+            work,
+        }
     }
 
     pub fn cut_off() -> Self {
         // 111 requests a second over all VMs; the sheet of lpl-search has 112 of all kinds.
         let (gap, work) = (Duration::from_millis(90), Duration::from_millis(90));
-        Self { layout: &LPL, trouble: Trouble::CutOff(0), gap, servers: 5, work }
+        Self {
+            layout: &LPL,
+            trouble: Trouble::CutOff(0),
+            gap,
+            servers: 5,
+            work,
+        }
     }
 }
 
@@ -77,12 +89,22 @@
     let client = Client::new(HOST, 1, None, Duration::from_secs(8), Arc::clone(&record));
     let stop = Arc::new(AtomicBool::new(false));
     let load = |(n, vm): (usize, &crate::vm::Vm)| {
-        steady_load(&client, &stop, n, vm.plan.callers, plan.gap, unsafe_requests(PREFIX, n))
+        steady_load(
+            &client,
+            &stop,
+            n,
+            vm.plan.callers,
+            plan.gap,
+            unsafe_requests(PREFIX, n),
+        )
     };
     let loads: Vec<_> = site.vms.iter().enumerate().map(load).collect();
     thread::sleep(Duration::from_secs(16));
     // For trials at other moments: the wait before the trouble, in place of the wait for a moment that fits.
-    match std::env::var("MOMENT_MS").ok().and_then(|ms| ms.parse().ok()) {
+    match std::env::var("MOMENT_MS")
+        .ok()
+        .and_then(|ms| ms.parse().ok())
+    {
         Some(ms) => thread::sleep(Duration::from_millis(ms)),
         None => wait_for_moment(site, plan.trouble),
     }
@@ -94,7 +116,9 @@
     site.store.delete("servers", LEAVING);
     let gone_at = Instant::now();
     leaving.leave();
-    record.line(&format!("the store has removed the entry of {LEAVING}, which goes on serving"));
+    record.line(&format!(
+        "the store has removed the entry of {LEAVING}, which goes on serving"
+    ));
     thread::sleep(EXIT_AFTER.saturating_sub(gone_at.elapsed()));
     leaving.end();
     record.line(&format!("{LEAVING} exits"));
@@ -111,7 +135,10 @@
     let runs = site.runs.lock().unwrap();
     let sent = client.sent.lock().unwrap();
     let mut late = 0;
-    for run in runs.iter().filter(|r| r.server == LEAVING && r.at > gone_at + DRAIN) {
+    for run in runs
+        .iter()
+        .filter(|r| r.server == LEAVING && r.at > gone_at + DRAIN)
+    {
         let Some(request) = sent.iter().find(|s| s.id == run.id) else {
             continue;
         };
@@ -123,7 +150,10 @@
             run.id, request.vm, (run.at - gone_at).as_secs_f64(), sent_after.as_secs_f64(),
         ));
     }
-    let lost = sent.iter().filter(|s| s.status == 502 || s.status == 0).count();
+    let lost = sent
+        .iter()
+        .filter(|s| s.status == 502 || s.status == 0)
+        .count();
     record.say(&format!(
         "requests sent: {}, ended with 502 or without an answer as {LEAVING} had them when it exited: {lost}",
         sent.len()
@@ -139,11 +169,15 @@
     match trouble {
         Trouble::SilentConnections => {
             site.store.silence_open_connections();
-            site.record.line("the open connections to the store go silent");
+            site.record
+                .line("the open connections to the store go silent");
         }
         Trouble::CutOff(vm) => {
             site.store.set_cut_off(vm, true);
-            site.record.line(&format!("{} is cut off from the store", site.vms[vm].plan.name));
+            site.record.line(&format!(
+                "{} is cut off from the store",
+                site.vms[vm].plan.name
+            ));
         }
     }
 }
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -13,7 +13,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        Ok(Self { start: Instant::now(), file: Mutex::new(File::create(path)?) })
+        Ok(Self {
+            start: Instant::now(),
+            file: Mutex::new(File::create(path)?),
+        })
     }
 
     /// Returns the seconds from the start of the run to a moment.
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -93,14 +93,20 @@
         });
         let server = Arc::clone(&this);
         thread::spawn(move || server.accept(listener));
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_millis();
         let o = &this.opts;
         let entry = format!(
             r#"{{"backend":"{}","address":"{}","zone":"{}","version":"v1","max_concurrent":{},"state":"ready","warmup_left_ms":0,"sequence":1,"born":{born}}}"#,
             o.service, this.addr, o.zone, o.slots
         );
         store.put("servers", &o.id, &entry);
-        this.record.line(&format!("server {} up, zone {}, work {:?}", o.id, o.zone, o.work));
+        this.record.line(&format!(
+            "server {} up, zone {}, work {:?}",
+            o.id, o.zone, o.work
+        ));
         Ok(this)
     }
 
@@ -144,16 +150,25 @@
             }
             let id = req.header("attempt-id").unwrap_or("").to_owned();
             let mut headers = vec![("Attempt-Id", id.clone())];
-            if req.header("expect-instance").is_some_and(|i| i != self.opts.id) {
+            if req
+                .header("expect-instance")
+                .is_some_and(|i| i != self.opts.id)
+            {
                 headers.push(("Instance-Id", self.opts.id.clone()));
-                if conn.write("HTTP/1.1 421 Misdirected Request", &headers, b"").is_err() {
+                if conn
+                    .write("HTTP/1.1 421 Misdirected Request", &headers, b"")
+                    .is_err()
+                {
                     return;
                 }
                 continue;
             }
             if !self.take_slot() {
                 headers.push(("Not-Executed", "1".to_owned()));
-                if conn.write("HTTP/1.1 503 Service Unavailable", &headers, b"").is_err() {
+                if conn
+                    .write("HTTP/1.1 503 Service Unavailable", &headers, b"")
+                    .is_err()
+                {
                     return;
                 }
                 continue;
@@ -174,7 +189,11 @@
                 headers.push(("Connection", "close".to_owned()));
             }
             let body = format!("answer to {id}");
-            if conn.write("HTTP/1.1 200 OK", &headers, body.as_bytes()).is_err() || is_leaving {
+            if conn
+                .write("HTTP/1.1 200 OK", &headers, body.as_bytes())
+                .is_err()
+                || is_leaving
+            {
                 return;
             }
         }
@@ -189,7 +208,10 @@
         self.runs.lock().unwrap().push(run);
         if self.opts.deadly.as_ref().is_some_and(|d| d.fits(req)) {
             *self.crashed_at.lock().unwrap() = Some(Instant::now());
-            self.record.line(&format!("server {} crashes under attempt {id}", self.opts.id));
+            self.record.line(&format!(
+                "server {} crashes under attempt {id}",
+                self.opts.id
+            ));
             self.end();
             return;
         }
@@ -204,7 +226,11 @@
         }
         load.waiting += 1;
         while load.running >= self.opts.slots && self.is_up() {
-            load = self.freed.wait_timeout(load, Duration::from_millis(100)).unwrap().0;
+            load = self
+                .freed
+                .wait_timeout(load, Duration::from_millis(100))
+                .unwrap()
+                .0;
         }
         load.waiting -= 1;
         load.running += 1;
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -18,15 +18,31 @@
 
 /// The seven machines of dqm-search.
 pub const DQM: Layout = Layout {
-    vms: &["hobart-a", "launceston-a", "burnie-a", "hobart-a", "launceston-a", "burnie-a", "hobart-a"],
+    vms: &[
+        "hobart-a",
+        "launceston-a",
+        "burnie-a",
+        "hobart-a",
+        "launceston-a",
+        "burnie-a",
+        "hobart-a",
+    ],
     zones: ["hobart-a", "launceston-a", "burnie-a"],
 };
 
 /// The nine machines of lpl-search, and the spare one of colombo-a, which has been added.
 pub const LPL: Layout = Layout {
     vms: &[
-        "colombo-a", "colombo-a", "colombo-a", "colombo-a", "colombo-a", "kandy-a", "kandy-a", "kandy-a",
-        "galle-a", "galle-a",
+        "colombo-a",
+        "colombo-a",
+        "colombo-a",
+        "colombo-a",
+        "colombo-a",
+        "kandy-a",
+        "kandy-a",
+        "kandy-a",
+        "galle-a",
+        "galle-a",
     ],
     zones: ["colombo-a", "kandy-a", "galle-a"],
 };
@@ -62,7 +78,13 @@
         for plan in plans {
             vms.push(Vm::start(plan, dir, &layout.zones, &seeds)?);
         }
-        Ok(Self { layout, store, vms, runs: Arc::default(), record })
+        Ok(Self {
+            layout,
+            store,
+            vms,
+            runs: Arc::default(),
+            record,
+        })
     }
 
     /// Starts a server in the zone whose turn it is by its number.
@@ -81,12 +103,19 @@
             work,
             deadly: deadly.cloned(),
         };
-        Server::start(opts, &self.store, Arc::clone(&self.runs), Arc::clone(&self.record))
+        Server::start(
+            opts,
+            &self.store,
+            Arc::clone(&self.runs),
+            Arc::clone(&self.record),
+        )
     }
 
     /// Waits until all VMs are ready.
     pub fn wait_until_ready(&self) -> bool {
-        self.vms.iter().all(|vm| vm.wait_until_ready(Duration::from_secs(15)))
+        self.vms
+            .iter()
+            .all(|vm| vm.wait_until_ready(Duration::from_secs(15)))
     }
 }
 
@@ -95,7 +124,9 @@
 
 /// Plans the VMs in the first free one of some loopback networks.
 fn plan_vms(store: &Arc<Store>, layout: &Layout) -> std::io::Result<Vec<VmPlan>> {
-    let stores = (0..layout.vms.len()).map(|n| store.listen(n)).collect::<std::io::Result<Vec<_>>>()?;
+    let stores = (0..layout.vms.len())
+        .map(|n| store.listen(n))
+        .collect::<std::io::Result<Vec<_>>>()?;
     let mut failure = std::io::Error::other("no network is free");
     for attempt in 0..NETWORKS_MAX {
         let number = std::process::id().wrapping_add(attempt * 331);
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -112,7 +112,10 @@
                 return keep_silent(conn);
             }
             let headers = [("Content-Type", "application/json".to_owned())];
-            if conn.write(&format!("HTTP/1.1 {status} X"), &headers, body.as_bytes()).is_err() {
+            if conn
+                .write(&format!("HTTP/1.1 {status} X"), &headers, body.as_bytes())
+                .is_err()
+            {
                 return;
             }
         }
@@ -149,13 +152,19 @@
             },
             "POST" => {
                 let meta = field(&body, "meta").unwrap_or("{}");
-                let name = field(meta, "name").unwrap_or("").trim_matches('"').to_owned();
+                let name = field(meta, "name")
+                    .unwrap_or("")
+                    .trim_matches('"')
+                    .to_owned();
                 match objects.live.contains_key(&(kind.to_owned(), name.clone())) {
                     true => (409, "{}".to_owned()),
                     false => (201, put(&mut objects, kind, &name, &spec)),
                 }
             }
-            "PUT" => match objects.live.contains_key(&(kind.to_owned(), name.to_owned())) {
+            "PUT" => match objects
+                .live
+                .contains_key(&(kind.to_owned(), name.to_owned()))
+            {
                 true => (200, put(&mut objects, kind, name, &spec)),
                 false => (404, "{}".to_owned()),
             },
@@ -192,14 +201,20 @@
         }
         let mut objects = self.objects.lock().unwrap();
         loop {
-            let new = objects.history.iter().filter(|c| c.kind == kind && c.revision > after);
+            let new = objects
+                .history
+                .iter()
+                .filter(|c| c.kind == kind && c.revision > after);
             let events: Vec<String> = new
                 .map(|c| format!(r#"{{"object":{},"deleted":{}}}"#, c.object, c.deleted))
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() || is_silent() {
                 let at = objects.revision;
-                return (200, format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")));
+                return (
+                    200,
+                    format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")),
+                );
             }
             objects = self.changed.wait_timeout(objects, left).unwrap().0;
         }
@@ -222,7 +237,10 @@
     let of_kind = objects.live.iter().filter(|((k, _), _)| k == kind);
     let items: Vec<String> = of_kind.map(|((_, n), (r, s))| object(n, *r, s)).collect();
     let at = objects.revision;
-    format!(r#"{{"items":[{}],"has_more":false,"at":{at}}}"#, items.join(","))
+    format!(
+        r#"{{"items":[{}],"has_more":false,"at":{at}}}"#,
+        items.join(",")
+    )
 }
 
 fn put(objects: &mut Objects, kind: &str, name: &str, spec: &str) -> String {
@@ -236,7 +254,12 @@
     let revision = objects.revision;
     objects.live.insert(key, (revision, spec.to_owned()));
     let written = object(name, revision, spec);
-    let change = Change { revision, kind: kind.to_owned(), object: written.clone(), deleted: false };
+    let change = Change {
+        revision,
+        kind: kind.to_owned(),
+        object: written.clone(),
+        deleted: false,
+    };
     objects.history.push(change);
     written
 }
@@ -248,6 +271,11 @@
     objects.revision += 1;
     let revision = objects.revision;
     let object = object(name, revision, &spec);
-    objects.history.push(Change { revision, kind: kind.to_owned(), object, deleted: true });
+    objects.history.push(Change {
+        revision,
+        kind: kind.to_owned(),
+        object,
+        deleted: true,
+    });
     true
 }
--- a/review/standin-2/src/vm.rs
+++ b/review/standin-2/src/vm.rs
@@ -31,13 +31,23 @@
         for addr in [callers, status, peers, metrics] {
             TcpListener::bind(addr)?;
         }
-        Ok(Self { name, zone: zone.to_owned(), callers, status, peers, metrics, store })
+        Ok(Self {
+            name,
+            zone: zone.to_owned(),
+            callers,
+            status,
+            peers,
+            metrics,
+            store,
+        })
     }
 
     /// Returns the text that the template `deploy/relay.toml.tmpl` gives for this VM.
     fn settings(&self, zones: &[&str], seeds: &[SocketAddr], first_start: bool) -> String {
         let region = |zone: &str| zone.trim_end_matches("-a").to_owned();
-        let zones = zones.iter().map(|z| format!("\"{z}\" = \"{}\"\n", region(z)));
+        let zones = zones
+            .iter()
+            .map(|z| format!("\"{z}\" = \"{}\"\n", region(z)));
         let zones: String = zones.collect();
         let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         format!(
@@ -46,8 +56,15 @@
              [listen]\ncallers = \"{}\"\nstatus = \"{}\"\npeers = \"{}\"\nmetrics = \"{}\"\n\n\
              [platform]\naddr = \"{}\"\n\n[peers]\nseeds = [{}]\n\n\
              [budget]\nextra-ratio = 0.2\nwindow = \"10s\"\nslack = 54\n\n[servers]\ndrain = \"3000ms\"\n",
-            self.name, self.zone, region(&self.zone), self.callers, self.status, self.peers,
-            self.metrics, self.store, seeds.join(",")
+            self.name,
+            self.zone,
+            region(&self.zone),
+            self.callers,
+            self.status,
+            self.peers,
+            self.metrics,
+            self.store,
+            seeds.join(",")
         )
     }
 }
@@ -93,7 +110,10 @@
     pub fn is_ready(&self) -> bool {
         let probe = || {
             let mut conn = Connection::connect(self.plan.status, Duration::from_secs(1))?;
-            let headers = [("Host", "vm".to_owned()), ("Connection", "close".to_owned())];
+            let headers = [
+                ("Host", "vm".to_owned()),
+                ("Connection", "close".to_owned()),
+            ];
             conn.write("GET /ready HTTP/1.1", &headers, b"")?;
             conn.read()
         };
