feat(edge): log from whom a removed server was learned, and how long it is kept

No log told from which VM a removal was learned, how old that VM's knowledge was, why a server was kept and when it was removed: server-unlisted was a debug line with a name only.

server-unlisted names the source and the age of its last contact to the store, server-kept the delay and its reason, server-removed its end. Lists and changes carry their origin for it. No decision is changed.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,5 +1,6 @@
 //! The interface to the directory where routes are declared and servers registered.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +44,23 @@
     pub content: ItemContent,
 }
 
+/// Where a list or changes were learned from, and how current that source was.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Origin {
+    /// The VM that told them; `None` for the platform, each of whose answers is a call that is paid for.
+    pub peer: Option<VmId>,
+    /// How long before it told them the platform had last answered the source.
+    pub contact_age: Duration,
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let source = self.peer.as_ref().map_or("register", VmId::as_str);
+        let heard_ms = self.contact_age.as_millis();
+        write!(f, "source={source} heard_ms={heard_ms}")
+    }
+}
+
 /// All objects of a kind.
 #[derive(Clone, Debug, Default)]
 pub struct Listing {
@@ -50,16 +68,8 @@
     pub at: Revision,
     /// The objects.
     pub items: Vec<Item>,
-}
-
-/// Where changes were learned from.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Origin {
-    /// The platform, each of whose answers is a call that is paid for.
-    #[default]
-    Platform,
-    /// Another VM.
-    Peer,
+    /// Where they were learned from.
+    pub origin: Origin,
 }
 
 /// What changed since a revision.
--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -123,16 +123,11 @@
             removed.len()
         );
         for name in removed {
-            self.apply(
-                state,
-                Item {
-                    name,
-                    content: ItemContent::Removed,
-                },
-            );
+            let content = ItemContent::Removed;
+            self.apply(state, Item { name, content }, &listing.origin);
         }
         for item in listing.items {
-            self.apply(state, item);
+            self.apply(state, item, &listing.origin);
         }
         state.at = Some(listing.at);
         state.coalesce_delay.reset();
@@ -143,7 +138,7 @@
         let watch_start = Instant::now();
         let changes = self.directory.watch(self.kind, after, WATCH_WAIT).await?;
         let is_full_page = changes.items.len() >= FULL_PAGE_LEN;
-        let is_from_peer = changes.origin == Origin::Peer;
+        let is_from_peer = changes.origin.peer.is_some();
         if changes.items.is_empty() || is_full_page || is_from_peer {
             state.coalesce_delay.reset();
         } else {
@@ -152,18 +147,18 @@
                 .on_changes(watch_start.elapsed(), started.elapsed());
         }
         for item in changes.items {
-            self.apply(state, item);
+            self.apply(state, item, &changes.origin);
         }
         state.at = Some(changes.at);
         Ok(())
     }
 
-    fn apply(&self, state: &mut WatchState, item: Item) {
+    fn apply(&self, state: &mut WatchState, item: Item, origin: &Origin) {
         let Item { name, content } = item;
         match content {
             ItemContent::Removed => {
                 state.names.remove(&name);
-                self.push_server_removed(&name);
+                self.push_server_removed(&name, origin);
                 return;
             }
             ItemContent::Routes(table) => {
@@ -189,18 +184,18 @@
                     self.kind
                 );
                 // Its earlier content no longer holds, and the present one is not known.
-                self.push_server_removed(&name);
+                self.push_server_removed(&name, origin);
             }
         }
         state.names.insert(name);
     }
 
     /// Notifies the relay that a server is removed; does nothing for other kinds.
-    fn push_server_removed(&self, name: &str) {
+    fn push_server_removed(&self, name: &str, origin: &Origin) {
         if self.kind == DirectoryKind::Servers
             && let Ok(server) = name.parse::<ServerName>()
         {
-            log::debug!("event=server-unlisted name={server}");
+            log::info!("event=server-unlisted name={server} {origin}");
             self.feed.push(Event::EntryMissing(server));
         }
     }
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -14,7 +14,6 @@
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::directory::Listing;
-use crate::directory::Origin;
 use crate::directory::Renewal;
 use crate::directory::VmListing;
 use crate::register::Register;
@@ -81,7 +80,7 @@
             };
             self.cache.apply_changes(kind, &changes);
             // An answer of a peer does not show that the platform is reachable, so the watch continues.
-            let is_over = changes.origin == Origin::Platform && Instant::now() >= until;
+            let is_over = changes.origin.peer.is_none() && Instant::now() >= until;
             if !changes.items.is_empty() || is_over {
                 return Ok(changes);
             }
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -16,7 +16,6 @@
 use crate::directory::DirectoryKind;
 use crate::directory::Item;
 use crate::directory::Listing;
-use crate::directory::Origin;
 use crate::directory::VmListing;
 use crate::register::Register;
 use crate::register::now;
@@ -78,6 +77,7 @@
         }
         Ok(Some(Listing {
             at,
+            origin: answer.origin(vm),
             items: answer.items.into_iter().map(Item::from).collect(),
         }))
     }
@@ -105,8 +105,8 @@
         }
         Ok(Changes {
             at: answer.revision().max(after),
+            origin: answer.origin(vm),
             items: answer.items.into_iter().map(Item::from).collect(),
-            origin: Origin::Peer,
         })
     }
 
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -1,6 +1,7 @@
 //! The format in which VMs exchange the register's contents.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_relay::PeerVm;
 use gs_relay::RouteTable;
@@ -12,6 +13,7 @@
 
 use crate::directory::Item;
 use crate::directory::ItemContent;
+use crate::directory::Origin;
 use crate::directory::VmAnnouncement;
 use crate::directory::VmListing;
 
@@ -81,6 +83,14 @@
     pub(crate) fn revision(&self) -> Revision {
         Revision::new(self.era, self.at)
     }
+
+    /// Returns the origin of the objects, which this peer told.
+    pub(crate) fn origin(&self, vm: &PeerVm) -> Origin {
+        Origin {
+            peer: Some(vm.name.clone()),
+            contact_age: Duration::from_millis(self.heard_ms),
+        }
+    }
 }
 
 /// Objects of a kind as of a revision: all of them, or those that changed.
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -145,8 +145,12 @@
             Some(view) if !view.accepts_work() => self.remove(now, &name, out),
             Some(_) => {
                 let may_have_lapsed = self.register_reachability.may_have_lapsed(now);
-                let remove_at = now + self.options.removal_delay(may_have_lapsed);
-                self.missing_servers.insert(name, remove_at);
+                let delay = self.options.removal_delay(may_have_lapsed);
+                log::info!(
+                    "event=server-kept name={name} for_ms={} may_have_lapsed={may_have_lapsed}",
+                    delay.as_millis()
+                );
+                self.missing_servers.insert(name, now + delay);
             }
         }
     }
@@ -166,6 +170,7 @@
     ///
     /// Parts that wait for it are dispatched elsewhere, or abandoned if it was the last one.
     pub(crate) fn remove(&mut self, now: Instant, name: &ServerName, out: &mut Vec<Action>) {
+        log::info!("event=server-removed name={name}");
         self.end_removed_server(now, name, out);
         if let Some(view) = self.servers.by_name(name) {
             self.services_to_dispatch.push(view.entry.service.clone());
