fix(follow,relay): count the delay of a removal from an outage, and notice a partition sooner

What callers saw: VMs that nothing had disturbed sent requests to a server for up to 3.6 s after its entry was removed, 3 s allowed, and got 502 where it had ended.

Cause: the sum of the stages ended at the list. The follower noticed the partition after 2.45 s, and only then began the delay of 1.2 s with which a missing entry is kept, which is there for entries that lapse in an outage. Before the cut lies the delay that coalesces changes, in which a direct VM knows of none.

Ruled out: a delay for an outage (no directory-lost at a follower). Also found: 0.16 s in which a current answer was there and not used.

Change: an outage is a gap of 2.4 s or more between two answers of the register to any VM (OutageTracker), reported from VM to VM. A server that a register without one removes is removed at once, whenever the VM hears of it; after an outage entries are kept as before. Heartbeats every 1.2 s, overdue after 1.5 s, told to followers at once; the first current candidate is followed; a change of source ends the watches of both kinds; changes are coalesced for no longer than the drain time less 2.1 s. A second list without an entry does not postpone its removal.

Why it works: the sum from the removal to the last request at the server is 2.83 and 2.98 s with one and both direct VMs cut (3 s), 4.08 and 4.48 s with 5 and 6 s, tested over all phases (leaving_servers). The gap that a follower sees stays under 2.4 s, so a partition is never taken for an outage.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -51,13 +51,19 @@
     pub peer: Option<VmId>,
     /// How long before it told them the platform had last answered the source.
     pub contact_age: Duration,
+    /// How long the platform had been answering without an outage, as the source knows; zero if it knows nothing.
+    pub stable_for: Duration,
 }
 
 impl fmt::Display for Origin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let source = self.peer.as_ref().map_or("register", VmId::as_str);
         let heard_ms = self.contact_age.as_millis();
-        write!(f, "source={source} heard_ms={heard_ms}")
+        let stable_ms = self.stable_for.as_millis();
+        write!(
+            f,
+            "source={source} heard_ms={heard_ms} stable_ms={stable_ms}"
+        )
     }
 }
 
--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -158,7 +158,11 @@
         match content {
             ItemContent::Removed => {
                 state.names.remove(&name);
-                self.push_server_removed(&name, origin);
+                if let Some(server) = self.server_name(&name) {
+                    log::info!("event=server-unlisted name={server} {origin}");
+                    self.feed
+                        .push(Event::EntryRemoved(server, origin.stable_for));
+                }
                 return;
             }
             ItemContent::Routes(table) => {
@@ -184,19 +188,17 @@
                     self.kind
                 );
                 // Its earlier content no longer holds, and the present one is not known.
-                self.push_server_removed(&name, origin);
+                if let Some(server) = self.server_name(&name) {
+                    self.feed.push(Event::EntryMissing(server));
+                }
             }
         }
         state.names.insert(name);
     }
 
-    /// Notifies the relay that a server is removed; does nothing for other kinds.
-    fn push_server_removed(&self, name: &str, origin: &Origin) {
-        if self.kind == DirectoryKind::Servers
-            && let Ok(server) = name.parse::<ServerName>()
-        {
-            log::info!("event=server-unlisted name={server} {origin}");
-            self.feed.push(Event::EntryMissing(server));
-        }
+    /// Returns the server that an object with this name stands for; `None` for other kinds.
+    fn server_name(&self, name: &str) -> Option<ServerName> {
+        let is_server = self.kind == DirectoryKind::Servers;
+        name.parse().ok().filter(|_| is_server)
     }
 }
--- a/crates/edge/src/register/answers.rs
+++ b/crates/edge/src/register/answers.rs
@@ -15,6 +15,7 @@
 
 use crate::directory::DirectoryKind;
 use crate::register::Register;
+use crate::register::as_millis;
 use crate::register::cache::Objects;
 use crate::register::wire::PLATFORM_STATUS;
 use crate::register::wire::PeerListing;
@@ -120,6 +121,7 @@
             at: objects.at.number,
             items: objects.items,
             heard_ms: self.last_contact_ms(),
+            stable_ms: as_millis(self.stable_for()),
         }
     }
 
@@ -128,14 +130,15 @@
         known.filter(|_| self.is_platform_reachable.load(Ordering::Relaxed))
     }
 
-    /// Answers a query for changes once there are any, or with none after `wait`.
+    /// Answers a query for changes once there are any, or with none after `wait` or once this VM becomes overdue.
     async fn answer_changes(
         &self,
         kind: DirectoryKind,
         after: ChangesAfter,
         wait: Duration,
     ) -> Response<Full<Bytes>> {
-        let until = Instant::now() + wait;
+        let start = Instant::now();
+        let until = start + wait;
         let mut revision = self.cache.subscribe(kind);
         let era = after.era.unwrap_or(revision.borrow().era);
         let after = Revision::new(era, after.number);
@@ -144,11 +147,14 @@
             let Some(changed) = self.cache.changes_since(kind, after) else {
                 return empty_response(StatusCode::GONE);
             };
-            if !changed.items.is_empty() || Instant::now() >= until {
+            // A VM that is overdue already as the query arrives has told the peer so before.
+            let overdue_at = Some(self.overdue_at()).filter(|at| *at > start);
+            let end = overdue_at.map_or(until, |at| at.min(until));
+            if !changed.items.is_empty() || Instant::now() >= end {
                 return json_response(&self.peer_objects(changed));
             }
-            // After the timeout the answer is empty.
-            drop(tokio::time::timeout_at(until, revision.changed()).await);
+            // After the timeout the answer is empty, unless the platform has answered this VM meanwhile.
+            drop(tokio::time::timeout_at(end, revision.changed()).await);
         }
     }
 }
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -65,13 +65,11 @@
                     }
                 }
                 RegisterSource::Peer(vm) => {
-                    match self
-                        .watch_peer(&vm, kind, after, self.peer_watch_wait)
-                        .await
-                    {
-                        Ok(changes) => changes,
-                        Err(e) if e.kind() == ErrorKind::NotFound => return Err(e),
-                        Err(e) => {
+                    match self.watch_while_followed(&vm, kind, after).await {
+                        None => continue,
+                        Some(Ok(changes)) => changes,
+                        Some(Err(e)) if e.kind() == ErrorKind::NotFound => return Err(e),
+                        Some(Err(e)) => {
                             self.on_peer_failed(&vm, &e);
                             continue;
                         }
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -22,6 +22,7 @@
 use std::time::Duration;
 
 use gs_actor::lock;
+use gs_follow::OutageTracker;
 use gs_follow::RegisterSource;
 use gs_follow::SourceSelector;
 use gs_follow::WatchRenewal;
@@ -39,6 +40,7 @@
 use crate::directory::Directory;
 use crate::directory::DirectoryKind;
 use crate::directory::Listing;
+use crate::directory::Origin;
 use crate::register::cache::RegisterCache;
 
 /// How long after its start this VM waits for the list of VMs before it queries the register directly, and retries
@@ -61,6 +63,7 @@
     is_platform_reachable: AtomicBool,
     /// When the platform last answered.
     last_contact: Mutex<Instant>,
+    outage_tracker: Mutex<OutageTracker>,
     /// When the other peers were last queried because the followed one was overdue.
     peers_polled_at: Mutex<Option<Instant>>,
     /// When this VM last called the platform because a peer asked whether it reaches it.
@@ -98,6 +101,7 @@
             era: watch::channel(None).0,
             is_platform_reachable: AtomicBool::new(false),
             last_contact: Mutex::new(Instant::now()),
+            outage_tracker: Mutex::default(),
             peers_polled_at: Mutex::default(),
             probed_at: tokio::sync::Mutex::default(),
             cache: RegisterCache::default(),
@@ -153,11 +157,34 @@
     fn on_era(&self, era: Option<StoreEra>) {
         self.era.send_if_modified(|known| {
             let is_later = *known < era;
+            if is_later && known.is_some() {
+                lock(&self.outage_tracker).on_restored(now());
+            }
             *known = era.max(*known);
             is_later
         });
     }
 
+    /// Records what a peer that this VM follows reports of the platform.
+    fn on_peer_report(&self, origin: &Origin) {
+        let now = now();
+        let before = |age: Duration| now.checked_sub(age).unwrap_or(now);
+        lock(&self.outage_tracker).on_report(before(origin.contact_age), before(origin.stable_for));
+    }
+
+    /// Returns how long the platform has been answering without an outage.
+    fn stable_for(&self) -> Duration {
+        lock(&self.outage_tracker).stable_for(now())
+    }
+
+    /// Returns the origin of an answer of the platform to this VM.
+    fn platform_origin(&self) -> Origin {
+        Origin {
+            stable_for: self.stable_for(),
+            ..Origin::default()
+        }
+    }
+
     /// Counts a call to the platform, and records whether the platform answered it.
     ///
     /// A follower learns of a new era from its peer, which lists the new contents first.
@@ -170,6 +197,7 @@
             .store(!is_unreachable, Ordering::Relaxed);
         if !is_unreachable {
             *lock(&self.last_contact) = Instant::now();
+            lock(&self.outage_tracker).on_answer(now());
         }
         if !matches!(&*self.source.borrow(), RegisterSource::Peer(_)) {
             self.on_era(*self.platform.eras().borrow());
@@ -179,8 +207,7 @@
 
     /// Returns the time since the platform last answered, in milliseconds.
     fn last_contact_ms(&self) -> u64 {
-        // A process runs for far less than 2^64 ms.
-        lock(&self.last_contact).elapsed().as_millis() as u64
+        as_millis(lock(&self.last_contact).elapsed())
     }
 
     /// Returns whether the source timeout is not yet over.
@@ -209,12 +236,13 @@
     /// [`ErrorKind::Unavailable`] if the answer is of an earlier era than what this VM knows, as one that arrives after
     /// the store was restored.
     async fn list_platform(&self, kind: DirectoryKind) -> Result<Listing> {
-        let listing = self.record_platform_call(self.platform.list(kind).await)?;
+        let mut listing = self.record_platform_call(self.platform.list(kind).await)?;
         let known = self.cache.revision(kind);
         if listing.at.era < known.era {
             let text = format!("listed at {}, older than {known}", listing.at);
             return Err(Error::new(ErrorKind::Unavailable, text).at(format!("list {kind}")));
         }
+        listing.origin = self.platform_origin();
         Ok(listing)
     }
 
@@ -236,7 +264,11 @@
         let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > after.era);
         tokio::select! {
             result = self.watch_until_answered(kind, after, wait) => {
-                Some(result.and_then(|changes| same_era(changes, after)))
+                let changes = result.and_then(|changes| same_era(changes, after));
+                Some(changes.map(|changes| Changes {
+                    origin: self.platform_origin(),
+                    ..changes
+                }))
             }
             Ok(_) = eras.wait_for(is_later) => Some(Err(other_era(after))),
             Ok(_) = rx.wait_for(is_peer) => None,
@@ -266,6 +298,11 @@
     Error::new(ErrorKind::NotFound, text).at("watch")
 }
 
+/// Returns a time in whole milliseconds; a process runs for far less than 2^64 of them.
+fn as_millis(d: Duration) -> u64 {
+    d.as_millis() as u64
+}
+
 /// Returns the present time in the type that the state machines use.
 pub(crate) fn now() -> std::time::Instant {
     Instant::now().into_std()
--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -8,8 +8,10 @@
 
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use gs_actor::lock;
+use gs_follow::OVERDUE_THRESHOLD;
 use gs_follow::PEER_PROBE_TIMEOUT;
 use gs_follow::SourceSelector;
 use gs_follow::is_overdue;
@@ -72,24 +74,29 @@
         result.is_ok()
     }
 
-    /// Queries all peers at the same time for their last contact to the platform; returns the most preferred one that
-    /// had a recent one, and those that answered but had none.
+    /// Queries all peers at the same time for their last contact to the platform; returns the first one that answers
+    /// and had a recent one, and those that answered before it but had none.
     async fn query_peer_contacts(&self) -> (Option<PeerVm>, Vec<PeerVm>) {
         let peers = lock(&self.selector).peers_to_query(now());
-        let queries = peers
-            .iter()
-            .map(|vm| self.query_peer::<PlatformStatus>(vm, PLATFORM_STATUS, Duration::ZERO));
-        let answers = join_all(queries).await;
-        let mut current = None;
+        let query = |vm: PeerVm| async move {
+            let status = self.query_peer::<PlatformStatus>(&vm, PLATFORM_STATUS, Duration::ZERO);
+            (status.await, vm)
+        };
+        let mut answers: FuturesUnordered<_> = peers.into_iter().map(query).collect();
         let mut overdue = Vec::new();
-        for (vm, answer) in peers.into_iter().zip(answers) {
+        while let Some((answer, vm)) = answers.next().await {
             match answer {
-                Ok(status) if is_current(&status) => current = current.or(Some(vm)),
+                Ok(status) if is_current(&status) => return (Some(vm), overdue),
                 Ok(_) => overdue.push(vm),
                 Err(e) => self.on_peer_failed(&vm, &e),
             }
         }
-        (current, overdue)
+        (None, overdue)
+    }
+
+    /// Returns when this VM is overdue unless the platform answers it before.
+    pub(super) fn overdue_at(&self) -> Instant {
+        *lock(&self.last_contact) + OVERDUE_THRESHOLD
     }
 
     /// Calls the platform if it has not answered for long, so that a peer that asks learns whether it does now.
--- a/crates/edge/src/register/peer_queries.rs
+++ b/crates/edge/src/register/peer_queries.rs
@@ -5,6 +5,7 @@
 
 use gs_actor::lock;
 use gs_follow::PEER_ANSWER_TIMEOUT;
+use gs_follow::RegisterSource;
 use gs_follow::SourceSelector;
 use gs_relay::PeerVm;
 use gs_relay::Verdict;
@@ -75,9 +76,11 @@
             let text = "the peer knows an older revision than this VM";
             return Err(Error::new(ErrorKind::Unavailable, text).from_peer(vm.name.to_string()));
         }
+        let origin = answer.origin(vm);
+        self.on_peer_report(&origin);
         Ok(Some(Listing {
             at,
-            origin: answer.origin(vm),
+            origin,
             items: answer.items.into_iter().map(Item::from).collect(),
         }))
     }
@@ -100,16 +103,34 @@
         let Revision { era, number } = after;
         let what = format!("{kind}?era={era}&after={number}&wait-ms={wait_ms}");
         let answer: PeerObjects = self.query_peer(vm, &what, wait).await?;
+        let origin = answer.origin(vm);
+        self.on_peer_report(&origin);
         if answer.items.is_empty() {
             self.check_overdue(vm, answer.heard_ms).await;
         }
         Ok(Changes {
             at: answer.revision().max(after),
-            origin: answer.origin(vm),
+            origin,
             items: answer.items.into_iter().map(Item::from).collect(),
         })
     }
 
+    /// Queries a peer for changes; returns `None` once this VM follows another source.
+    pub(super) async fn watch_while_followed(
+        &self,
+        vm: &PeerVm,
+        kind: DirectoryKind,
+        after: Revision,
+    ) -> Option<Result<Changes>> {
+        let mut source = self.source.subscribe();
+        let is_other = |source: &RegisterSource| !source.is_peer(vm);
+        tokio::select! {
+            biased;
+            result = self.watch_peer(vm, kind, after, self.peer_watch_wait) => Some(result),
+            Ok(_) = source.wait_for(is_other) => None,
+        }
+    }
+
     /// Waits for the retry interval of a list query; returns `false` at once if the time for retries is over.
     ///
     /// A peer that starts together with this VM is given longer.
--- a/crates/edge/src/register/wire.rs
+++ b/crates/edge/src/register/wire.rs
@@ -89,6 +89,7 @@
         Origin {
             peer: Some(vm.name.clone()),
             contact_age: Duration::from_millis(self.heard_ms),
+            stable_for: Duration::from_millis(self.stable_ms),
         }
     }
 }
@@ -104,6 +105,10 @@
     pub(crate) items: Vec<Named>,
     /// The time since the register last answered the peer, in milliseconds.
     pub(crate) heard_ms: u64,
+    /// How long the register has been answering without an outage, in milliseconds; 0 in answers of releases that do
+    /// not track outages.
+    #[serde(default)]
+    pub(crate) stable_ms: u64,
 }
 
 /// The answer to a query for all objects of a kind.
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! [`candidates()`] ranks the VMs, [`SourceSelector`] is the state machine that chooses whom to follow,
 //! [`PollSchedule`] schedules the polls of the list of VMs, [`WatchRenewal`] limits how long an unanswered watch is
-//! trusted, [`CarriedVms`] completes lists of a restored store, and [`Mirror`] holds the known objects of one kind and
+//! trusted, [`OutageTracker`] tells an outage of the register from a partition, [`CarriedVms`] completes lists of a restored store, and [`Mirror`] holds the known objects of one kind and
 //! their changes, for followers.
 //!
 //! ```
@@ -22,6 +22,7 @@
 mod candidates;
 mod carried_vms;
 mod mirror;
+mod outage_tracker;
 mod overdue;
 mod poll_schedule;
 mod source_selector;
@@ -32,6 +33,7 @@
 pub use carried_vms::CarriedVms;
 pub use carried_vms::reannouncement_delay;
 pub use mirror::Mirror;
+pub use outage_tracker::OutageTracker;
 pub use overdue::OVERDUE_THRESHOLD;
 pub use overdue::PEER_ANSWER_TIMEOUT;
 pub use overdue::PEER_PROBE_TIMEOUT;
--- a/crates/follow/src/overdue.rs
+++ b/crates/follow/src/overdue.rs
@@ -1,14 +1,13 @@
 //! The times after which a follower notices that its peer is partitioned from the register.
 //!
 //! A change must be in force at a follower within seconds although its peers were partitioned just before it. The
-//! stages add up: the peer's last contact becomes too old ([`OVERDUE_THRESHOLD`]), the peer's next answer to a watch
-//! shows it ([`peer_watch_wait`]), all candidates are queried ([`PEER_ANSWER_TIMEOUT`]), and this VM calls the register
-//! and lists.
+//! stages add up: the peer's last contact becomes too old ([`OVERDUE_THRESHOLD`]), which it tells the VMs that watch it
+//! at once, all candidates are queried ([`PEER_ANSWER_TIMEOUT`]), and if none reaches the register, this VM calls it.
 
 use std::time::Duration;
 
 /// The age of the last contact to the register at which a peer is overdue: longer than a heartbeat and its answer take.
-pub const OVERDUE_THRESHOLD: Duration = Duration::from_secs(2);
+pub const OVERDUE_THRESHOLD: Duration = Duration::from_millis(1500);
 
 /// The timeout of a query to a peer on top of the time that it may wait; peers are in the same data centre.
 pub const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/follow/src/poll_schedule.rs
+++ b/crates/follow/src/poll_schedule.rs
@@ -15,7 +15,7 @@
 /// The time from the start of one round to the start of the next. Each round shows whether the register is reachable:
 /// a watch that stopped receiving changes in an outage is restarted after it. A watch that is lost in an outage between
 /// two rounds is restarted by [`WatchRenewal`](crate::WatchRenewal).
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1500);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1200);
 
 /// The rounds of a VM: each checks whether the register is reachable, and some also poll the list of VMs.
 ///
--- a/crates/follow/src/source_selector.rs
+++ b/crates/follow/src/source_selector.rs
@@ -42,6 +42,14 @@
     Peer(PeerVm),
 }
 
+impl RegisterSource {
+    /// Returns whether this peer is the source.
+    #[must_use]
+    pub fn is_peer(&self, vm: &PeerVm) -> bool {
+        matches!(self, Self::Peer(followed) if followed.name == vm.name)
+    }
+}
+
 /// Chooses the source from which a VM learns the register's contents.
 #[derive(Clone, Debug)]
 pub struct SourceSelector {
--- a/crates/follow/tests/follow/main.rs
+++ b/crates/follow/tests/follow/main.rs
@@ -3,7 +3,9 @@
 mod candidates;
 mod carried_vms;
 mod fixtures;
+mod leaving_servers;
 mod mirror;
+mod outage_tracker;
 mod overdue;
 mod poll_schedule;
 mod source_selector;
--- a/crates/follow/tests/follow/poll_schedule.rs
+++ b/crates/follow/tests/follow/poll_schedule.rs
@@ -39,7 +39,7 @@
 fn rounds_are_at_most_a_heartbeat_interval_apart(#[values(true, false)] first_start: bool) {
     let times = rounds(first_start);
     let apart = times.windows(2).map(|w| w[1].0 - w[0].0);
-    assert_eq!(apart.max(), Some(Duration::from_millis(1500)));
+    assert_eq!(apart.max(), Some(Duration::from_millis(1200)));
 }
 
 #[test]
@@ -63,7 +63,7 @@
     now += schedule.time_to_next(now);
     assert!(schedule.begin_round(now));
     schedule.on_list_polled(false);
-    assert_eq!(schedule.time_to_next(now), Duration::from_millis(1500));
+    assert_eq!(schedule.time_to_next(now), Duration::from_millis(1200));
     assert!(schedule.begin_round(now + schedule.time_to_next(now)));
 }
 
--- a/crates/relay/src/coalesce_delay.rs
+++ b/crates/relay/src/coalesce_delay.rs
@@ -8,10 +8,13 @@
 /// The shortest delay after a poll that returned changes.
 const DELAY_MIN: Duration = Duration::from_millis(200);
 
-/// Fraction of the drain time of a leaving server that a delay may take: together with the time for
-/// which a server with a missing entry is kept, it stays within the drain time.
+/// Fraction of the drain time of a leaving server that a delay may take.
 const DELAY_MAX_FRACTION: f64 = 0.4;
 
+/// The part of the drain time that no delay may take: a VM that learns of changes from another one
+/// needs it to notice that the other one was partitioned during the delay.
+const PARTITION_NOTICE_MAX: Duration = Duration::from_millis(2100);
+
 /// Fraction of the longest delay with which delays begin. Changes come in series, when servers are
 /// replaced in turn or an index is repartitioned; with a short initial delay, each series would
 /// cost every VM one more call for each doubling.
@@ -42,7 +45,10 @@
     /// `first_start` allows the longer delays of a fleet that starts for the first time.
     #[must_use]
     pub fn new(drain: Duration, first_start: bool) -> Self {
-        let delay_max = drain.mul_f64(DELAY_MAX_FRACTION).max(DELAY_MIN);
+        let delay_max = drain
+            .mul_f64(DELAY_MAX_FRACTION)
+            .min(drain.saturating_sub(PARTITION_NOTICE_MAX))
+            .max(DELAY_MIN);
         Self {
             delay_max,
             start_delay_max: if first_start {
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -61,8 +61,10 @@
     Table(Arc<RouteTable>),
     /// A server registered itself or renewed its entry with changes.
     Server(Arc<ServerEntry>),
-    /// A server's entry is no longer in the register, or cannot be read.
+    /// A server's entry is not known, as it cannot be read or the register was restored.
     EntryMissing(ServerName),
+    /// The register removed a server's entry, after it had been answering without an outage for this long.
+    EntryRemoved(ServerName, Duration),
     /// Whether the register, the source of routes and servers, is reachable.
     RegisterReachable(bool),
     /// The announced VMs, this one included.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -120,6 +120,7 @@
 pub use options::ANSWER_CPU_TIME;
 pub use options::ANSWER_NETWORK_MARGIN;
 pub use options::RelayOptions;
+pub use options::is_removal_final;
 pub use outcome::FailReason;
 pub use outcome::MissingPart;
 pub use outcome::Outcome;
--- a/crates/relay/src/options.rs
+++ b/crates/relay/src/options.rs
@@ -62,7 +62,15 @@
 
 /// How long it is kept after an outage: entries that lapsed are registered again within two
 /// seconds, and become visible here a little later.
-const OUTAGE_REMOVAL_DELAY: Duration = Duration::from_millis(2200);
+const LAPSED_ENTRY_RETURN: Duration = Duration::from_millis(2200);
+
+/// Returns whether a server whose entry the register removed has left, and its entry did not lapse.
+///
+/// `stable_for` is how long the register has been answering without an outage.
+#[must_use]
+pub fn is_removal_final(stable_for: Duration) -> bool {
+    stable_for >= LAPSED_ENTRY_RETURN
+}
 
 impl RelayOptions {
     /// Returns how long a server with a missing entry is kept.
@@ -73,7 +81,7 @@
     #[must_use]
     pub fn removal_delay(&self, may_have_lapsed: bool) -> Duration {
         if may_have_lapsed {
-            return OUTAGE_REMOVAL_DELAY;
+            return LAPSED_ENTRY_RETURN;
         }
         self.drain
             .mul_f64(REMOVAL_DELAY_FRACTION)
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -10,6 +10,7 @@
 use crate::connection_shares::ConnectionShares;
 use crate::entry::Availability;
 use crate::entry::ServerEntry;
+use crate::options::is_removal_final;
 use crate::relay::Core;
 use crate::table::RouteTable;
 
@@ -132,6 +133,23 @@
         });
     }
 
+    /// Handles the removal of a register entry: removes the server immediately, unless its entry may have lapsed in an
+    /// outage.
+    pub(crate) fn on_server_entry_removed(
+        &mut self,
+        now: Instant,
+        name: ServerName,
+        stable_for: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        if !is_removal_final(stable_for) {
+            self.on_server_entry_missing(now, name, out);
+        } else if self.servers.by_name(&name).is_some() {
+            self.missing_servers.remove(&name);
+            self.remove(now, &name, out);
+        }
+    }
+
     /// Handles a missing register entry: removes the server immediately if it was leaving,
     /// otherwise after a delay.
     pub(crate) fn on_server_entry_missing(
@@ -150,7 +168,8 @@
                     "event=server-kept name={name} for_ms={} may_have_lapsed={may_have_lapsed}",
                     delay.as_millis()
                 );
-                self.missing_servers.insert(name, now + delay);
+                // A second list that lacks the entry does not postpone the removal.
+                self.missing_servers.entry(name).or_insert(now + delay);
             }
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -192,6 +192,10 @@
             Event::Table(table) => self.core.on_route_table(now, table, out),
             Event::Server(entry) => self.core.on_server_entry(now, entry, out),
             Event::EntryMissing(name) => self.core.on_server_entry_missing(now, name, out),
+            Event::EntryRemoved(name, stable_for) => {
+                self.core
+                    .on_server_entry_removed(now, name, stable_for, out);
+            }
             Event::Verdicts(verdicts, origin) => {
                 self.core.on_verdicts(now, verdicts, origin, out);
             }
--- a/crates/relay/tests/relay/invariants.rs
+++ b/crates/relay/tests/relay/invariants.rs
@@ -227,11 +227,16 @@
         let service = *SERVICES.choose(&mut self.rng).expect("a service");
         let zone = *[HERE, THERE].choose(&mut self.rng).expect("a zone");
         let mut changed = server(service, zone);
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..5) {
             0 => {
                 self.w.on(Event::EntryMissing(changed.name));
                 return;
             }
+            4 => {
+                let stable_for = ms(self.rng.random_range(0..5000));
+                self.w.on(Event::EntryRemoved(changed.name, stable_for));
+                return;
+            }
             1 => changed.availability = Availability::Draining,
             2 => changed.born = Some(Incarnation(self.rng.random_range(1..5))),
             _ => {}
--- a/crates/relay/tests/relay/register.rs
+++ b/crates/relay/tests/relay/register.rs
@@ -1,6 +1,7 @@
 //! Tests of servers whose register entries disappear and return.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use gs_relay::Availability;
 use gs_relay::Event;
@@ -88,6 +89,54 @@
     assert_eq!(w.busy_servers(), Vec::<&str>::new());
 }
 
+/// Returns the event for an entry that the register removed, after it had been answering for this long.
+fn entry_removed(name: &str, stable_for: Duration) -> Event {
+    Event::EntryRemoved(name.parse().expect("a name"), stable_for)
+}
+
+/// Prevents a server that has left from being used as if its entry might come back, although the register was answering
+/// all the while.
+#[test]
+fn a_server_that_a_stable_register_removed_is_not_used() {
+    let mut w = world();
+    w.on(entry_removed("a", ms(60_000)));
+    w.arrive("/one/x", ms(8000));
+    assert_eq!(w.busy_servers(), Vec::<&str>::new());
+}
+
+/// Prevents a shard from losing all its servers just after an outage of which this VM did not learn.
+#[test]
+fn a_server_that_is_removed_just_after_an_outage_is_kept() {
+    let mut w = world();
+    w.on(entry_removed("a", ms(2100)));
+    w.advance(ms(1100));
+    w.arrive("/one/x", ms(8000));
+    assert_eq!(w.busy_servers(), ["a"]);
+}
+
+/// Prevents a removal that is certain from waiting for the end of an earlier delay.
+#[test]
+fn a_missing_server_is_removed_once_the_register_is_stable() {
+    let mut w = world();
+    w.on(entry_missing("a"));
+    w.advance(ms(100));
+    w.on(entry_removed("a", ms(60_000)));
+    w.arrive("/one/x", ms(8000));
+    assert_eq!(w.busy_servers(), Vec::<&str>::new());
+}
+
+/// Prevents a list that lacks an entry again from extending the time for which its server is used.
+#[test]
+fn a_second_list_without_an_entry_does_not_postpone_the_removal() {
+    let mut w = world();
+    for _ in 0..4 {
+        w.on(entry_missing("a"));
+        w.advance(ms(400));
+    }
+    w.arrive("/one/x", ms(8000));
+    assert_eq!(w.busy_servers(), Vec::<&str>::new());
+}
+
 #[test]
 fn a_server_whose_entry_returns_in_time_stays() {
     let mut w = world();
--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -259,3 +259,43 @@
     let route = add_route(&mut r, "/new/");
     wait_until_in_force(&mut r, &all_but(&[]), &route).await;
 }
+
+/// The server of the data centre of [`FOLLOWERS`] that is removed, which its VMs prefer.
+const LEAVING_SERVER: &str = "i-desk-0";
+
+/// How long a removed server continues to serve.
+const DRAIN: Duration = Duration::from_secs(3);
+
+/// Time in which each follower sends many requests.
+const LATE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Prevents followers from using a server that has left: their direct VM is partitioned just before the removal, and the
+/// time until they notice and the time for which a missing entry is kept add up.
+#[rstest]
+#[case::one(&[DIRECT_VMS[0]])]
+#[case::the_other(&[DIRECT_VMS[1]])]
+#[case::both(&DIRECT_VMS)]
+#[tokio::test]
+async fn followers_of_partitioned_direct_vms_do_not_use_a_removed_server_for_too_long(
+    #[case] partitioned: &[usize],
+    #[values(0, 400, 800)] phase_ms: u64,
+) {
+    let mut r = start_followed_site().await;
+    tokio::time::sleep(Duration::from_millis(phase_ms)).await;
+    for vm in partitioned {
+        r.site.store_links[*vm].set_fault(LinkFault::Silent);
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    r.site.store.delete("servers", LEAVING_SERVER);
+    tokio::time::sleep(DRAIN).await;
+    r.clear_runs();
+    let route = r.route("/once/");
+    let end = Instant::now() + LATE_PERIOD;
+    while Instant::now() < end {
+        for vm in FOLLOWERS {
+            r.request(vm, &route).await;
+        }
+    }
+    let lines = || r.log_lines(&["event=register-", "event=directory-", "event=server-"]);
+    assert!(!r.busy_servers().contains(LEAVING_SERVER), "{}", lines());
+}
