test(relay): the third poll of a VM comes after its fourth heartbeat

an_outage_between_two_of_the_first_polls_is_detected waits for a moment that it describes by counts of calls: the third poll of the list of VMs and the heartbeat after it. It was not run before and timed out on it, as with heartbeats every 1.2 s one of them falls between the second poll (1.0 s) and the third (2.5 s). The moment, the outage and the bound of the test are the same.

--- a/tests/relay/store.rs
+++ b/tests/relay/store.rs
@@ -128,14 +128,15 @@
 #[tokio::test]
 async fn an_outage_between_two_of_the_first_polls_is_detected() {
     let mut r = start_site_with(1).await;
+    // One heartbeat falls between the second poll and the third.
     r.wait_until("the third poll and its heartbeat", |r| {
-        r.count_calls(VM_LIST_CALL) == 3 && r.count_calls(HEARTBEAT_CALL) == 3
+        r.count_calls(VM_LIST_CALL) == 3 && r.count_calls(HEARTBEAT_CALL) == 4
     })
     .await;
     let start = Instant::now();
     change_during_lost_watch(&mut r, StoreFault::Silent).await;
     r.wait_until("an unanswered heartbeat, or the end of the outage", |r| {
-        r.count_calls(HEARTBEAT_CALL) > 3 || start.elapsed() >= POLL_GAP
+        r.count_calls(HEARTBEAT_CALL) > 4 || start.elapsed() >= POLL_GAP
     })
     .await;
     r.site.store.set_fault(StoreFault::None);
