fix(edge): repeat an unanswered read of the store over a new connection

Work that the server had when it ended was lost.

Cause: any failed call was an outage of the store. A heartbeat that stayed unanswered for 1.5 s began one, which the next call ended 1 ms later on a new connection. The watches were begun again only then, and entries that were missing in the list counted as lapsed and were kept for 2.2 s.

Ruled out: a second dead connection, and watches that become overdue.

Change: a heartbeat, a poll of the list of VMs or a check of the store that is unanswered after 250 ms is made again over a new connection. If that one is answered first, the open connections are silent: the watches are begun again from their revision, and no outage begins.

The waited= of watch-overdue is rounded.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -119,6 +119,11 @@
     /// All answers name it, refusals too, so a restore is noticed by the next call of any kind.
     fn eras(&self) -> watch::Receiver<Option<StoreEra>>;
 
+    /// Makes the calls that follow over new connections; calls in flight keep theirs.
+    ///
+    /// For connections that went silent, which only an unanswered call shows.
+    fn reconnect(&self);
+
     /// Lists all present objects of a kind.
     ///
     /// # Errors
--- a/crates/edge/src/register/directory.rs
+++ b/crates/edge/src/register/directory.rs
@@ -27,6 +27,10 @@
         self.era.subscribe()
     }
 
+    fn reconnect(&self) {
+        self.platform.reconnect();
+    }
+
     async fn list(&self, kind: DirectoryKind) -> Result<Listing> {
         let start = Instant::now();
         loop {
@@ -105,7 +109,7 @@
             }
             PeersPlatformStatus::Unreachable(peers) => peers,
         };
-        let verdicts = self.record_platform_call(self.platform.quarantined().await)?;
+        let verdicts = self.read_platform(|| self.platform.quarantined()).await?;
         if !self.may_use_platform(&unreachable_peers) {
             return Err(platform_unreachable("all candidate peers"));
         }
@@ -134,7 +138,7 @@
                     Err(e) => self.on_peer_failed(&vm, &e),
                 },
                 RegisterSource::Undecided | RegisterSource::Register => {
-                    let result = self.record_platform_call(self.platform.vms().await);
+                    let result = self.read_platform(|| self.platform.vms()).await;
                     break result.inspect_err(|_| self.cache.hide_vms())?;
                 }
             }
--- a/crates/edge/src/register/mod.rs
+++ b/crates/edge/src/register/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod overdue;
 mod peer_queries;
+mod repeated_reads;
 mod report;
 mod watch_renewal;
 mod wire;
@@ -66,6 +67,8 @@
     outage_tracker: Mutex<OutageTracker>,
     /// When the other peers were last queried because the followed one was overdue.
     peers_polled_at: Mutex<Option<Instant>>,
+    /// How often connections to the platform were found to be silent, for the watches on them.
+    reconnects: watch::Sender<u64>,
     /// When this VM last called the platform because a peer asked whether it reaches it.
     probed_at: tokio::sync::Mutex<Option<Instant>>,
     cache: RegisterCache,
@@ -103,6 +106,7 @@
             last_contact: Mutex::new(Instant::now()),
             outage_tracker: Mutex::default(),
             peers_polled_at: Mutex::default(),
+            reconnects: watch::channel(0).0,
             probed_at: tokio::sync::Mutex::default(),
             cache: RegisterCache::default(),
             peer_watch_wait: peer_watch_wait(opts.drain),
--- a/crates/edge/src/register/overdue.rs
+++ b/crates/edge/src/register/overdue.rs
@@ -62,12 +62,11 @@
 
     /// Returns whether the platform answers a call in time.
     async fn probe(&self, timeout: Duration) -> bool {
-        let call = tokio::time::timeout(timeout, self.platform.quarantined());
-        let Ok(result) = call.await else {
+        let read = self.read_platform(|| self.platform.quarantined());
+        let Ok(result) = tokio::time::timeout(timeout, read).await else {
             log::info!("event=register-probe-failed error=\"no answer within {timeout:?}\"");
             return false;
         };
-        let result = self.record_platform_call(result);
         if let Err(e) = &result {
             log::info!("event=register-probe-failed error=\"{e}\"");
         }
--- a/crates/edge/src/register/watch_renewal.rs
+++ b/crates/edge/src/register/watch_renewal.rs
@@ -6,6 +6,7 @@
 
 use gs_follow::WatchRenewal;
 use gs_types::prelude::*;
+use tokio::time::Instant;
 
 use crate::directory::Changes;
 use crate::directory::DirectoryKind;
@@ -17,7 +18,7 @@
 impl Register {
     /// Waits for changes of a kind, for at most `wait` if the platform answers in time.
     ///
-    /// An overdue watch still counts until the one after it is overdue too: a slow platform answers late.
+    /// The watch is begun again once it is overdue, or its connection may be silent like that of another call. An overdue watch still counts until the one after it is overdue too: a slow platform answers late.
     pub(super) async fn watch_until_answered(
         &self,
         kind: DirectoryKind,
@@ -27,32 +28,37 @@
         let since_change = self.cache.time_since_change(kind);
         let wait = wait.min(self.watch_renewal.wait(since_change));
         let limit = WatchRenewal::overdue_after(wait);
+        let mut reconnects = self.reconnects.subscribe();
         let mut earlier = None;
         loop {
+            let start = Instant::now();
             let mut call = self.platform.watch(kind, after, wait);
-            if let Some(result) = first_answer(kind, &mut call, earlier, limit).await {
-                return self.record_platform_call(result);
+            tokio::select! {
+                result = first_answer(kind, &mut call, earlier) => {
+                    return self.record_platform_call(result);
+                }
+                () = tokio::time::sleep(limit) => {}
+                Ok(()) = reconnects.changed() => {}
             }
-            log::info!("event=watch-overdue kind={kind} after={after} waited={limit:?}");
+            let waited = start.elapsed();
+            log::info!("event=watch-overdue kind={kind} after={after} waited={waited:.2?}");
             self.platform_calls.fetch_add(1, Ordering::Relaxed);
             earlier = Some(call);
         }
     }
 }
 
-/// Returns the first result of a watch and an earlier one, or `None` if there is none within `limit`.
+/// Returns the first result of a watch and an earlier one.
 ///
 /// A failure of the earlier one is not a result: it was overdue already.
 async fn first_answer(
     kind: DirectoryKind,
     call: &mut WatchCall<'_>,
     earlier: Option<WatchCall<'_>>,
-    limit: Duration,
-) -> Option<Result<Changes>> {
+) -> Result<Changes> {
     tokio::select! {
-        result = call => Some(result),
-        changes = answer_of_earlier(kind, earlier) => Some(Ok(changes)),
-        () = tokio::time::sleep(limit) => None,
+        result = call => result,
+        changes = answer_of_earlier(kind, earlier) => Ok(changes),
     }
 }
 
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -37,6 +37,7 @@
 pub use overdue::OVERDUE_THRESHOLD;
 pub use overdue::PEER_ANSWER_TIMEOUT;
 pub use overdue::PEER_PROBE_TIMEOUT;
+pub use overdue::READ_REPEAT_DELAY;
 pub use overdue::is_overdue;
 pub use overdue::peer_watch_wait;
 pub use poll_schedule::PollSchedule;
--- a/crates/follow/src/overdue.rs
+++ b/crates/follow/src/overdue.rs
@@ -9,6 +9,9 @@
 /// The age of the last contact to the register at which a peer is overdue: longer than a heartbeat and its answer take.
 pub const OVERDUE_THRESHOLD: Duration = Duration::from_millis(1500);
 
+/// How long a read at the register may stay unanswered before it is made again over a new connection.
+pub const READ_REPEAT_DELAY: Duration = Duration::from_millis(250);
+
 /// The timeout of a query to a peer on top of the time that it may wait; peers are in the same data centre.
 pub const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/follow/tests/follow/leaving_servers.rs
+++ b/crates/follow/tests/follow/leaving_servers.rs
@@ -7,6 +7,7 @@
 use gs_follow::OutageTracker;
 use gs_follow::PEER_ANSWER_TIMEOUT;
 use gs_follow::PollSchedule;
+use gs_follow::READ_REPEAT_DELAY;
 use gs_relay::CoalesceDelay;
 use gs_relay::is_removal_final;
 use rstest::rstest;
@@ -20,6 +21,9 @@
 /// The time that a request takes from a VM to a server.
 const REQUEST_TRANSIT_MAX: Duration = Duration::from_millis(30);
 
+/// The shortest time for which a removed server continues to serve on any site.
+const DRAIN_MIN: Duration = Duration::from_secs(3);
+
 /// The resolution of the simulated phases.
 const STEP: Duration = Duration::from_millis(50);
 
@@ -98,6 +102,34 @@
     (known + REQUEST_TRANSIT_MAX).saturating_sub(at.removal)
 }
 
+/// Returns how long after all open connections to the register have gone silent the last request of a follower reaches a
+/// server that is removed then.
+///
+/// `contact` is the time from the last answer to the silence. A direct VM reads once in each heartbeat interval, and begins
+/// its watches again when a read is answered over a new connection.
+fn last_request_after_silence(contact: Duration) -> Duration {
+    let silence = Instant::now() + STABLE_BEFORE;
+    let read_at = heartbeat_interval().saturating_sub(contact);
+    let answered = read_at + READ_REPEAT_DELAY + REGISTER_ANSWER_MAX;
+    let known = answered + REGISTER_ANSWER_MAX + FOLLOWER_HOP_MAX;
+    let mut tracker = OutageTracker::default();
+    tracker.on_report(silence - contact, silence - STABLE_BEFORE);
+    tracker.on_answer(silence + answered);
+    let stable_for = tracker.stable_for(silence + known);
+    assert!(is_removal_final(stable_for), "{stable_for:?}: {contact:?}");
+    known + REQUEST_TRANSIT_MAX
+}
+
+/// Guards against silent connections that are taken for an outage of the register: noticing them and the time for which
+/// servers are kept after an outage exceed the time after which a VM counts as undisturbed.
+#[test]
+fn a_removed_server_gets_its_last_request_in_time_after_connections_have_gone_silent() {
+    for contact in steps(Duration::ZERO, heartbeat_interval()) {
+        let took = last_request_after_silence(contact);
+        assert!(took < DRAIN_MIN, "{took:?}: {contact:?}");
+    }
+}
+
 /// Guards against stages of detection and of removal whose times together exceed the time for which a removed server
 /// continues to serve.
 #[rstest]
--- a/tests/relay/lost_watch.rs
+++ b/tests/relay/lost_watch.rs
@@ -140,6 +140,35 @@
     r.wait_until_complete(0, &route, CONFIG_APPLY_MAX).await;
 }
 
+/// Prevents VMs from using a server that has left, as silent connections to the store count as an outage in which its entry
+/// may have lapsed.
+#[rstest]
+#[tokio::test]
+async fn a_removed_server_is_not_used_after_open_connections_have_gone_silent(
+    #[values(0, 400, 800)] phase_ms: u64,
+) {
+    let mut r = start_site_with_old_reads(VMS).await;
+    tokio::time::sleep(Duration::from_millis(phase_ms)).await;
+    for link in &r.site.store_links {
+        link.abandon_connections();
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    r.site.store.delete("servers", "i-desk-0");
+    tokio::time::sleep(STABLE_WINDOW).await;
+    r.clear_runs();
+    let route = r.route("/once/");
+    let answers = r.request_all(20, &route).await;
+    assert_all(&answers, is_right);
+    let busy = r.busy_servers();
+    let logs = || r.log_lines(&["event=directory-", "event=watch-", "event=server-"]);
+    assert!(
+        !busy.contains("i-desk-0"),
+        "{busy:?}
+{}",
+        logs()
+    );
+}
+
 /// Prevents VMs from missing a change whose answer to the waiting watches is lost.
 #[tokio::test]
 async fn a_change_is_in_force_in_time_after_the_answers_to_its_watches_are_lost() {
