test(relay): draw what disturbs VMs while a server leaves

This test draws them: a disturbance of the direct VMs or of all connections to the store, the phase of the heartbeats, and a removal in the first second after it. Undisturbed VMs must not use the server later than 3 s after its removal, or 4 s after all connections went silent.

--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -4,6 +4,7 @@
 mod bad_input;
 mod crashing_fan_outs;
 mod crashing_requests;
+mod leaving_servers;
 mod lost_watch;
 mod pages;
 mod register;
