test(relay): a store that becomes slow does not draw the followers

With heartbeats every 1.2 s and a threshold of 1.5 s a direct VM is overdue for a moment when the store begins to take longer than 0.3 s for an answer, and its followers may ask the store themselves. A guard: by reading, the call that an overdue VM makes before it answers covers the moment.

--- a/tests/relay/register.rs
+++ b/tests/relay/register.rs
@@ -299,3 +299,22 @@
     let lines = || r.log_lines(&["event=register-", "event=directory-", "event=server-"]);
     assert!(!r.busy_servers().contains(LEAVING_SERVER), "{}", lines());
 }
+
+/// Prevents all followers from querying a store that has become slow, as their direct VMs are overdue for a moment.
+#[rstest]
+#[tokio::test]
+async fn followers_of_direct_vms_do_not_query_a_store_that_becomes_slow(
+    #[values(300, 400, 470, 500)] slow_ms: u64,
+) {
+    let r = start_followed_site().await;
+    r.site
+        .store
+        .set_fault(StoreFault::Slow(Duration::from_millis(slow_ms)));
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        let direct = (0..VMS).filter(|vm| r.register_source(*vm).as_deref() == Some("register"));
+        let lines = || r.log_lines(&["event=register-", "event=directory-"]);
+        assert_eq!(direct.count(), 2 * DATA_CENTRES, "{}", lines());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
