--- a/crates/edge/src/register/repeated_reads.rs
+++ b/crates/edge/src/register/repeated_reads.rs
@@ -25,6 +25,9 @@
 impl Register {
     /// Makes a read at the platform, and repeats it over a new connection if it is not answered soon.
     ///
+    /// If the repeated call is answered first, the open connections count as silent, and the watches on them are begun
+    /// again.
+    ///
     /// # Errors
     ///
     /// That of the call which fails last.
--- a/crates/edge/src/register/watch_renewal.rs
+++ b/crates/edge/src/register/watch_renewal.rs
@@ -18,7 +18,8 @@
 impl Register {
     /// Waits for changes of a kind, for at most `wait` if the platform answers in time.
     ///
-    /// The watch is begun again once it is overdue, or its connection may be silent like that of another call. An overdue watch still counts until the one after it is overdue too: a slow platform answers late.
+    /// The watch is begun again once it is overdue, or once another call shows that connections went silent. The earlier
+    /// watch still counts until the one after it is overdue too: a slow platform answers late.
     pub(super) async fn watch_until_answered(
         &self,
         kind: DirectoryKind,
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -6,8 +6,8 @@
 //!
 //! [`candidates()`] ranks the VMs, [`SourceSelector`] is the state machine that chooses whom to follow,
 //! [`PollSchedule`] schedules the polls of the list of VMs, [`WatchRenewal`] limits how long an unanswered watch is
-//! trusted, [`OutageTracker`] tells an outage of the register from a partition, [`CarriedVms`] completes lists of a restored store, and [`Mirror`] holds the known objects of one kind and
-//! their changes, for followers.
+//! trusted, [`OutageTracker`] tells an outage of the register from a partition, [`CarriedVms`] completes lists of a
+//! restored store, and [`Mirror`] holds the known objects of one kind and their changes, for followers.
 //!
 //! ```
 //! use gs_follow::Mirror;
--- a/crates/follow/src/outage_tracker.rs
+++ b/crates/follow/src/outage_tracker.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// The shortest outage in which an entry lapses. Servers renew their entries every 1.2 s, and an entry lapses after
-/// three intervals, of which one may have passed before the outage.
+/// The shortest outage in which an entry lapses: servers renew their entries every 1.2 s, and an entry lapses after
+/// three such intervals, of which one may have passed before the outage.
 const LAPSE_OUTAGE_MIN: Duration = Duration::from_millis(2400);
 
 /// How long the register has been answering without an outage, as this VM and the peers that it followed observed.
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -61,7 +61,7 @@
     Table(Arc<RouteTable>),
     /// A server registered itself or renewed its entry with changes.
     Server(Arc<ServerEntry>),
-    /// A server's entry is not known, as it cannot be read or the register was restored.
+    /// A server's entry cannot be read, so its present content is not known.
     EntryMissing(ServerName),
     /// The register removed a server's entry, after it had been answering without an outage for this long.
     EntryRemoved(ServerName, Duration),
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Handles a missing register entry: removes the server immediately if it was leaving,
+    /// Handles a missing or unreadable register entry: removes the server immediately if it was leaving,
     /// otherwise after a delay.
     pub(crate) fn on_server_entry_missing(
         &mut self,
