feat(edge): log how many requests and connections a shutdown leaves

`event=left step=deadline` did not say whether anything was cut at the exit. Both lines of a shutdown now give the open connections and the requests in flight, so that requests cut by the exit (in flight) and by the close (a connection without a request in flight) can be told apart.

--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -102,7 +102,11 @@
             }
         });
         tokio::time::sleep(self.cfg.lag).await;
-        log::info!("event=leaving step=stop-accepting");
+        log::info!(
+            "event=leaving step=stop-accepting connections={} in_flight={}",
+            self.callers.open(),
+            lock(&self.relay).in_flight()
+        );
         let _ = self.stop.send(true);
         let left = self.cfg.deadline.saturating_sub(start.elapsed());
         let drain = async {
@@ -114,7 +118,11 @@
         };
         match tokio::time::timeout(left, drain).await {
             Ok(()) => log::info!("event=left step=finished"),
-            Err(_) => log::warn!("event=left step=deadline hint=\"raise shutdown.deadline\""),
+            Err(_) => log::warn!(
+                "event=left step=deadline connections={} in_flight={} hint=\"raise shutdown.deadline\"",
+                self.callers.open(),
+                lock(&self.relay).in_flight()
+            ),
         }
     }
 }
