test(relay): requests during a shutdown with the stop times of the deployments (red)

The stand-in stopped VMs sooner than the platform does (lag 0.3 s, deadline 4 s) and its routes ended requests after 3 s, so that no request could outlast a shutdown. A site's stop times and route timeouts can be set now, servers can hold requests, and callers say how long they wait.

--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -49,6 +49,8 @@
 pub struct BackendFaults {
     /// Every request is delayed by this duration before it runs.
     pub pause: Option<Duration>,
+    /// Every request is executed for this much longer.
+    pub hold: Option<Duration>,
     /// Every request is refused as not run.
     pub sheds: bool,
     /// Every request is refused as not run when it arrives for the first time.
@@ -272,7 +274,7 @@
             // The process ends, and with it every connection.
             std::future::pending::<()>().await;
         }
-        tokio::time::sleep(self.work).await;
+        tokio::time::sleep(self.work + faults.hold.unwrap_or_default()).await;
         if faults.loses {
             return None;
         }
--- a/crates/rig/src/site/caller.rs
+++ b/crates/rig/src/site/caller.rs
@@ -45,10 +45,17 @@
     pub outcome: CallOutcome,
 }
 
+/// How long a caller waits for an answer unless it says otherwise.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+
+/// The time after its deadline at which a caller gives up.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(500);
+
 /// A caller that reuses its connections.
 #[derive(Clone)]
 pub struct SiteCaller {
     client: Client<HttpConnector, Full<Bytes>>,
+    deadline: Duration,
     traffic: Arc<Traffic>,
 }
 
@@ -71,15 +78,23 @@
         connector.set_nodelay(true);
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
+            deadline: DEFAULT_DEADLINE,
             traffic,
         }
     }
 
+    /// Sets how long it waits for an answer.
+    #[must_use]
+    pub fn with_deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
     /// Sends a request for a route to a VM and checks the answer.
     pub async fn request(&self, vm: SocketAddr, route: &SiteRoute, id: &str) -> Answer {
         let target = format!("{}{id}", route.prefix);
         self.traffic.record_sent(&route.services);
-        let timeout_after = Duration::from_millis(3500);
+        let timeout_after = self.deadline + GIVE_UP_MARGIN;
         let response = tokio::time::timeout(timeout_after, self.try_send(vm, &target, id)).await;
         let outcome = match response {
             Ok(Ok(res)) => check_response(&res, route, &target, id),
@@ -107,7 +122,7 @@
         let req = Request::get(format!("http://{vm}{target}"))
             .header("host", "site.example")
             .header("attempt-id", id)
-            .header("deadline-ms", "3000")
+            .header("deadline-ms", self.deadline.as_millis().to_string())
             .body(Full::default())
             .map_err(|e| CallOutcome::Wrong(e.to_string()))?;
         let failed = |e: hyper_util::client::legacy::Error| match e.is_connect() {
--- a/crates/rig/src/site/config.rs
+++ b/crates/rig/src/site/config.rs
@@ -16,6 +16,8 @@
     pub is_safe: bool,
     /// The objective in milliseconds.
     pub objective_ms: u64,
+    /// The longest time that a request may take, in milliseconds.
+    pub timeout_ms: u64,
 }
 
 /// The operators' configuration in the form that the platform stores.
@@ -54,7 +56,7 @@
         "name": format!("r-{}", r.prefix.trim_matches('/')),
         "hostname": "site.example", "path_prefix": r.prefix,
         "kind": if r.is_safe { "safe" } else { "unsafe" },
-        "timeout_ms": 3000, "goal_ms": r.objective_ms, "priority": 1, "max_attempts": 2,
+        "timeout_ms": r.timeout_ms, "goal_ms": r.objective_ms, "priority": 1, "max_attempts": 2,
     });
     match r.page {
         Some((top, share)) => {
--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -63,3 +63,4 @@
 pub use traffic::Traffic;
 pub use vm::RelayVm;
 pub use vm::RelayVmPlan;
+pub use vm::ShutdownTimes;
--- a/crates/rig/src/site/setup.rs
+++ b/crates/rig/src/site/setup.rs
@@ -27,6 +27,7 @@
 use super::traffic::Traffic;
 use super::vm::RelayVm;
 use super::vm::RelayVmPlan;
+use super::vm::ShutdownTimes;
 
 /// The data centres of a site.
 const ZONES: [&str; 3] = ["east", "west", "south"];
@@ -38,6 +39,15 @@
     slack: 400.0,
 };
 
+/// The longest time that a request may take on a site's first routes, in milliseconds.
+const DEFAULT_ROUTE_TIMEOUT_MS: u64 = 3000;
+
+/// The times of a shutdown that does not hold tests up.
+const SHORT_SHUTDOWN: ShutdownTimes = ShutdownTimes {
+    lag: Duration::from_millis(300),
+    grace: Duration::from_millis(4200),
+};
+
 /// The options of a site.
 #[derive(Builder)]
 pub struct SiteOptions {
@@ -57,6 +67,9 @@
     /// The budget of repeats that all VMs share.
     #[builder(default = DEFAULT_REPEAT_BUDGET)]
     pub repeats: RepeatBudget,
+    /// The times of a VM's shutdown.
+    #[builder(default = SHORT_SHUTDOWN)]
+    pub shutdown: ShutdownTimes,
 }
 
 /// A running site: store, backend servers and VMs.
@@ -133,6 +146,7 @@
         for plan in &mut plans {
             plan.seeds.clone_from(&seeds);
             plan.repeats = site.options.repeats;
+            plan.shutdown = site.options.shutdown;
         }
         for (n, plan) in plans.into_iter().enumerate() {
             let link = FaultProxy::start(site.store.addr()).await?;
@@ -240,6 +254,7 @@
         page,
         is_safe,
         objective_ms: 400,
+        timeout_ms: DEFAULT_ROUTE_TIMEOUT_MS,
     }
 }
 
@@ -253,6 +268,7 @@
         peers,
         seeds: Vec::new(),
         repeats: DEFAULT_REPEAT_BUDGET,
+        shutdown: SHORT_SHUTDOWN,
     })
 }
 
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -38,6 +38,17 @@
     pub seeds: Vec<SocketAddr>,
     /// The budget of repeats that all VMs share.
     pub repeats: RepeatBudget,
+    /// The times of its shutdown.
+    pub shutdown: ShutdownTimes,
+}
+
+/// The times of a VM's shutdown.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownTimes {
+    /// The time for which it accepts connections at least.
+    pub lag: Duration,
+    /// The time from SIGTERM until the platform kills it.
+    pub grace: Duration,
 }
 
 /// A running VM process; killed when dropped.
@@ -188,11 +199,16 @@
         peers,
         seeds,
         repeats,
+        shutdown,
     } = plan;
     let seeds: Vec<String> = seeds.iter().map(|addr| format!("\"{addr}\"")).collect();
     let seeds = seeds.join(", ");
     let RepeatBudget { ratio, slack, .. } = repeats;
     let window_ms = repeats.window.as_millis();
+    let (lag_ms, grace_ms) = (
+        shutdown.lag.as_millis(),
+        shutdown.grace.mul_f64(0.95).as_millis(),
+    );
     format!(
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
@@ -200,7 +216,7 @@
          [platform]\naddr = \"{store}\"\nrenew-every = \"2s\"\n\n\
          [peers]\nseeds = [{seeds}]\n\n\
          [budget]\nextra-ratio = {ratio:?}\nwindow = \"{window_ms}ms\"\nslack = {slack:?}\n\n\
-         [shutdown]\nlag = \"300ms\"\ndeadline = \"4s\"\n\n\
+         [shutdown]\nlag = \"{lag_ms}ms\"\ndeadline = \"{grace_ms}ms\"\n\n\
          [log]\nlevel = \"debug\"\n"
     )
 }
--- a/tests/relay/crashing_fan_outs.rs
+++ b/tests/relay/crashing_fan_outs.rs
@@ -45,6 +45,7 @@
         page: Some((10, SHARE_MIN)),
         is_safe: true,
         objective_ms: 400,
+        timeout_ms: 3000,
     };
     let added = route.clone();
     r.site.configure(|cfg| cfg.routes.push(added));
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -11,6 +11,7 @@
 mod restored_store;
 mod retry_budget;
 mod servers;
+mod shutdown;
 mod soak;
 mod store;
 mod support;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -9,6 +9,7 @@
 use gs_rig::site::CallOutcome;
 use gs_rig::site::DEFAULT_REPEAT_BUDGET;
 use gs_rig::site::RepeatBudget;
+use gs_rig::site::ShutdownTimes;
 use gs_rig::site::Site;
 use gs_rig::site::SiteCaller;
 use gs_rig::site::SiteOptions;
@@ -58,17 +59,43 @@
 
 /// Starts the same with the given budget of repeats that all VMs share.
 pub async fn start_site_with_budget(vms: usize, repeats: RepeatBudget) -> TestSite {
+    start_site_with_options(|bin, dir| {
+        SiteOptions::builder()
+            .bin(bin)
+            .dir(dir)
+            .vms(vms)
+            .repeats(repeats)
+            .build()
+    })
+    .await
+}
+
+/// Starts three VMs with the given times of a shutdown.
+pub async fn start_site_with_shutdown(shutdown: ShutdownTimes) -> TestSite {
+    start_site_with_options(|bin, dir| {
+        SiteOptions::builder()
+            .bin(bin)
+            .dir(dir)
+            .shutdown(shutdown)
+            .build()
+    })
+    .await
+}
+
+/// Starts a site with the options that `options` returns for a program and a folder, and waits until its VMs may repeat
+/// attempts.
+async fn start_site_with_options(
+    options: impl FnOnce(PathBuf, PathBuf) -> SiteOptions,
+) -> TestSite {
     let permit = SITE_PERMITS
         .acquire()
         .await
         .expect("the semaphore stays open");
     let dir = tempfile::tempdir().expect("a folder");
-    let options = SiteOptions::builder()
-        .bin(PathBuf::from(env!("CARGO_BIN_EXE_gentiansill")))
-        .dir(dir.path().to_owned())
-        .vms(vms)
-        .repeats(repeats)
-        .build();
+    let options = options(
+        PathBuf::from(env!("CARGO_BIN_EXE_gentiansill")),
+        dir.path().to_owned(),
+    );
     let site = Site::start(options).await.expect("the site starts");
     for vm in &site.vms {
         let usable = vm.wait_until_slack_is_usable(Duration::from_secs(5)).await;
