fix(edge,relay): answer every request before a stopped VM exits

Callers saw connections closed without a byte when a VM was stopped: GracefulShutdown waited until the deadline and returned, and the end of the runtime ended what was in flight, at-most-once requests among them. From 2.5 s after SIGTERM idle connections and the listener were closed, with 3.2 s of the grace left.

Class: the end of the process was not an event of the relay, so it decided without it. Now it is one: Event::ShutDown gives the time by which every request, present or later, gets its final response, as at its own timeout (a page with enough parts is delivered, 504 if it may have run, 503 only if nothing was sent). A request that cannot be expected to end by then is refused at once (503 with Retry-After, reason=shutting-down) and not sent. All times follow shutdown.grace, which the template reads from grace_s: final responses at 0.9 of it, exit at 0.95 at the latest. The listener and idle connections stay open until then, or until no caller has been connected for a second after the balancer had the time to notice.

shutdown.deadline is replaced by shutdown.grace; shutdown.lag may be left out.

The relay's tests walk the phases: a request arriving each 100 ms of a shutdown, once and safe, silent servers, waiting parts, pages.

--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -8,6 +8,8 @@
 use gs_http::Handler;
 use gs_relay::CallerRequest;
 use gs_relay::Outcome;
+use gs_relay::RefuseReason;
+use gs_relay::SHUTDOWN_RETRY_AFTER;
 use gs_types::prelude::*;
 use http::request::Parts;
 use http_body_util::Full;
@@ -41,13 +43,21 @@
 impl CallerHandler {
     async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, body) = req.into_parts();
-        let body = read_body(body, self.relay_client.body_max()).await;
+        let body = tokio::select! {
+            body = read_body(body, self.relay_client.body_max()) => Some(body),
+            () = self.relay_client.wait_for_final_responses() => None,
+        };
+        let is_complete = body.is_some();
+        let body = body.unwrap_or_else(|| Ok(Bytes::new()));
         let req = match body.and_then(|body| self.codec.read(head, body)) {
             Ok(req) => req,
             Err(e) => return error_response(&e),
         };
         let id = Arc::clone(&req.id);
-        let outcome = self.relay_client.submit(req, None).await;
+        let outcome = match is_complete {
+            true => self.relay_client.submit(req, None).await,
+            false => Outcome::Refused(RefuseReason::ShuttingDown, Some(SHUTDOWN_RETRY_AFTER)),
+        };
         self.codec.write(&id, outcome)
     }
 }
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -193,6 +193,7 @@
             cfg: self.settings.shutdown.clone(),
             state: Arc::clone(&self.state),
             relay: Arc::clone(&self.relay),
+            feed: self.feed.clone(),
             callers: counts,
             stop,
             serving: tokio::spawn(callers.run(Arc::new(handler), stopped)),
--- a/crates/edge/src/relay_client.rs
+++ b/crates/edge/src/relay_client.rs
@@ -107,6 +107,11 @@
         self.state.is_ready()
     }
 
+    /// Waits until every request must have its final response; forever unless the process is shutting down.
+    pub(crate) async fn wait_for_final_responses(&self) {
+        self.state.wait_for_final_responses().await;
+    }
+
     /// Returns the largest body of a request in bytes, as the routes in force set it; `None` before any are known.
     pub(crate) fn body_max(&self) -> Option<usize> {
         self.state.limits().map(|l| l.body)
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -27,6 +27,9 @@
 /// The least fraction of a core that is assumed when the work on an answer is estimated.
 const CORES_MIN: f64 = 0.05;
 
+/// The shortest time in which a process can be shut down.
+const GRACE_MIN: Duration = Duration::from_millis(100);
+
 /// The fraction of an allowance that is used, so that VMs whose windows do not begin together still keep within it.
 const ALLOWANCE_FRACTION: f64 = 0.9;
 
@@ -172,13 +175,42 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Shutdown {
-    /// How long it continues to accept connections after it reports not ready; at least the time in which the balancer
-    /// notices.
+    /// How long it continues to accept connections at least after it reports not ready; at least the time in which the
+    /// balancer notices. [`LAG_DEFAULT`] if it is not set, or half of the grace if that is shorter.
     #[serde(with = "humantime_serde")]
-    pub lag: Duration,
-    /// The longest time from the start of the shutdown to the exit.
+    pub lag: Option<Duration>,
+    /// The time from SIGTERM until the platform kills the process.
     #[serde(with = "humantime_serde")]
-    pub deadline: Duration,
+    pub grace: Duration,
+}
+
+/// The fraction of [`Shutdown::grace`] after which every request gets its final response.
+const ANSWER_FRACTION: f64 = 0.9;
+
+/// The fraction of [`Shutdown::grace`] after which the process exits at the latest; responses are written until then.
+const EXIT_FRACTION: f64 = 0.95;
+
+/// The time in which the balancer notices: two probes, a second apart, and the time for the second to fail.
+const LAG_DEFAULT: Duration = Duration::from_millis(2500);
+
+impl Shutdown {
+    /// Returns how long connections are accepted at least.
+    #[must_use]
+    pub fn lag(&self) -> Duration {
+        self.lag.unwrap_or(LAG_DEFAULT.min(self.grace / 2))
+    }
+
+    /// Returns the time from SIGTERM until every request gets its final response.
+    #[must_use]
+    pub fn answer_after(&self) -> Duration {
+        self.grace.mul_f64(ANSWER_FRACTION)
+    }
+
+    /// Returns the longest time from SIGTERM to the exit.
+    #[must_use]
+    pub fn exit_after(&self) -> Duration {
+        self.grace.mul_f64(EXIT_FRACTION)
+    }
 }
 
 /// The log.
@@ -220,8 +252,8 @@
 impl Default for Shutdown {
     fn default() -> Self {
         Self {
-            lag: Duration::from_millis(2500),
-            deadline: Duration::from_millis(5700),
+            lag: None,
+            grace: Duration::from_secs(6),
         }
     }
 }
@@ -299,8 +331,11 @@
         if self.answers.margin > MARGIN_MAX {
             return bad("answers.margin", "at most 10s");
         }
-        if self.shutdown.lag > self.shutdown.deadline {
-            return bad("shutdown.lag", "at most `shutdown.deadline`");
+        if self.shutdown.grace < GRACE_MIN {
+            return bad("shutdown.grace", "at least 100ms");
+        }
+        if self.shutdown.lag() > self.shutdown.answer_after() {
+            return bad("shutdown.lag", "at most nine tenths of `shutdown.grace`");
         }
         Ok(())
     }
--- a/crates/edge/src/shared_state.rs
+++ b/crates/edge/src/shared_state.rs
@@ -13,6 +13,7 @@
 use gs_relay::RouteTable;
 use gs_types::prelude::*;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// The limits on connections before any routes are known; the routes set those of callers from then on.
 pub(crate) const DEFAULT_LIMITS: Limits = Limits {
@@ -35,7 +36,8 @@
     has_servers: AtomicBool,
     /// The servers known from a peer before the directory listed any.
     seeded_servers: Mutex<Vec<String>>,
-    is_shutting_down: AtomicBool,
+    /// When every request must have its final response, once the process shuts down.
+    shutdown_at: watch::Sender<Option<Instant>>,
 }
 
 impl SharedState {
@@ -132,13 +134,27 @@
         self.has_servers.load(Ordering::Relaxed) && lock(&self.table).is_some()
     }
 
-    /// Records that the process is shutting down.
-    pub(crate) fn set_shutting_down(&self) {
-        self.is_shutting_down.store(true, Ordering::Relaxed);
+    /// Records that the process is shutting down and when every request must have its final response.
+    pub(crate) fn set_shutting_down(&self, answer_by: Instant) {
+        self.shutdown_at.send_replace(Some(answer_by));
+    }
+
+    /// Waits until every request must have its final response; forever unless the process is shutting down.
+    pub(crate) async fn wait_for_final_responses(&self) {
+        let mut shutdown_at = self.shutdown_at.subscribe();
+        let answer_by = match shutdown_at.wait_for(Option::is_some).await {
+            Ok(at) => *at,
+            // The sender is a field of `self`.
+            Err(_) => None,
+        };
+        match answer_by {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Returns whether new callers are accepted: routes and servers are known and the process is not shutting down.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_shutting_down.load(Ordering::Relaxed) && self.has_routes_and_servers()
+        self.shutdown_at.borrow().is_none() && self.has_routes_and_servers()
     }
 }
--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gs_actor::Feed;
 use gs_actor::Shared;
 use gs_actor::lock;
 use gs_http::ServerState;
+use gs_relay::Event;
 use gs_relay::Relay;
 use gs_types::prelude::*;
 use tokio::signal::unix::Signal;
@@ -22,6 +24,10 @@
 /// The time between two checks whether requests are still in flight.
 const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The time without a connection after which a VM is taken to be out of the balancer's rotation: a balancer without a
+/// ready VM continues to use those that are not.
+const UNUSED_MIN: Duration = Duration::from_secs(1);
+
 /// The signals that a process handles.
 ///
 /// The handlers are installed before the process listens: an earlier signal would kill it at once.
@@ -81,18 +87,25 @@
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) state: Arc<SharedState>,
     pub(crate) relay: Shared<Relay>,
+    pub(crate) feed: Feed<Event>,
     pub(crate) callers: Arc<ServerState>,
     pub(crate) stop: watch::Sender<bool>,
     pub(crate) serving: JoinHandle<()>,
 }
 
 impl GracefulShutdown {
-    /// Shuts down: first reports not ready, after a lag stops accepting connections, then waits for the requests in
-    /// flight, until the deadline at the latest.
+    /// Shuts down: first reports not ready and serves on, then gives every request its final response, stops accepting
+    /// connections and exits when the responses are written.
+    ///
+    /// Callers close their connections once a response announces it. A connection without a request stays open until
+    /// the end: to close it sooner would lose a request that its caller sends at that moment.
     pub(crate) async fn run(self) {
         let start = Instant::now();
+        let answer_by = start + self.cfg.answer_after();
+        let exit_by = start + self.cfg.exit_after();
         log::info!("event=leaving step=unready");
-        self.state.set_shutting_down();
+        self.state.set_shutting_down(answer_by);
+        self.feed.push(Event::ShutDown(answer_by.into_std()));
         self.callers.announce_close();
         // Runs concurrently: an unreachable platform must not delay the shutdown.
         let (vm, directory) = (self.vm.clone(), Arc::clone(&self.directory));
@@ -101,28 +114,53 @@
                 log::info!("event=withdraw-failed error=\"{e}\"");
             }
         });
-        tokio::time::sleep(self.cfg.lag).await;
+        // The result only tells which came first.
+        let _ = tokio::time::timeout_at(answer_by, self.wait_until_unused(start)).await;
         log::info!(
             "event=leaving step=stop-accepting connections={} in_flight={}",
             self.callers.open(),
-            lock(&self.relay).in_flight()
+            self.in_flight()
         );
         let _ = self.stop.send(true);
-        let left = self.cfg.deadline.saturating_sub(start.elapsed());
-        let drain = async {
-            // The listener's task ends by itself; its result carries no information.
-            drop(self.serving.await);
-            while lock(&self.relay).in_flight() > 0 {
-                tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
-            }
-        };
-        match tokio::time::timeout(left, drain).await {
+        let (callers, relay) = (Arc::clone(&self.callers), Arc::clone(&self.relay));
+        match tokio::time::timeout_at(exit_by, self.finish()).await {
             Ok(()) => log::info!("event=left step=finished"),
             Err(_) => log::warn!(
-                "event=left step=deadline connections={} in_flight={} hint=\"raise shutdown.deadline\"",
-                self.callers.open(),
-                lock(&self.relay).in_flight()
+                "event=left step=deadline connections={} in_flight={} hint=\"raise shutdown.grace\"",
+                callers.open(),
+                lock(&relay).in_flight()
             ),
         }
     }
+
+    /// Waits for the balancer to notice, then until nobody has used this VM for [`UNUSED_MIN`].
+    async fn wait_until_unused(&self, start: Instant) {
+        tokio::time::sleep_until(start + self.cfg.lag().saturating_sub(UNUSED_MIN)).await;
+        let mut accepted = self.callers.accepted();
+        let mut used_at = Instant::now();
+        while used_at.elapsed() < UNUSED_MIN {
+            tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
+            let accepted_before = std::mem::replace(&mut accepted, self.callers.accepted());
+            let is_used = accepted > accepted_before || self.callers.open() > 0;
+            if is_used || self.in_flight() > 0 {
+                used_at = Instant::now();
+            }
+        }
+    }
+
+    /// Waits until all responses are written.
+    async fn finish(self) {
+        if let Err(e) = self.serving.await {
+            log::error!("event=callers-failed error=\"{e}\"");
+        }
+        while lock(&self.relay).in_flight() > 0 {
+            tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
+        }
+        // The last pages for peers are written meanwhile.
+        tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
+    }
+
+    fn in_flight(&self) -> usize {
+        lock(&self.relay).in_flight()
+    }
 }
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Tests of the settings file: defaults, and errors with a place and a reason.
 
+use std::time::Duration;
+
 use gs_edge::EdgeSettings;
 use gs_types::prelude::*;
 use rstest::rstest;
@@ -58,6 +60,8 @@
 #[case("renew-every = \"10ms\"", "platform.renew-every")]
 #[case("[answers]\nmargin = \"11s\"", "answers.margin")]
 #[case("[shutdown]\nlag = \"9s\"", "shutdown.lag")]
+#[case("[shutdown]\nlag = \"5s\"\ngrace = \"5s\"", "shutdown.lag")]
+#[case("[shutdown]\ngrace = \"99ms\"", "shutdown.grace")]
 fn out_of_range_settings_are_rejected(#[case] more: &str, #[case] key: &str) {
     let e = EdgeSettings::parse(&format!("{MINIMAL}{more}\n")).expect_err("it is rejected");
     assert!(e.to_string().contains(key), "{e}");
@@ -82,3 +86,18 @@
     cfg.vm.capacity.cores = cores;
     assert_eq!(cfg.relay().answer_margin.as_micros(), margin_us);
 }
+
+/// Prevents requests without an answer where the platform kills processes sooner than elsewhere: from SIGTERM on, all
+/// times follow the grace.
+#[rstest]
+fn the_times_of_a_shutdown_are_in_order_within_every_grace(
+    #[values(1, 2, 3, 6, 30, 600)] grace_s: u64,
+) {
+    let text = format!("{MINIMAL}[shutdown]\ngrace = \"{grace_s}s\"\n");
+    let settings = EdgeSettings::parse(&text);
+    let shutdown = settings.expect("it parses").shutdown;
+    let grace = Duration::from_secs(grace_s);
+    assert!(shutdown.lag() <= shutdown.answer_after());
+    assert!(shutdown.answer_after() < shutdown.exit_after());
+    assert!(shutdown.exit_after() < grace);
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -139,7 +139,7 @@
     /// estimate.
     ///
     /// Delegated shards are assumed to be like those that this VM queries itself.
-    fn expected_page_time(
+    pub(crate) fn expected_page_time(
         &self,
         now: Instant,
         request: &ActiveRequest,
@@ -187,7 +187,7 @@
         (reachable < request.parts_min).then_some(retry_at)
     }
 
-    fn with_jitter(&mut self, retry: Duration) -> Duration {
+    pub(crate) fn with_jitter(&mut self, retry: Duration) -> Duration {
         retry.mul_f64(1.0 + self.rng.random::<f64>() * RETRY_JITTER)
     }
 }
--- a/crates/relay/src/arrival.rs
+++ b/crates/relay/src/arrival.rs
@@ -51,10 +51,11 @@
                 return None;
             }
         };
-        let checked = self.check_servers_reachable(now, &request);
-        if let Err((reason, retry_after)) =
-            checked.and_then(|()| self.check_expected_latency(now, &request))
-        {
+        let checked = self
+            .check_ends_before_shutdown(now, &request)
+            .and_then(|()| self.check_servers_reachable(now, &request))
+            .and_then(|()| self.check_expected_latency(now, &request));
+        if let Err((reason, retry_after)) = checked {
             self.refuse(seq, reason, retry_after, out);
             return None;
         }
@@ -124,6 +125,7 @@
         let caller_timeout = req
             .caller_timeout
             .map_or(route.timeout, |p| p.min(route.timeout));
+        let caller_timeout = self.limit_to_shutdown(now, caller_timeout);
         let response_margin = (caller_timeout / RESPONSE_MARGIN_DIVISOR).min(RESPONSE_MARGIN_MAX);
         let on_time = route.objective.saturating_sub(self.options.answer_margin);
         let answer_by = now + caller_timeout.saturating_sub(response_margin);
--- a/crates/relay/src/event.rs
+++ b/crates/relay/src/event.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use gs_types::prelude::*;
 
@@ -88,6 +89,8 @@
     Ended(AttemptKey, AttemptEnd),
     /// The caller of this request disconnected.
     CallerDisconnected(LookupSeq),
+    /// The process shuts down: every request, present or later, gets its final response by this time.
+    ShutDown(Instant),
     /// All events that have arrived so far were passed in; requests whose attempts have ended are
     /// checked for completion.
     CaughtUp,
--- a/crates/relay/src/outcome.rs
+++ b/crates/relay/src/outcome.rs
@@ -48,6 +48,8 @@
     OtherRoute,
     /// It crashed servers and is in quarantine.
     Quarantined,
+    /// The process shuts down before the request could be expected to end.
+    ShuttingDown,
 }
 
 /// Why a request failed that a server may have executed in part.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -129,6 +129,8 @@
     pub(crate) services_to_dispatch: Vec<ServiceName>,
     /// Number of requests in flight.
     pub(crate) in_flight: usize,
+    /// When every request must have its final response, once the process shuts down.
+    pub(crate) shutdown_at: Option<Instant>,
     /// The last pause of this process.
     pub(crate) process_pause: Option<ProcessPause>,
     pub(crate) counters: Counters,
@@ -176,6 +178,7 @@
                 missing_servers: HashMap::new(),
                 services_to_dispatch: Vec::new(),
                 in_flight: 0,
+                shutdown_at: None,
                 process_pause: None,
                 counters: Counters::default(),
                 rng: ChaCha8Rng::seed_from_u64(seed),
@@ -219,6 +222,7 @@
             Event::CallerDisconnected(seq) => self.with_request(seq, |core, request| {
                 core.on_caller_disconnect(now, request, out)
             }),
+            Event::ShutDown(answer_by) => self.on_shut_down(answer_by),
             Event::CaughtUp => self.finish_done_requests(now, out),
             Event::Tick => self.on_tick(now, out),
         }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod register;
 mod server_ends;
 mod shared_evidence;
+mod shutdown;
 mod stalls;
 mod subset;
 mod suspects;
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -205,10 +205,7 @@
     let seeds = seeds.join(", ");
     let RepeatBudget { ratio, slack, .. } = repeats;
     let window_ms = repeats.window.as_millis();
-    let (lag_ms, grace_ms) = (
-        shutdown.lag.as_millis(),
-        shutdown.grace.mul_f64(0.95).as_millis(),
-    );
+    let (lag_ms, grace_ms) = (shutdown.lag.as_millis(), shutdown.grace.as_millis());
     format!(
         "[vm]\nname = \"{name}\"\ndata-centre = \"{zone}\"\nregion = \"{zone}\"\n\
          capacity = {{ cores = 1.0, megabits = 1000.0 }}\n\n\
@@ -216,7 +213,7 @@
          [platform]\naddr = \"{store}\"\nrenew-every = \"2s\"\n\n\
          [peers]\nseeds = [{seeds}]\n\n\
          [budget]\nextra-ratio = {ratio:?}\nwindow = \"{window_ms}ms\"\nslack = {slack:?}\n\n\
-         [shutdown]\nlag = \"{lag_ms}ms\"\ndeadline = \"{grace_ms}ms\"\n\n\
+         [shutdown]\nlag = \"{lag_ms}ms\"\ngrace = \"{grace_ms}ms\"\n\n\
          [log]\nlevel = \"debug\"\n"
     )
 }
