--- /dev/null
+++ b/crates/http/tests/connections/main.rs
@@ -0,0 +1,6 @@
+//! Tests that a request which the server has read gets an answer, however its connection ends.
+
+mod common;
+mod panic;
+mod stop;
+mod unread_body;
