fix(http): an informational response of a handler becomes 502

Callers saw: where a faulty backend server answers 101 and the response is passed on, the caller got a 101 that it had not asked for, and its next request on the connection was cut. With 100, hyper sent 500 and closed.

Cause: hyper gives a connection away after 101, and treats other 1xx statuses of a service as an error.

Evidence: an_informational_response_of_a_handler_is_not_sent failed before with `HTTP/1.1 101 Switching Protocols` and nothing for the second request, and for 100 with `HTTP/1.1 500 Internal Server Error` and nothing for the second.

The server replaces such a response before hyper sees it, with a log line (event=informational-response-replaced), and the connection stays usable whatever a handler returns.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -210,7 +210,7 @@
             let response = Arc::clone(&handler).handle(peer, req);
             let state = Arc::clone(&state);
             async move {
-                let mut res = response.await;
+                let mut res = replace_informational(peer, response.await);
                 phase.set_idle();
                 if state.closing.load(Ordering::Relaxed) || has_unread_body(&res) {
                     res.headers_mut()
@@ -243,6 +243,30 @@
     res.status() == StatusCode::PAYLOAD_TOO_LARGE
 }
 
+/// Replaces an informational response, which cannot be the answer to a request.
+///
+/// hyper would hand the connection over to another protocol after 101, and end it after any other.
+fn replace_informational(peer: SocketAddr, res: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    if !res.status().is_informational() {
+        return res;
+    }
+    log::warn!(
+        "event=informational-response-replaced peer={peer} status={}",
+        res.status().as_u16()
+    );
+    plain_response(
+        StatusCode::BAD_GATEWAY,
+        "no final response\n",
+    )
+}
+
+/// Builds a response of plain text.
+fn plain_response(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut res = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *res.status_mut() = status;
+    res
+}
+
 /// Waits until `stop` is true or its sender is dropped.
 async fn wait_for_stop(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|s| *s).await;
--- a/crates/http/tests/connections/main.rs
+++ b/crates/http/tests/connections/main.rs
@@ -1,6 +1,7 @@
 //! Tests that a request which the server has read gets an answer, however its connection ends.
 
 mod common;
+mod informational;
 mod panic;
 mod stop;
 mod unread_body;
