fix(http): a panic in a handler is answered with 500

Callers saw: the connection ended without a byte when the handler of their request panicked.

Cause: the handler's future is polled in the connection's task, so its panic ended that task and its socket.

The panic is caught around the handler's future: the caller gets 500 with `connection: close`, and the log has event=handler-panicked at error. The future stays in the connection's task and is dropped with it, so the relay still learns that a caller has left (a_caller_that_disconnects_drops_the_handler).

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,7 +1,9 @@
 //! An HTTP/1.1 server with limits on memory, time and connections, and graceful shutdown.
 
+use std::any::Any;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -39,6 +42,9 @@
 /// Handles HTTP requests.
 pub trait Handler: Send + Sync + 'static {
     /// Handles one request of `peer`; never fails, as every error has a response.
+    ///
+    /// The future is dropped when the caller disconnects. If it panics, the caller gets 500 and the connection is
+    /// closed; an informational response is replaced with 502.
     fn handle(
         self: Arc<Self>,
         peer: SocketAddr,
@@ -207,12 +213,15 @@
         let service = service_fn(move |req| {
             phase.set_busy();
             let phase = phase.clone();
-            let response = Arc::clone(&handler).handle(peer, req);
+            let handler = Arc::clone(&handler);
             let state = Arc::clone(&state);
             async move {
-                let mut res = replace_informational(peer, response.await);
+                let (mut res, close) = match respond(handler, peer, req).await {
+                    Ok(res) => (replace_informational(peer, res), false),
+                    Err(res) => (res, true),
+                };
                 phase.set_idle();
-                if state.closing.load(Ordering::Relaxed) || has_unread_body(&res) {
+                if close || state.closing.load(Ordering::Relaxed) || has_unread_body(&res) {
                     res.headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -243,6 +252,30 @@
     res.status() == StatusCode::PAYLOAD_TOO_LARGE
 }
 
+/// Returns the handler's response, or as an error the response to send if the handler panics.
+///
+/// The handler runs in the connection's own task: its future is dropped with the connection.
+async fn respond(
+    handler: Arc<dyn Handler>,
+    peer: SocketAddr,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Response<Full<Bytes>>> {
+    let handled = async move { handler.handle(peer, req).await };
+    let handled = AssertUnwindSafe(handled).catch_unwind().await;
+    handled.map_err(|payload| {
+        let text = panic_text(&*payload);
+        log::error!("event=handler-panicked peer={peer} error={text:?}");
+        plain_response(StatusCode::INTERNAL_SERVER_ERROR, "internal error\n")
+    })
+}
+
+/// Returns the message of a panic.
+fn panic_text(payload: &(dyn Any + Send)) -> &str {
+    let text = payload.downcast_ref::<&'static str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or("unknown")
+}
+
 /// Replaces an informational response, which cannot be the answer to a request.
 ///
 /// hyper would hand the connection over to another protocol after 101, and end it after any other.
@@ -254,10 +287,7 @@
         "event=informational-response-replaced peer={peer} status={}",
         res.status().as_u16()
     );
-    plain_response(
-        StatusCode::BAD_GATEWAY,
-        "no final response\n",
-    )
+    plain_response(StatusCode::BAD_GATEWAY, "no final response\n")
 }
 
 /// Builds a response of plain text.
--- a/crates/http/tests/connections/common.rs
+++ b/crates/http/tests/connections/common.rs
@@ -6,6 +6,7 @@
 use std::net::TcpStream as StdStream;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -142,6 +143,10 @@
         Self(tcp)
     }
 
+    pub(crate) fn addr(&self) -> SocketAddr {
+        self.0.local_addr().expect("an open socket")
+    }
+
     pub(crate) fn write(&mut self, text: &str) {
         self.0.write_all(text.as_bytes()).expect("sent");
     }
@@ -203,3 +208,38 @@
     });
     assert!(waited.await.is_ok(), "not met in time: {what}");
 }
+
+/// Keeps the lines that the server logs, by `LEVEL text`.
+struct Lines;
+
+static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+
+impl log::Log for Lines {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, r: &log::Record<'_>) {
+        LINES
+            .lock()
+            .expect("not poisoned")
+            .push(format!("{} {}", r.level(), r.args()));
+    }
+
+    fn flush(&self) {}
+}
+
+/// Starts to keep the log of all tests of this program.
+pub(crate) fn keep_log() {
+    // Fails from the second test on.
+    let _ = log::set_logger(&Lines);
+    log::set_max_level(log::LevelFilter::Info);
+}
+
+/// Returns the lines about a client.
+pub(crate) fn lines_of(client: SocketAddr) -> Vec<String> {
+    let peer = format!("peer={client} ");
+    let lines = LINES.lock().expect("not poisoned");
+    let of_client = |l: &&String| format!("{l} ").contains(&peer);
+    lines.iter().filter(of_client).cloned().collect()
+}
