fix(http): the idle timeout starts when the response is written

Callers saw: a response cut in its midst, where they read it more slowly than the idle timeout allows.

Cause: the idle phase began when the handler's response was handed to hyper, not when it was written.

A response is a phase of its own, which ends when hyper flushes its empty buffer. While it is written, the idle timeout bounds the time without progress instead, so a caller that does not read still cannot hold a connection for ever.

--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -1,7 +1,8 @@
-//! Timeouts for the phases of a server connection: idle and receiving the headers.
+//! Timeouts for the phases of a server connection: idle, receiving the headers and writing the response.
 //!
 //! hyper's own header timeout also runs while a keep-alive connection is idle, and would close it at the same time as
-//! the caller's next request arrives. Here the header timeout starts with the first byte of a request.
+//! the caller's next request arrives. Here the header timeout starts with the first byte of a request. The idle timeout
+//! starts when the kernel has the whole response; while it is written, it bounds the time without progress.
 
 use std::io::Result;
 use std::pin::Pin;
@@ -29,11 +30,13 @@
     Idle,
     /// The headers of a request are being received.
     Head,
-    /// A request is being answered; its body has a timeout of its own.
-    Busy,
+    /// A request is being handled; its body has a timeout of its own.
+    Handler,
+    /// The response is being written.
+    Response,
 }
 
-/// The phase of one connection and when it began.
+/// The phase of one connection, and when it began or a write last made progress.
 #[derive(Clone)]
 pub(crate) struct PhaseClock {
     start: Instant,
@@ -56,14 +59,14 @@
         }
     }
 
-    /// Marks the connection as busy: the headers of a request are complete.
-    pub(crate) fn set_busy(&self) {
-        self.set(Phase::Busy);
+    /// Starts the handler phase: the headers of a request are complete.
+    pub(crate) fn start_handler(&self) {
+        self.set(Phase::Handler);
     }
 
-    /// Marks the connection as idle: the response is passed to hyper.
-    pub(crate) fn set_idle(&self) {
-        self.set(Phase::Idle);
+    /// Starts the response phase: the response is passed to hyper.
+    pub(crate) fn start_response(&self) {
+        self.set(Phase::Response);
     }
 
     /// Waits until the connection has exceeded the timeout of its phase.
@@ -80,13 +83,13 @@
         }
     }
 
-    /// Returns when the current phase times out; always in the future while the connection is busy.
+    /// Returns when the current phase times out; always in the future while a request is handled.
     fn deadline(&self) -> Instant {
         let (phase, since) = self.read();
         match phase {
-            Phase::Idle => since + self.idle_timeout,
+            Phase::Idle | Phase::Response => since + self.idle_timeout,
             Phase::Head => since + self.head_timeout,
-            Phase::Busy => Instant::now() + self.head_timeout,
+            Phase::Handler => Instant::now() + self.head_timeout,
         }
     }
 
@@ -98,6 +101,20 @@
         }
     }
 
+    /// Notes the progress of a response; bytes written earlier are an interim response.
+    fn on_written(&self) {
+        if matches!(self.read().0, Phase::Idle | Phase::Response) {
+            self.set(Phase::Response);
+        }
+    }
+
+    /// Starts the idle phase if a response was being written.
+    fn on_flushed(&self) {
+        if self.read().0 == Phase::Response {
+            self.set(Phase::Idle);
+        }
+    }
+
     fn set(&self, phase: Phase) {
         let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX >> PHASE_BITS);
         self.packed
@@ -109,7 +126,8 @@
         let phase = match packed & 3 {
             0 => Phase::Idle,
             1 => Phase::Head,
-            _ => Phase::Busy,
+            2 => Phase::Handler,
+            _ => Phase::Response,
         };
         (
             phase,
@@ -118,7 +136,7 @@
     }
 }
 
-/// A TCP stream that notifies its [`PhaseClock`] of received bytes.
+/// A TCP stream that notifies its [`PhaseClock`] of received and written bytes.
 pub(crate) struct PhaseStream {
     tcp: TcpStream,
     clock: PhaseClock,
@@ -128,6 +146,12 @@
     pub(crate) fn new(tcp: TcpStream, clock: PhaseClock) -> Self {
         Self { tcp, clock }
     }
+
+    fn note_written(&self, polled: &Poll<Result<usize>>) {
+        if matches!(polled, Poll::Ready(Ok(n)) if *n > 0) {
+            self.clock.on_written();
+        }
+    }
 }
 
 impl AsyncRead for PhaseStream {
@@ -151,11 +175,18 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.tcp).poll_write(cx, buf);
+        self.note_written(&polled);
+        polled
     }
 
+    /// Notes that everything is written: hyper flushes when its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.tcp).poll_flush(cx)
+        let polled = Pin::new(&mut self.tcp).poll_flush(cx);
+        if matches!(polled, Poll::Ready(Ok(()))) {
+            self.clock.on_flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
@@ -167,7 +198,9 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs);
+        self.note_written(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -59,7 +59,8 @@
     pub head_bytes_max: usize,
     /// The timeout for receiving the headers of a request.
     pub header_timeout: Duration,
-    /// How long a connection may be idle before and between requests.
+    /// How long a connection may be idle before and between requests, and how long the writing of a response may make no
+    /// progress.
     pub idle_timeout: Duration,
     /// The largest number of connections open at the same time; further ones wait in the listen queue.
     pub connections_max: usize,
@@ -211,7 +212,7 @@
         let clock = PhaseClock::new(limits.header_timeout, limits.idle_timeout);
         let phase = clock.clone();
         let service = service_fn(move |req| {
-            phase.set_busy();
+            phase.start_handler();
             let phase = phase.clone();
             let handler = Arc::clone(&handler);
             let state = Arc::clone(&state);
@@ -220,7 +221,7 @@
                     Ok(res) => (replace_informational(peer, res), false),
                     Err(res) => (res, true),
                 };
-                phase.set_idle();
+                phase.start_response();
                 if close || state.closing.load(Ordering::Relaxed) || has_unread_body(&res) {
                     res.headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/http/tests/connections/main.rs
+++ b/crates/http/tests/connections/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod informational;
 mod panic;
+mod slow_reader;
 mod stop;
 mod unread_body;
