fix(http): a request in the socket buffer of an idle connection is answered

Callers saw: their request on a kept connection was closed without a byte as the server stopped or the idle timeout expired, though the kernel had received it before.

Cause: hyper's graceful shutdown closes a connection on which no request is in progress without a look at the socket, or at a head that is half read; the idle timeout dropped the connection likewise.

Evidence, on the code before: a_request_in_the_buffer_of_a_kept_connection_is_answered_at_stop and a_head_that_is_half_received_is_answered_at_stop got an empty response, and a_request_that_arrives_as_the_idle_timeout_expires_is_answered got `[ConnectionReset]`.

hyper now learns of the close by the end of its stream, which it gets only while no request is in progress and a peek at the socket finds nothing; until then it goes on reading. Responses from the stop on carry `connection: close`, and a connection that was accepted within the last 100 ms has the rest of them for its first request. What is on the network at the moment of the close is still lost; the doc comment of Server::run says so.

--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -4,15 +4,19 @@
 //! the caller's next request arrives. Here the header timeout starts with the first byte of a request. The idle timeout
 //! starts when the kernel has the whole response; while it is written, it bounds the time without progress.
 
+use std::io::ErrorKind;
 use std::io::Result;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -44,6 +48,8 @@
     packed: Arc<AtomicU64>,
     /// Notified when a request begins: its header timeout can expire before the idle timeout being waited for.
     head_started: Arc<Notify>,
+    /// Whether the connection is to be closed once it is idle.
+    is_closing: Arc<AtomicBool>,
     head_timeout: Duration,
     idle_timeout: Duration,
 }
@@ -54,6 +60,7 @@
             start: Instant::now(),
             packed: Arc::default(),
             head_started: Arc::default(),
+            is_closing: Arc::default(),
             head_timeout,
             idle_timeout,
         }
@@ -69,6 +76,24 @@
         self.set(Phase::Response);
     }
 
+    /// Closes the connection once it is idle and no byte of a request is in its socket buffer.
+    ///
+    /// The connection has to be polled after this. A request whose first byte arrives after that poll is not answered;
+    /// this cannot be avoided, as the caller may send it before it learns of the close.
+    pub(crate) fn close_when_idle(&self) {
+        self.is_closing.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the connection is closed once it is idle.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether no request is being received or answered.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.read().0 == Phase::Idle
+    }
+
     /// Waits until the connection has exceeded the timeout of its phase.
     pub(crate) async fn wait_until_expired(&self) {
         loop {
@@ -83,10 +108,12 @@
         }
     }
 
-    /// Returns when the current phase times out; always in the future while a request is handled.
+    /// Returns when the current phase times out; always in the future while a request is handled, and while an idle
+    /// connection is about to be closed.
     fn deadline(&self) -> Instant {
         let (phase, since) = self.read();
         match phase {
+            Phase::Idle if self.is_closing() => Instant::now() + self.head_timeout,
             Phase::Idle | Phase::Response => since + self.idle_timeout,
             Phase::Head => since + self.head_timeout,
             Phase::Handler => Instant::now() + self.head_timeout,
@@ -108,11 +135,13 @@
         }
     }
 
-    /// Starts the idle phase if a response was being written.
-    fn on_flushed(&self) {
-        if self.read().0 == Phase::Response {
+    /// Starts the idle phase if a response was being written, and returns whether it was.
+    fn on_flushed(&self) -> bool {
+        let is_written = self.read().0 == Phase::Response;
+        if is_written {
             self.set(Phase::Idle);
         }
+        is_written
     }
 
     fn set(&self, phase: Phase) {
@@ -147,6 +176,18 @@
         Self { tcp, clock }
     }
 
+    /// Returns whether the connection is to be closed now: it is idle and its socket buffer is empty.
+    ///
+    /// The socket itself is asked, as the runtime learns of received bytes with a delay.
+    fn is_closable(&self) -> bool {
+        if !self.clock.is_closing() || !self.clock.is_idle() {
+            return false;
+        }
+        let mut buf = [MaybeUninit::uninit()];
+        // An error other than an empty buffer is left to the next read.
+        matches!(SockRef::from(&self.tcp).peek(&mut buf), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     fn note_written(&self, polled: &Poll<Result<usize>>) {
         if matches!(polled, Poll::Ready(Ok(n)) if *n > 0) {
             self.clock.on_written();
@@ -165,6 +206,10 @@
         if buf.filled().len() > before {
             self.clock.on_bytes();
         }
+        if polled.is_pending() && self.is_closable() {
+            // The end of the stream makes hyper close an idle connection.
+            return Poll::Ready(Ok(()));
+        }
         polled
     }
 }
@@ -183,8 +228,10 @@
     /// Notes that everything is written: hyper flushes when its own buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         let polled = Pin::new(&mut self.tcp).poll_flush(cx);
-        if matches!(polled, Poll::Ready(Ok(()))) {
-            self.clock.on_flushed();
+        let is_written = matches!(polled, Poll::Ready(Ok(()))) && self.clock.on_flushed();
+        if is_written && self.clock.is_closing() {
+            // hyper waits for a read that is pending since before the connection became idle.
+            cx.waker().wake_by_ref();
         }
         polled
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -24,11 +25,12 @@
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::phase::PhaseClock;
 use crate::phase::PhaseStream;
@@ -36,6 +38,9 @@
 /// The delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The time that a connection has for its first request if the server stops.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The smallest header buffer that hyper accepts, in bytes.
 const HEADER_BUFFER_BYTES_MIN: usize = 8 * 1024;
 
@@ -163,12 +168,21 @@
     }
 
     /// Serves until `stop` is true, then completes every request in progress and returns.
+    ///
+    /// A connection is closed once it is idle and no byte of a request is in its socket buffer; a new one is given a
+    /// moment for its first request. A request that is still on the network at that point ends without an answer:
+    /// [`ServerState::announce_close`] long enough before the stop avoids this.
     pub async fn run(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) {
-        let permits = Arc::new(Semaphore::new(self.limits.get().connections_max));
-        let graceful = GracefulShutdown::new();
+        let connections = Connections {
+            permits: Arc::new(Semaphore::new(self.limits.get().connections_max)),
+            stopping: watch::Sender::new(false),
+            limits: self.limits.clone(),
+            state: Arc::clone(&self.state),
+            handler,
+        };
         loop {
             let permit = tokio::select! {
-                p = Arc::clone(&permits).acquire_owned() => p,
+                p = connections.permit() => p,
                 () = wait_for_stop(&mut stop) => break,
             };
             let accepted = tokio::select! {
@@ -176,21 +190,44 @@
                 () = wait_for_stop(&mut stop) => break,
             };
             match accepted {
-                Ok((tcp, peer)) => {
-                    let conn = self.connection_task(tcp, peer, &handler, &graceful);
-                    tokio::spawn(async move {
-                        conn.await;
-                        drop(permit);
-                    });
-                }
+                Ok((tcp, peer)) => connections.spawn(tcp, peer, permit),
                 Err(e) => {
                     log::warn!("event=accept-failed error=\"{e}\"");
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        self.state.announce_close();
+        connections.stopping.send_replace(true);
         drop(self.listener);
-        graceful.shutdown().await;
+        connections.stopping.closed().await;
+    }
+}
+
+/// The connections of a running server.
+struct Connections {
+    /// One permit for each connection that may be open.
+    permits: Arc<Semaphore>,
+    /// Tells the connections to close; each of them holds a receiver until it has ended.
+    stopping: watch::Sender<bool>,
+    limits: LiveLimits,
+    state: Arc<ServerState>,
+    handler: Arc<dyn Handler>,
+}
+
+impl Connections {
+    /// Waits until another connection may be open; `None` if the semaphore was closed, which never happens.
+    async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.permits).acquire_owned().await.ok()
+    }
+
+    /// Serves a connection in a task of its own.
+    fn spawn(&self, tcp: TcpStream, peer: SocketAddr, permit: Option<OwnedSemaphorePermit>) {
+        let conn = self.connection_task(tcp, peer);
+        tokio::spawn(async move {
+            conn.await;
+            drop(permit);
+        });
     }
 
     /// Returns the task that serves one connection.
@@ -198,8 +235,6 @@
         &self,
         tcp: TcpStream,
         peer: SocketAddr,
-        handler: &Arc<dyn Handler>,
-        graceful: &GracefulShutdown,
     ) -> impl Future<Output = ()> + Send + 'static {
         if let Err(e) = tcp.set_nodelay(true) {
             // If the peer has disconnected, the first read fails; otherwise the connection is only slower.
@@ -207,7 +242,7 @@
         }
         let open = OpenConnection::new(&self.state);
         let state = Arc::clone(&self.state);
-        let handler = Arc::clone(handler);
+        let handler = Arc::clone(&self.handler);
         let limits = self.limits.get();
         let clock = PhaseClock::new(limits.header_timeout, limits.idle_timeout);
         let phase = clock.clone();
@@ -222,7 +257,8 @@
                     Err(res) => (res, true),
                 };
                 phase.start_response();
-                if close || state.closing.load(Ordering::Relaxed) || has_unread_body(&res) {
+                let is_closing = phase.is_closing() || state.closing.load(Ordering::Relaxed);
+                if close || is_closing || has_unread_body(&res) {
                     res.headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -232,19 +268,44 @@
         let conn = hyper::server::conn::http1::Builder::new()
             .max_buf_size(limits.head_bytes_max.max(HEADER_BUFFER_BYTES_MIN))
             .serve_connection(TokioIo::new(PhaseStream::new(tcp, clock.clone())), service);
-        let conn = graceful.watch(conn);
+        let closing = wait_for_close(self.stopping.subscribe());
         async move {
-            tokio::select! {
-                ended = conn => if let Err(e) = ended {
-                    log::debug!("event=connection-ended peer={peer} error=\"{e}\"");
-                },
-                () = clock.wait_until_expired() => log::info!("event=connection-expired peer={peer}"),
+            let mut closing = pin!(closing);
+            let mut conn = pin!(conn);
+            loop {
+                tokio::select! {
+                    biased;
+                    ended = conn.as_mut() => {
+                        if let Err(e) = ended {
+                            log::debug!("event=connection-ended peer={peer} error=\"{e}\"");
+                        }
+                        break;
+                    }
+                    () = closing.as_mut(), if !clock.is_closing() => clock.close_when_idle(),
+                    () = clock.wait_until_expired() => {
+                        log::info!("event=connection-expired peer={peer}");
+                        if !clock.is_idle() {
+                            break;
+                        }
+                        clock.close_when_idle();
+                    }
+                }
             }
             drop(open);
         }
     }
 }
 
+/// Waits until a connection just accepted should be closed once it is idle: at the stop, but not before its first
+/// request has had time to arrive.
+///
+/// The receiver is kept until the returned future is dropped.
+async fn wait_for_close(mut stopping: watch::Receiver<bool>) {
+    let accepted = Instant::now();
+    wait_for_stop(&mut stopping).await;
+    tokio::time::sleep_until(accepted + FIRST_REQUEST_TIMEOUT).await;
+}
+
 /// Returns whether the request's body was not read completely, so that the connection cannot be reused.
 ///
 /// If a client announces a large body, gets an error response and then sends nothing, the connection would count as
