fix(http): connections in the accept queue are served at the stop

Callers saw: a reset, on connections that the kernel had accepted while the process had not, as the server stopped; their requests may have been in the socket buffer.

Cause: the listener was dropped at the stop. The runtime learns of new connections with a delay, and beyond the limit of connections the queue is not read at all.

Evidence, on the code before: the_accept_queue_is_answered_at_stop and connections_beyond_the_limit_are_answered_at_stop got `[ConnectionReset]`, the_first_request_of_a_connection_may_come_just_after_the_stop could not send its request (`Connection reset by peer`).

After the stop the queue is read until the kernel says that it is empty, for at most a second while the connections are at their limit (then event=accept-queue-reset). Its connections have 100 ms for their first request. A handshake that completes between the last read of the queue and the close of the listener is still reset.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,7 +2,9 @@
 
 use std::any::Any;
 use std::convert::Infallible;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::net::TcpListener as StdListener;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::pin::pin;
@@ -38,6 +40,9 @@
 /// The delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The longest time after the stop in which connections are taken from the accept queue.
+const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The time that a connection has for its first request if the server stops.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -169,9 +174,10 @@
 
     /// Serves until `stop` is true, then completes every request in progress and returns.
     ///
-    /// A connection is closed once it is idle and no byte of a request is in its socket buffer; a new one is given a
-    /// moment for its first request. A request that is still on the network at that point ends without an answer:
-    /// [`ServerState::announce_close`] long enough before the stop avoids this.
+    /// Connections that wait in the accept queue are served as well. A connection is closed once it is idle and no byte
+    /// of a request is in its socket buffer; a new one is given a moment for its first request. A request that is still
+    /// on the network at that point, or a connection whose handshake completes as the listener is closed, ends without
+    /// an answer: [`ServerState::announce_close`] long enough before the stop avoids this.
     pub async fn run(self, handler: Arc<dyn Handler>, mut stop: watch::Receiver<bool>) {
         let connections = Connections {
             permits: Arc::new(Semaphore::new(self.limits.get().connections_max)),
@@ -199,7 +205,7 @@
         }
         self.state.announce_close();
         connections.stopping.send_replace(true);
-        drop(self.listener);
+        connections.accept_queued(self.listener).await;
         connections.stopping.closed().await;
     }
 }
@@ -230,6 +236,36 @@
         });
     }
 
+    /// Accepts the connections that wait in the accept queue, then closes the listener.
+    ///
+    /// The queue is read until the kernel says that it is empty: the runtime learns of a new connection with a delay.
+    async fn accept_queued(&self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::warn!("event=accept-failed error=\"{e}\"");
+                return;
+            }
+        };
+        let deadline = Instant::now() + ACCEPT_QUEUE_TIMEOUT;
+        while Instant::now() < deadline {
+            match accept_now(&listener) {
+                Ok(Some((tcp, peer))) => {
+                    match tokio::time::timeout_at(deadline, self.permit()).await {
+                        Ok(permit) => self.spawn(tcp, peer, permit),
+                        Err(_) => break,
+                    }
+                }
+                Ok(None) => return,
+                Err(e) => {
+                    log::warn!("event=accept-failed error=\"{e}\"");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+        log::warn!("event=accept-queue-reset open={}", self.state.open());
+    }
+
     /// Returns the task that serves one connection.
     fn connection_task(
         &self,
@@ -296,6 +332,18 @@
     }
 }
 
+/// Accepts a connection if there is one in the queue of a listener.
+fn accept_now(listener: &StdListener) -> std::io::Result<Option<(TcpStream, SocketAddr)>> {
+    match listener.accept() {
+        Ok((tcp, peer)) => {
+            tcp.set_nonblocking(true)?;
+            Ok(Some((TcpStream::from_std(tcp)?, peer)))
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
 /// Waits until a connection just accepted should be closed once it is idle: at the stop, but not before its first
 /// request has had time to arrive.
 ///
--- a/crates/http/tests/connections/stop.rs
+++ b/crates/http/tests/connections/stop.rs
@@ -52,6 +52,69 @@
     assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
 }
 
+/// Connections that the kernel had accepted and the process had not were reset at the stop.
+#[tokio::test]
+async fn the_accept_queue_is_answered_at_stop() {
+    let s = start(limits()).await;
+    tokio::task::yield_now().await;
+    let mut clients = Vec::new();
+    for _ in 0..16 {
+        let mut client = Client::connect(s.addr);
+        client.write(&get("/"));
+        clients.push(client);
+    }
+    s.stop.send(true).expect("running");
+    for client in clients {
+        let res = client.read_to_end().await;
+        assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
+    }
+    let ended = tokio::time::timeout(WAIT_MAX, s.running).await;
+    assert!(ended.is_ok(), "the server did not end");
+}
+
+/// Connections beyond the limit wait in the accept queue, and were reset at the stop.
+#[tokio::test]
+async fn connections_beyond_the_limit_are_answered_at_stop() {
+    let s = start(gs_http::Limits {
+        connections_max: 2,
+        ..limits()
+    })
+    .await;
+    let mut holders = Vec::new();
+    for _ in 0..2 {
+        let mut client = Client::connect(s.addr);
+        client.write(&get("/release"));
+        s.handler.arrived.notified().await;
+        holders.push(client);
+    }
+    let mut clients = Vec::new();
+    for _ in 0..4 {
+        let mut client = Client::connect(s.addr);
+        client.write(&get("/"));
+        clients.push(client);
+    }
+    s.stop.send(true).expect("running");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    s.handler.release.notify_waiters();
+    for client in holders.into_iter().chain(clients) {
+        let res = client.read_to_end().await;
+        assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
+    }
+}
+
+/// A connection from the accept queue whose request was still on its way was reset at the stop.
+#[tokio::test]
+async fn the_first_request_of_a_connection_may_come_just_after_the_stop() {
+    let s = start(limits()).await;
+    tokio::task::yield_now().await;
+    let mut client = Client::connect(s.addr);
+    s.stop.send(true).expect("running");
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    client.write(&get("/"));
+    let res = client.read_to_end().await;
+    assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
+}
+
 /// A stop that waits for first requests must not wait for connections on which none comes.
 #[tokio::test]
 async fn idle_connections_are_closed_at_stop() {
