fix(http): a response before the end of its request is not followed by a reset

Callers saw: a refusal that is sent before the request's body was read (400, 413, 431, 503) was followed by a reset. A caller that sends all before it reads failed with a broken pipe and never looked at the response. Without 413 the close was not announced, so the next request on the connection was cut.

Cause: a socket that is closed with unread bytes resets its connection.

On Linux the response itself stays readable after the reset; a caller has to ignore the failed write to find it.

The server closes its own side and then discards what arrives until the caller closes, for at most 2 s and 16 MiB. It does so only where more of the request is due, by its stated length and the bytes received, or where unread bytes are in the socket buffer: other connections are closed at once, as before. Where more is due, the response says `connection: close`.

--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -7,6 +7,7 @@
 use std::io::ErrorKind;
 use std::io::Result;
 use std::mem::MaybeUninit;
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -14,6 +15,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use socket2::SockRef;
@@ -23,10 +25,20 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio::time::Sleep;
 
 /// The number of low bits that hold the phase; the others hold the time.
 const PHASE_BITS: u64 = 2;
 
+/// Stands for the length of a request that only its end tells.
+const UNKNOWN_BYTES: u64 = u64::MAX;
+
+/// The longest that the rest of a request is waited for after its response.
+const LINGERING_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most bytes of the rest of a request that are read after its response.
+const LINGERING_BYTES_MAX: usize = 16 << 20;
+
 /// The phase of a connection.
 #[derive(Clone, Copy, PartialEq)]
 enum Phase {
@@ -44,30 +56,50 @@
 #[derive(Clone)]
 pub(crate) struct PhaseClock {
     start: Instant,
+    shared: Arc<Shared>,
+    head_timeout: Duration,
+    idle_timeout: Duration,
+}
+
+/// What the stream and the service of a connection share.
+#[derive(Default)]
+struct Shared {
     /// The phase and its start in milliseconds, in one integer so that both change together.
-    packed: Arc<AtomicU64>,
+    packed: AtomicU64,
     /// Notified when a request begins: its header timeout can expire before the idle timeout being waited for.
-    head_started: Arc<Notify>,
+    head_started: Notify,
     /// Whether the connection is to be closed once it is idle.
-    is_closing: Arc<AtomicBool>,
-    head_timeout: Duration,
-    idle_timeout: Duration,
+    is_closing: AtomicBool,
+    /// The bytes received since the first one of the current request.
+    received_bytes: AtomicU64,
+    /// The bounds of the length of the current request, or [`UNKNOWN_BYTES`].
+    request_bytes_min: AtomicU64,
+    request_bytes_max: AtomicU64,
+    /// Whether the next request may have begun with bytes that were received together with the current one.
+    is_next_begun: AtomicBool,
 }
 
 impl PhaseClock {
     pub(crate) fn new(head_timeout: Duration, idle_timeout: Duration) -> Self {
         Self {
             start: Instant::now(),
-            packed: Arc::default(),
-            head_started: Arc::default(),
-            is_closing: Arc::default(),
+            shared: Arc::default(),
             head_timeout,
             idle_timeout,
         }
     }
 
     /// Starts the handler phase: the headers of a request are complete.
-    pub(crate) fn start_handler(&self) {
+    ///
+    /// `request_bytes` are the bounds of the request's length, or `None` if only its end tells its length.
+    pub(crate) fn start_handler(&self, request_bytes: Option<RangeInclusive<u64>>) {
+        let is_counted =
+            self.read().0 == Phase::Head && !self.shared.is_next_begun.load(Ordering::Relaxed);
+        let (min, max) = request_bytes
+            .filter(|_| is_counted)
+            .map_or((UNKNOWN_BYTES, UNKNOWN_BYTES), RangeInclusive::into_inner);
+        self.shared.request_bytes_min.store(min, Ordering::Relaxed);
+        self.shared.request_bytes_max.store(max, Ordering::Relaxed);
         self.set(Phase::Handler);
     }
 
@@ -81,12 +113,12 @@
     /// The connection has to be polled after this. A request whose first byte arrives after that poll is not answered;
     /// this cannot be avoided, as the caller may send it before it learns of the close.
     pub(crate) fn close_when_idle(&self) {
-        self.is_closing.store(true, Ordering::Relaxed);
+        self.shared.is_closing.store(true, Ordering::Relaxed);
     }
 
     /// Returns whether the connection is closed once it is idle.
     pub(crate) fn is_closing(&self) -> bool {
-        self.is_closing.load(Ordering::Relaxed)
+        self.shared.is_closing.load(Ordering::Relaxed)
     }
 
     /// Returns whether no request is being received or answered.
@@ -103,7 +135,7 @@
             }
             tokio::select! {
                 () = tokio::time::sleep_until(deadline) => {}
-                () = self.head_started.notified() => {}
+                () = self.shared.head_started.notified() => {}
             }
         }
     }
@@ -120,18 +152,40 @@
         }
     }
 
-    /// Starts the header phase if the connection was idle.
-    fn on_bytes(&self) {
-        if self.read().0 == Phase::Idle {
+    /// Returns whether bytes of the current request are still to come; `None` if this is unknown.
+    pub(crate) fn is_request_incomplete(&self) -> Option<bool> {
+        let min = self.shared.request_bytes_min.load(Ordering::Relaxed);
+        let received = self.shared.received_bytes.load(Ordering::Relaxed);
+        (min != UNKNOWN_BYTES).then_some(received < min)
+    }
+
+    /// Counts received bytes, and starts the header phase if the connection was idle.
+    fn on_received(&self, bytes: usize) {
+        let is_first = self.read().0 == Phase::Idle;
+        if is_first {
+            self.shared.received_bytes.store(0, Ordering::Relaxed);
+        }
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.shared
+            .received_bytes
+            .fetch_add(bytes, Ordering::Relaxed);
+        if is_first {
             self.set(Phase::Head);
-            self.head_started.notify_one();
+            self.shared.head_started.notify_one();
         }
     }
 
-    /// Notes the progress of a response; bytes written earlier are an interim response.
+    /// Notes the progress of a response; what is written while a request is handled is an interim response.
     fn on_written(&self) {
-        if matches!(self.read().0, Phase::Idle | Phase::Response) {
-            self.set(Phase::Response);
+        match self.read().0 {
+            Phase::Handler => {}
+            Phase::Idle | Phase::Response => self.set(Phase::Response),
+            // hyper rejects the request.
+            Phase::Head => {
+                let min = &self.shared.request_bytes_min;
+                min.store(UNKNOWN_BYTES, Ordering::Relaxed);
+                self.set(Phase::Response);
+            }
         }
     }
 
@@ -139,6 +193,11 @@
     fn on_flushed(&self) -> bool {
         let is_written = self.read().0 == Phase::Response;
         if is_written {
+            let max = self.shared.request_bytes_max.load(Ordering::Relaxed);
+            let received = self.shared.received_bytes.load(Ordering::Relaxed);
+            let is_next_begun = max == UNKNOWN_BYTES || received > max;
+            let shared = &self.shared.is_next_begun;
+            shared.store(is_next_begun, Ordering::Relaxed);
             self.set(Phase::Idle);
         }
         is_written
@@ -146,12 +205,13 @@
 
     fn set(&self, phase: Phase) {
         let ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX >> PHASE_BITS);
-        self.packed
+        self.shared
+            .packed
             .store((ms << PHASE_BITS) | phase as u64, Ordering::Relaxed);
     }
 
     fn read(&self) -> (Phase, Instant) {
-        let packed = self.packed.load(Ordering::Relaxed);
+        let packed = self.shared.packed.load(Ordering::Relaxed);
         let phase = match packed & 3 {
             0 => Phase::Idle,
             1 => Phase::Head,
@@ -169,23 +229,76 @@
 pub(crate) struct PhaseStream {
     tcp: TcpStream,
     clock: PhaseClock,
+    /// Whether the connection is closed for being idle.
+    is_closed_idle: bool,
+    /// Set from when the last response is written until the caller has sent the rest of its request.
+    lingering: Option<Lingering>,
+}
+
+/// The rest of a request that is discarded before its connection is closed.
+///
+/// Closing a socket with unread bytes resets the connection, which ends a caller that is still sending before it has read
+/// its response.
+struct Lingering {
+    timeout: Pin<Box<Sleep>>,
+    bytes_left: usize,
+}
+
+impl Lingering {
+    fn new() -> Self {
+        Self {
+            timeout: Box::pin(tokio::time::sleep(LINGERING_TIMEOUT)),
+            bytes_left: LINGERING_BYTES_MAX,
+        }
+    }
+
+    /// Discards what arrives until the caller has closed its side; gives up beyond the bounds on time and bytes.
+    fn poll(&mut self, tcp: &mut TcpStream, cx: &mut Context<'_>) -> Poll<()> {
+        let mut discarded = [0; 16 * 1024];
+        while self.bytes_left > 0 && self.timeout.as_mut().poll(cx).is_pending() {
+            let mut buf = ReadBuf::new(&mut discarded);
+            match Pin::new(&mut *tcp).poll_read(cx, &mut buf) {
+                Poll::Ready(Ok(())) if !buf.filled().is_empty() => {
+                    self.bytes_left = self.bytes_left.saturating_sub(buf.filled().len());
+                }
+                // The caller has closed its side or the whole connection.
+                Poll::Ready(_) => return Poll::Ready(()),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Ready(())
+    }
 }
 
 impl PhaseStream {
     pub(crate) fn new(tcp: TcpStream, clock: PhaseClock) -> Self {
-        Self { tcp, clock }
+        Self {
+            tcp,
+            clock,
+            is_closed_idle: false,
+            lingering: None,
+        }
     }
 
-    /// Returns whether the connection is to be closed now: it is idle and its socket buffer is empty.
+    /// Returns whether the caller may still be sending the request that has been answered.
+    fn may_receive_more(&self) -> bool {
+        let is_incomplete = self.clock.is_request_incomplete();
+        is_incomplete.unwrap_or(!self.is_closed_idle) || self.peek().is_ok_and(|n| n > 0)
+    }
+
+    /// Returns how many bytes are in the socket buffer, at most one.
     ///
     /// The socket itself is asked, as the runtime learns of received bytes with a delay.
+    fn peek(&self) -> Result<usize> {
+        SockRef::from(&self.tcp).peek(&mut [MaybeUninit::uninit()])
+    }
+
+    /// Returns whether the connection is to be closed now: it is idle and its socket buffer is empty.
     fn is_closable(&self) -> bool {
-        if !self.clock.is_closing() || !self.clock.is_idle() {
-            return false;
-        }
-        let mut buf = [MaybeUninit::uninit()];
         // An error other than an empty buffer is left to the next read.
-        matches!(SockRef::from(&self.tcp).peek(&mut buf), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.clock.is_closing()
+            && self.clock.is_idle()
+            && matches!(self.peek(), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
     fn note_written(&self, polled: &Poll<Result<usize>>) {
@@ -203,11 +316,13 @@
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.tcp).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.clock.on_bytes();
+        let received = buf.filled().len() - before;
+        if received > 0 {
+            self.clock.on_received(received);
         }
         if polled.is_pending() && self.is_closable() {
             // The end of the stream makes hyper close an idle connection.
+            self.is_closed_idle = true;
             return Poll::Ready(Ok(()));
         }
         polled
@@ -236,8 +351,18 @@
         polled
     }
 
+    /// Closes this side, then waits for the rest of a request that was answered before it was received.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.tcp).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.lingering.is_none() {
+            ready!(Pin::new(&mut this.tcp).poll_shutdown(cx))?;
+            if !this.may_receive_more() {
+                return Poll::Ready(Ok(()));
+            }
+        }
+        let lingering = this.lingering.get_or_insert_with(Lingering::new);
+        ready!(lingering.poll(&mut this.tcp, cx));
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,6 +5,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpListener as StdListener;
+use std::ops::RangeInclusive;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::pin::pin;
@@ -22,8 +23,10 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
+use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -283,7 +286,7 @@
         let clock = PhaseClock::new(limits.header_timeout, limits.idle_timeout);
         let phase = clock.clone();
         let service = service_fn(move |req| {
-            phase.start_handler();
+            phase.start_handler(request_bytes(&req));
             let phase = phase.clone();
             let handler = Arc::clone(&handler);
             let state = Arc::clone(&state);
@@ -294,7 +297,7 @@
                 };
                 phase.start_response();
                 let is_closing = phase.is_closing() || state.closing.load(Ordering::Relaxed);
-                if close || is_closing || has_unread_body(&res) {
+                if close || is_closing || has_unread_body(&phase, &res) {
                     res.headers_mut()
                         .insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -358,8 +361,24 @@
 ///
 /// If a client announces a large body, gets an error response and then sends nothing, the connection would count as
 /// idle if it was not closed.
-fn has_unread_body<B>(res: &Response<B>) -> bool {
-    res.status() == StatusCode::PAYLOAD_TOO_LARGE
+fn has_unread_body<B>(phase: &PhaseClock, res: &Response<B>) -> bool {
+    res.status() == StatusCode::PAYLOAD_TOO_LARGE || phase.is_request_incomplete() == Some(true)
+}
+
+/// Returns the bounds of a request's length on the connection, or `None` if its body has no stated length.
+///
+/// The headers are usually written with a space before each value; whether they were is not known any more.
+fn request_bytes(req: &Request<Incoming>) -> Option<RangeInclusive<u64>> {
+    let body = req.body().size_hint().exact()?;
+    let path = req.uri().path_and_query().map_or(0, |p| p.as_str().len());
+    let line = req.method().as_str().len() + path + "  HTTP/1.1\r\n".len();
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ":\r\n".len()
+    };
+    let head = line + req.headers().iter().map(header).sum::<usize>() + "\r\n".len();
+    let min = body.checked_add(u64::try_from(head).ok()?)?;
+    let spaces = u64::try_from(req.headers().len()).ok()?;
+    Some(min..=min.checked_add(spaces)?)
 }
 
 /// Returns the handler's response, or as an error the response to send if the handler panics.
--- a/crates/http/tests/connections/common.rs
+++ b/crates/http/tests/connections/common.rs
@@ -167,9 +167,14 @@
 
     /// Reads one response, or what comes before the end of the connection.
     pub(crate) async fn read_response(self) -> (Self, String) {
-        self.run(|tcp| {
+        self.read_responses(1).await
+    }
+
+    /// Reads a number of responses, or what comes before the end of the connection.
+    pub(crate) async fn read_responses(self, count: usize) -> (Self, String) {
+        self.run(move |tcp| {
             let (mut text, mut buf) = (String::new(), [0; 4096]);
-            while !text.ends_with("\r\n\r\nok") {
+            while text.matches("\r\n\r\nok").count() < count {
                 match tcp.read(&mut buf) {
                     Ok(0) => break,
                     Ok(n) => text.push_str(&String::from_utf8_lossy(&buf[..n])),
