fix(platform): read each object apart from its page

What callers saw: one entry of another writer with a raw control character in a string, or with a value that is no JSON, made VMs use a server on and on that had been removed. All lists and watches of the kind failed in all VMs (event=directory-lost by=servers error="malformed reply: ...").

Cause: a page of a list or a watch was parsed in one piece, so that the strictness for one object held for its whole page. Metadata of another type (a name that is a number, a negative revision, nested `deleting`) did the same, as it was part of the page's type.

Each object is now a raw value that is parsed by itself. Where the page is not well-formed, its array is split by strings, braces and brackets, and an element in which these are unbalanced ends where the next one starts; each piece is parsed by itself again. An object that cannot be read counts as unreadable under the name in its metadata, like one with an unreadable spec; without a name it is left out with a log line. The list continues from the last name that can be read.

The splitter is in gs-store, as it is no part of the platform's words.

An element now only counts as holding others if it is balanced.

--- a/crates/rig/src/site/mod.rs
+++ b/crates/rig/src/site/mod.rs
@@ -58,6 +58,7 @@
 pub use store::StoreFault;
 pub use store::StoreWriter;
 pub use store::UNREADABLE;
+pub use store::raw;
 pub use traffic::BudgetExcess;
 pub use traffic::RepeatBudget;
 pub use traffic::Traffic;
--- a/crates/rig/src/site/store.rs
+++ b/crates/rig/src/site/store.rs
@@ -32,6 +32,9 @@
 /// A character that answers have a byte in place of which is no text, as if another program had written it.
 pub const UNREADABLE: char = '\u{e000}';
 
+/// A character that encloses the text of a [`raw`] value.
+const RAW: char = '\u{e001}';
+
 /// The header of every answer that counts how often the store was restored from a copy.
 const STORE_ERA: &str = "store-era";
 
@@ -134,6 +137,13 @@
         StoreWriter(Arc::clone(&self.inner))
     }
 
+    /// Returns the content of an object.
+    #[must_use]
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        let objects = lock(&self.inner.objects);
+        objects.get(kind, name).map(|o| o["spec"].clone())
+    }
+
     /// Returns the names of the objects of a kind.
     #[must_use]
     pub fn names(&self, kind: &str) -> Vec<String> {
@@ -400,9 +410,30 @@
     query.split('&').any(|param| param == "serializable=1")
 }
 
+/// Returns a value in place of which answers have this text, which may be malformed JSON.
+#[must_use]
+pub fn raw(text: &str) -> Value {
+    Value::String(format!("{RAW}{text}{RAW}"))
+}
+
+/// Returns a document in which [`raw`] values stand as their texts.
+fn unquote_raw(document: &Value) -> String {
+    let text = document.to_string();
+    let (start, end) = (format!("\"{RAW}"), format!("{RAW}\""));
+    let mut pieces = text.split(start.as_str());
+    let mut unquoted = pieces.next().unwrap_or_default().to_owned();
+    for piece in pieces {
+        let (quoted, rest) = piece.split_once(end.as_str()).unwrap_or((piece, ""));
+        let raw: Option<String> = serde_json::from_str(&format!("\"{quoted}\"")).ok();
+        unquoted += &raw.unwrap_or_default();
+        unquoted += rest;
+    }
+    unquoted
+}
+
 /// Returns a response with this document, in which a byte that is no text stands in place of [`UNREADABLE`].
 fn json(value: &Value) -> Response<Body> {
-    let text = value.to_string();
+    let text = unquote_raw(value);
     let parts: Vec<&[u8]> = text.split(UNREADABLE).map(str::as_bytes).collect();
     response(200, parts.join(&0xff))
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoff;
 mod budget;
 mod http_platform;
+mod json_array;
 mod object;
 mod platform;
 mod read_back;
@@ -17,6 +18,7 @@
 pub use budget::CallCounts;
 pub use http_platform::HttpPlatform;
 pub use http_platform::HttpPlatformOptions;
+pub use json_array::split_array;
 pub use object::ChangedObject;
 pub use object::Entry;
 pub use object::Listing;
