fix(http): bound the memory of all request bodies together

Callers saw a VM end with all its requests: each body had a bound, the bodies of all connections together had none. 1,500 connections with all but the last 144 bytes of 256 KiB took a process from 15 to 347 MB of 260 MB.

Cause: `read_body` collected up to the largest body for each connection, and chunks of a chunked body each kept the buffer in which they came.

A `BodyBudget`, an eighth of the new setting `vm.memory`, is charged as the bytes arrive and until the last copy of the body is dropped, so an announced length reserves nothing and a body that the relay still holds still counts. The first 8 KiB of each body are free, so small requests always pass; the number of connections bounds them. The body that does not fit is refused at once: 503 with Retry-After to callers, 429 `overload` to peers, both as not run. The rest of it is read and dropped for at most a second, as a close with unread bytes would reset the connection before the caller has read the refusal.

Evidence: tests/relay/memory.rs, 800 bodies on one real process (debug build).

The collected body is copied into one buffer, which is charged by capacity. Chunks of 16 bytes were tried in the test: the debug build spends the time of the test on their frames, so it uses chunks of 256 bytes.

--- a/crates/edge/src/callers.rs
+++ b/crates/edge/src/callers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use gs_http::Handler;
@@ -18,6 +19,7 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 
+use crate::body::closing;
 use crate::body::read_body;
 use crate::relay_client::RelayClient;
 
@@ -34,6 +36,9 @@
     fn write(&self, id: &str, outcome: Outcome) -> Response<Full<Bytes>>;
 }
 
+/// When to retry a request whose body did not fit into the memory for bodies.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Parses callers' requests, submits them to the relay and responds with their outcomes.
 pub(crate) struct CallerHandler {
     pub(crate) codec: Arc<dyn CallerCodec>,
@@ -43,23 +48,43 @@
 impl CallerHandler {
     async fn answer(&self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, body) = req.into_parts();
+        let client = &self.relay_client;
         let body = tokio::select! {
-            body = read_body(body, self.relay_client.body_max()) => Some(body),
-            () = self.relay_client.wait_for_final_responses() => None,
+            body = read_body(body, client.body_max(), &client.bodies) => body,
+            () = client.wait_for_final_responses() => {
+                return self.refuse(head, RefuseReason::ShuttingDown, SHUTDOWN_RETRY_AFTER);
+            }
         };
-        let is_complete = body.is_some();
-        let body = body.unwrap_or_else(|| Ok(Bytes::new()));
+        if let Err(e) = &body
+            && e.kind() == ErrorKind::Unavailable
+        {
+            log::info!("event=body-refused error=\"{e}\"");
+            return self.refuse(head, RefuseReason::Overload, BODY_RETRY_AFTER);
+        }
         let req = match body.and_then(|body| self.codec.read(head, body)) {
             Ok(req) => req,
             Err(e) => return error_response(&e),
         };
         let id = Arc::clone(&req.id);
-        let outcome = match is_complete {
-            true => self.relay_client.submit(req, None).await,
-            false => Outcome::Refused(RefuseReason::ShuttingDown, Some(SHUTDOWN_RETRY_AFTER)),
-        };
+        let outcome = self.relay_client.submit(req, None).await;
         self.codec.write(&id, outcome)
     }
+
+    /// Refuses a request whose body is not read completely.
+    fn refuse(
+        &self,
+        head: Parts,
+        reason: RefuseReason,
+        retry_after: Duration,
+    ) -> Response<Full<Bytes>> {
+        match self.codec.read(head, Bytes::new()) {
+            Ok(req) => {
+                let refused = Outcome::Refused(reason, Some(retry_after));
+                closing(self.codec.write(&req.id, refused))
+            }
+            Err(e) => closing(error_response(&e)),
+        }
+    }
 }
 
 /// Logs a request that could not be parsed, and builds the response to it.
--- a/crates/edge/src/crash_news_handler.rs
+++ b/crates/edge/src/crash_news_handler.rs
@@ -37,11 +37,11 @@
             (&Method::GET, VERDICTS_PATH) => {
                 json_response(&lock(&self.relay).verdicts(Instant::now()))
             }
-            (&Method::POST, VERDICTS_PATH) => match read_message(body).await {
+            (&Method::POST, VERDICTS_PATH) => match self.read_message(body).await {
                 Ok(message) => self.apply_verdict(message),
                 Err(e) => unreadable(&e),
             },
-            (&Method::POST, REPORTS_PATH) => match read_message(body).await {
+            (&Method::POST, REPORTS_PATH) => match self.read_message(body).await {
                 Ok(report) => self.apply_report(report),
                 Err(e) => unreadable(&e),
             },
@@ -49,6 +49,13 @@
         }
     }
 
+    async fn read_message<T: DeserializeOwned>(&self, body: Incoming) -> Result<T> {
+        let bodies = &self.relay_client.bodies;
+        let body = read_body(body, Some(MESSAGE_BYTES_MAX), bodies).await?;
+        serde_json::from_slice(&body)
+            .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("read crash news"))
+    }
+
     fn apply_verdict(&self, message: VerdictMessage) -> Response<Full<Bytes>> {
         let VerdictMessage { verdict, spread_to } = message;
         spread(&self.peers, verdict.clone(), spread_to);
@@ -67,12 +74,6 @@
     }
 }
 
-async fn read_message<T: DeserializeOwned>(body: Incoming) -> Result<T> {
-    let body = read_body(body, Some(MESSAGE_BYTES_MAX)).await?;
-    serde_json::from_slice(&body)
-        .map_err(|e| Error::new(ErrorKind::BadInput, e.to_string()).at("read crash news"))
-}
-
 fn unreadable(e: &Error) -> Response<Full<Bytes>> {
     log::warn!("event=crash-news-unreadable error=\"{e}\"");
     empty_response(StatusCode::BAD_REQUEST, "unreadable")
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -39,6 +39,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::body::closing;
 use crate::body::read_body;
 use crate::crash_news::CRASHES_PATH;
 use crate::register::PeerClient;
@@ -225,9 +226,17 @@
         }
         let start = Instant::now();
         let (head, body) = req.into_parts();
-        let body = read_body(body, self.relay_client.body_max()).await;
+        let client = &self.relay_client;
+        let body = read_body(body, client.body_max(), &client.bodies).await;
         let (req, delegated) = match body.and_then(|body| parse_delegation(head, body)) {
             Ok(parsed) => parsed,
+            Err(e) if e.kind() == ErrorKind::Unavailable => {
+                log::warn!("event=hand-over-refused error=\"{e}\"");
+                return closing(empty_response(
+                    StatusCode::TOO_MANY_REQUESTS,
+                    RefuseReason::Overload.into(),
+                ));
+            }
             Err(e) => {
                 log::warn!("event=hand-over-unreadable error=\"{e}\"");
                 return empty_response(StatusCode::BAD_REQUEST, "unreadable");
--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -7,6 +7,7 @@
 use gs_actor::Shared;
 use gs_actor::UnstartedActor;
 use gs_clock::Clock;
+use gs_http::BodyBudget;
 use gs_http::ConnectOptions;
 use gs_http::Server;
 use gs_http::listen;
@@ -51,6 +52,7 @@
     pending: Arc<PendingRequests>,
     state: Arc<SharedState>,
     request_log: Arc<RequestLog>,
+    bodies: Arc<BodyBudget>,
     metrics: Arc<Metrics>,
     register: Arc<Register>,
     peers: Arc<PeerClient>,
@@ -96,6 +98,7 @@
             pending: Arc::default(),
             state: Arc::default(),
             request_log: Arc::new(RequestLog::new(Arc::clone(&metrics))),
+            bodies: Arc::new(BodyBudget::new(settings.request_bodies_max())),
             metrics,
             register,
             peers: Arc::clone(&peers),
@@ -206,6 +209,7 @@
             feed: self.feed.clone(),
             state: Arc::clone(&self.state),
             request_log: Arc::clone(&self.request_log),
+            bodies: Arc::clone(&self.bodies),
         }
     }
 
--- a/crates/edge/src/relay_client.rs
+++ b/crates/edge/src/relay_client.rs
@@ -8,6 +8,7 @@
 
 use gs_actor::Feed;
 use gs_actor::lock;
+use gs_http::BodyBudget;
 use gs_relay::Arrival;
 use gs_relay::CallerRequest;
 use gs_relay::DelegatedParts;
@@ -59,6 +60,8 @@
     pub(crate) feed: Feed<Event>,
     pub(crate) state: Arc<SharedState>,
     pub(crate) request_log: Arc<RequestLog>,
+    /// The memory for the bodies of requests.
+    pub(crate) bodies: Arc<BodyBudget>,
 }
 
 impl RelayClient {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -12,6 +12,7 @@
 use gs_relay::RelayOptions;
 use gs_settings::LogLevel;
 use gs_types::prelude::*;
+use gs_types::size::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -24,6 +25,12 @@
 /// The least time between two renewals: a slow platform takes this long to answer.
 const RENEW_INTERVAL_MIN: Duration = Duration::from_secs(1);
 
+/// The least memory of a VM: what an idle process, the buffers of its connections and their free parts of bodies need.
+const MEMORY_MIN: Bytes = Bytes(64 << 20);
+
+/// The part of a VM's memory that the bodies of requests may use, as a divisor.
+const REQUEST_BODIES_DIVISOR: u64 = 8;
+
 /// The least fraction of a core that is assumed when the work on an answer is estimated.
 const CORES_MIN: f64 = 0.05;
 
@@ -75,6 +82,9 @@
     pub region: Region,
     /// What it can process in a second.
     pub capacity: Capacity,
+    /// The memory that its process may use.
+    #[serde(default = "memory_usual")]
+    pub memory: Bytes,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -83,6 +93,11 @@
     pub data_centres: HashMap<DataCentre, Region>,
 }
 
+/// Returns the default of `memory`.
+fn memory_usual() -> Bytes {
+    Bytes(256 << 20)
+}
+
 /// The addresses on which a process listens.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -331,6 +346,9 @@
         if self.answers.margin > MARGIN_MAX {
             return bad("answers.margin", "at most 10s");
         }
+        if self.vm.memory < MEMORY_MIN {
+            return bad("vm.memory", "at least 64MB");
+        }
         if self.shutdown.grace < GRACE_MIN {
             return bad("shutdown.grace", "at least 100ms");
         }
@@ -340,6 +358,12 @@
         Ok(())
     }
 
+    /// Returns the memory that the bodies of requests may hold together.
+    #[must_use]
+    pub fn request_bodies_max(&self) -> Bytes {
+        Bytes(self.vm.memory.0 / REQUEST_BODIES_DIVISOR)
+    }
+
     /// Returns this VM as a peer of the others.
     #[must_use]
     pub fn as_peer(&self) -> PeerVm {
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -68,6 +68,21 @@
     assert!(e.hint().is_some_and(|h| h.contains(key)), "{e:?}");
 }
 
+#[test]
+fn a_vm_without_memory_for_its_connections_is_rejected() {
+    let text = MINIMAL.replace("[vm]\n", "[vm]\nmemory = \"63MB\"\n");
+    let e = EdgeSettings::parse(&text).expect_err("it is rejected");
+    assert!(e.to_string().contains("vm.memory"), "{e}");
+    assert!(e.hint().is_some_and(|h| h.contains("vm.memory")), "{e:?}");
+}
+
+#[test]
+fn an_eighth_of_the_memory_is_for_the_bodies_of_requests() {
+    let text = MINIMAL.replace("[vm]\n", "[vm]\nmemory = \"160MB\"\n");
+    let cfg = EdgeSettings::parse(&text).expect("it parses");
+    assert_eq!(cfg.request_bodies_max().to_string(), "20MB");
+}
+
 #[test]
 fn a_missing_settings_file_is_an_io_error() {
     let e = EdgeSettings::load("no/such.toml".as_ref()).expect_err("it is rejected");
--- a/crates/http/src/callers/handler.rs
+++ b/crates/http/src/callers/handler.rs
@@ -8,17 +8,22 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use gs_types::prelude::*;
+use gs_types::size::Bytes as Size;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 
 use crate::body::read_body;
+use crate::body_budget::BodyBudget;
 use crate::callers::request;
 use crate::callers::response;
 use crate::callers::response::LookupReply;
 use crate::server::Handler;
 
+/// The memory that the bodies of requests may hold together.
+const BODIES_MAX: Size = Size(16 << 20);
+
 /// Executes lookups; implemented by the node on top of its engine.
 #[async_trait]
 pub trait LookupService: Send + Sync + 'static {
@@ -33,6 +38,7 @@
     service: Arc<dyn LookupService>,
     body_bytes_max: usize,
     body_timeout: Duration,
+    bodies: Arc<BodyBudget>,
 }
 
 impl CallerHandler {
@@ -47,13 +53,14 @@
             service,
             body_bytes_max,
             body_timeout,
+            bodies: Arc::new(BodyBudget::new(BODIES_MAX)),
         }
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (head, body) = req.into_parts();
         let target = request::parse_target(&head)?;
-        let body = read_body(body, self.body_bytes_max, self.body_timeout).await?;
+        let body = read_body(body, self.body_bytes_max, self.body_timeout, &self.bodies).await?;
         let req = request::parse_lookup(&head, target, &body)?;
         let (front, lookup) = (req.front.clone(), req.lookup.clone());
         let r = self.service.lookup(req).await;
--- a/crates/http/src/callers/response.rs
+++ b/crates/http/src/callers/response.rs
@@ -7,11 +7,15 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use serde::Serialize;
 
+/// When to retry a request whose body did not fit into the memory for bodies, in seconds.
+const BODY_RETRY_AFTER_S: u64 = 1;
+
 /// The outcome of a lookup, with the request's id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LookupReply {
@@ -71,9 +75,10 @@
     let status = match e.kind() {
         ErrorKind::NotFound => StatusCode::NOT_FOUND,
         ErrorKind::TooMuch => StatusCode::PAYLOAD_TOO_LARGE,
+        ErrorKind::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
         _ => StatusCode::BAD_REQUEST,
     };
-    json_response(
+    let mut res = json_response(
         status,
         &ErrorBody {
             outcome: if has_key { "unknown" } else { "not-run" },
@@ -81,7 +86,14 @@
             error: e.to_string(),
             hint: e.hint(),
         },
-    )
+    );
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let headers = res.headers_mut();
+        headers.insert(RETRY_AFTER, HeaderValue::from(BODY_RETRY_AFTER_S));
+        // The rest of the body was not read.
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    res
 }
 
 /// Returns the status code of an outcome, as listed in docs/INTERFACE.md.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,10 +4,11 @@
 //! lookups through [`LookupService`], and the results of attempts through [`EventSink`].
 //!
 //! `gs_edge`, whose decisions are made in `gs_relay`, uses only what does not depend on lookups: [`Server`],
-//! [`listen()`], [`read_body`], [`exchange()`] and [`ConnectionPool`].
+//! [`listen()`], [`read_body`], [`BodyBudget`], [`exchange()`] and [`ConnectionPool`].
 
 mod backend;
 mod body;
+mod body_budget;
 mod callers;
 mod listen;
 mod phase;
@@ -27,6 +28,8 @@
 pub use backend::PooledConnection;
 pub use backend::exchange;
 pub use body::read_body;
+pub use body_budget::BodyBudget;
+pub use body_budget::BodyCharge;
 pub use callers::CallerHandler;
 pub use callers::LookupReply;
 pub use callers::LookupService;
--- a/crates/http/tests/connections/common.rs
+++ b/crates/http/tests/connections/common.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gs_http::BodyBudget;
 use gs_http::Handler;
 use gs_http::Limits;
 use gs_http::Server;
@@ -61,7 +62,9 @@
             let mut res = Response::new(Full::new(Bytes::from("ok")));
             match path.as_str() {
                 "/body" => {
-                    let body = gs_http::read_body(req.into_body(), LARGE_BYTES, WAIT_MAX).await;
+                    let budget = Arc::new(BodyBudget::new(gs_types::prelude::Bytes(u64::MAX)));
+                    let body = req.into_body();
+                    let body = gs_http::read_body(body, LARGE_BYTES, WAIT_MAX, &budget).await;
                     body.expect("a whole body");
                 }
                 "/hold" => {
--- a/crates/rig/src/site/vm.rs
+++ b/crates/rig/src/site/vm.rs
@@ -102,6 +102,12 @@
         &self.settings
     }
 
+    /// Returns the id of its process.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until its status address answers that it is ready.
     ///
     /// # Errors
--- a/tests/relay/main.rs
+++ b/tests/relay/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod leaving_servers;
 mod lost_watch;
+mod memory;
 mod odd_entries;
 mod pages;
 mod register;
