feat(http): log requests that were received and not answered

Operators saw: event=connection-expired for idle connections and unanswered requests alike, and nothing where a caller left or the process ended with requests in progress, so the hypotheses of the incident could not be told apart.

A connection that ends in any phase but idle leaves one line at info, event=request-unanswered, with the peer, the phase (head, handler, response), the milliseconds in it and the cause: caller-closed, timeout, stop or error. It is written as the connection is dropped, so the end of the process shows too. Idle closes are at debug.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod body_budget;
 mod callers;
+mod ending;
 mod listen;
 mod phase;
 mod server;
--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use socket2::SockRef;
+use strum::Display;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -40,8 +41,9 @@
 const LINGERING_BYTES_MAX: usize = 16 << 20;
 
 /// The phase of a connection.
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
+#[derive(Clone, Copy, PartialEq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Phase {
     /// No request has begun.
     Idle,
     /// The headers of a request are being received.
@@ -210,7 +212,8 @@
             .store((ms << PHASE_BITS) | phase as u64, Ordering::Relaxed);
     }
 
-    fn read(&self) -> (Phase, Instant) {
+    /// Returns the phase, and when it began or a write last made progress.
+    pub(crate) fn read(&self) -> (Phase, Instant) {
         let packed = self.shared.packed.load(Ordering::Relaxed);
         let phase = match packed & 3 {
             0 => Phase::Idle,
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -37,6 +37,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::ending::Ending;
 use crate::phase::PhaseClock;
 use crate::phase::PhaseStream;
 
@@ -309,21 +310,20 @@
             .serve_connection(TokioIo::new(PhaseStream::new(tcp, clock.clone())), service);
         let closing = wait_for_close(self.stopping.subscribe());
         async move {
+            let mut ending = Ending::new(peer, clock.clone());
             let mut closing = pin!(closing);
             let mut conn = pin!(conn);
             loop {
                 tokio::select! {
                     biased;
                     ended = conn.as_mut() => {
-                        if let Err(e) = ended {
-                            log::debug!("event=connection-ended peer={peer} error=\"{e}\"");
-                        }
+                        ending.set_ended(ended);
                         break;
                     }
                     () = closing.as_mut(), if !clock.is_closing() => clock.close_when_idle(),
                     () = clock.wait_until_expired() => {
-                        log::info!("event=connection-expired peer={peer}");
                         if !clock.is_idle() {
+                            ending.set_timeout();
                             break;
                         }
                         clock.close_when_idle();
--- a/crates/http/tests/connections/main.rs
+++ b/crates/http/tests/connections/main.rs
@@ -5,4 +5,5 @@
 mod panic;
 mod slow_reader;
 mod stop;
+mod unanswered;
 mod unread_body;
--- a/crates/http/tests/connections/slow_reader.rs
+++ b/crates/http/tests/connections/slow_reader.rs
@@ -6,8 +6,11 @@
 use super::common::Client;
 use super::common::LARGE_BYTES;
 use super::common::get;
+use super::common::keep_log;
 use super::common::limits;
+use super::common::lines_of;
 use super::common::start;
+use super::common::wait_until;
 
 /// The timeout of an idle connection and of a write without progress.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,3 +40,23 @@
     let (_, (len, error)) = read.await;
     assert!(len >= LARGE_BYTES, "{len} of {LARGE_BYTES} bytes {error}");
 }
+
+/// A caller that never reads its response would hold the connection for ever.
+#[tokio::test]
+async fn a_response_that_is_not_read_ends_the_connection() {
+    keep_log();
+    let s = start(gs_http::Limits {
+        idle_timeout: IDLE_TIMEOUT,
+        ..limits()
+    })
+    .await;
+    let mut client = Client::connect(s.addr);
+    client.write(&get("/large"));
+    wait_until("accepted", || s.state.accepted() == 1).await;
+    wait_until("closed", || s.state.open() == 0).await;
+    let lines = lines_of(client.addr());
+    let is_named = lines
+        .iter()
+        .any(|l| l.contains("phase=response") && l.contains("cause=timeout"));
+    assert!(is_named, "{lines:?}");
+}
