refactor(liveness): move relay's watch of servers into a crate of its own

`relay` decides by a plain state machine which servers have ended and which attempts they may have had then. `serve` needs the same decision. The watch, the kinds of unanswered attempts and the time for which a server may go on with a closed one are now in gs-liveness, generic in what describes a server and a request. No decision changes: the tests of gs-relay pass unchanged.

--- a/crates/relay/src/server_watch.rs
+++ b/crates/liveness/src/server_watch.rs
@@ -12,9 +12,9 @@
 
 use gs_types::prelude::*;
 
-use crate::entry::ServerEntry;
 use crate::unanswered::UnansweredAttempt;
 use crate::watched_server::CHECK_INTERVAL;
+use crate::watched_server::ServerProcess;
 use crate::watched_server::WatchedServer;
 
 /// How long a server is remembered that has no unanswered attempts.
@@ -26,7 +26,7 @@
 /// By what the end of a server was seen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
-pub(crate) enum EndSign {
+pub enum EndSign {
     /// Its address refused a connection.
     Refused,
     /// Its entry was removed, or its address belongs to another server.
@@ -37,16 +37,18 @@
 
 /// A server that has ended, with the attempts that it may have had then.
 #[derive(Debug)]
-pub(crate) struct EndedServer {
-    pub(crate) entry: Arc<ServerEntry>,
+pub struct EndedServer<S, R> {
+    /// The server.
+    pub entry: Arc<S>,
     /// When it ended, as far as is known.
-    pub(crate) at: Instant,
-    pub(crate) attempts: Vec<UnansweredAttempt>,
+    pub at: Instant,
+    /// Those whose connections the server closed come first.
+    pub attempts: Vec<UnansweredAttempt<R>>,
 }
 
 /// What is known of an attempt that a server did not answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum AttemptFate {
+pub enum AttemptFate {
     /// The server was running later than it may have run the attempt.
     Outlived,
     /// The server had the attempt when it ended, at this time.
@@ -56,29 +58,41 @@
 }
 
 /// The servers that are watched.
-#[derive(Debug, Default)]
-pub(crate) struct ServerWatch {
-    servers: HashMap<ServerName, WatchedServer>,
+///
+/// `S` describes a server, and `R` the request of an attempt.
+#[derive(Debug)]
+pub struct ServerWatch<S, R> {
+    servers: HashMap<ServerName, WatchedServer<S, R>>,
     swept_at: Option<Instant>,
     /// When a check is repeated at the earliest.
     next_check_at: Option<Instant>,
 }
 
-impl ServerWatch {
+impl<S, R> Default for ServerWatch<S, R> {
+    fn default() -> Self {
+        Self {
+            servers: HashMap::new(),
+            swept_at: None,
+            next_check_at: None,
+        }
+    }
+}
+
+impl<S: ServerProcess, R: Clone> ServerWatch<S, R> {
     /// Watches a server, which has just failed to answer an attempt or may still run one.
     ///
     /// Returns the end of an earlier incarnation if there was one.
-    pub(crate) fn watch(&mut self, now: Instant, entry: &Arc<ServerEntry>) -> Option<EndedServer> {
+    pub fn watch(&mut self, now: Instant, entry: &Arc<S>) -> Option<EndedServer<S, R>> {
         self.remove_unused(now);
-        let ended = match self.servers.get(&entry.name) {
-            Some(known) if is_same_incarnation(&known.entry, entry) => None,
-            Some(_) => self.on_ended(now, &entry.name, false),
+        let ended = match self.servers.get(entry.name()) {
+            Some(known) if known.entry.is_same_incarnation(entry) => None,
+            Some(_) => self.on_ended(now, entry.name(), false),
             None => None,
         };
         let new = || WatchedServer::new(now, Arc::clone(entry));
-        let watched = self.servers.entry(entry.name.clone());
+        let watched = self.servers.entry(entry.name().clone());
         let watched = watched.or_insert_with(new);
-        if !is_same_incarnation(&watched.entry, entry) {
+        if !watched.entry.is_same_incarnation(entry) {
             *watched = new();
         }
         watched.used_at = now;
@@ -86,11 +100,11 @@
     }
 
     /// Adds an attempt at a watched server, unless it is known what became of the server.
-    pub(crate) fn add(
+    pub fn add(
         &mut self,
         now: Instant,
         server: &ServerName,
-        attempt: &UnansweredAttempt,
+        attempt: &UnansweredAttempt<R>,
         is_connected: bool,
     ) -> AttemptFate {
         let Some(watched) = self.servers.get_mut(server) else {
@@ -102,7 +116,9 @@
         match watched.ended_at {
             Some(ended_at) if attempt.began_at <= ended_at => return AttemptFate::Ended(ended_at),
             // What was sent later was sent on a connection that a server has accepted since.
-            Some(_) => watched.on_alive(attempt.began_at),
+            Some(_) => {
+                watched.on_alive(attempt.began_at);
+            }
             None => {}
         }
         watched.remove_settled(now, is_connected);
@@ -114,7 +130,7 @@
     }
 
     /// Returns whether a check of the server must be started; it counts as started then.
-    pub(crate) fn start_check(&mut self, now: Instant, server: &ServerName) -> bool {
+    pub fn start_check(&mut self, now: Instant, server: &ServerName) -> bool {
         let Some(watched) = self.servers.get_mut(server) else {
             return false;
         };
@@ -128,13 +144,13 @@
     }
 
     /// Returns whether a check of the server is under way.
-    pub(crate) fn is_checking(&self, server: &ServerName) -> bool {
+    pub fn is_checking(&self, server: &ServerName) -> bool {
         let watched = self.servers.get(server);
         watched.is_some_and(|w| w.check_again_at.is_some())
     }
 
     /// Records that a connection to a watched server broke.
-    pub(crate) fn on_broken(&mut self, at: Instant, server: &ServerName) {
+    pub fn on_broken(&mut self, at: Instant, server: &ServerName) {
         if let Some(watched) = self.servers.get_mut(server)
             && watched.alive_at.is_none_or(|alive_at| alive_at < at)
         {
@@ -142,16 +158,21 @@
         }
     }
 
-    /// Records that the server accepted a connection that was begun at a time.
-    pub(crate) fn on_accepted(&mut self, server: &ServerName, begun_at: Instant) {
-        if let Some(watched) = self.servers.get_mut(server) {
-            watched.on_alive(begun_at);
-            watched.check_again_at = None;
-        }
+    /// Records that the server accepted a connection that was begun at a time; returns the attempts that it outlived.
+    pub fn on_accepted(
+        &mut self,
+        server: &ServerName,
+        begun_at: Instant,
+    ) -> Vec<UnansweredAttempt<R>> {
+        let Some(watched) = self.servers.get_mut(server) else {
+            return Vec::new();
+        };
+        watched.check_again_at = None;
+        watched.on_alive(begun_at)
     }
 
     /// Records that the last connection to the server was closed; returns whether it must be checked.
-    pub(crate) fn on_disconnected(&mut self, now: Instant, server: &ServerName) -> bool {
+    pub fn on_disconnected(&mut self, now: Instant, server: &ServerName) -> bool {
         let Some(watched) = self.servers.get_mut(server) else {
             return false;
         };
@@ -160,19 +181,19 @@
     }
 
     /// Records that a server has ended; returns the attempts that it may have had then.
-    pub(crate) fn on_ended(
+    pub fn on_ended(
         &mut self,
         now: Instant,
         server: &ServerName,
         is_connected: bool,
-    ) -> Option<EndedServer> {
+    ) -> Option<EndedServer<S, R>> {
         let watched = self.servers.get_mut(server)?;
         watched.remove_settled(now, is_connected);
         let at = watched.broken_at.unwrap_or(now);
         watched.ended_at.get_or_insert(at);
         watched.check_again_at = None;
         let mut attempts = std::mem::take(&mut watched.attempts);
-        attempts.sort_by_key(|a| !a.is_broken);
+        attempts.sort_by_key(|a| !a.is_broken());
         Some(EndedServer {
             entry: Arc::clone(&watched.entry),
             at,
@@ -181,12 +202,12 @@
     }
 
     /// Forgets a server that is no longer listed.
-    pub(crate) fn remove(&mut self, server: &ServerName) {
+    pub fn remove(&mut self, server: &ServerName) {
         self.servers.remove(server);
     }
 
     /// Returns the servers whose check has had no result, and drops what needs none any more.
-    pub(crate) fn due_checks(
+    pub fn due_checks(
         &mut self,
         now: Instant,
         is_connected: impl Fn(&ServerName) -> bool,
@@ -212,14 +233,14 @@
     }
 
     /// Returns when checks are repeated at the earliest.
-    pub(crate) fn next_check_at(&self) -> Option<Instant> {
+    pub fn next_check_at(&self) -> Option<Instant> {
         self.next_check_at
     }
 
     /// Returns whether a server may still run an attempt at the request, or its end is uncertain.
-    pub(crate) fn may_be_running(&self, now: Instant, request: Fingerprint) -> bool {
+    pub fn may_be_running(&self, now: Instant, is_request: impl Fn(&R) -> bool) -> bool {
         let attempts = self.servers.values().flat_map(|w| &w.attempts);
-        let mut of_request = attempts.filter(|a| a.origin.request == request);
+        let mut of_request = attempts.filter(|a| is_request(&a.origin));
         of_request.any(|a| a.runs_until + CHECK_INTERVAL > now)
     }
 
@@ -233,8 +254,3 @@
             .retain(|_, w| now.saturating_duration_since(w.used_at) < WATCH_RETENTION);
     }
 }
-
-/// Returns whether two entries are of the same process.
-pub(crate) fn is_same_incarnation(a: &ServerEntry, b: &ServerEntry) -> bool {
-    a.born == b.born && a.addr == b.addr && a.service == b.service
-}
--- a/crates/relay/src/watched_server.rs
+++ b/crates/liveness/src/watched_server.rs
@@ -4,22 +4,32 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use crate::entry::ServerEntry;
+use gs_types::prelude::*;
+
 use crate::unanswered::UnansweredAttempt;
 
 /// The time after which a check of a server without a result is repeated; longer than the timeout of
 /// a connection.
-pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(400);
+pub const CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// How long it may remain unknown whether a server ended in the time in which it may have run an attempt.
 const UNCERTAIN_MAX: Duration = Duration::from_secs(6);
 
+/// What identifies the process of a server.
+pub trait ServerProcess {
+    /// Returns the name of the server.
+    fn name(&self) -> &ServerName;
+
+    /// Whether both are the same incarnation of the server.
+    fn is_same_incarnation(&self, other: &Self) -> bool;
+}
+
 /// What is known of one incarnation of a server.
 #[derive(Debug)]
-pub(crate) struct WatchedServer {
-    pub(crate) entry: Arc<ServerEntry>,
+pub(crate) struct WatchedServer<S, R> {
+    pub(crate) entry: Arc<S>,
     /// Attempts of which it is not known whether the server outlived them.
-    pub(crate) attempts: Vec<UnansweredAttempt>,
+    pub(crate) attempts: Vec<UnansweredAttempt<R>>,
     /// The last time at which it was certainly running.
     pub(crate) alive_at: Option<Instant>,
     /// When a connection to it first broke since then.
@@ -32,8 +42,8 @@
     pub(crate) used_at: Instant,
 }
 
-impl WatchedServer {
-    pub(crate) fn new(now: Instant, entry: Arc<ServerEntry>) -> Self {
+impl<S, R> WatchedServer<S, R> {
+    pub(crate) fn new(now: Instant, entry: Arc<S>) -> Self {
         Self {
             entry,
             attempts: Vec::new(),
@@ -45,12 +55,13 @@
         }
     }
 
-    /// Records that the server was running at a time, and drops the attempts that it outlived.
-    pub(crate) fn on_alive(&mut self, at: Instant) {
+    /// Records that the server was running at a time; returns the attempts that it outlived.
+    pub(crate) fn on_alive(&mut self, at: Instant) -> Vec<UnansweredAttempt<R>> {
         self.alive_at = self.alive_at.max(Some(at));
         self.broken_at = self.broken_at.filter(|broken_at| *broken_at > at);
         self.ended_at = self.ended_at.filter(|ended_at| *ended_at > at);
-        self.attempts.retain(|a| a.runs_until > at);
+        let is_outlived = |a: &mut UnansweredAttempt<R>| a.runs_until <= at;
+        self.attempts.extract_if(.., is_outlived).collect()
     }
 
     /// Drops the attempts whose server kept a connection open for as long as it may have run them, and those
--- a/crates/relay/src/attempt_end.rs
+++ b/crates/relay/src/attempt_end.rs
@@ -20,8 +20,8 @@
 use crate::relay::Relay;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
-use crate::unanswered::UnansweredAttempt;
 use crate::unanswered::UnansweredPart;
+use crate::unanswered::unanswered_attempt;
 
 impl Relay {
     /// Handles the end of an attempt, of a request in flight or one that has ended.
@@ -127,14 +127,14 @@
             return;
         }
         let origin = AttemptOrigin::of(request);
-        let Some(attempt) = UnansweredAttempt::new(now, origin, sent_at, end) else {
+        let Some(attempt) = unanswered_attempt(now, origin, sent_at, end) else {
             return;
         };
         if !request.route.is_scatter() {
             self.count_unanswered(now, &server, attempt, out);
             return;
         }
-        if attempt.is_broken {
+        if attempt.is_broken() {
             self.check_broken_server(now, &server, out);
         }
         request.unanswered.push(UnansweredPart {
--- a/crates/relay/src/attempt_origin.rs
+++ b/crates/relay/src/attempt_origin.rs
@@ -20,6 +20,8 @@
     pub(crate) is_scatter: bool,
     /// Whether another VM has delegated it, which has other parts of the request.
     pub(crate) is_delegated: bool,
+    /// Whether servers of other shards may have executed the request without crashing.
+    pub(crate) is_answered_elsewhere: bool,
 }
 
 impl AttemptOrigin {
@@ -30,6 +32,7 @@
             deadline: request.arrived_at + request.caller_timeout,
             is_scatter: request.route.is_scatter(),
             is_delegated: request.shards_wanted.is_some(),
+            is_answered_elsewhere: false,
         }
     }
 }
--- a/crates/relay/src/crash_evidence.rs
+++ b/crates/relay/src/crash_evidence.rs
@@ -46,7 +46,7 @@
                 continue;
             }
             let mut attempt = unanswered.attempt;
-            attempt.is_answered_elsewhere |= request.executed_without_crash;
+            attempt.origin.is_answered_elsewhere |= request.executed_without_crash;
             crashes.extend(self.note_unanswered(now, &unanswered.server, attempt, out));
         }
         let origin = AttemptOrigin::of(request);
--- a/crates/relay/src/held_retries.rs
+++ b/crates/relay/src/held_retries.rs
@@ -93,7 +93,7 @@
     /// Returns whether its attempts ended in a way that a request which crashes servers causes.
     fn may_crash_servers(&self) -> bool {
         let is_empty_page = |b: &Bundle| b.page.as_ref().is_some_and(|p| p.stamps.is_empty());
-        let broken = self.unanswered.iter().filter(|u| u.attempt.is_broken);
+        let broken = self.unanswered.iter().filter(|u| u.attempt.is_broken());
         broken.count() >= CRASHES_MIN || self.bundles.iter().any(is_empty_page)
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,8 +10,7 @@
 //! - `hedge` learns the delay before a hedged attempt, and `budget` limits extra attempts,
 //! - `held_retries` holds back the retries of a fan-out that may crash servers,
 //! - `completion` decides when a request is answered or fails,
-//! - `server_ends` finds out which servers end and which requests they had: `unanswered` attempts at the
-//!   servers that `server_watch` watches,
+//! - `server_ends` finds out, by `gs_liveness`, which servers end and which `unanswered` attempts they had,
 //! - `crash_evidence` notes which requests crash servers and shares it with the VMs that `collectors`
 //!   chooses; `crash_ledger` decides what proves it, `quarantine` how long such a request is refused,
 //!   and `verdicts` tells the other VMs.
@@ -70,7 +69,6 @@
 mod seed_state;
 mod server;
 mod server_ends;
-mod server_watch;
 mod servers;
 mod service_state;
 mod shutdown;
@@ -82,7 +80,6 @@
 mod timers;
 mod unanswered;
 mod verdicts;
-mod watched_server;
 
 pub use abandon::AbandonCounts;
 pub use abandon::AbandonReason;
--- a/crates/relay/src/orphan.rs
+++ b/crates/relay/src/orphan.rs
@@ -11,7 +11,7 @@
 use crate::relay::Core;
 use crate::reply::AttemptEnd;
 use crate::servers::ServerKey;
-use crate::unanswered::UnansweredAttempt;
+use crate::unanswered::unanswered_attempt;
 
 /// An attempt in flight whose request has ended.
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
             self.note_executed_if_suspected(now, origin.request, &services, out);
             return;
         }
-        if let Some(attempt) = UnansweredAttempt::new(now, origin, orphan.dispatched_at, end) {
+        if let Some(attempt) = unanswered_attempt(now, origin, orphan.dispatched_at, end) {
             self.count_unanswered(now, &entry, attempt, out);
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -34,12 +34,12 @@
 use crate::route::Route;
 use crate::server::ServerDump;
 use crate::server_ends::LOGGED_ENDS_PER_S_MAX;
-use crate::server_watch::ServerWatch;
 use crate::servers::ServerKey;
 use crate::servers::Servers;
 use crate::service_state::ServiceState;
 use crate::slack_share::SlackShare;
 use crate::table::RouteTable;
+use crate::unanswered::ServerWatch;
 use crate::verdicts::VERDICTS_PER_S_MAX;
 
 /// The largest number of crashes logged per second.
--- a/crates/relay/src/server_ends.rs
+++ b/crates/relay/src/server_ends.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use gs_liveness::AttemptFate;
+use gs_liveness::EndSign;
+use gs_liveness::ServerProcess;
 use gs_types::prelude::*;
 
 use crate::action::Action;
@@ -11,10 +14,7 @@
 use crate::entry::Availability;
 use crate::entry::ServerEntry;
 use crate::relay::Core;
-use crate::server_watch::AttemptFate;
-use crate::server_watch::EndSign;
-use crate::server_watch::EndedServer;
-use crate::server_watch::is_same_incarnation;
+use crate::unanswered::EndedServer;
 use crate::unanswered::UnansweredAttempt;
 
 /// The most ended servers logged per second.
@@ -62,10 +62,10 @@
         let Some(open_connections) = self.open_connections(entry) else {
             // A server that has left the register is not connected to again.
             let crash = || server_crash(entry, &attempt, now);
-            return attempt.is_broken.then(crash);
+            return attempt.is_broken().then(crash);
         };
         self.watch_server(now, entry, out);
-        if attempt.is_broken {
+        if attempt.is_broken() {
             self.server_watch.on_broken(attempt.runs_until, &entry.name);
         }
         let is_connected = open_connections > 0;
@@ -74,7 +74,7 @@
             .add(now, &entry.name, &attempt, is_connected);
         match fate {
             AttemptFate::Ended(at) => return Some(server_crash(entry, &attempt, at)),
-            AttemptFate::Open if attempt.is_broken || !is_connected => {
+            AttemptFate::Open if attempt.is_broken() || !is_connected => {
                 self.check_server(now, entry, out);
             }
             AttemptFate::Open | AttemptFate::Outlived => {}
@@ -129,7 +129,7 @@
         out: &mut Vec<Action>,
     ) {
         let known = self.servers.by_name(&entry.name);
-        if known.is_some_and(|view| !is_same_incarnation(&view.entry, entry)) {
+        if known.is_some_and(|view| !view.entry.is_same_incarnation(entry)) {
             self.end_watched_server(now, &entry.name, EndSign::Restarted, out);
             self.server_watch.remove(&entry.name);
         }
@@ -182,7 +182,7 @@
     /// Returns the number of this VM's open connections to a server; `None` if this incarnation is not in the register.
     fn open_connections(&self, entry: &ServerEntry) -> Option<u32> {
         let view = self.servers.by_name(&entry.name)?;
-        let is_listed = !view.is_removed && is_same_incarnation(&view.entry, entry);
+        let is_listed = !view.is_removed && view.entry.is_same_incarnation(entry);
         is_listed.then_some(view.open_connections)
     }
 
@@ -247,6 +247,6 @@
         born: entry.born,
         began_at: attempt.began_at,
         ended_at,
-        is_answered_elsewhere: attempt.is_answered_elsewhere,
+        is_answered_elsewhere: attempt.origin.is_answered_elsewhere,
     }
 }
--- a/crates/relay/src/verdicts.rs
+++ b/crates/relay/src/verdicts.rs
@@ -97,7 +97,11 @@
     pub(crate) fn quarantine_status(&self, now: Instant, request: Fingerprint) -> QuarantineStatus {
         let rank = || collector_rank(request, &self.options.vm, self.peer_vms.vms());
         match self.quarantine.status(now, request, rank) {
-            QuarantineStatus::Trial if self.server_watch.may_be_running(now, request) => {
+            QuarantineStatus::Trial
+                if self
+                    .server_watch
+                    .may_be_running(now, |o| o.request == request) =>
+            {
                 QuarantineStatus::Refused(TRIAL_INTERVAL)
             }
             status => status,
