fix(query): the end of a server counts against the lookups it had, not the end of an attempt

What callers saw: a lookup whose callers leave before each crash ended server after server and was never refused; a harmless lookup whose connections were reset by servers that live was refused by every VM for 30 s.

Cause: a broken attempt was the crash, and nothing else was. An attempt that was cancelled, late or garbled before its server ended left no evidence; one that broke at a server that lives left some.

Fix: the engine watches, by gs-liveness as `relay` does, each server that did not answer an attempt of an unproven lookup. Action::Check opens one more connection to it; Event::Refused, or a report of a new incarnation, is its end and counts once against each lookup that it may have had, unless a server executed that lookup since. Event::Accepted, or a report of the same incarnation, shows that it runs. A break is still presumed to be a crash at once, so that no further server is lost while the check is under way; the presumption, a quarantine that rests on it and what peers were told are taken back when the server shows that it runs. Crashes of an attempt that began before the last counted crash are no repetition. Attempts cancelled at a draining server do not count.

Events and actions are appended to their enums, so older traces read as before; scripts know `accepted` and `refused`, and the fuzzer draws both and lost connections.

--- a/crates/http/src/backend/connection_pools.rs
+++ b/crates/http/src/backend/connection_pools.rs
@@ -51,9 +51,10 @@
 }
 
 impl ConnectionSink for Shared {
-    fn on_opened(&self, server: &ServerName, _: Duration) {
+    fn on_opened(&self, server: &ServerName, took: Duration) {
         self.opened.fetch_add(1, Ordering::Relaxed);
         self.sink.on_event(Event::Connection(server.clone(), true));
+        self.sink.on_event(Event::Accepted(server.clone(), took));
     }
 
     fn on_closed(&self, server: &ServerName, lost: bool) {
@@ -62,6 +63,10 @@
         }
         self.sink.on_event(Event::Connection(server.clone(), false));
     }
+
+    fn on_refused(&self, server: &ServerName) {
+        self.sink.on_event(Event::Refused(server.clone()));
+    }
 }
 
 /// The connection pools, one per backend server, and the attempts in flight on them.
@@ -182,6 +187,11 @@
         self.pool(server).open_at_least(connections_min);
     }
 
+    /// Opens one more connection to a server; the sink learns whether the server accepts or refuses it.
+    pub fn check(&self, server: &Arc<ServerDecl>) {
+        self.pool(server).open_one();
+    }
+
     /// Requests the status of a server, on an idle connection or on a new one if the share allows it.
     ///
     /// Returns `None` if no connection was free: the attempts in flight show the server's state better then.
--- a/crates/http/tests/pool.rs
+++ b/crates/http/tests/pool.rs
@@ -288,6 +288,38 @@
     assert_eq!(b.pool.state().opened, 2);
 }
 
+/// Prevents the end of a server from going unnoticed by a VM that has no attempt at it.
+#[tokio::test]
+async fn a_check_tells_whether_a_server_accepts_or_refuses_connections() {
+    let mut b = Fixture::start(Script::Complete, 2).await;
+    let name = b.fake.decl().name.clone();
+    b.pool.check(&b.fake.decl());
+    let accepted = loop {
+        match b.rx.recv().await.expect("the pool lives") {
+            Event::Accepted(server, _) => break server,
+            Event::Refused(server) => panic!("{server} refused"),
+            _ => {}
+        }
+    };
+    assert_eq!(accepted, name);
+    let unused = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = unused.local_addr().expect("bound");
+    drop(unused);
+    let ended = Arc::new(ServerDecl {
+        addr,
+        ..(*b.fake.decl()).clone()
+    });
+    b.pool.check(&ended);
+    let refused = loop {
+        match b.rx.recv().await.expect("the pool lives") {
+            Event::Refused(server) => break server,
+            Event::Accepted(server, _) => panic!("{server} accepted"),
+            _ => {}
+        }
+    };
+    assert_eq!(refused, name);
+}
+
 #[tokio::test]
 async fn a_cancel_without_an_idle_connection_closes_the_attempts_connection() {
     let mut b = Fixture::start(Script::Hang, 1).await;
--- a/crates/liveness/src/server_watch.rs
+++ b/crates/liveness/src/server_watch.rs
@@ -158,6 +158,13 @@
         }
     }
 
+    /// Returns whether a connection to a watched server broke since it was last known to be running.
+    #[must_use]
+    pub fn is_broken(&self, server: &ServerName) -> bool {
+        let watched = self.servers.get(server);
+        watched.is_some_and(|w| w.broken_at.is_some())
+    }
+
     /// Records that the server accepted a connection that was begun at a time; returns the attempts that it outlived.
     pub fn on_accepted(
         &mut self,
--- a/crates/node/src/engine_shell.rs
+++ b/crates/node/src/engine_shell.rs
@@ -70,6 +70,11 @@
                     self.pool.open_at_least(&server, n);
                 }
             }
+            Action::Check(name) => {
+                if let Some(server) = self.state.server(&name) {
+                    self.pool.check(&server);
+                }
+            }
             Action::Spread(notice) => {
                 log::info!("event=spread sign=\"{notice:?}\"");
                 self.peer_sender.broadcast_notice(notice);
--- a/crates/query/src/action.rs
+++ b/crates/query/src/action.rs
@@ -30,6 +30,9 @@
     Warm(ServerName, Connections),
     /// Send a notice to every peer VM, whose engine gets it as [`crate::Event::Sign`].
     Spread(Notice),
+    /// Open one more connection to a server, to learn from [`crate::Event::Accepted`] or
+    /// [`crate::Event::Refused`] whether it runs.
+    Check(ServerName),
 }
 
 /// An attempt to dispatch to a backend server.
--- a/crates/query/src/crash_suspects.rs
+++ b/crates/query/src/crash_suspects.rs
@@ -1,8 +1,9 @@
 //! Tracks which lookups crash backend servers.
 //!
 //! A poisoned lookup crashes each server that executes it, so a lookup is proven harmless once a
-//! server executes it without crashing. Until then, a connection that breaks under it makes it a
-//! suspect: a single server may try it, and a second crash quarantines it.
+//! server executes it without crashing. Until then, the end of a server that had it makes it a
+//! suspect: a single server may try it, and a second crash quarantines it. A connection that breaks
+//! is presumed to be the end of its server, until the server shows that it runs.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -67,26 +68,56 @@
     Suspected,
     /// The lookup is quarantined for this duration.
     Quarantined(Duration),
+    /// The crash was counted before.
+    Known,
 }
 
-/// A server whose connection broke under a lookup.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Crash<'a> {
-    pub(crate) server: &'a ServerName,
+/// The end of a server that had a lookup.
+#[derive(Clone, Debug)]
+pub(crate) struct Crash {
+    pub(crate) server: ServerName,
+    pub(crate) incarnation: Option<Incarnation>,
     /// Whether it is in this VM's data centre.
     pub(crate) is_local: bool,
     /// Whether no other server had the lookup at that time.
     pub(crate) is_alone: bool,
+    /// Whether only a connection broke, and it is not known whether the server ended.
+    pub(crate) is_presumed: bool,
+    /// When the attempt was dispatched.
+    pub(crate) began_at: Instant,
+    /// When the server ended, as far as is known.
+    pub(crate) ended_at: Instant,
+}
+
+/// What was decided about a suspect before a crash.
+#[derive(Clone, Copy, Debug)]
+struct EarlierVerdict {
+    refused_until: Option<Instant>,
+    last_quarantine: Option<Duration>,
+    expires_at: Instant,
+}
+
+/// A crash that counts against a suspect.
+#[derive(Debug)]
+struct CountedCrash {
+    crash: Crash,
+    /// What was decided before, if this crash led to a quarantine.
+    earlier_verdict: Option<EarlierVerdict>,
+}
+
+impl CountedCrash {
+    fn is_of(&self, server: &ServerName, incarnation: Option<Incarnation>) -> bool {
+        self.crash.server == *server && self.crash.incarnation == incarnation
+    }
 }
 
 #[derive(Debug)]
 struct Suspect {
-    crashed: SmallVec<[ServerName; 2]>,
-    /// Whether a server in this VM's data centre crashed.
-    crashed_locally: bool,
-    /// Whether a server in another data centre crashed.
-    crashed_remotely: bool,
+    /// One entry for each incarnation of a server.
+    crashes: SmallVec<[CountedCrash; 2]>,
     reported_crashes: u32,
+    /// Whether peers were told of it.
+    is_announced: bool,
     /// The time until which it is refused.
     refused_until: Option<Instant>,
     /// Its last full quarantine; the next one is longer.
@@ -98,8 +129,66 @@
 
 impl Suspect {
     fn crashes(&self) -> u32 {
-        // There is at most one entry per server.
-        self.reported_crashes.max(self.crashed.len() as u32)
+        // There is at most one entry per incarnation of a server.
+        self.reported_crashes.max(self.crashes.len() as u32)
+    }
+
+    /// Whether servers crashed both in this VM's data centre and in another.
+    fn is_in_several_data_centres(&self) -> bool {
+        let mut is_local = self.crashes.iter().map(|c| c.crash.is_local);
+        is_local.clone().any(|local| local) && is_local.any(|local| !local)
+    }
+
+    /// Counts a crash; returns whether no other server had the lookup then, or `None` if that was counted before.
+    fn count(&mut self, mut crash: Crash) -> Option<bool> {
+        let is_same = |c: &CountedCrash| c.is_of(&crash.server, crash.incarnation);
+        if !crash.is_presumed {
+            let is_before = |c: &CountedCrash| is_same(c) || c.crash.ended_at < crash.began_at;
+            crash.is_alone &= self.crashes.iter().all(is_before);
+        }
+        let Some(at) = self.crashes.iter().position(is_same) else {
+            let is_alone = crash.is_alone;
+            self.crashes.push(CountedCrash {
+                crash,
+                earlier_verdict: None,
+            });
+            return Some(is_alone);
+        };
+        let known = &mut self.crashes[at].crash;
+        let is_new = crash.is_presumed || crash.began_at > known.ended_at;
+        let is_known_alone = known.is_alone;
+        known.is_presumed &= crash.is_presumed;
+        known.is_alone |= crash.is_alone;
+        if is_new {
+            known.ended_at = crash.ended_at;
+        }
+        (is_new || (crash.is_alone && !is_known_alone)).then_some(crash.is_alone)
+    }
+
+    /// Takes back a presumed crash; returns whether it was counted.
+    fn retract(&mut self, server: &ServerName, incarnation: Option<Incarnation>) -> bool {
+        let is_it = |c: &CountedCrash| c.crash.is_presumed && c.is_of(server, incarnation);
+        let Some(at) = self.crashes.iter().position(is_it) else {
+            return false;
+        };
+        let is_proof_left = self.crashes.len() > CRASHES_MAX as usize;
+        let earlier = if is_proof_left {
+            self.crashes[at].earlier_verdict
+        } else {
+            self.crashes.iter().find_map(|c| c.earlier_verdict)
+        };
+        self.crashes.remove(at);
+        if let Some(earlier) = earlier.filter(|_| self.reported_crashes < CRASHES_MAX) {
+            self.refused_until = earlier.refused_until;
+            self.last_quarantine = earlier.last_quarantine;
+            self.expires_at = earlier.expires_at;
+        }
+        if !is_proof_left {
+            self.crashes
+                .iter_mut()
+                .for_each(|c| c.earlier_verdict = None);
+        }
+        true
     }
 
     /// Returns how long it is quarantined next, if the first quarantine takes `first`.
@@ -181,7 +270,7 @@
             .is_some_and(|at| now.saturating_duration_since(*at) < PROOF_LIFETIME)
     }
 
-    /// Records that a server's connection broke under a lookup of which no part has arrived.
+    /// Records the end of a server, or that its connection broke, under a lookup of which no part has arrived.
     ///
     /// When a data centre fails or is partitioned, the connections to all its servers break under
     /// lookups that did not cause it. Breaks in one place therefore quarantine a lookup only with a
@@ -193,40 +282,79 @@
         &mut self,
         now: Instant,
         fp: Fingerprint,
-        crash: Crash<'_>,
+        crash: Crash,
     ) -> CrashFinding {
         let proven = self.is_proven(now, fp);
         let expires_at = now + self.window;
         let quarantine = self.quarantine;
         let s = self.suspect_entry(now, fp);
         s.expires_at = s.expires_at.max(expires_at);
-        if !s.crashed.contains(crash.server) {
-            s.crashed.push(crash.server.clone());
-        }
-        s.crashed_locally |= crash.is_local;
-        s.crashed_remotely |= !crash.is_local;
+        let (server, incarnation) = (crash.server.clone(), crash.incarnation);
+        let Some(is_alone) = s.count(crash) else {
+            return CrashFinding::Known;
+        };
         let crashes = s.crashes();
         let crashes_max = if proven {
             PROVEN_LOOKUP_CRASHES_MAX
         } else {
             CRASHES_MAX
         };
-        let is_in_both = s.crashed_locally && s.crashed_remotely && crashes >= crashes_max;
-        let quarantine = match crash.is_alone && crashes >= CRASHES_MAX {
+        let is_in_both = s.is_in_several_data_centres() && crashes >= crashes_max;
+        let quarantine = match is_alone && crashes >= CRASHES_MAX {
             true => Some(s.next_quarantine(quarantine)),
             false if is_in_both => Some(quarantine.min(NO_CANARY_QUARANTINE)),
             false => None,
         };
         if let Some(quarantine) = quarantine {
+            s.is_announced = true;
+            let earlier = EarlierVerdict {
+                refused_until: s.refused_until,
+                last_quarantine: s.last_quarantine,
+                expires_at: s.expires_at,
+            };
+            if let Some(c) = s.crashes.iter_mut().find(|c| c.is_of(&server, incarnation)) {
+                c.earlier_verdict.get_or_insert(earlier);
+            }
             self.quarantine(now, fp, quarantine);
             return CrashFinding::Quarantined(quarantine);
         }
         if proven && crashes < CRASHES_MAX {
             return CrashFinding::Harmless;
         }
+        s.is_announced = true;
         CrashFinding::Suspected
     }
 
+    /// Takes back the crash of a server that was presumed when its connection broke, and what was decided by it.
+    ///
+    /// Returns `true` if peers were told of it and nothing else is known against the lookup.
+    pub(crate) fn retract_crash(
+        &mut self,
+        now: Instant,
+        fp: Fingerprint,
+        server: &ServerName,
+        incarnation: Option<Incarnation>,
+    ) -> bool {
+        let Some(s) = self.suspects.get_mut(&fp) else {
+            return false;
+        };
+        if !s.retract(server, incarnation) {
+            return false;
+        }
+        let is_convicted = s.last_quarantine.is_some() || s.quarantined_for(now) > Duration::ZERO;
+        if s.crashes() > 0 || is_convicted {
+            return false;
+        }
+        let is_announced = s.is_announced;
+        self.suspects.remove(&fp);
+        is_announced
+    }
+
+    /// Whether a server executed it without crashing at a given time or later.
+    pub(crate) fn is_survived_since(&self, fp: Fingerprint, since: Instant) -> bool {
+        self.proven.get(&fp).is_some_and(|at| *at >= since)
+    }
+
     /// Records the lookup of this VM that is the canary of a fingerprint; others are refused
     /// meanwhile.
     pub(crate) fn assign_canary(&mut self, now: Instant, fp: Fingerprint, seq: LookupSeq) {
@@ -318,10 +446,9 @@
             self.evict_suspect(now);
         }
         self.suspects.entry(fp).or_insert_with(|| Suspect {
-            crashed: SmallVec::new(),
-            crashed_locally: false,
-            crashed_remotely: false,
+            crashes: SmallVec::new(),
             reported_crashes: 0,
+            is_announced: false,
             refused_until: None,
             last_quarantine: None,
             canary: None,
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bon::bon;
+use gs_liveness::EndSign;
 use gs_route::DispatchStatus;
 use gs_route::GroupView;
 use gs_route::HealthReport;
@@ -87,9 +88,20 @@
                 self.with_lookup(seq, |state, lk| state.on_caller_disconnect(now, lk, out))
             }
             Event::Connection(server, opened) => self.on_connection(&server, opened),
-            Event::Lost(server) => self.on_connection_lost(now, server),
+            Event::Lost(server) => self.on_connection_lost(now, server, out),
             Event::Tick => self.on_tick(now, out),
             Event::Leave => self.state.is_leaving = true,
+            Event::Accepted(server, took) => {
+                let begun_at = now.checked_sub(took).unwrap_or(now);
+                self.state.on_server_alive(now, &server, begun_at, out);
+            }
+            Event::Refused(server) => {
+                self.state
+                    .end_watched_server(now, &server, EndSign::Refused, out);
+            }
+        }
+        for (fingerprint, rest) in std::mem::take(&mut self.state.newly_quarantined) {
+            self.refuse_running(now, fingerprint, rest, out);
         }
         self.update_queues(now, out);
         self.request_wake(now, out);
@@ -178,10 +190,23 @@
             load: r.load,
             draining: r.draining,
         };
-        match state.servers.on_health_report(now, idx, report) {
+        let is_unknown = state.servers.view(idx).incarnation().is_none();
+        let may_be_new = is_unknown && state.servers.view(idx).is_silent();
+        let effect = state.servers.on_health_report(now, idx, report);
+        let is_current = r.incarnation.is_some()
+            && r.incarnation == state.servers.view(idx).incarnation()
+            && effect != ReportEffect::NewIncarnation;
+        if is_current && !may_be_new {
+            state.on_server_alive(now, &r.server, now, out);
+        } else if is_current && state.server_watch.is_broken(&r.server) {
+            // It closed a connection and was silent, and no incarnation was known until now.
+            state.end_watched_server(now, &r.server, EndSign::Restarted, out);
+        }
+        match effect {
             ReportEffect::Nothing => {}
             ReportEffect::Drained => state.on_drained(idx, "health", true, out),
             ReportEffect::NewIncarnation => {
+                state.end_watched_server(now, &r.server, EndSign::Restarted, out);
                 state.freed_servers.push(idx);
                 request_connections(state, idx, out);
             }
@@ -247,7 +272,8 @@
         }
     }
 
-    fn on_connection_lost(&mut self, now: Instant, server: ServerName) {
+    fn on_connection_lost(&mut self, now: Instant, server: ServerName, out: &mut Vec<Action>) {
+        self.state.check_lost_server(now, &server, out);
         if self.state.connection_losses.note_loss(now, server) {
             self.state
                 .crash_suspects
@@ -268,6 +294,7 @@
                 }
                 TimerPurpose::Server(server) => self.state.freed_servers.push(server),
                 TimerPurpose::Orphans => self.state.release_expired_orphans(now),
+                TimerPurpose::ServerChecks => self.state.repeat_checks(now, out),
             }
         }
     }
@@ -311,6 +338,9 @@
     }
 
     fn request_wake(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if let Some(at) = self.state.server_watch.next_check_at() {
+            self.state.timers.insert((at, TimerPurpose::ServerChecks));
+        }
         let Some((first, _)) = self.state.timers.first().copied() else {
             return;
         };
--- a/crates/query/src/engine_state.rs
+++ b/crates/query/src/engine_state.rs
@@ -10,6 +10,7 @@
 use gs_limit::AdmissionPolicy;
 use gs_limit::ExtraBudget;
 use gs_limit::HedgePolicy;
+use gs_liveness::ServerWatch;
 use gs_route::GroupView;
 use gs_route::ReplicaPolicy;
 use gs_route::RouteOptions;
@@ -32,6 +33,8 @@
 use crate::lookup::ActiveLookup;
 use crate::options::EngineOptions;
 use crate::policies;
+use crate::server_ends::KnownServer;
+use crate::server_ends::LookupOrigin;
 use crate::wait_queues::WaitQueues;
 
 /// The key of an attempt within this process: its lookup, shard and number.
@@ -54,6 +57,8 @@
     pub(crate) dispatched_at: Instant,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) is_sent: bool,
+    /// Whether no other server had its lookup.
+    pub(crate) was_alone: bool,
     /// Whether a server executed its lookup without crashing.
     pub(crate) is_proven: bool,
     /// The latest time at which its lookup was to be answered.
@@ -70,6 +75,8 @@
     Server(ServerIdx),
     /// The expiry of orphans whose end was never reported.
     Orphans,
+    /// The repetition of checks of servers that had no result.
+    ServerChecks,
 }
 
 /// The state shared by all lookups of a process.
@@ -94,6 +101,10 @@
     pub(crate) timers: BTreeSet<(Instant, TimerPurpose)>,
     pub(crate) crash_suspects: CrashSuspects,
     pub(crate) connection_losses: ConnectionLosses,
+    /// The servers that did not answer an attempt.
+    pub(crate) server_watch: ServerWatch<KnownServer, LookupOrigin>,
+    /// The lookups quarantined while this event is processed, and for how long.
+    pub(crate) newly_quarantined: Vec<(Fingerprint, Duration)>,
     pub(crate) is_leaving: bool,
     /// Lookups in flight.
     pub(crate) in_flight: usize,
@@ -142,6 +153,8 @@
             timers: BTreeSet::new(),
             crash_suspects: CrashSuspects::new(options.quarantine, options.suspicion),
             connection_losses: ConnectionLosses::default(),
+            server_watch: ServerWatch::default(),
+            newly_quarantined: Vec::new(),
             is_leaving: false,
             in_flight: 0,
             counters: Counters::default(),
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -45,6 +45,10 @@
     Tick,
     /// This process is leaving: it refuses new lookups and finishes those in flight.
     Leave,
+    /// A server accepted a connection, which was begun this long ago: it was running then.
+    Accepted(ServerName, Duration),
+    /// The address of a server refused a connection: its process has ended.
+    Refused(ServerName),
 }
 
 /// A caller's lookup with the number that the I/O driver (shell) assigned.
--- a/crates/query/src/finish.rs
+++ b/crates/query/src/finish.rs
@@ -169,8 +169,8 @@
     pub(crate) fn orphan_attempts(&mut self, now: Instant, lk: &ActiveLookup) {
         let expires_at = now.max(lk.answer_by) + ORPHAN_GRACE;
         let was_empty = self.orphans.is_empty();
-        for s in &lk.shards {
-            for a in &s.attempts {
+        for (pos, s) in lk.shards.iter().enumerate() {
+            for (n, a) in s.attempts.iter().enumerate() {
                 let ended = matches!(
                     a.state,
                     AttemptState::Whole | AttemptState::NotRun | AttemptState::Failed
@@ -183,6 +183,7 @@
                     dispatched_at: a.dispatched_at,
                     fingerprint: lk.fingerprint,
                     is_sent: a.sent_at.is_some(),
+                    was_alone: lk.is_alone_at(pos, n),
                     is_proven: lk.is_proven,
                     answer_by: lk.answer_by,
                     expires_at,
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -29,6 +29,7 @@
 mod policies;
 mod queue;
 mod reply;
+mod server_ends;
 mod server_reply;
 mod shard_key;
 mod timers;
--- a/crates/query/src/lookup.rs
+++ b/crates/query/src/lookup.rs
@@ -147,6 +147,12 @@
         self.decl.promise == Promise::AtMostOnce
     }
 
+    /// Whether no other server has it while the given attempt at the shard at this position is in flight.
+    pub(crate) fn is_alone_at(&self, pos: usize, attempt: usize) -> bool {
+        let is_last = attempt + 1 == self.shards[pos].attempts.len();
+        self.shards.len() == 1 || (self.phase == LookupPhase::Canary(pos) && is_last)
+    }
+
     /// Whether the missing shards already rule out an answer on this snapshot.
     pub(crate) fn is_unanswerable(&self) -> bool {
         self.missing_parts > 0 && self.decl.promise == Promise::Complete
--- a/crates/query/src/notices.rs
+++ b/crates/query/src/notices.rs
@@ -67,9 +67,19 @@
         self.state
             .crash_suspects
             .on_peer_report(now, fingerprint, crashes, rest);
-        if rest == Duration::ZERO {
-            return;
+        if rest > Duration::ZERO {
+            self.refuse_running(now, fingerprint, rest, out);
         }
+    }
+
+    /// Refuses the lookups in flight that are quarantined now.
+    pub(crate) fn refuse_running(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        rest: Duration,
+        out: &mut Vec<Action>,
+    ) {
         let running: Vec<LookupSeq> = self
             .lookups
             .values()
--- a/crates/query/src/orphan.rs
+++ b/crates/query/src/orphan.rs
@@ -9,6 +9,7 @@
 use crate::action::Action;
 use crate::engine_state::EngineState;
 use crate::event::PartReply;
+use crate::server_ends::EndedAttempt;
 use crate::server_reply::ReplyContext;
 
 impl EngineState {
@@ -42,6 +43,13 @@
         self.note_contact(now, reply, o.server);
         self.servers.on_release(o.server);
         self.freed_servers.push(o.server);
+        let ended = EndedAttempt {
+            fingerprint: o.fingerprint,
+            server: o.server,
+            dispatched_at: o.dispatched_at,
+            answer_by: o.answer_by,
+            was_alone: o.was_alone,
+        };
         match reply {
             PartReply::Whole { load, draining, .. } => {
                 self.note_server_success(now, context, *load, *draining, out);
@@ -51,11 +59,16 @@
             }
             PartReply::Broken => {
                 self.update_server_health(now, reply, context, out);
-                if o.is_sent && !o.is_proven && now < o.answer_by {
-                    self.record_crash(now, o.fingerprint, o.server, false, out);
+                if o.is_sent && !o.is_proven {
+                    self.on_broken_attempt(now, ended, false, out);
+                }
+            }
+            other => {
+                self.update_server_health(now, other, context, out);
+                if o.is_sent && !o.is_proven {
+                    self.note_unanswered_attempt(now, ended, other, out);
                 }
             }
-            other => self.update_server_health(now, other, context, out),
         }
     }
 }
--- a/crates/query/src/reply.rs
+++ b/crates/query/src/reply.rs
@@ -17,6 +17,7 @@
 use crate::lookup::ActiveLookup;
 use crate::lookup::LookupPhase;
 use crate::lookup::ShardState;
+use crate::server_ends::EndedAttempt;
 use crate::server_reply::ReplyContext;
 
 impl EngineState {
@@ -64,6 +65,7 @@
         let was_live = a.is_live();
         a.state = next;
         let (server, dispatched_at) = (a.server, a.dispatched_at);
+        let was_sent = a.sent_at.is_some();
         if reply == PartReply::Late {
             self.note_unanswered(now, lk, server, dispatched_at);
         }
@@ -75,6 +77,13 @@
                 .is_current_incarnation(dispatched_at),
             was_live,
         };
+        let ended = EndedAttempt {
+            fingerprint: lk.fingerprint,
+            server,
+            dispatched_at,
+            answer_by: lk.answer_by,
+            was_alone: lk.is_alone_at(pos, n),
+        };
         self.note_contact(now, &reply, server);
         self.servers.on_release(server);
         self.freed_servers.push(server);
@@ -92,8 +101,13 @@
                 self.note_server_success(now, context, load, draining, out);
                 self.accept_part(now, lk, pos, n, snapshot, part, out);
             }
-            PartReply::Broken => self.on_broken_connection(now, lk, pos, n, context, out),
-            other => self.on_failed_attempt(now, lk, pos, other, context, out),
+            PartReply::Broken => self.on_broken_connection(now, lk, (pos, n), ended, context, out),
+            other => {
+                if was_sent && !lk.is_proven {
+                    self.note_unanswered_attempt(now, ended, &other, out);
+                }
+                self.on_failed_attempt(now, lk, pos, other, context, out);
+            }
         }
         self.after_event(now, lk, out);
     }
@@ -198,32 +212,32 @@
         &mut self,
         now: Instant,
         lk: &mut ActiveLookup,
-        pos: usize,
-        n: usize,
+        (pos, n): (usize, usize),
+        ended: EndedAttempt,
         context: ReplyContext,
         out: &mut Vec<Action>,
     ) {
         lk.shards[pos].attempts[n].connection_broke = true;
         self.update_server_health(now, &PartReply::Broken, context, out);
-        // After a pause of this process, every connection may be found broken at once, in every
-        // data centre. Its lookups are past their deadlines then, and the breaks are no evidence
-        // against them.
-        if lk.is_proven || now >= lk.answer_by {
+        if lk.is_proven {
             self.retry_or_abandon(now, lk, pos, ShardFailure::Failed, out);
             return;
         }
-        let is_alone =
-            context.was_live && (lk.phase == LookupPhase::Canary(pos) || lk.shards.len() == 1);
-        match self.record_crash(now, lk.fingerprint, context.server, is_alone, out) {
+        let is_alone = context.was_live && ended.was_alone;
+        let Some(finding) = self.on_broken_attempt(now, ended, is_alone, out) else {
+            self.retry_or_abandon(now, lk, pos, ShardFailure::Failed, out);
+            return;
+        };
+        match finding {
             CrashFinding::Quarantined(quarantine) => {
                 let refusal = Refusal::new(RefusalReason::Quarantined, Some(quarantine));
                 self.refuse(now, lk, refusal, out);
             }
             CrashFinding::Harmless => self.hold_failed_part(now, lk, pos, out),
-            CrashFinding::Suspected if lk.is_at_most_once() => {
+            CrashFinding::Suspected | CrashFinding::Known if lk.is_at_most_once() => {
                 self.retry_or_abandon(now, lk, pos, ShardFailure::Failed, out)
             }
-            CrashFinding::Suspected => {
+            CrashFinding::Suspected | CrashFinding::Known => {
                 lk.shards[pos].miss_reason = MissReason::Failed;
                 self.quiesce(now, lk, out);
             }
--- a/crates/query/src/server_reply.rs
+++ b/crates/query/src/server_reply.rs
@@ -105,20 +105,13 @@
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
-        server: ServerIdx,
-        was_alone: bool,
+        crash: Crash,
         out: &mut Vec<Action>,
     ) -> CrashFinding {
-        let view = self.servers.view(server);
-        let crash = Crash {
-            server: &view.decl().name,
-            is_local: view.is_local(),
-            is_alone: was_alone,
-        };
         let finding = self.crash_suspects.note_crash(now, fingerprint, crash);
         let crashes = self.crash_suspects.crashes(fingerprint);
         match finding {
-            CrashFinding::Harmless => {}
+            CrashFinding::Harmless | CrashFinding::Known => {}
             // The first notices suffice; a fan-out may crash a server of each shard.
             CrashFinding::Suspected if crashes <= CRASHES_BROADCAST_MAX => {
                 self.broadcast_suspect(fingerprint, crashes, Duration::ZERO, out);
--- a/crates/query/tests/engine/fuzz/driver.rs
+++ b/crates/query/tests/engine/fuzz/driver.rs
@@ -143,7 +143,7 @@
                 Action::Cancel(id) => self.on_cancel(&id),
                 Action::Claim(claim) => self.claims.push(claim.seq),
                 Action::Wake(after) => self.wake_at = Some(self.now + after),
-                Action::Answer(..) | Action::Warm(..) | Action::Spread(_) => {}
+                Action::Answer(..) | Action::Warm(..) | Action::Spread(_) | Action::Check(_) => {}
             }
         }
     }
@@ -222,6 +222,18 @@
                     self.on(Event::Gone(seq), oracle);
                 }
             }
+            Step::Lost(n) => {
+                let name = self.server(n).0;
+                self.on(Event::Lost(name), oracle);
+            }
+            Step::Accepted(n, ms) => {
+                let name = self.server(n).0;
+                self.on(Event::Accepted(name, Duration::from_millis(ms)), oracle);
+            }
+            Step::Refused(n) => {
+                let name = self.server(n).0;
+                self.on(Event::Refused(name), oracle);
+            }
         }
     }
 
--- a/crates/query/tests/engine/fuzz/step.rs
+++ b/crates/query/tests/engine/fuzz/step.rs
@@ -61,6 +61,12 @@
     Repartition(u32),
     Share(usize, u32),
     Gone(usize),
+    /// A connection to a server is lost.
+    Lost(usize),
+    /// A server accepts a connection that was begun this many milliseconds ago.
+    Accepted(usize, u64),
+    /// The address of a server refuses a connection.
+    Refused(usize),
 }
 
 /// How a stray reply differs from the attempt's own.
@@ -157,6 +163,9 @@
         w.snapshots => (1..7_u32).prop_map(Step::Repartition),
         1 => (any::<usize>(), 0..5_u32).prop_map(|(server, n)| Step::Share(server, n)),
         1 => any::<usize>().prop_map(Step::Gone),
+        w.suspicion => any::<usize>().prop_map(Step::Lost),
+        w.suspicion => (any::<usize>(), 0..5_u64).prop_map(|(server, ms)| Step::Accepted(server, ms)),
+        w.suspicion => any::<usize>().prop_map(Step::Refused),
     ]
     .boxed()
 }
--- a/crates/query/tests/engine/poison/mod.rs
+++ b/crates/query/tests/engine/poison/mod.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod fleet;
 mod proven;
+mod signs;
 mod together;
 
 use std::time::Duration;
--- a/crates/query/tests/engine/world.rs
+++ b/crates/query/tests/engine/world.rs
@@ -209,7 +209,7 @@
                 Action::Answer(seq, outcome) => self.answers.push((*seq, outcome.clone())),
                 Action::Claim(claim) => self.claims.push(claim.seq),
                 Action::Spread(notice) => self.notices.push(notice.clone()),
-                Action::Wake(_) | Action::Warm(..) => {}
+                Action::Wake(_) | Action::Warm(..) | Action::Check(_) => {}
             }
         }
         out
--- a/crates/route/src/server.rs
+++ b/crates/route/src/server.rs
@@ -162,6 +162,18 @@
         self.incarnation
     }
 
+    /// Whether a connection of this VM to it is open.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.open_connections > 0
+    }
+
+    /// Whether its health endpoint did not answer the last query.
+    #[must_use]
+    pub fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Returns the number of attempts of this VM in flight at it.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/trace/src/script/step.rs
+++ b/crates/trace/src/script/step.rs
@@ -32,6 +32,8 @@
     shares: Option<SharesSpec>,
     open: Option<Vec<ServerName>>,
     close: Option<Vec<ServerName>>,
+    accepted: Option<Vec<ServerName>>,
+    refused: Option<Vec<ServerName>>,
     drain: Option<DrainSpec>,
     quarantine: Option<QuarantineSpec>,
     arrive: Option<ArriveSpec>,
@@ -74,6 +76,8 @@
             self.shares.is_some(),
             self.open.is_some(),
             self.close.is_some(),
+            self.accepted.is_some(),
+            self.refused.is_some(),
             self.drain.is_some(),
             self.quarantine.is_some(),
             self.arrive.is_some(),
@@ -151,5 +155,11 @@
         for name in self.close.iter().flatten() {
             out.push((at, Event::Connection(name.clone(), false)));
         }
+        for name in self.accepted.iter().flatten() {
+            out.push((at, Event::Accepted(name.clone(), Duration::ZERO)));
+        }
+        for name in self.refused.iter().flatten() {
+            out.push((at, Event::Refused(name.clone())));
+        }
     }
 }
--- a/crates/trace/tests/trace/recording.rs
+++ b/crates/trace/tests/trace/recording.rs
@@ -96,6 +96,36 @@
     assert_eq!(read(&file.bytes()), expected);
 }
 
+/// Prevents a trace from lacking the signs by which the end of a server was seen, so that it replays differently.
+#[test]
+fn checks_of_servers_are_recorded_with_their_results() {
+    let server: gs_types::ids::ServerName = "a0".parse().expect("a name");
+    let file = File::new();
+    let now = Instant::now();
+    let mut recorder = Recorder::start(file.clone(), &header(), now).expect("started");
+    let events = [
+        Event::Accepted(server.clone(), Duration::from_micros(1_234)),
+        Event::Refused(server.clone()),
+    ];
+    let check = Action::Check(server);
+    for event in &events {
+        recorder.record_event(now, event);
+        recorder.record_action(&check);
+    }
+    recorder.finish().expect("written");
+    let bytes = file.bytes();
+    let reader = Reader::new(bytes.as_slice()).expect("a trace");
+    let machine = ScriptedMachine([vec![check.clone()], vec![check]].into_iter().collect());
+    let steps: Vec<_> = Replay::new(reader, machine, now)
+        .map(|step| step.expect("a step"))
+        .collect();
+    assert!(steps.iter().map(|s| &s.event).eq(&events));
+    let mut checker = Checker::new(Expectations::default()).exact();
+    for step in &steps {
+        checker.on(step).expect("the recorded actions");
+    }
+}
+
 /// Records ticks with wake-ups, and replays them exactly with a machine that requests `wakes`.
 fn replayed(wakes: [u64; 2]) -> Result<(), String> {
     let wake = |ms| Action::Wake(Duration::from_millis(ms));
--- a/crates/trace/tests/trace/scripts.rs
+++ b/crates/trace/tests/trace/scripts.rs
@@ -35,6 +35,29 @@
     );
 }
 
+/// Prevents the signs by which the end of a server is seen from being left out of scripts.
+#[test]
+fn servers_accept_and_refuse_connections() {
+    let events = events(
+        r#"
+        [[step]]
+        at = "1ms"
+        accepted = ["a0"]
+        [[step]]
+        at = "2ms"
+        refused = ["a0", "a1"]
+        "#,
+    );
+    let found: Vec<_> = events.into_iter().map(|(_, e)| e).collect();
+    let server = |s: &str| s.parse().expect("a name");
+    let expected = [
+        Event::Accepted(server("a0"), std::time::Duration::ZERO),
+        Event::Refused(server("a0")),
+        Event::Refused(server("a1")),
+    ];
+    assert_eq!(found, expected);
+}
+
 #[rstest]
 #[case::no_event(
     "at = \"0s\"",
--- a/src/commands/steps.rs
+++ b/src/commands/steps.rs
@@ -49,6 +49,8 @@
         Event::Gone(seq) => format!("the caller of lookup {seq} disconnected"),
         Event::Connection(server, true) => format!("connection to {server} opened"),
         Event::Connection(server, false) => format!("connection to {server} closed"),
+        Event::Accepted(server, took) => format!("{server} accepted a connection in {took:?}"),
+        Event::Refused(server) => format!("{server} refused a connection"),
         other => format!("{other:?}"),
     }
 }
@@ -68,6 +70,7 @@
         Action::Wake(after) => format!("wake after {after:?}"),
         Action::Warm(server, n) => format!("hold {n} connections to {server}"),
         Action::Spread(notice) => format!("send to peers: {notice:?}"),
+        Action::Check(server) => format!("check {server}"),
     }
 }
 
