fix(node,query,http): give every lookup its outcome before a stopped process exits

Callers of `serve` saw lookups end without an answer: those in flight at `shutdown.deadline` were cut, and from `shutdown.lag` on new connections were refused and idle ones closed, with most of the deadline left.

Cause: `GracefulShutdown::run` waited until the deadline and returned, and the runtime ended with every lookup in flight. Nobody told the engine when the process ends.

`Event::ShutDown` tells the engine at SIGTERM within which time every lookup, present or later, has its outcome. Deadlines are capped at it, so the existing deadline logic ends them: `unknown` where a server may have run them or a claim may have been made, `not-run` where nothing was sent. One that cannot be expected to end by then is refused at once with Retry-After, and an at-most-once lookup makes no claim that would come too late. A body that has not arrived by then is answered 503. The process serves, with `connection: close`, until then or until nobody has been connected for a second after the lag. `ShutdownTimes` is one sum from SIGTERM to the exit; the operators' interface, which had a second of its own beyond the deadline, ends beside the release of shares.

The event is appended to the enum, so recordings of earlier builds read as before (a test pins the numbers); a script says `leave = { within = … }`.

--- a/crates/http/src/callers/handler.rs
+++ b/crates/http/src/callers/handler.rs
@@ -13,6 +13,8 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::body::read_body;
 use crate::body_budget::BodyBudget;
@@ -39,6 +41,8 @@
     body_bytes_max: usize,
     body_timeout: Duration,
     bodies: Arc<BodyBudget>,
+    /// When requests that have not arrived completely are refused; `None` for never.
+    shutdown_at: watch::Sender<Option<Instant>>,
 }
 
 impl CallerHandler {
@@ -54,18 +58,46 @@
             body_bytes_max,
             body_timeout,
             bodies: Arc::new(BodyBudget::new(BODIES_MAX)),
+            shutdown_at: watch::Sender::new(None),
         }
     }
 
+    /// Refuses requests that have not arrived completely at this time, present and later ones.
+    pub fn stop_reading_at(&self, at: Instant) {
+        self.shutdown_at.send_replace(Some(at));
+    }
+
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Full<Bytes>>> {
         let (head, body) = req.into_parts();
         let target = request::parse_target(&head)?;
-        let body = read_body(body, self.body_bytes_max, self.body_timeout, &self.bodies).await?;
+        let body = tokio::select! {
+            body = read_body(body, self.body_bytes_max, self.body_timeout, &self.bodies) => body?,
+            () = self.wait_for_shutdown() => return Err(leaving_error()),
+        };
         let req = request::parse_lookup(&head, target, &body)?;
         let (front, lookup) = (req.front.clone(), req.lookup.clone());
         let r = self.service.lookup(req).await;
         Ok(response::lookup_response(&r, &front, &lookup))
     }
+
+    /// Waits until requests are no longer read.
+    async fn wait_for_shutdown(&self) {
+        let mut shutdown_at = self.shutdown_at.subscribe();
+        loop {
+            let at = *shutdown_at.borrow_and_update();
+            let reached = async {
+                match at {
+                    Some(at) => tokio::time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                () = reached => return,
+                // The sender outlives this call, so this is always a new time.
+                _ = shutdown_at.changed() => {}
+            }
+        }
+    }
 }
 
 impl Handler for CallerHandler {
@@ -83,3 +115,10 @@
         })
     }
 }
+
+/// Returns the error of a request that has not arrived completely when the process has to exit.
+fn leaving_error() -> Error {
+    Error::new(ErrorKind::Unavailable, "this VM is leaving")
+        .at("read body")
+        .with_hint("retry on another VM")
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod listen;
 mod phase;
 mod server;
+mod unused;
 
 pub use backend::CompleteReply;
 pub use backend::ConnectOptions;
@@ -41,3 +42,4 @@
 pub use server::LiveLimits;
 pub use server::Server;
 pub use server::ServerState;
+pub use unused::wait_until_unused;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,8 @@
 mod server_poll;
 mod shared_state;
 mod shutdown;
+mod shutdown_times;
 
 pub use message::Message;
 pub use serve::serve;
+pub use shutdown_times::ShutdownTimes;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -163,12 +163,12 @@
         let admin = self.admin(listeners.operators, dumps)?;
         let (stop, stopped) = watch::channel(false);
         let body = usize::try_from(settings.callers.body.0).unwrap_or(usize::MAX);
-        let handler = CallerHandler::new(
+        let handler = Arc::new(CallerHandler::new(
             Arc::new(self.engine_client()),
             body,
             settings.callers.body_timeout,
-        );
-        let serving = tokio::spawn(server.run(Arc::new(handler), stopped));
+        ));
+        let serving = tokio::spawn(server.run(Arc::clone(&handler) as _, stopped));
         let shutdown = GracefulShutdown {
             cfg: settings.shutdown.clone(),
             clock: Arc::clone(&self.start.clock),
@@ -177,6 +177,7 @@
             engine: Arc::clone(&self.machines.engine),
             pool: Arc::clone(&self.pool),
             callers,
+            handler,
             stop,
             serving,
         };
--- a/crates/node/src/serve.rs
+++ b/crates/node/src/serve.rs
@@ -1,7 +1,6 @@
 //! Runs a process from its settings to its graceful shutdown.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use gs_clock::SystemClock;
 use gs_settings::Settings;
@@ -12,9 +11,6 @@
 use crate::process::Process;
 use crate::shutdown;
 
-/// The longest time that the operators' interface may take to finish its calls.
-const ADMIN_STOP_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Runs a process until it has received SIGTERM or SIGINT and has shut down gracefully.
 ///
 /// # Errors
@@ -33,9 +29,7 @@
     let (process, inbox) = Process::start(start)?;
     let (admin, shutdown) = process.open(listeners, inbox)?;
     stop_signals.recv().await;
-    shutdown.run().await;
-    // An operator's client that never reads its response must not keep the process from exiting.
-    let _ = tokio::time::timeout(ADMIN_STOP_TIMEOUT, admin.stop()).await;
+    shutdown.run(admin).await;
     process.finish_recording();
     log::info!("event=exit vm={vm} incarnation={incarnation}");
     Ok(())
--- a/crates/query/src/arrival.rs
+++ b/crates/query/src/arrival.rs
@@ -30,7 +30,7 @@
 const ANSWER_MARGIN_MAX: Duration = Duration::from_millis(5);
 
 /// When a caller may retry if this VM is leaving or not ready; another VM can accept it at once.
-const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(50);
+pub(crate) const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// The refusal of a lookup that is not started.
 type ArrivalRefusal = Refusal;
@@ -81,7 +81,7 @@
             .ok_or_else(|| Refusal::new(RefusalReason::NoSnapshot, Some(RETRY_AFTER)))?;
         let budget = req.deadline.map_or(decl.deadline, |d| d.min(decl.deadline));
         let margin = (budget / ANSWER_MARGIN_DIVISOR).clamp(ANSWER_MARGIN_MIN, ANSWER_MARGIN_MAX);
-        let answer_by = now + budget.saturating_sub(margin);
+        let answer_by = self.limit_to_shutdown(now + budget.saturating_sub(margin));
         let phase = match decl.promise {
             Promise::AtMostOnce => LookupPhase::Claiming,
             Promise::Urgent | Promise::Complete => LookupPhase::Running,
@@ -119,6 +119,7 @@
             is_done: false,
         };
         lk.pin_snapshot(Arc::clone(&pin.snapshot));
+        self.check_ends_before_shutdown(now, &lk)?;
         self.check_shards_reachable(now, &lk, &pin)?;
         self.check_admission(now, &lk)?;
         Ok(lk)
@@ -233,7 +234,7 @@
 
     /// Estimates the lookup's latency, including the parts queued before it, for the admission
     /// policy.
-    fn admission_request(&self, now: Instant, lk: &ActiveLookup) -> AdmissionRequest {
+    pub(crate) fn admission_request(&self, now: Instant, lk: &ActiveLookup) -> AdmissionRequest {
         let mut sum = 0.0_f64;
         let mut worst = 0.0_f64;
         for pos in 0..lk.shards.len() {
--- a/crates/query/src/engine.rs
+++ b/crates/query/src/engine.rs
@@ -91,6 +91,7 @@
             Event::Lost(server) => self.on_connection_lost(now, server, out),
             Event::Tick => self.on_tick(now, out),
             Event::Leave => self.state.is_leaving = true,
+            Event::ShutDown(answer_within) => self.on_shut_down(now, answer_within),
             Event::Accepted(server, took) => {
                 let begun_at = now.checked_sub(took).unwrap_or(now);
                 self.state.on_server_alive(now, &server, begun_at, out);
--- a/crates/query/src/engine_state.rs
+++ b/crates/query/src/engine_state.rs
@@ -106,6 +106,8 @@
     /// The lookups quarantined while this event is processed, and for how long.
     pub(crate) newly_quarantined: Vec<(Fingerprint, Duration)>,
     pub(crate) is_leaving: bool,
+    /// The latest time of every outcome, once the process shuts down.
+    pub(crate) shutdown_at: Option<Instant>,
     /// Lookups in flight.
     pub(crate) in_flight: usize,
     pub(crate) counters: Counters,
@@ -156,6 +158,7 @@
             server_watch: ServerWatch::default(),
             newly_quarantined: Vec::new(),
             is_leaving: false,
+            shutdown_at: None,
             in_flight: 0,
             counters: Counters::default(),
             incomplete_log_limit: RateLimit::new(LOGGED_LOOKUPS_PER_SECOND),
--- a/crates/query/src/event.rs
+++ b/crates/query/src/event.rs
@@ -45,6 +45,8 @@
     Tick,
     /// This process is leaving: it refuses new lookups and finishes those in flight.
     Leave,
+    /// This process shuts down: every lookup, present or later, gets its outcome within this time.
+    ShutDown(Duration),
     /// A server accepted a connection, which was begun this long ago: it was running then.
     Accepted(ServerName, Duration),
     /// The address of a server refused a connection: its process has ended.
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -32,6 +32,7 @@
 mod server_ends;
 mod server_reply;
 mod shard_key;
+mod shutdown;
 mod timers;
 mod wait_queues;
 
--- a/crates/query/tests/engine/main.rs
+++ b/crates/query/tests/engine/main.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod poison;
 mod replies;
+mod shutdown;
 mod silence;
 mod snapshot;
 mod world;
--- a/crates/trace/src/script/event_specs.rs
+++ b/crates/trace/src/script/event_specs.rs
@@ -194,4 +194,15 @@
 /// The graceful shutdown of the process.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub(super) struct LeaveSpec {}
+pub(super) struct LeaveSpec {
+    /// The time within which every lookup has its outcome; if it is absent, new lookups are refused
+    /// instead.
+    #[serde(default, with = "humantime_serde")]
+    within: Option<Duration>,
+}
+
+impl LeaveSpec {
+    pub(super) fn build(&self) -> Event {
+        self.within.map_or(Event::Leave, Event::ShutDown)
+    }
+}
--- a/crates/trace/src/script/step.rs
+++ b/crates/trace/src/script/step.rs
@@ -111,8 +111,8 @@
         if let Some(t) = &self.tick {
             t.build(at, out)?;
         }
-        if self.leave.is_some() {
-            out.push((at, Event::Leave));
+        if let Some(l) = &self.leave {
+            out.push((at, l.build()));
         }
         Ok(())
     }
--- a/crates/trace/tests/trace/invariants.rs
+++ b/crates/trace/tests/trace/invariants.rs
@@ -118,6 +118,18 @@
     );
 }
 
+/// Prevents a process that ends with a lookup in flight from passing as one that shut down gracefully.
+#[test]
+fn a_lookup_without_an_answer_at_the_end_of_a_shutdown_is_reported() {
+    let leave = "[[step]]\nat = \"2ms\"\nleave = { within = \"50ms\" }\n";
+    let end = "[[step]]\nat = \"1100ms\"\ntick = { every = \"1ms\", until = \"1100ms\" }\n";
+    let d = check("", &format!("{ARRIVE}{leave}{end}"), vec![]).expect_err("diverges");
+    assert_eq!(
+        d.to_string(),
+        "step 5 at 1s 100ms: lookup 1 is past its deadline without an answer"
+    );
+}
+
 #[test]
 fn a_recorded_attempt_that_the_replay_does_not_dispatch_is_reported() {
     let steps = format!("{ARRIVE}{SENT}");
--- a/crates/trace/tests/trace/recording.rs
+++ b/crates/trace/tests/trace/recording.rs
@@ -126,6 +126,18 @@
     }
 }
 
+/// Prevents recordings of earlier builds from being read as other events.
+#[test]
+fn events_keep_their_numbers_in_a_recording() {
+    let encode = |event: &Event| postcard::to_stdvec(event).expect("encoded");
+    assert_eq!(encode(&Event::Tick), [12]);
+    assert_eq!(encode(&Event::Leave), [13]);
+    let shut_down = Event::ShutDown(Duration::from_secs(4));
+    let bytes = encode(&shut_down);
+    assert_eq!(bytes, [14, 4, 0]);
+    assert_eq!(postcard::from_bytes(&bytes), Ok(shut_down));
+}
+
 /// Records ticks with wake-ups, and replays them exactly with a machine that requests `wakes`.
 fn replayed(wakes: [u64; 2]) -> Result<(), String> {
     let wake = |ms| Action::Wake(Duration::from_millis(ms));
--- a/crates/trace/tests/trace/scripts.rs
+++ b/crates/trace/tests/trace/scripts.rs
@@ -58,6 +58,13 @@
     assert_eq!(found, expected);
 }
 
+#[test]
+fn a_shutdown_may_name_the_time_of_the_last_outcome() {
+    let events = events("[[step]]\nat = \"1ms\"\nleave = { within = \"250ms\" }\n");
+    let within = std::time::Duration::from_millis(250);
+    assert_eq!(events[0].1, Event::ShutDown(within));
+}
+
 #[rstest]
 #[case::no_event(
     "at = \"0s\"",
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod platform_faults;
 mod recording;
 mod server_faults;
+mod shutdown;
 mod snapshot_min;
 mod support;
 mod vm_faults;
