fix(edge,platform): log an unreadable object once while it stays

What operators saw: an odd entry that stays added a line to the log at each list: every few seconds for the announcements of VMs and the quarantine, which are polled, and at each list of servers. The parser's error quotes the value, so that a state of 100 kB made lines of 100 kB; a name with control characters went into the log as it was.

Cause: each place that parses an object logged for itself, without knowing what it had logged before.

UnreadableObjects, which the directory keeps, knows the names that were logged and forgets them as the object is read again or gone. Names and errors are cut and escaped.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 
 /// A kind of objects in a directory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum DirectoryKind {
     /// The routes, as one object.
@@ -29,7 +29,7 @@
     Routes(Arc<RouteTable>),
     /// A backend server.
     Server(Arc<ServerEntry>),
-    /// Content that cannot be read.
+    /// Content that cannot be read, which the directory has logged.
     Unreadable(Error),
     /// No content: the object was removed.
     Removed,
--- a/crates/edge/src/directory_watcher.rs
+++ b/crates/edge/src/directory_watcher.rs
@@ -182,11 +182,7 @@
                 );
                 self.feed.push(Event::Server(entry));
             }
-            ItemContent::Unreadable(e) => {
-                log::warn!(
-                    "event=object-unreadable kind={} name={name} error=\"{e}\"",
-                    self.kind
-                );
+            ItemContent::Unreadable(_) => {
                 // Its earlier content no longer holds, and the present one is not known.
                 if let Some(server) = self.server_name(&name) {
                     self.feed.push(Event::EntryMissing(server));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod shell;
 mod shutdown;
 mod status;
+mod unreadable_objects;
 mod verdict_spread;
 
 pub use callers::CallerCodec;
@@ -57,3 +58,4 @@
 pub use settings::Servers;
 pub use settings::Shutdown;
 pub use settings::Vm;
+pub use unreadable_objects::UnreadableObjects;
