fix(http): a reply without a final status is garbled

A faulty server that answered 101 ended its callers' connections: the caller got the 101, and its next request on that connection was cut. A status of 600 to 999, which no HTTP client knows, was passed on as well.

Cause: hyper's client skips interim responses except 101, which it returns as a response, and accepts any status of three digits from 100. The callers' server then ended the connection with the 101.

`exchange` now returns `NotFinal` for a status outside 200 to 599. It counts as garbled, like a reply that is too large: the connection to that server is closed, the attempt is retried where that is allowed, and 502 otherwise.

--- a/crates/edge/src/connection_pools.rs
+++ b/crates/edge/src/connection_pools.rs
@@ -248,6 +248,15 @@
                 );
                 AttemptEnd::Broken
             }
+            Err(ExchangeError::NotFinal(status)) => {
+                log::debug!(
+                    "event=answer-not-final attempt={} server={} status={}",
+                    self.d.attempt,
+                    self.d.server.name,
+                    status.as_u16()
+                );
+                AttemptEnd::Garbled
+            }
             Err(ExchangeError::TooLarge) => {
                 log::debug!(
                     "event=answer-too-large attempt={} server={}",
--- a/crates/http/src/backend/exchange.rs
+++ b/crates/http/src/backend/exchange.rs
@@ -33,6 +33,8 @@
     /// The reply is larger than allowed, or the replies that this process is receiving are too large together; the
     /// request may have been executed.
     TooLarge,
+    /// The status is none of a final response; the request may have been executed.
+    NotFinal(StatusCode),
 }
 
 /// The most bytes that may be read for the next step of a reply, its head or a chunk of its body: interim responses,
@@ -70,6 +72,10 @@
 ) -> Result<CompleteReply, ExchangeError> {
     let res = conn.tx.send_request(req).await;
     let (head, body) = res.map_err(classify_send_error)?.into_parts();
+    // hyper skips the interim responses but 101, for which no request here asks.
+    if !(200..600).contains(&head.status.as_u16()) {
+        return Err(ExchangeError::NotFinal(head.status));
+    }
     if body.size_hint().lower() > body_bytes_max as u64 {
         return Err(ExchangeError::TooLarge);
     }
--- a/crates/http/src/backend/part_reply.rs
+++ b/crates/http/src/backend/part_reply.rs
@@ -37,7 +37,7 @@
 ) -> (PartReply, bool) {
     match exchange(conn, req, body_bytes_max).await {
         Ok(reply) => parse_reply(&reply, d),
-        Err(ExchangeError::TooLarge) => (PartReply::Garbled, false),
+        Err(ExchangeError::TooLarge | ExchangeError::NotFinal(_)) => (PartReply::Garbled, false),
         // `Event::Sent` was reported for this attempt already, so it counts as one that may have been executed. This
         // includes a connection that the server closed while it was idle.
         Err(ExchangeError::NotSent | ExchangeError::Broken(_)) => (PartReply::Broken, false),
