fix(edge): bound the memory of answers that callers do not read

Callers saw a VM end with all its requests: an answer stays in memory until its connection has taken it, 4 MiB for each of up to 2,048 connections whose callers do not read.

Cause: replies are charged while they are received (`BodyCollector`), and no longer once they are complete. `submit` now charges the body of each answer and page to a second `BodyBudget`, an eighth of `vm.memory`, until its last copy is dropped. The first 8 KiB are free, so small answers always pass. An answer that does not fit becomes a 502, as its request has run; it is logged (`event=answer-dropped`).

Evidence: tests/relay/memory.rs, 100 answers of 3 MiB that are not read, on one real process (debug build).

--- a/crates/edge/src/process.rs
+++ b/crates/edge/src/process.rs
@@ -53,6 +53,7 @@
     state: Arc<SharedState>,
     request_log: Arc<RequestLog>,
     bodies: Arc<BodyBudget>,
+    answers: Arc<BodyBudget>,
     metrics: Arc<Metrics>,
     register: Arc<Register>,
     peers: Arc<PeerClient>,
@@ -99,6 +100,7 @@
             state: Arc::default(),
             request_log: Arc::new(RequestLog::new(Arc::clone(&metrics))),
             bodies: Arc::new(BodyBudget::new(settings.request_bodies_max())),
+            answers: Arc::new(BodyBudget::new(settings.answers_max())),
             metrics,
             register,
             peers: Arc::clone(&peers),
@@ -210,6 +212,7 @@
             state: Arc::clone(&self.state),
             request_log: Arc::clone(&self.request_log),
             bodies: Arc::clone(&self.bodies),
+            answers: Arc::clone(&self.answers),
         }
     }
 
--- a/crates/edge/src/relay_client.rs
+++ b/crates/edge/src/relay_client.rs
@@ -62,6 +62,8 @@
     pub(crate) request_log: Arc<RequestLog>,
     /// The memory for the bodies of requests.
     pub(crate) bodies: Arc<BodyBudget>,
+    /// The memory for the bodies of answers until they are written.
+    pub(crate) answers: Arc<BodyBudget>,
 }
 
 impl RelayClient {
@@ -89,7 +91,7 @@
         match rx.await {
             Ok(report) => {
                 self.request_log.record(&id, &path, is_delegated, &report);
-                report.outcome
+                self.hold_answer(&id, report.outcome)
             }
             // The relay answers every request whose caller is connected; a sender dropped without a report is a fault
             // of this process.
@@ -100,6 +102,37 @@
         }
     }
 
+    /// Charges an answer until it is written or its caller disconnects.
+    ///
+    /// The request fails if callers that do not read their answers hold too much memory. It may have run, so it is not
+    /// refused.
+    fn hold_answer(&self, id: &str, outcome: Outcome) -> Outcome {
+        let held = match outcome {
+            Outcome::Relayed(mut answer) => {
+                let body = self.answers.hold(std::mem::take(&mut answer.body));
+                body.map(|body| {
+                    answer.body = body;
+                    Outcome::Relayed(answer)
+                })
+            }
+            Outcome::Page(mut page) => {
+                let body = self.answers.hold(std::mem::take(&mut page.body));
+                body.map(|body| {
+                    page.body = body;
+                    Outcome::Page(page)
+                })
+            }
+            outcome => Some(outcome),
+        };
+        held.unwrap_or_else(|| {
+            log::warn!(
+                "event=answer-dropped id={id} unread={} hint=\"callers do not read their answers\"",
+                self.answers.charged()
+            );
+            Outcome::Failed(FailReason::Failed)
+        })
+    }
+
     /// Passes news of requests that crash servers to the relay.
     pub(crate) fn push(&self, event: Event) {
         self.feed.push(event);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -28,8 +28,9 @@
 /// The least memory of a VM: what an idle process, the buffers of its connections and their free parts of bodies need.
 const MEMORY_MIN: Bytes = Bytes(64 << 20);
 
-/// The part of a VM's memory that the bodies of requests may use, as a divisor.
+/// The parts of a VM's memory that the bodies of requests, and answers, may use, as divisors.
 const REQUEST_BODIES_DIVISOR: u64 = 8;
+const ANSWERS_DIVISOR: u64 = 8;
 
 /// The least fraction of a core that is assumed when the work on an answer is estimated.
 const CORES_MIN: f64 = 0.05;
@@ -364,6 +365,12 @@
         Bytes(self.vm.memory.0 / REQUEST_BODIES_DIVISOR)
     }
 
+    /// Returns the memory that answers may hold together until they are written.
+    #[must_use]
+    pub fn answers_max(&self) -> Bytes {
+        Bytes(self.vm.memory.0 / ANSWERS_DIVISOR)
+    }
+
     /// Returns this VM as a peer of the others.
     #[must_use]
     pub fn as_peer(&self) -> PeerVm {
--- a/crates/edge/tests/settings.rs
+++ b/crates/edge/tests/settings.rs
@@ -77,10 +77,11 @@
 }
 
 #[test]
-fn an_eighth_of_the_memory_is_for_the_bodies_of_requests() {
+fn an_eighth_of_the_memory_is_for_bodies_in_each_direction() {
     let text = MINIMAL.replace("[vm]\n", "[vm]\nmemory = \"160MB\"\n");
     let cfg = EdgeSettings::parse(&text).expect("it parses");
     assert_eq!(cfg.request_bodies_max().to_string(), "20MB");
+    assert_eq!(cfg.answers_max().to_string(), "20MB");
 }
 
 #[test]
--- a/crates/http/src/body_budget.rs
+++ b/crates/http/src/body_budget.rs
@@ -31,6 +31,22 @@
         }
     }
 
+    /// Charges a complete body until its last copy is dropped; returns `None` if it does not fit.
+    #[must_use]
+    pub fn hold(self: &Arc<Self>, body: bytes::Bytes) -> Option<bytes::Bytes> {
+        let mut charge = BodyCharge::new(self);
+        if !charge.grow_to(body.len()) {
+            return None;
+        }
+        Some(match charge.is_free() {
+            true => body,
+            false => bytes::Bytes::from_owner(HeldBody {
+                body,
+                _charge: charge,
+            }),
+        })
+    }
+
     /// Returns whether a body of this size would fit now; reserves nothing.
     #[must_use]
     pub fn has_room_for(&self, bytes: u64) -> bool {
@@ -96,3 +112,15 @@
             .fetch_sub(self.charged, Ordering::Relaxed);
     }
 }
+
+/// A complete body and its charge.
+struct HeldBody {
+    body: bytes::Bytes,
+    _charge: BodyCharge,
+}
+
+impl AsRef<[u8]> for HeldBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
--- a/crates/http/tests/body_budget.rs
+++ b/crates/http/tests/body_budget.rs
@@ -72,3 +72,18 @@
     assert!(first.grow_to(usize::MAX));
     assert!(!second.grow_to(usize::MAX));
 }
+
+#[test]
+fn a_held_body_is_charged_until_its_last_copy_is_dropped() {
+    let budget = budget(1000);
+    let body = bytes::Bytes::from(vec![7; FREE + 600]);
+    let held = budget.hold(body.clone()).expect("it fits");
+    assert_eq!(held, body);
+    let copy = held.slice(1..2);
+    drop(held);
+    assert_eq!(budget.charged(), Bytes(600));
+    assert_eq!(budget.hold(body.clone()), None);
+    drop(copy);
+    assert_eq!(budget.charged(), Bytes(0));
+    assert!(budget.hold(body).is_some());
+}
--- a/crates/rig/src/site/backend.rs
+++ b/crates/rig/src/site/backend.rs
@@ -32,6 +32,7 @@
 use super::store::Store;
 use super::traffic::Traffic;
 use crate::body::Body;
+use crate::body::complete;
 use crate::body::cut_short;
 use crate::body::endless;
 
@@ -65,6 +66,8 @@
     pub crosses: bool,
     /// Every request fails with a stamped 500.
     pub fails: bool,
+    /// Answers have this many bytes in place of the right body.
+    pub answer_bytes: Option<usize>,
 }
 
 /// How often each server ran each request, by server id and request id.
@@ -286,6 +289,9 @@
         let echoed = if faults.crosses { "another" } else { &id };
         res = with_header(res, "attempt-id", echoed);
         res = with_header(res, "server-load", &self.load());
+        if let Some(bytes) = faults.answer_bytes {
+            *res.body_mut() = complete(vec![b'a'; bytes]);
+        }
         if faults.endless {
             *res.body_mut() = endless(body.clone());
         }
--- a/tests/relay/memory.rs
+++ b/tests/relay/memory.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gs_rig::site::BackendFaults;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
@@ -157,3 +159,63 @@
         assert!(answer.starts_with("HTTP/1.1 "), "{answer}");
     }
 }
+
+/// The size of each large answer, in bytes.
+const ANSWER_BYTES: usize = 3 << 20;
+
+/// The number of large answers that are not read.
+const ANSWERS: usize = 100;
+
+/// Sends a request and reads only the first bytes of its answer; returns them and the connection.
+async fn start_reading(addr: SocketAddr, id: &str) -> (String, TcpStream) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a size");
+    let mut tcp = socket.connect(addr).await.expect("it listens");
+    let text = format!(
+        "GET /one/{id} HTTP/1.1\r\nhost: site.example\r\nattempt-id: {id}\r\ndeadline-ms: 3000\r\n\r\n"
+    );
+    tcp.write_all(text.as_bytes()).await.expect("it is sent");
+    let mut start = [0; 12];
+    let read = tokio::time::timeout(ANSWERED_WITHIN, tcp.read_exact(&mut start)).await;
+    read.expect("in time").expect("an answer");
+    (String::from_utf8_lossy(&start).into_owned(), tcp)
+}
+
+/// Prevents large answers that callers do not read from using up a VM's memory, which would end it with all its
+/// requests, and from keeping out small answers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_are_not_read_do_not_use_up_a_vms_memory() {
+    let r = start_site_with(1).await;
+    let addr = r.site.vms[0].plan().callers;
+    let set_answer_bytes = |answer_bytes| {
+        for backend in &r.site.backends {
+            backend.set_faults(BackendFaults {
+                answer_bytes,
+                ..BackendFaults::default()
+            });
+        }
+    };
+    set_answer_bytes(Some(ANSWER_BYTES));
+    let mut unread = Vec::new();
+    for n in 0..ANSWERS {
+        unread.push(start_reading(addr, &format!("unread{n}")).await);
+    }
+    let resident = resident_bytes(&r);
+    assert!(resident <= RESIDENT_BYTES_MAX, "{resident} bytes");
+    let count = |start: &str| unread.iter().filter(|(s, _)| s == start).count();
+    let (answered, failed) = (count("HTTP/1.1 200"), count("HTTP/1.1 502"));
+    assert!(answered > 0, "{answered} answered, {failed} failed");
+    assert_eq!(answered + failed, ANSWERS);
+    set_answer_bytes(None);
+    let (small, _) = start_reading(addr, "small").await;
+    assert_eq!(small, "HTTP/1.1 200");
+    drop(unread);
+    let end = tokio::time::Instant::now() + ANSWERED_WITHIN;
+    set_answer_bytes(Some(ANSWER_BYTES));
+    while start_reading(addr, "after").await.0 != "HTTP/1.1 200" {
+        assert!(
+            tokio::time::Instant::now() < end,
+            "the memory is not returned"
+        );
+    }
+}
