--- a/tests/relay/memory.rs
+++ b/tests/relay/memory.rs
@@ -219,3 +219,38 @@
         );
     }
 }
+
+/// The number of requests whose answers have no end.
+const ENDLESS_ANSWERS: usize = 60;
+
+/// Prevents answers without an end from using up a VM's memory, which would end it with all its requests.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_without_an_end_do_not_use_up_a_vms_memory() {
+    let r = start_site_with(1).await;
+    let addr = r.site.vms[0].plan().callers;
+    let set_endless = |endless| {
+        for backend in &r.site.backends {
+            backend.set_faults(BackendFaults {
+                endless,
+                ..BackendFaults::default()
+            });
+        }
+    };
+    set_endless(true);
+    let mut answers = JoinSet::new();
+    for n in 0..ENDLESS_ANSWERS {
+        answers.spawn(async move { start_reading(addr, &format!("endless{n}")).await.0 });
+    }
+    let mut most = 0;
+    while let Some(answer) = answers.join_next().await {
+        let answer = answer.expect("an answer");
+        assert_ne!(answer, "HTTP/1.1 200");
+        most = most.max(resident_bytes(&r));
+    }
+    assert!(most <= RESIDENT_BYTES_MAX, "{most} bytes");
+    set_endless(false);
+    let end = tokio::time::Instant::now() + ANSWERED_WITHIN;
+    while start_reading(addr, "after").await.0 != "HTTP/1.1 200" {
+        assert!(tokio::time::Instant::now() < end, "it serves no longer");
+    }
+}
