fix(query): a crash in the instant in which an attempt began is a repetition

A canary whose caller leaves at once begins in the instant of the crash before it; the comparison took it for an overlap, so the crash did not count as a repetition. Found by a mutation of the rule that no test noticed; the new test a_canary_whose_caller_leaves_before_the_crash_is_a_repetition fails without the change.

--- a/crates/query/src/crash_suspects.rs
+++ b/crates/query/src/crash_suspects.rs
@@ -143,7 +143,7 @@
     fn count(&mut self, mut crash: Crash) -> Option<bool> {
         let is_same = |c: &CountedCrash| c.is_of(&crash.server, crash.incarnation);
         if !crash.is_presumed {
-            let is_before = |c: &CountedCrash| is_same(c) || c.crash.ended_at < crash.began_at;
+            let is_before = |c: &CountedCrash| is_same(c) || c.crash.ended_at <= crash.began_at;
             crash.is_alone &= self.crashes.iter().all(is_before);
         }
         let Some(at) = self.crashes.iter().position(is_same) else {
--- a/crates/query/tests/engine/poison/signs.rs
+++ b/crates/query/tests/engine/poison/signs.rs
@@ -320,3 +320,21 @@
     assert_eq!(refused_for(&mut w, "pine"), None);
     assert_eq!(w.notices.iter().filter(|n| is_quarantine(n)).count(), 0);
 }
+
+/// Prevents a canary whose caller leaves from counting as sent together with the attempt before it.
+#[test]
+fn a_canary_whose_caller_leaves_before_the_crash_is_a_repetition() {
+    let mut w = world(8);
+    let (seq, first) = send(&mut w, "pine").expect("an attempt");
+    w.advance(ms(5));
+    w.reply(&first, PartReply::Broken);
+    refuse(&mut w, &first);
+    let canary = w.take(0);
+    w.sent(&canary);
+    w.advance(ms(5));
+    w.on(Event::Gone(seq));
+    w.reply(&canary, PartReply::Cancelled);
+    w.advance(ms(5));
+    refuse(&mut w, &canary);
+    assert_eq!(refused_for(&mut w, "pine"), Some(QUARANTINE));
+}
