--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -192,7 +192,7 @@
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Shutdown {
     /// How long it continues to accept connections at least after it reports not ready; at least the time in which the
-    /// balancer notices. [`LAG_DEFAULT`] if it is not set, or half of the grace if that is shorter.
+    /// balancer notices. 2.5 s if it is not set, or half of the grace if that is shorter.
     #[serde(with = "humantime_serde")]
     pub lag: Option<Duration>,
     /// The time from SIGTERM until the platform kills the process.
