test(relay): entries with greatest values, on a site with followers

An entry of another writer with 4,294,967,295 slots, 2^64-1 for its times, half a megabyte of text and an address that does not answer, IPv6 with a scope included: 18 VMs, of which two in three follow another one, keep following routes and servers, no list between VMs fails and all pages are complete.

--- a/tests/relay/odd_entries.rs
+++ b/tests/relay/odd_entries.rs
@@ -6,12 +6,15 @@
 use gs_rig::site::raw;
 use rstest::rstest;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::support::CONFIG_APPLY_MAX;
+use crate::support::FOLLOWED_VMS;
 use crate::support::TestSite;
 use crate::support::add_route;
 use crate::support::assert_all;
 use crate::support::is_complete;
+use crate::support::start_followed_site;
 use crate::support::start_site;
 use crate::support::wait_until_in_force;
 
@@ -84,3 +87,32 @@
     assert_all(&r.request_all(ROUNDS, &route).await, is_complete);
     assert!(r.busy_servers().contains(name), "{:?}", r.busy_servers());
 }
+
+/// Prevents an entry that one VM accepts from breaking the lists that its followers read from it, and greatest values
+/// from ending a process or drawing all load to a server that does not answer.
+#[rstest]
+#[case::closed_port("127.0.0.1:1")]
+#[case::ipv6_with_a_scope("[fe80::1%1]:8080")]
+#[tokio::test]
+async fn entries_with_greatest_values_pass_between_vms(#[case] addr: &str) {
+    let mut r = start_followed_site().await;
+    let mut entry = r.site.store.spec("servers", "i-shard0-0").expect("one");
+    entry["address"] = json!(addr);
+    entry["max_concurrent"] = json!(u32::MAX);
+    entry["warmup_left_ms"] = json!(u64::MAX);
+    entry["born"] = json!(u64::MAX);
+    entry["version"] = json!("v".repeat(500_000));
+    r.site.store.put("servers", "i-odd", entry);
+    let route = add_route(&mut r, "/added/");
+    let vms: Vec<usize> = (0..FOLLOWED_VMS).collect();
+    wait_until_in_force(&mut r, &vms, &route).await;
+    r.site.store.delete("servers", "i-shard1-1");
+    tokio::time::sleep(CONFIG_APPLY_MAX).await;
+    r.clear_runs();
+    let route = r.route("/page/");
+    assert_all(&r.request_all(3, &route).await, is_complete);
+    let busy = r.busy_servers();
+    assert!(!busy.contains("i-shard1-1"), "{busy:?}");
+    let failed = r.log_lines(&["event=register-peer-failed", "event=directory-lost"]);
+    assert!(failed.is_empty(), "{failed}");
+}
