fix(store): pass over an object that no call can name

What operators of `serve` would see: an object of another writer under a mirrored prefix, at a path with a space or a control character, hid all objects that are listed after it, and all later changes, for as long as it stayed.

Cause: the watcher reads each listed object, and the client refuses such a path before the call; the refusal counted as a failed list or watch, which was repeated without end.

The path is checked first; an object that fails is logged, once for each of its versions, and the others are delivered.

Before, an_object_that_cannot_be_named_leaves_the_others_delivered failed after 20 s: an update in time: Elapsed(()).

--- a/crates/store/src/http_platform.rs
+++ b/crates/store/src/http_platform.rs
@@ -307,7 +307,7 @@
 }
 
 /// Checks that a path needs no escaping in a URI, so that it cannot change which call is made.
-fn check_path(path: &str) -> Result<()> {
+pub(crate) fn check_path(path: &str) -> Result<()> {
     let ok = !path.is_empty()
         && path.len() <= 512
         && path
--- a/crates/store/src/watcher.rs
+++ b/crates/store/src/watcher.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 
 use crate::backoff::Backoff;
+use crate::http_platform::check_path;
 use crate::object::ChangedObject;
 use crate::object::Object;
 use crate::object::Version;
@@ -208,6 +209,11 @@
             self.known.insert(path, version);
             return Ok(Ok(()));
         }
+        if let Err(e) = check_path(&path) {
+            log::warn!("event=object-unreadable error=\"{e}\"");
+            self.known.insert(path, version);
+            return Ok(Ok(()));
+        }
         let Some(object) = self.platform.read(&path).await? else {
             return Ok(self.on_removed(path).await);
         };
--- a/crates/store/tests/store/watch.rs
+++ b/crates/store/tests/store/watch.rs
@@ -62,6 +62,20 @@
     assert_eq!(next(&mut rx).await, ("groups/a".into(), None));
 }
 
+/// Prevents an object of another writer, at a path that no call can name, from hiding all objects after it.
+#[tokio::test]
+async fn an_object_that_cannot_be_named_leaves_the_others_delivered() {
+    let (rig, p) = pair().await;
+    rig.put("groups/a odd", "unreadable");
+    rig.put("groups/b", "one");
+    let (_w, mut rx) = watch(p);
+    assert_eq!(next(&mut rx).await, put("groups/b", "one"));
+    wait_for_watch(&rig).await;
+    rig.put("groups/a\u{1}", "unreadable");
+    rig.put("groups/b", "two");
+    assert_eq!(next(&mut rx).await, put("groups/b", "two"));
+}
+
 /// An object changes while the platform is unreachable: the change must be delivered after the outage.
 #[tokio::test]
 async fn a_change_in_an_outage_is_delivered_after_it() {
