fix(http): a body that is always too large is not told to come again

With the bound on all bodies, a request that announced more than both its own limit and the memory for all bodies was answered 503 with Retry-After, and would have come again and again; before, it was answered 413.

`read_body` asks for room only for bodies within their own limit.

Evidence: the new test in crates/http/tests/callers.rs failed before with "HTTP/1.1 503 Service Unavailable". docs/INTERFACE.md names the 503 of `serve`.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -47,11 +47,13 @@
 async fn receive(body: &mut Incoming, bytes_max: usize, budget: &Arc<BodyBudget>) -> Result<Bytes> {
     let no_room = || Error::new(ErrorKind::Unavailable, "other bodies use up the memory");
     let announced = body.size_hint().exact();
-    if announced.is_some_and(|bytes| !budget.has_room_for(bytes)) {
+    let announced = announced.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    // A longer body is too large whenever it comes; it must not be told to come again.
+    let fits = |bytes: usize| bytes > bytes_max || budget.has_room_for(bytes);
+    if !announced.is_none_or(fits) {
         return Err(no_room());
     }
-    let capacity_max = announced.and_then(|bytes| usize::try_from(bytes).ok());
-    let capacity_max = capacity_max.map_or(bytes_max, |bytes| bytes.min(bytes_max));
+    let capacity_max = announced.map_or(bytes_max, |bytes| bytes.min(bytes_max));
     let mut received = ReceivedBody {
         bytes: Vec::new(),
         charge: BodyCharge::new(budget),
--- a/crates/http/src/body_budget.rs
+++ b/crates/http/src/body_budget.rs
@@ -49,10 +49,10 @@
 
     /// Returns whether a body of this size would fit now; reserves nothing.
     #[must_use]
-    pub fn has_room_for(&self, bytes: u64) -> bool {
+    pub fn has_room_for(&self, bytes: usize) -> bool {
         let charged = self.charged.load(Ordering::Relaxed);
         let left = self.bytes_max.saturating_sub(charged);
-        usize::try_from(bytes).is_ok_and(|bytes| bytes.saturating_sub(FREE_BYTES) <= left)
+        bytes.saturating_sub(FREE_BYTES) <= left
     }
 
     /// Returns the bytes that bodies hold beyond the free part of each.
--- a/crates/http/tests/body_budget.rs
+++ b/crates/http/tests/body_budget.rs
@@ -60,7 +60,7 @@
     let budget = budget(1000);
     let mut other = BodyCharge::new(&budget);
     assert!(other.grow_to(FREE + 600));
-    assert_eq!(budget.has_room_for(bytes as u64), has_room);
+    assert_eq!(budget.has_room_for(bytes), has_room);
     assert_eq!(budget.charged(), Bytes(600));
 }
 
--- a/crates/http/tests/callers.rs
+++ b/crates/http/tests/callers.rs
@@ -184,6 +184,15 @@
     assert!(res.contains("the body is over 256 bytes"), "{res}");
 }
 
+/// Prevents a body that is always too large from being told to come again.
+#[tokio::test]
+async fn a_length_over_all_memory_is_oversized_and_not_refused_for_now() {
+    let s = start().await;
+    let head = format!("POST {PATH} HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000000000\r\n\r\n");
+    let res = exchange(s.addr, format!("{head}{}", "x".repeat(1000)).as_bytes()).await;
+    assert!(res.starts_with("HTTP/1.1 413 "), "{res}");
+}
+
 #[tokio::test]
 async fn oversized_headers_are_refused() {
     let s = start().await;
