--- a/tests/relay/servers.rs
+++ b/tests/relay/servers.rs
@@ -1,9 +1,17 @@
 //! Backend servers that stall, crash, drain or send bad answers.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use gs_rig::site::BackendFaults;
+use gs_rig::site::CallOutcome;
 use rstest::rstest;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::support::assert_all;
 use crate::support::is_complete;
@@ -103,3 +111,42 @@
     assert_all(&r.request_all(3, &route).await, is_complete);
     assert!(!r.busy_servers().contains("i-shard2-0"));
 }
+
+/// Prevents a faulty server's `101` from being relayed, which ends the caller's connection.
+#[tokio::test]
+async fn switching_protocols_is_no_answer() {
+    let mut r = start_site().await;
+    let route = r.route("/once/");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    tokio::spawn(async move {
+        while let Ok((mut tcp, _)) = listener.accept().await {
+            let count = Arc::clone(&count);
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                while tcp.read(&mut buf).await.is_ok_and(|read| read > 0) {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    let reply = b"HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n";
+                    if tcp.write_all(reply).await.is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    let entry = json!({"backend": route.services[0], "address": addr.to_string(), "zone": "east", "max_concurrent": 2, "state": "ready"});
+    r.site.store.put("servers", "i-odd", entry);
+    let end = tokio::time::Instant::now() + Duration::from_secs(10);
+    while asked.load(Ordering::Relaxed) == 0 {
+        for answer in r.request_all(2, &route).await {
+            let is_answered = matches!(
+                answer.outcome,
+                CallOutcome::Right(0) | CallOutcome::Failed(502)
+            );
+            assert!(is_answered, "{answer:?}");
+        }
+        assert!(tokio::time::Instant::now() < end, "the server is not asked");
+    }
+}
