fix(relay): a refused caller is not sent to VMs that are stopping too

A VM that shuts down told each caller that it refused to come again after 50 ms. If all VMs are stopped together, that is to one that refuses it again, and most callers come again once. VMs that shut down withdraw their announcements, so a VM that sees no other announced now names the time until the restart. The new test's second case fails without the change (53.944902ms).

--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -26,6 +26,9 @@
 /// When to retry a request that was refused for the shutdown; another VM can serve it at once.
 pub const SHUTDOWN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// The time from the final responses until this VM, or another that is stopped together with it, serves again.
+const RESTART_TIME: Duration = Duration::from_secs(1);
+
 impl Relay {
     /// Limits the time of all requests, present and later ones.
     pub(crate) fn on_shut_down(&mut self, answer_by: Instant) {
@@ -64,8 +67,18 @@
         if now + expected * ratio < shutdown_at {
             return Ok(());
         }
-        let retry = self.with_jitter(SHUTDOWN_RETRY_AFTER);
-        Err((RefuseReason::ShuttingDown, Some(retry)))
+        let retry_after = match self.has_other_vms() {
+            true => SHUTDOWN_RETRY_AFTER,
+            false => shutdown_at.saturating_duration_since(now) + RESTART_TIME,
+        };
+        let retry_after = self.with_jitter(retry_after);
+        Err((RefuseReason::ShuttingDown, Some(retry_after)))
+    }
+
+    /// Returns whether another VM is announced; VMs that shut down withdraw their announcements.
+    fn has_other_vms(&self) -> bool {
+        let mut vms = self.peer_vms.vms().iter();
+        vms.any(|vm| vm.name != self.options.vm)
     }
 
     /// Returns the expected time of a request; `None` if no part of it has an estimate.
--- a/crates/relay/tests/relay/shutdown.rs
+++ b/crates/relay/tests/relay/shutdown.rs
@@ -11,12 +11,14 @@
 use gs_types::prelude::*;
 use rstest::rstest;
 
+use crate::world::HERE;
 use crate::world::World;
 use crate::world::ms;
 use crate::world::one_route;
 use crate::world::page_route;
 use crate::world::success;
 use crate::world::table;
+use crate::world::vm;
 
 /// The time from the beginning of a shutdown until every request must have its final response.
 const ANSWER_AFTER: Duration = ms_const(5400);
@@ -188,3 +190,23 @@
     w.advance(ms(1));
     assert!(w.report(seq).is_some());
 }
+
+/// Prevents a caller from being sent to another VM that is stopping too, or from being held off while others serve.
+#[rstest]
+#[case::others_serve(true)]
+#[case::all_are_stopped(false)]
+fn a_refused_caller_is_told_when_a_vm_can_serve_it(#[case] is_other_announced: bool) {
+    let mut w = world(RepeatPolicy::Safe);
+    let mut vms = vec![vm("vm-1", HERE, "hobart", 1.0)];
+    if is_other_announced {
+        vms.push(vm("vm-2", HERE, "hobart", 1.0));
+    }
+    w.on(Event::Vms(vms));
+    shut_down(&mut w);
+    w.advance(ANSWER_AFTER);
+    let seq = w.arrive("/one/x", CALLER_TIMEOUT);
+    let Some(Outcome::Refused(RefuseReason::ShuttingDown, Some(retry))) = outcome(&w, seq) else {
+        panic!("{:?}", outcome(&w, seq));
+    };
+    assert_eq!(*retry < ms(100), is_other_announced, "{retry:?}");
+}
