--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -18,8 +18,8 @@
 use tokio::time::Instant;
 
 use crate::directory::Directory;
-use crate::settings::Shutdown;
 use crate::shared_state::SharedState;
+use crate::shutdown_settings::Shutdown;
 
 /// The time between two checks whether requests are still in flight.
 const IN_FLIGHT_POLL_INTERVAL: Duration = Duration::from_millis(20);
