fix(http): a request whose beginning came with the request before it is answered at the stop

The connection counted as idle although hyper held the first bytes. Where the length of the first request is known, the header phase begins with its response now; a stray line end after a request therefore starts the header timeout. After a chunked request it is still unknown.

--- a/crates/http/src/phase.rs
+++ b/crates/http/src/phase.rs
@@ -200,7 +200,12 @@
             let is_next_begun = max == UNKNOWN_BYTES || received > max;
             let shared = &self.shared.is_next_begun;
             shared.store(is_next_begun, Ordering::Relaxed);
-            self.set(Phase::Idle);
+            if max != UNKNOWN_BYTES && received > max {
+                self.set(Phase::Head);
+                self.shared.head_started.notify_one();
+            } else {
+                self.set(Phase::Idle);
+            }
         }
         is_written
     }
--- a/crates/http/tests/connections/stop.rs
+++ b/crates/http/tests/connections/stop.rs
@@ -171,3 +171,20 @@
         assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
     }
 }
+
+/// A request was closed without an answer whose beginning was received together with the request before it.
+#[tokio::test]
+async fn half_of_a_pipelined_head_is_answered_at_stop() {
+    let s = start(limits()).await;
+    let mut client = Client::connect(s.addr);
+    let req = get("/");
+    let (first, rest) = req.split_at(10);
+    client.write(&format!("{req}{first}"));
+    let (mut client, _) = client.read_response().await;
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    s.stop.send(true).expect("running");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    client.write(rest);
+    let res = client.read_to_end().await;
+    assert!(res.starts_with("HTTP/1.1 200 OK\r\n"), "`{res}`");
+}
