fix(edge): final responses have time to be written after a pause of the process

After a pause from before the final responses until past the exit, both times had passed and the process ended at once with responses unwritten (by reading, from the review; no test). They have 100 ms at least now. The wait until a VM is unused is gs_http::wait_until_unused, as in serve.

--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -7,6 +7,7 @@
 use gs_actor::Shared;
 use gs_actor::lock;
 use gs_http::ServerState;
+use gs_http::wait_until_unused;
 use gs_relay::Event;
 use gs_relay::Relay;
 use gs_types::prelude::*;
@@ -28,6 +29,9 @@
 /// ready VM continues to use those that are not.
 const UNUSED_MIN: Duration = Duration::from_secs(1);
 
+/// The least time for writing the final responses.
+const WRITE_TIME_MIN: Duration = Duration::from_millis(100);
+
 /// The signals that a process handles.
 ///
 /// The handlers are installed before the process listens: an earlier signal would kill it at once.
@@ -114,8 +118,11 @@
                 log::info!("event=withdraw-failed error=\"{e}\"");
             }
         });
+        let unused = wait_until_unused(&self.callers, start + self.cfg.lag(), UNUSED_MIN, || {
+            self.in_flight()
+        });
         // The result only tells which came first.
-        let _ = tokio::time::timeout_at(answer_by, self.wait_until_unused(start)).await;
+        let _ = tokio::time::timeout_at(answer_by, unused).await;
         log::info!(
             "event=leaving step=stop-accepting connections={} in_flight={}",
             self.callers.open(),
@@ -123,6 +130,8 @@
         );
         let _ = self.stop.send(true);
         let (callers, relay) = (Arc::clone(&self.callers), Arc::clone(&self.relay));
+        // After a pause of the process both times may have passed with responses still to be written.
+        let exit_by = exit_by.max(Instant::now() + WRITE_TIME_MIN);
         match tokio::time::timeout_at(exit_by, self.finish()).await {
             Ok(()) => log::info!("event=left step=finished"),
             Err(_) => log::warn!(
@@ -133,21 +142,6 @@
         }
     }
 
-    /// Waits for the balancer to notice, then until nobody has used this VM for [`UNUSED_MIN`].
-    async fn wait_until_unused(&self, start: Instant) {
-        tokio::time::sleep_until(start + self.cfg.lag().saturating_sub(UNUSED_MIN)).await;
-        let mut accepted = self.callers.accepted();
-        let mut used_at = Instant::now();
-        while used_at.elapsed() < UNUSED_MIN {
-            tokio::time::sleep(IN_FLIGHT_POLL_INTERVAL).await;
-            let accepted_before = std::mem::replace(&mut accepted, self.callers.accepted());
-            let is_used = accepted > accepted_before || self.callers.open() > 0;
-            if is_used || self.in_flight() > 0 {
-                used_at = Instant::now();
-            }
-        }
-    }
-
     /// Waits until all responses are written.
     async fn finish(self) {
         if let Err(e) = self.serving.await {
